--- /dev/null
+++ b/src/greengagehaven/cli.py
@@ -0,0 +1,28 @@
+"""The ``greengagehaven`` command; each group of commands has its module."""
+
+import click
+
+from greengagehaven import exceptions
+
+EXIT_FAILED = 1
+
+
+class _Group(click.Group):
+    def invoke(self, ctx: click.Context) -> object:
+        try:
+            return super().invoke(ctx)
+        except exceptions.SettingError as error:
+            raise click.UsageError(error.detail) from error
+        except exceptions.GreengagehavenError as error:
+            raise click.ClickException(f"{error.code}: {error.detail}") from error
+
+
+@click.group(cls=_Group)
+@click.version_option(package_name="greengagehaven")
+def greengagehaven() -> None:
+    """A query tier over many shards."""
+
+
+def main() -> None:
+    """Run the command; every flag is also ``GREENGAGEHAVEN_COMMAND_FLAG``."""
+    greengagehaven(auto_envvar_prefix="GREENGAGEHAVEN")
--- /dev/null
+++ b/src/greengagehaven/log.py
@@ -0,0 +1,57 @@
+"""Logs: one line of key=value pairs for each event, by loguru."""
+
+import sys
+import typing
+
+from loguru import logger as _logger
+
+_QUOTED = frozenset(' "=\n\r\t')
+
+
+def configure(*, level: str = "INFO", sink: typing.Any = None) -> None:
+    """Send events of at least ``level`` to ``sink`` (standard error)."""
+    _logger.remove()
+    _logger.add(sink or sys.stderr, level=level.upper(), format=_format_line)
+
+
+def info(event: str, **fields: object) -> None:
+    """Log an event of ordinary operation."""
+    _logger.bind(fields=fields).info(event)
+
+
+def warning(event: str, **fields: object) -> None:
+    """Log an event that an operator may have to act on."""
+    _logger.bind(fields=fields).warning(event)
+
+
+def error(event: str, **fields: object) -> None:
+    """Log an event that an operator has to act on."""
+    _logger.bind(fields=fields).error(event)
+
+
+def debug(event: str, **fields: object) -> None:
+    """Log an event that only a developer wants to see."""
+    _logger.bind(fields=fields).debug(event)
+
+
+def format_value(value: object) -> str:
+    """Return a value as it stands behind ``key=``, quoted where needed."""
+    text = "" if value is None else str(value)
+    if not text or _QUOTED & set(text):
+        escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+        escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+        return f'"{escaped}"'
+    return text
+
+
+def _format_line(record: typing.Any) -> str:
+    pairs = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "event": record["message"],
+        **record["extra"].get("fields", {}),
+    }
+    record["extra"]["line"] = " ".join(
+        f"{key}={format_value(value)}" for key, value in pairs.items()
+    )
+    return "{extra[line]}\n"
--- /dev/null
+++ b/src/greengagehaven/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, their codecs and the error document; no behaviour."""
--- /dev/null
+++ b/src/greengagehaven/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in upstream for development, measurements and tests."""
--- /dev/null
+++ b/src/greengagehaven/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a host holds: documents, directory, log, snapshots, audit trail."""
--- /dev/null
+++ b/src/greengagehaven/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP by h11 and gRPC channels; no decision is taken here."""
