--- /dev/null
+++ b/src/greengagehaven/transport/sockets.py
@@ -0,0 +1,28 @@
+"""Socket options that let the kernel notice connections that went silent."""
+
+import datetime
+import socket
+
+KEEPALIVE_IDLE = datetime.timedelta(seconds=5)
+KEEPALIVE_INTERVAL = datetime.timedelta(seconds=2)
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT = datetime.timedelta(seconds=8)
+
+
+def configure(sock: socket.socket | None) -> None:
+    """Set TCP keepalive and user timeout on a connected socket.
+
+    A firewall or router that forgets a connection drops its packets without a
+    word. Probes find that out on an idle connection, the user timeout on one
+    with unacknowledged data; without them the socket stays open for hours.
+    """
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    seconds = int(KEEPALIVE_IDLE.total_seconds())
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+    seconds = int(KEEPALIVE_INTERVAL.total_seconds())
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    milliseconds = int(USER_TIMEOUT.total_seconds() * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
