Carry calls between hosts over gRPC

Cause: membership, the directory and the control log need unary calls of bytes between hosts. A connection that fell silent must not make a live peer look dead, and a handler must not be cut off between disk and memory.

--- /dev/null
+++ b/features/peers.feature
@@ -0,0 +1,42 @@
+Feature: Hosts call each other over gRPC
+
+  Scenario: A caller with another token is refused
+    A host of the trial environment is pointed at a production address by
+    mistake. Were its calls taken, its upstreams would show up in production.
+
+    Given a peer server that expects the token "right" and echoes bodies
+    When a peer calls it with the token "wrong"
+    Then the peer call ends with "peer_rejected"
+    When a peer calls it with the token "right"
+    Then the peer call returns the body
+
+  Scenario: A connection that fell silent is replaced
+    Something between two hosts loses track of their connection: bytes vanish,
+    no reset arrives, while a new connection works. Without a replacement every
+    later call on it would time out and the peer would be taken for dead.
+
+    Given a peer server that expects the token "right" and echoes bodies
+    And a relay in front of the peer server
+    When a peer calls through the relay with the token "right"
+    Then the peer call returns the body
+    When the relay forgets its open connections without closing them
+    And a peer calls through the relay with the token "right"
+    Then the peer call ends with "peer_failed"
+    When a peer calls through the relay with the token "right"
+    Then the peer call returns the body
+
+  Scenario: A handler outlives its caller's patience
+    A peer gives up while the other host is between writing to disk and noting
+    the write in memory. Were the handler cut off there, the two would differ.
+
+    Given a peer server whose handler needs two turns after its caller left
+    When a peer calls it and gives up
+    Then the peer handler still ran to its end
+
+  Scenario: A port in use is refused by name
+    Two daemons are started with one address. If both could bind it, each would
+    get half of the other's calls.
+
+    Given a peer server that expects the token "right" and echoes bodies
+    When a second peer server starts on the same address
+    Then the peer call ends with "invalid_setting"
--- /dev/null
+++ b/features/steps/peers_steps.py
@@ -0,0 +1,169 @@
+"""Steps about calls between hosts, over real loopback sockets."""
+
+import asyncio
+import datetime
+
+import behave
+
+from greengagehaven import clock, exceptions, settings
+from greengagehaven.transport import peers
+
+BODY = b"ping"
+PATIENCE_S = 0.3
+NO_GRACE = datetime.timedelta()
+
+
+class Relay:
+    """Passes bytes on until told to forget the connections it has."""
+
+    def __init__(self, target: str) -> None:
+        self._target = settings.parse_address("target", target)
+        self._writers: list[asyncio.StreamWriter] = []
+        self._forgotten: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return settings.format_address(*self._server.sockets[0].getsockname())
+
+    def forget(self) -> None:
+        self._forgotten.update(self._writers)
+
+    def stop(self) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _accept(self, reader, writer) -> None:
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        self._writers += [writer, far_writer]
+        await asyncio.gather(
+            self._pump(reader, far_writer), self._pump(far_reader, writer)
+        )
+
+    async def _pump(self, reader, writer) -> None:
+        while data := await self._read(reader):
+            if writer not in self._forgotten:
+                writer.write(data)
+
+    async def _read(self, reader) -> bytes:
+        try:
+            return await reader.read(65_536)
+        except ConnectionError:
+            return b""
+
+
+async def echo(body: bytes) -> bytes:
+    return body
+
+
+def run(context, awaitable):
+    return context.loop.run_until_complete(awaitable)
+
+
+def start_server(context, handler, token) -> None:
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    system_clock = clock.SystemClock()
+    context.server = peers.PeerServer(
+        handlers_by_method={"test/echo": handler}, token=token, clock=system_clock
+    )
+    context.address = run(context, context.server.start("127.0.0.1", 0))
+    context.add_cleanup(lambda: run(context, context.server.stop(NO_GRACE)))
+    context.clients_by_token = {}
+
+
+def client_of(context, token: str) -> peers.PeerClient:
+    async def make() -> peers.PeerClient:
+        return peers.PeerClient(token=token, clock=clock.SystemClock())
+
+    if token not in context.clients_by_token:
+        client = run(context, make())
+        context.add_cleanup(lambda: run(context, client.close()))
+        context.clients_by_token[token] = client
+    return context.clients_by_token[token]
+
+
+def call(context, address: str, token: str) -> None:
+    client = client_of(context, token)
+    request = client.call(address, "test/echo", BODY, timeout=PATIENCE_S)
+    try:
+        context.result = run(context, request)
+    except exceptions.PeerError as error:
+        context.result = error.code
+
+
+@behave.given('a peer server that expects the token "{token}" and echoes bodies')
+def given_server(context, token):
+    start_server(context, echo, token)
+
+
+@behave.given("a relay in front of the peer server")
+def given_relay(context):
+    context.relay = Relay(context.address)
+    context.relay_address = run(context, context.relay.start())
+    context.add_cleanup(context.relay.stop)
+
+
+@behave.given("a peer server whose handler needs two turns after its caller left")
+def given_slow_server(context):
+    context.caller_left = asyncio.Event()
+    context.ended = asyncio.Event()
+
+    async def handle(body: bytes) -> bytes:
+        await context.caller_left.wait()
+        await asyncio.sleep(0)
+        context.ended.set()
+        return body
+
+    start_server(context, handle, None)
+
+
+@behave.when('a peer calls it with the token "{token}"')
+def when_called(context, token):
+    call(context, context.address, token)
+
+
+@behave.when('a peer calls through the relay with the token "{token}"')
+def when_called_through_relay(context, token):
+    call(context, context.relay_address, token)
+
+
+@behave.when("the relay forgets its open connections without closing them")
+def when_relay_forgets(context):
+    context.relay.forget()
+
+
+@behave.when("a peer calls it and gives up")
+def when_caller_gives_up(context):
+    call(context, context.address, "any")
+    # The cancellation crosses the socket before the handler goes on.
+    run(context, asyncio.sleep(PATIENCE_S))
+    context.caller_left.set()
+
+
+@behave.when("a second peer server starts on the same address")
+def when_second_server(context):
+    second = peers.PeerServer(
+        handlers_by_method={}, token=None, clock=clock.SystemClock()
+    )
+    host, port = settings.parse_address("peer", context.address)
+    try:
+        run(context, second.start(host, port))
+        context.result = "started"
+    except exceptions.SettingError as error:
+        context.result = error.code
+
+
+@behave.then('the peer call ends with "{code}"')
+def then_failed(context, code):
+    assert context.result == code, context.result
+
+
+@behave.then("the peer call returns the body")
+def then_returned(context):
+    assert context.result == BODY, context.result
+
+
+@behave.then("the peer handler still ran to its end")
+def then_handler_ended(context):
+    run(context, asyncio.wait_for(context.ended.wait(), 5))
