--- /dev/null
+++ b/src/greengagehaven/coordination/following.py
@@ -0,0 +1,160 @@
+"""Which host an entry host follows for configuration, decided without I/O.
+
+One source is asked again and again with a long wait, so that a change arrives
+at once and an idle host costs a call every few seconds. A source that is
+silent, or that has itself lost touch with the leader, is left. Since a source
+that was silently cut off can go on answering, a second one is probed now and
+then; if it knows more, it becomes the source.
+"""
+
+import dataclasses
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import rng as rngs
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timing:
+    """Periods of following, in seconds.
+
+    :param wait: how long a source may hold a call without news.
+    :param call_timeout: longest call beyond ``wait``.
+    :param pace: shortest time between two calls; changes of this time travel
+        together.
+    :param retry: pause after a call that failed.
+    :param probe: period between calls to a second source.
+    :param stale_after: a source that has not heard of a leader for so long is
+        left for another.
+    """
+
+    wait: float = 5.0
+    call_timeout: float = 1.0
+    pace: float = 0.1
+    retry: float = 0.3
+    probe: float = 3.0
+    stale_after: float = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """Ask ``address``, which may hold the call for ``wait`` seconds."""
+
+    address: str
+    wait: float
+    timeout: float
+
+
+class Following:
+    """Chooses the source of configuration.
+
+    :param control_addresses: control hosts, from the settings.
+    :param peer_addresses: gives the other live entry hosts.
+    :param clock: monotonic time.
+    :param rng: spreads hosts over sources.
+    :param timing: periods.
+    """
+
+    def __init__(
+        self,
+        *,
+        control_addresses: abc.Sequence[str],
+        peer_addresses: abc.Callable[[], abc.Sequence[str]],
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+        timing: Timing,
+    ) -> None:
+        self._control_addresses = list(control_addresses)
+        self._peer_addresses = peer_addresses
+        self._clock = clock
+        self._rng = rng
+        self._timing = timing
+        self._source: str | None = None
+        self._failed_at_by_address: dict[str, float] = {}
+        self._confirmed_at = float("-inf")
+
+    @property
+    def source(self) -> str | None:
+        """Return the host that is followed."""
+        return self._source
+
+    @property
+    def age(self) -> float:
+        """Return for how many seconds no leader is known to have been heard."""
+        return self._clock.monotonic() - self._confirmed_at
+
+    def next_call(self, *, hurry: bool = False) -> Call | None:
+        """Return whom to ask now, ``None`` where no other host is known.
+
+        :param hurry: ask without a wait, since nothing is in force yet.
+        """
+        if self._source is None:
+            self._source = self._choose()
+        if self._source is None:
+            return None
+        wait = 0.0 if hurry else self._timing.wait
+        return self._call(self._source, wait)
+
+    def next_probe(self) -> Call | None:
+        """Return a second host to ask whether it knows more."""
+        address = self._choose(avoid=self._source)
+        if address is None or address == self._source:
+            return None
+        return self._call(address, 0.0)
+
+    def on_reply(self, address: str, *, age: float, is_news: bool) -> None:
+        """Take an answer.
+
+        :param age: seconds since the answering host knew of no newer state.
+        :param is_news: whether it brought a newer revision.
+        """
+        self._failed_at_by_address.pop(address, None)
+        confirmed_at = self._clock.monotonic() - age
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        is_fresh = age < self._timing.stale_after
+        if address == self._source:
+            if not is_fresh:
+                self._leave(address)
+        elif is_news and is_fresh:
+            self._source = address
+
+    def on_failure(self, address: str) -> None:
+        """Note that a host did not answer."""
+        self._leave(address)
+
+    def _leave(self, address: str) -> None:
+        self._failed_at_by_address[address] = self._clock.monotonic()
+        if address == self._source:
+            self._source = None
+
+    def _call(self, address: str, wait: float) -> Call:
+        timeout = wait + self._timing.call_timeout
+        return Call(address=address, wait=wait, timeout=timeout)
+
+    def _choose(self, avoid: str | None = None) -> str | None:
+        """Return a control host, or a peer where all of those failed lately.
+
+        Among hosts that failed the one that did so longest ago comes first,
+        so that every host is tried again in turn.
+        """
+        control = self._usable(self._control_addresses, avoid)
+        if control:
+            return self._rng.choice(control)
+        peers = self._usable(self._peer_addresses(), avoid)
+        if peers:
+            return self._rng.choice(peers)
+        known = {*self._control_addresses, *self._peer_addresses()} - {avoid}
+        return min(
+            sorted(known),
+            key=lambda address: self._failed_at_by_address.get(address, 0.0),
+            default=None,
+        )
+
+    def _usable(self, addresses: abc.Sequence[str], avoid: str | None) -> list[str]:
+        bound = self._clock.monotonic() - self._timing.stale_after
+        failed_at = self._failed_at_by_address
+        return [
+            address
+            for address in addresses
+            if address != avoid and failed_at.get(address, float("-inf")) < bound
+        ]
--- /dev/null
+++ b/src/greengagehaven/coordination/raft/raftlog.py
@@ -0,0 +1,125 @@
+"""A member's log in memory: the entries behind the snapshot's base."""
+
+from collections import abc
+
+from greengagehaven.protocol import codec
+from greengagehaven.state import records
+
+
+class RaftLog:
+    """Entries by index, and the membership that the newest of them sets.
+
+    :param stored: what was found on the disk.
+    """
+
+    def __init__(self, *, stored: records.Stored) -> None:
+        self.snapshot = stored.snapshot
+        self.base = stored.base
+        self._entries = list(stored.entries)
+        self._memberships: list[tuple[int, records.Membership]] = []
+        self._read_memberships()
+
+    @property
+    def last(self) -> records.Position:
+        """Return the place of the last entry."""
+        if not self._entries:
+            return self.base
+        entry = self._entries[-1]
+        return records.Position(entry.index, entry.term)
+
+    @property
+    def membership(self) -> records.Membership:
+        """Return the newest membership, committed or not."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> int:
+        """Return the index of the entry that set the newest membership."""
+        return self._memberships[-1][0]
+
+    def membership_at(self, index: int) -> records.Membership:
+        """Return the membership that the log up to ``index`` sets."""
+        return next(
+            membership
+            for place, membership in reversed(self._memberships)
+            if place <= index
+        )
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, ``None`` where it is not held."""
+        if index == self.base.index:
+            return self.base.term
+        offset = index - self.base.index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first index held that has the same term as ``index``."""
+        term = self.term_at(index)
+        while index > self.base.index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> tuple[records.Entry, ...]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        start = first - self.base.index - 1
+        return tuple(self._entries[start : last - self.base.index])
+
+    def batch_from(self, first: int, max_bytes: int) -> tuple[records.Entry, ...]:
+        """Return entries from ``first`` on, at least one and at most that size."""
+        batch = []
+        size = 0
+        for entry in self._entries[first - self.base.index - 1 :]:
+            size += len(entry.payload)
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def append(self, entries: abc.Sequence[records.Entry]) -> None:
+        """Add entries, in place of any that stand at their indexes."""
+        first = entries[0].index
+        del self._entries[first - self.base.index - 1 :]
+        while self._memberships[-1][0] >= first:
+            self._memberships.pop()
+        self._entries.extend(entries)
+        self._note_memberships(entries)
+
+    def compact(self, snapshot: records.Snapshot, trailing: int) -> None:
+        """Take a snapshot of applied entries, keep ``trailing`` before it."""
+        self.snapshot = snapshot
+        index = max(self.base.index, snapshot.last.index - trailing)
+        term = self.term_at(index)
+        assert term is not None
+        del self._entries[: index - self.base.index]
+        self.base = records.Position(index, term)
+        self._drop_old_memberships(snapshot.last.index)
+
+    def install(self, snapshot: records.Snapshot) -> None:
+        """Start over from a leader's snapshot."""
+        self.snapshot = snapshot
+        self.base = snapshot.last
+        self._entries = []
+        self._read_memberships()
+
+    def kept(self) -> tuple[records.Entry, ...]:
+        """Return every entry held."""
+        return tuple(self._entries)
+
+    def _read_memberships(self) -> None:
+        snapshot = self.snapshot
+        self._memberships = [(snapshot.last.index, snapshot.membership)]
+        self._note_memberships(
+            [entry for entry in self._entries if entry.index > snapshot.last.index]
+        )
+
+    def _note_memberships(self, entries: abc.Iterable[records.Entry]) -> None:
+        for entry in entries:
+            if entry.kind is records.EntryKind.MEMBERSHIP:
+                membership = codec.decode_msgpack(entry.payload, records.Membership)
+                self._memberships.append((entry.index, membership))
+
+    def _drop_old_memberships(self, index: int) -> None:
+        while len(self._memberships) > 1 and self._memberships[1][0] <= index:
+            self._memberships.pop(0)
--- /dev/null
+++ b/src/greengagehaven/coordination/raft/timing.py
@@ -0,0 +1,37 @@
+"""How long members of a replicated log wait for each other."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timing:
+    """Periods in seconds on each member's own clock, and sizes in bytes.
+
+    :param heartbeat: the leader's period between messages to each member.
+    :param election_min: a member that heard from a leader within this time
+        gives no vote, and starts no election.
+    :param election_max: elections start at random up to this time.
+    :param max_drift: bound on how much a clock's rate may be wrong; the lease
+        is shortened by it on both sides.
+    :param append_bytes: payload of one message of entries.
+    :param chunk_bytes: part of a snapshot in one message.
+    :param trailing_entries: entries kept behind a snapshot, so that a member
+        that is a little late needs no snapshot.
+    """
+
+    heartbeat: float = 0.1
+    election_min: float = 0.5
+    election_max: float = 1.0
+    max_drift: float = 0.1
+    append_bytes: int = 256 * 1024
+    chunk_bytes: int = 256 * 1024
+    trailing_entries: int = 1000
+
+    @property
+    def lease(self) -> float:
+        """Return how long after sending a heartbeat its answers count.
+
+        A member that answered gives no vote for ``election_min`` on its
+        clock, which may run fast, while the leader's clock may run slow.
+        """
+        return self.election_min * (1 - self.max_drift) / (1 + self.max_drift)
--- /dev/null
+++ b/src/greengagehaven/daemons/admission.py
@@ -0,0 +1,130 @@
+"""How a control host finds its log and becomes a member of it."""
+
+import asyncio
+
+import msgspec
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import peers
+from greengagehaven.coordination.raft import core, steward
+from greengagehaven.protocol import codec, control
+from greengagehaven.state import records
+
+IDENTIFY_METHOD = "control/identify"
+JOIN_METHOD = "control/join"
+CALL_TIMEOUT_S = 1.0
+CANDIDATE_LIFETIME_S = 5.0
+
+
+class Admission:
+    """Asks the other control hosts for their log, and the leader to let it in.
+
+    :param channel: calls to other hosts.
+    :param own: this host as it wants to be a member; its id may change.
+    :param peer_addresses: the other control hosts.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: peers.PeerChannel,
+        own: records.Member,
+        peer_addresses: tuple[str, ...],
+        clock: clocks.Clock,
+    ) -> None:
+        self.own = own
+        self._channel = channel
+        self._peer_addresses = peer_addresses
+        self._clock = clock
+        self._candidates_by_id: dict[str, tuple[float, records.Member]] = {}
+
+    async def find_group(self, *, bootstrap: bool) -> str | None:
+        """Return the log that the other hosts have, or "" to begin a new one.
+
+        A new log is begun only where every other control host answers that it
+        has none, and only by the host with the lowest address. Otherwise a
+        host that lost its disk while it was cut off would begin a second log,
+        and two leaders would take changes.
+
+        :return: ``None`` where it cannot be told yet.
+        """
+        replies = await asyncio.gather(
+            *(self._identify(address) for address in self._peer_addresses)
+        )
+        for reply in replies:
+            if reply is not None and reply.group_id:
+                return reply.group_id
+        is_first = all(self.own.address < other for other in self._peer_addresses)
+        if bootstrap and is_first and None not in replies:
+            return ""
+        return None
+
+    async def ask_to_join(self) -> None:
+        """Ask the leader to make this host a member, as it wants to be."""
+        request = codec.encode_msgpack(
+            control.JoinRequest(
+                member_id=self.own.id,
+                host=self.own.host,
+                address=self.own.address,
+                voter=self.own.voter,
+            )
+        )
+        asked = set()
+        waiting = list(self._peer_addresses)
+        while waiting:
+            address = waiting.pop(0)
+            if address in asked or address == self.own.address:
+                continue
+            asked.add(address)
+            try:
+                data = await self._channel.call(
+                    address, JOIN_METHOD, request, timeout=CALL_TIMEOUT_S
+                )
+                reply = codec.decode_msgpack(data, control.JoinReply)
+            except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
+                log.debug("join_failed", peer=address, error=error.detail)
+                continue
+            if reply.leader_address == address:
+                return
+            if reply.leader_address:
+                waiting.insert(0, reply.leader_address)
+
+    def is_admitted(self, membership: records.Membership) -> bool:
+        """Tell whether the membership has this host as it wants to be."""
+        return self.own in membership.members
+
+    def add_candidate(self, request: control.JoinRequest) -> None:
+        """Note, as the leader, that a host wants to be a member."""
+        member = records.Member(
+            id=request.member_id,
+            host=request.host,
+            address=request.address,
+            voter=request.voter,
+        )
+        self._candidates_by_id[member.id] = (self._clock.monotonic(), member)
+
+    def next_membership(self, raft: core.Raft) -> records.Membership | None:
+        """Return the change that the leader should make now, if any."""
+        oldest = self._clock.monotonic() - CANDIDATE_LIFETIME_S
+        self._candidates_by_id = {
+            member_id: kept
+            for member_id, kept in self._candidates_by_id.items()
+            if kept[0] >= oldest
+        }
+        candidates = tuple(member for _, member in self._candidates_by_id.values())
+        return steward.next_membership(raft, candidates)
+
+    def rename(self, member_id: str) -> None:
+        """Take the id that this host's disk bears."""
+        self.own = msgspec.structs.replace(self.own, id=member_id)
+
+    async def _identify(self, address: str) -> control.IdentifyReply | None:
+        try:
+            data = await self._channel.call(
+                address, IDENTIFY_METHOD, b"", timeout=CALL_TIMEOUT_S
+            )
+            return codec.decode_msgpack(data, control.IdentifyReply)
+        except (exceptions.PeerError, exceptions.InvalidRequestError):
+            return None
--- /dev/null
+++ b/src/greengagehaven/daemons/control_status.py
@@ -0,0 +1,105 @@
+"""What a control host tells operators about itself and the others."""
+
+import typing
+
+from greengagehaven.protocol import control as messages
+from greengagehaven.protocol import operator
+
+if typing.TYPE_CHECKING:
+    from greengagehaven.daemons import control
+
+FRESH_REPORT_MS = 15_000
+MAX_AGE_S = 1e9
+
+
+async def collect(host: "control.ControlHost", *, has_quorum: bool) -> operator.Status:
+    """Return the status as this host sees it.
+
+    :param has_quorum: whether this host leads and a quorum has just answered.
+    """
+    replies = await host.collect_members()
+    raft = host.raft
+    state = host.machine.state
+    members = () if raft is None else _member_lines(host, replies)
+    reports = await host.collect_reports()
+    return operator.Status(
+        quorum="ok" if has_quorum else "lost",
+        detail=_detail(host, members, has_quorum),
+        host=host.settings.host_id,
+        role="joining" if raft is None else raft.role,
+        term=0 if raft is None else raft.term,
+        group_id="" if raft is None else raft.group_id,
+        leader=None if raft is None else raft.leader_id,
+        revision=state.revision,
+        digest=state.digest,
+        drained_zones=state.drained_zones,
+        age_ms=round(host.age * 1000) if host.age < MAX_AGE_S else None,
+        members=members,
+        hosts=tuple(_host_line(report, state.revision) for report in reports),
+    )
+
+
+def _member_lines(
+    host: "control.ControlHost",
+    replies: dict[str, messages.ReportsReply | None],
+) -> tuple[operator.MemberLine, ...]:
+    raft = host.raft
+    assert raft is not None
+    lines = []
+    for member in raft.log.membership.members:
+        reply = replies.get(member.id)
+        missing = None if reply is None else raft.commit_index - reply.applied_index
+        lines.append(
+            operator.MemberLine(
+                host=member.host,
+                member_id=member.id,
+                address=member.address,
+                voter=member.voter,
+                leader=member.id == raft.leader_id,
+                answers=reply is not None,
+                revision=None if reply is None else reply.revision,
+                missing_entries=None if missing is None else max(0, missing),
+                log_bytes=None if reply is None else reply.log_bytes,
+            )
+        )
+    return tuple(lines)
+
+
+def _host_line(report: messages.HostReport, revision: int) -> operator.HostLine:
+    if report.age_ms > FRESH_REPORT_MS:
+        state = "silent"
+    elif report.refused_revision:
+        state = "refused"
+    elif report.revision < revision:
+        state = "behind"
+    else:
+        state = "current"
+    return operator.HostLine(
+        host_id=report.host_id,
+        availability_zone=report.availability_zone,
+        revision=report.revision,
+        age_ms=report.age_ms,
+        state=state,
+    )
+
+
+def _detail(
+    host: "control.ControlHost",
+    members: tuple[operator.MemberLine, ...],
+    has_quorum: bool,
+) -> str:
+    if host.failure is not None:
+        return f"the disk of this host failed: {host.failure.detail}"
+    if host.raft is None:
+        return "this host has not found the log of the other control hosts yet"
+    voters = [member for member in members if member.voter]
+    answering = sum(member.answers for member in voters)
+    needed = len(voters) // 2 + 1
+    if has_quorum:
+        return f"{answering} of {len(voters)} voters answer, {needed} are needed"
+    silent = ", ".join(member.host for member in voters if not member.answers)
+    return (
+        f"no leader with a quorum; {answering} of {len(voters)} voters answer this "
+        f"host, {needed} are needed; no answer from: {silent or 'none'}; changes "
+        "are not accepted, entry hosts go on with what is in force"
+    )
--- /dev/null
+++ b/src/greengagehaven/daemons/follower.py
@@ -0,0 +1,230 @@
+"""An entry host's link to the configuration: follows, hands on, reports."""
+
+import asyncio
+import typing
+from collections import abc
+
+import prometheus_client
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven import rng as rngs
+from greengagehaven.coordination import events, following, peers
+from greengagehaven.daemons import publisher
+from greengagehaven.protocol import codec, control
+from greengagehaven.state import configuration, document, published
+
+FOLLOW_METHOD = "configuration/follow"
+
+
+class ConfigurationFollower:
+    """Keeps an entry host at the newest configuration it can learn of.
+
+    It asks control hosts, and other entry hosts where those are out of reach,
+    only ever moves forward, and answers other hosts that ask it.
+
+    :param channel: calls to other hosts.
+    :param host_id: this host, for its reports.
+    :param availability_zone: this host's zone, for its reports.
+    :param control_addresses: peer addresses of control hosts.
+    :param peer_addresses: gives the peer addresses of live entry hosts.
+    :param on_event: takes ``DocumentInForce`` and ``ZonesDrained``.
+    :param clock: source of time.
+    :param rng: source of randomness.
+    :param registry: where metrics are registered, ``None`` for nowhere.
+    :param timing: periods.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: peers.PeerChannel,
+        host_id: str,
+        availability_zone: str,
+        control_addresses: abc.Sequence[str],
+        peer_addresses: abc.Callable[[], abc.Sequence[str]] = tuple,
+        on_event: abc.Callable[[events.Event], None],
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+        registry: prometheus_client.CollectorRegistry | None = None,
+        timing: following.Timing | None = None,
+    ) -> None:
+        self._channel = channel
+        self._host_id = host_id
+        self._availability_zone = availability_zone
+        self._on_event = on_event
+        self._timing = timing or following.Timing()
+        self._published = published.Published()
+        self._following = following.Following(
+            control_addresses=control_addresses,
+            peer_addresses=peer_addresses,
+            clock=clock,
+            rng=rng,
+            timing=self._timing,
+        )
+        self._publisher = publisher.Publisher(
+            published=self._published, age=lambda: self._following.age, clock=clock
+        )
+        self._revision = 0
+        self._refused_revision = 0
+        self._digest = ""
+        self._drained_zones: frozenset[str] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._in_force = asyncio.Event()
+        self._add_metrics(registry)
+
+    @property
+    def handlers_by_method(self) -> dict[str, peers.Handler]:
+        """Return what a ``PeerServer`` answers other hosts with."""
+        return {FOLLOW_METHOD: self._publisher.handle}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force on this host, 0 for none."""
+        return self._revision
+
+    @property
+    def age(self) -> float:
+        """Return for how many seconds no control leader was heard of."""
+        return self._following.age
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._tasks = [
+            asyncio.ensure_future(self._follow_forever()),
+            asyncio.ensure_future(self._probe_forever()),
+        ]
+
+    async def wait_in_force(self) -> None:
+        """Return once a document is in force."""
+        await self._in_force.wait()
+
+    async def close(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        self._publisher.close()
+
+    async def _follow_forever(self) -> None:
+        while True:
+            call = self._following.next_call(hurry=self._revision == 0)
+            if call is None or not await self._ask(call):
+                await asyncio.sleep(self._timing.retry)
+            else:
+                await asyncio.sleep(self._timing.pace)
+
+    async def _probe_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._timing.probe)
+            call = self._following.next_probe()
+            if call is not None:
+                await self._ask(call)
+
+    async def _ask(self, call: following.Call) -> bool:
+        request = control.FollowRequest(
+            held_revision=self._published.revision,
+            wait_ms=round(call.wait * 1000),
+            reports=(self._report(), *self._publisher.reports()),
+        )
+        try:
+            data = await self._channel.call(
+                call.address,
+                FOLLOW_METHOD,
+                codec.encode_msgpack(request),
+                timeout=call.timeout,
+            )
+            reply = codec.decode_msgpack(data, control.FollowReply)
+            is_news = self._take(reply)
+        except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
+            log.debug("follow_failed", source=call.address, error=error.detail)
+            self._following.on_failure(call.address)
+            return False
+        except exceptions.StateMismatchError as error:
+            log.error("delta_mismatch", source=call.address, error=error.detail)
+            self._following.on_failure(call.address)
+            return False
+        age = reply.age_ms / 1000
+        self._following.on_reply(call.address, age=age, is_news=is_news)
+        return True
+
+    def _report(self) -> control.HostReport:
+        return control.HostReport(
+            host_id=self._host_id,
+            availability_zone=self._availability_zone,
+            revision=self._revision,
+            refused_revision=self._refused_revision,
+        )
+
+    def _take(self, reply: control.FollowReply) -> bool:
+        """Move forward by a reply; return whether it brought anything new."""
+        before = self._published.revision
+        if reply.state is not None:
+            state = codec.decode_msgpack(
+                bytes(reply.state), configuration.ConfigurationState
+            )
+            self._published.replace(state)
+        for raw in reply.deltas:
+            delta = codec.decode_msgpack(bytes(raw), configuration.Delta)
+            # A probe and the long call may both bring the same deltas.
+            if delta.revision > self._published.revision:
+                self._published.advance(delta)
+        if self._published.revision == before:
+            return False
+        self._put_in_force(self._published.state)
+        self._publisher.notify()
+        return True
+
+    def _put_in_force(self, state: configuration.ConfigurationState) -> None:
+        drained = frozenset(state.drained_zones)
+        if drained != self._drained_zones:
+            self._drained_zones = drained
+            self._on_event(events.ZonesDrained(zones=drained))
+        if state.document and state.digest != self._digest:
+            environment = self._parse(state)
+            if environment is None:
+                return
+            self._digest = state.digest
+            self._on_event(
+                events.DocumentInForce(revision=state.revision, environment=environment)
+            )
+        self._revision = state.revision
+        self._refused_revision = 0
+        if self._digest:
+            self._in_force.set()
+        log.info("revision_in_force", revision=state.revision, digest=state.digest)
+
+    def _parse(
+        self, state: configuration.ConfigurationState
+    ) -> document.Environment | None:
+        """Return the document, ``None`` where this version cannot read it.
+
+        Control hosts refuse documents with mistakes, so this happens only
+        where they run a newer version than this host.
+        """
+        try:
+            return document.parse(state.document)
+        except exceptions.DocumentError as error:
+            self._refused_revision = state.revision
+            log.error("revision_refused", revision=state.revision, error=error.detail)
+            return None
+
+    def _add_metrics(
+        self, registry: prometheus_client.CollectorRegistry | None
+    ) -> None:
+        if registry is None:
+            return
+        gauges: dict[str, tuple[str, typing.Callable[[], float]]] = {
+            "greengagehaven_configuration_revision": (
+                "Revision in force on this host",
+                lambda: self._revision,
+            ),
+            "greengagehaven_configuration_age_seconds": (
+                "Time since a control leader was last heard of",
+                lambda: self._following.age,
+            ),
+        }
+        for name, (text, read) in gauges.items():
+            gauge = prometheus_client.Gauge(name, text, registry=registry)
+            gauge.set_function(read)
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -329,6 +329,38 @@
     code = "quorum_lost"
 
 
+class StorageFailedError(ControlError):
+    """This control host's disk failed; it takes no part until it restarts."""
+
+    code = "storage_failed"
+
+
+class StateMismatchError(ControlError):
+    """A delta that does not follow the state it is applied to."""
+
+    code = "state_mismatch"
+
+
+class ChangeRefusedError(ControlError):
+    """A change that was decided and refused; a resend is refused as well.
+
+    :param code: the refusal's own code.
+    """
+
+    code = "change_refused"
+    status = 409
+
+    def __init__(self, detail: str, *, code: str) -> None:
+        super().__init__(detail)
+        self.code = code
+
+
+class ControlUnreachableError(ControlError):
+    """No control host that was asked gave an answer."""
+
+    code = "control_unreachable"
+
+
 class ProofError(ControlError):
     """A digest that has no valid proof from the trial environment."""
 
--- a/src/greengagehaven/state/configuration.py
+++ b/src/greengagehaven/state/configuration.py
@@ -7,17 +7,68 @@
 import msgspec
 
 
+class Splice(msgspec.Struct, frozen=True, array_like=True):
+    """What turns one document into the next: bytes put in place of others.
+
+    :param offset: where the two begin to differ.
+    :param removed: how many bytes are taken out there.
+    """
+
+    offset: int
+    removed: int
+    inserted: bytes
+
+    def apply(self, document: bytes) -> bytes:
+        """Return the document after the change."""
+        tail = document[self.offset + self.removed :]
+        return document[: self.offset] + self.inserted + tail
+
+
+def splice_between(old: bytes, new: bytes) -> Splice:
+    """Return the smallest single splice from ``old`` to ``new``."""
+    shortest = min(len(old), len(new))
+    head = _common_prefix(old, new, shortest)
+    tail = _common_prefix(old[::-1], new[::-1], shortest - head)
+    return Splice(head, len(old) - head - tail, new[head : len(new) - tail])
+
+
+def _common_prefix(first: bytes, second: bytes, limit: int) -> int:
+    low, high = 0, limit
+    while low < high:
+        middle = (low + high + 1) // 2
+        if first[low:middle] == second[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
 class ConfigurationState(msgspec.Struct, frozen=True, kw_only=True):
     """What is in force after one change: a document and the drained zones.
 
     :param revision: number of the change that made it; it only grows.
     :param document: the TOML bytes, empty before the first document.
+    :param digest: SHA-256 of the document in hex, empty before the first.
     :param drained_zones: availability zones that take no new work.
     """
 
     revision: int = 0
     document: bytes = b""
+    digest: str = ""
+    drained_zones: tuple[str, ...] = ()
+
+
+class Delta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What one accepted change did to the state before it.
+
+    :param splice: the change to the document, ``None`` where it stays.
+    :param digest: of the document after it.
+    """
+
+    revision: int
+    digest: str
     drained_zones: tuple[str, ...] = ()
+    splice: Splice | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,12 +78,15 @@
     :param change_id: the operator's own id; a resend with it returns the
         first result.
     :param expected_revision: revision the operator saw; ``None`` to force.
+    :param proof: signed statement of the trial environment, where production
+        demands one.
     """
 
     change_id: str
     author: str
     document: bytes
     expected_revision: int | None
+    proof: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,7 +100,33 @@
     force: bool = False
 
 
-Change = DocumentChange | ZoneChange
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProofChange:
+    """An operator's change: record that a digest proved itself here.
+
+    :param digest: the document in force that is meant.
+    """
+
+    change_id: str
+    author: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WithdrawalChange:
+    """An operator's change: a digest must not be promoted any more.
+
+    :param statement: the signed withdrawal of the trial environment; empty
+        where the withdrawal is made here.
+    """
+
+    change_id: str
+    author: str
+    digest: str
+    statement: bytes = b""
+
+
+Change = DocumentChange | ZoneChange | ProofChange | WithdrawalChange
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,7 +142,7 @@
 
 
 class ConfigurationLog(typing.Protocol):
-    """Where accepted changes are kept: a file today, a quorum of hosts."""
+    """Where accepted changes are kept: a quorum of control hosts."""
 
     @property
     def current(self) -> ConfigurationState:
--- a/src/greengagehaven/state/folder.py
+++ b/src/greengagehaven/state/folder.py
@@ -3,6 +3,7 @@
 Behind an interface so that tests can lose exactly what was not synced.
 """
 
+import fcntl
 import os
 import pathlib
 import typing
@@ -10,6 +11,7 @@
 from greengagehaven import exceptions
 
 TEMPORARY_SUFFIX = ".new"
+LOCK_NAME = "lock"
 
 
 class Folder(typing.Protocol):
@@ -112,8 +114,28 @@
             (self._path / name).unlink(missing_ok=True)
             self._sync_folder()
 
+    def lock(self) -> None:
+        """Keep other processes out of the folder until ``close``.
+
+        Two processes on one log would each acknowledge entries that the other
+        overwrites.
+
+        :raises SettingError: another process has it.
+        """
+        handle = os.open(self._path / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(handle)
+            raise exceptions.SettingError(
+                place="data folder",
+                value=str(self._path),
+                expected="a folder that no other control host uses",
+            ) from error
+        self._handles_by_name[LOCK_NAME] = handle
+
     def close(self) -> None:
-        """Close every open file."""
+        """Close every open file and release the lock."""
         for name in list(self._handles_by_name):
             self._close(name)
 
