--- /dev/null
+++ b/src/greengagehaven/standin/upstream.py
@@ -0,0 +1,464 @@
+"""A stand-in upstream: serves rows, and misbehaves as real ones do.
+
+It counts on its own what the tier must never do; see :class:`Tally`.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+import typing
+
+import msgspec
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.protocol import codec, upstream
+from greengagehaven.standin import register
+from greengagehaven.transport import http, http_client, http_server, upstream_wire
+
+BILLED_KINDS = frozenset({"retire"})
+DRAIN_GRACE_S = 3.0
+RESTART_S = 1.0
+COLD_SLOWDOWN = 3.0
+WARM_RUNS_PER_STEP = 8
+QUEUE_PER_SLOT = 16
+RETRY_S = 0.2
+ECHOED = ("request-id", "attempt", "service", "shard", "snapshot", "partitioning")
+NOT_RUN = (("Not-Run", "true"),)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Tally:
+    """What a set of stand-ins saw, independently of the tier.
+
+    :param runs: sub-requests that began to run.
+    :param doubled: billed orders that ran more than once on a shard.
+    :param violations_by_name: work or connections that were not allowed.
+    :param crashes: upstreams lost to a poisoned query.
+    """
+
+    runs: int = 0
+    doubled: int = 0
+    crashes: int = 0
+    violations_by_name: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    billed: collections.Counter = dataclasses.field(default_factory=collections.Counter)
+
+    def bill(self, order: tuple[str, str, str]) -> None:
+        """Count a billed run of (order, service, shard)."""
+        self.billed[order] += 1
+        self.doubled += self.billed[order] > 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What an upstream is; the defaults are a leaf of today's sizes.
+
+    :param connect_cost: seconds of a slot that a new connection costs.
+    :param service_time: mean seconds of a run; runs vary around it.
+    :param starts_cold: whether it bears one sub-request at first.
+    :param cold_tolerance: sub-requests above what it bears while cold before
+        it falls over.
+    """
+
+    id: str
+    availability_zone: str
+    shards: tuple[upstream.HostedShard, ...]
+    snapshots: tuple[int, ...] = (41, 42)
+    slots: int = 2
+    max_connections: int = 25
+    connect_cost: float = 0.006
+    service_time: float = 0.004
+    starts_cold: bool = False
+    cold_tolerance: int = 1
+
+
+class _CountingServer(http_server.HttpServer):
+    """Server that holds its callers to the connection cap."""
+
+    upstream: "StandinUpstream"
+
+    def connection_opened(self, connection: typing.Any) -> bool:
+        if self.connection_count >= self.upstream.options.max_connections:
+            self.upstream.violate("connections_over_cap")
+            return False
+        return super().connection_opened(connection)
+
+    def connection_closed(self, connection: typing.Any) -> None:
+        super().connection_closed(connection)
+        self.upstream.known_peers.discard(connection.peer)
+
+
+class StandinUpstream:
+    """One upstream; attributes that tests and scenarios may change at any time:
+
+    ``speed_factor`` (1 is normal, 10 ten times slower), ``load_lie`` (a report
+    to send in place of the true one), ``fails_fast`` (status 500 at once).
+
+    :param entries: entry hosts to announce to; any one is enough.
+    :param tally: where violations are counted, shared by many.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: Options,
+        entries: typing.Sequence[str] = (),
+        tally: Tally | None = None,
+        rng: random.Random | None = None,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        self.options = options
+        self.tally = tally or Tally()
+        self.speed_factor = 1.0
+        self.load_lie: upstream.LoadReport | None = None
+        self.fails_fast = False
+        self.known_peers: set[str] = set()
+        self.address = ""
+        self.snapshots = options.snapshots
+        self.shards = options.shards
+        self._entries = list(entries)
+        self._rng = rng or random.Random(options.id)
+        self._clock = clock or clocks.SystemClock()
+        self._server: _CountingServer | None = None
+        self._announcer: asyncio.Task | None = None
+        self._changed = asyncio.Event()
+        self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._state = upstream.UpstreamState.READY
+        self._draining_since: float | None = None
+        self._running = 0
+        self._queue: collections.deque[asyncio.Future] = collections.deque()
+        self._waits_by_id: dict[tuple[str, str], asyncio.Future] = {}
+        self._warm_runs: int | None = 0 if options.starts_cold else None
+        self._restart: asyncio.Task | None = None
+        self._index_shards()
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Serve, begin to announce and return the bound ``IP:PORT``."""
+        server = _CountingServer(handler=self._handle, clock=self._clock)
+        server.upstream = self
+        self.address = await server.start(host, port)
+        self._server = server
+        if self._entries:
+            loop = asyncio.get_running_loop()
+            self._announcer = loop.create_task(self._announce_forever())
+        return self.address
+
+    async def stop(self) -> None:
+        """Vanish at once, without a word, as a lost machine does."""
+        tasks = [task for task in (self._announcer, self._restart) if task]
+        self._announcer = self._restart = None
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
+
+    async def drain(self, bound: float = 10.0) -> int:
+        """Say ``draining``, finish what runs, take back the announcement.
+
+        :param bound: longest wait in seconds.
+        :return: sub-requests that were cut off.
+        """
+        self.change(state=upstream.UpstreamState.DRAINING)
+        self._draining_since = self._clock.monotonic()
+        end = self._draining_since + bound
+        settle = self._draining_since + min(DRAIN_GRACE_S, bound)
+        while self._clock.monotonic() < end:
+            busy = self._running or self._queue
+            if not busy and self._clock.monotonic() >= settle:
+                break
+            await asyncio.sleep(0.02)
+        left = self._running + len(self._queue)
+        await self._withdraw()
+        await self.stop()
+        return left
+
+    def change(
+        self,
+        *,
+        state: upstream.UpstreamState | None = None,
+        snapshots: tuple[int, ...] | None = None,
+        shards: tuple[upstream.HostedShard, ...] | None = None,
+    ) -> None:
+        """Change what is announced; the announcement goes out at once."""
+        self._state = state or self._state
+        self.snapshots = snapshots or self.snapshots
+        self.shards = shards or self.shards
+        self._index_shards()
+        self._changed.set()
+
+    def chill(self) -> None:
+        """Turn cold again without a word."""
+        self._warm_runs = 0
+
+    def go_silent(self, fraction: float = 1.0) -> int:
+        """Let open connections go silent for good; new ones work."""
+        return 0 if self._server is None else self._server.cut(fraction)
+
+    def violate(self, name: str) -> None:
+        """Count something that the tier must not do."""
+        self.tally.violations_by_name[name] += 1
+        log.debug("standin_violation", upstream=self.options.id, name=name)
+
+    def crash(self) -> None:
+        """Reset every connection, come back after a while with nothing warm."""
+        if self._restart is None and self._server is not None:
+            self._restart = asyncio.get_running_loop().create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        server = typing.cast(_CountingServer, self._server)
+        host, _, port = self.address.rpartition(":")
+        await server.close()
+        await asyncio.sleep(RESTART_S)
+        self._incarnation = max(self._incarnation + 1, time.time_ns() // 1_000_000)
+        self._sequence = 0
+        self.chill()
+        server = _CountingServer(handler=self._handle, clock=self._clock)
+        server.upstream = self
+        await server.start(host, int(port))
+        self._server = server
+        self._restart = None
+        self._changed.set()
+
+    def _index_shards(self) -> None:
+        self._credits_by_shard = {
+            (hosted.service, str(hosted.shard), str(hosted.partitioning)): (
+                register.credits_of(hosted.service, hosted.shard, hosted.shard_count)
+            )
+            for hosted in self.shards
+        }
+
+    async def _handle(self, request: http.Request) -> http.Response:
+        if request.method == "DELETE":
+            return self._cancel(request.path)
+        if (request.method, request.path) != ("POST", upstream_wire.SEARCH_PATH):
+            raise exceptions.NotFoundError(request.path)
+        echo = tuple((name, request.headers.get(name, "")) for name in ECHOED)
+        refusal = self._refuse(request, dict(echo))
+        if refusal is not None:
+            return self._reply(*refusal, echo)
+        return await self._work(request, echo)
+
+    def _refuse(
+        self, request: http.Request, echo: dict[str, str]
+    ) -> tuple[int, tuple[tuple[str, str], ...]] | None:
+        shard = (echo["service"], echo["shard"], echo["partitioning"])
+        held = echo["snapshot"] in map(str, self.snapshots)
+        if self._is_over_drain():
+            self.violate("work_after_drain")
+            return 503, NOT_RUN
+        if not held or shard not in self._credits_by_shard:
+            return 409, NOT_RUN
+        if self.fails_fast:
+            return 500, ()
+        if len(self._queue) >= self.options.slots * QUEUE_PER_SLOT:
+            self.violate("queue_over_bound")
+            return 503, (*NOT_RUN, ("Retry-After", "1"))
+        return None
+
+    def _is_over_drain(self) -> bool:
+        if self._draining_since is None:
+            return False
+        return self._clock.monotonic() > self._draining_since + DRAIN_GRACE_S
+
+    async def _work(
+        self, request: http.Request, echo: tuple[tuple[str, str], ...]
+    ) -> http.Response:
+        deadline = int(request.headers.get("deadline-ms", "1000")) / 1000
+        end = self._clock.monotonic() + deadline
+        if self._falls_over():
+            self.violate("cold_overrun")
+            self.crash()
+        if not await self._take_slot(_work_id(echo), deadline):
+            return self._reply(503, NOT_RUN, echo)
+        try:
+            return await self._run(request, echo, end)
+        finally:
+            self._free_slot()
+
+    def _falls_over(self) -> bool:
+        if self._warm_runs is None:
+            return False
+        bears = 1 + self._warm_runs // WARM_RUNS_PER_STEP
+        if bears > self.options.slots * 2:
+            self._warm_runs = None
+            return False
+        concurrency = self._running + len(self._queue) + 1
+        return concurrency > bears + self.options.cold_tolerance
+
+    async def _take_slot(self, work_id: tuple[str, str], timeout: float) -> bool:
+        if self._running < self.options.slots:
+            self._running += 1
+            return True
+        place = asyncio.get_running_loop().create_future()
+        self._queue.append(place)
+        try:
+            return await self._wait(work_id, place, timeout, otherwise=False)
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled() and place.result():
+                self._free_slot()
+            raise
+        finally:
+            if place in self._queue:
+                self._queue.remove(place)
+
+    async def _wait(
+        self,
+        work_id: tuple[str, str],
+        future: asyncio.Future,
+        seconds: float,
+        *,
+        otherwise: bool,
+    ) -> bool:
+        # A cancellation from outside ends the wait with False.
+        self._waits_by_id[work_id] = future
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(seconds, _set_result, future, otherwise)
+        try:
+            return await future
+        finally:
+            timer.cancel()
+            self._waits_by_id.pop(work_id, None)
+
+    def _free_slot(self) -> None:
+        while self._queue:
+            place = self._queue.popleft()
+            if not place.done():
+                place.set_result(True)
+                return
+        self._running -= 1
+
+    async def _run(
+        self, request: http.Request, echo: tuple[tuple[str, str], ...], end: float
+    ) -> http.Response:
+        body = codec.decode_json(request.body, upstream.ShardSearchBody)
+        query = msgspec.json.decode(body.query)
+        headers = dict(echo)
+        self.tally.runs += 1
+        if query.get("poison"):
+            self.tally.crashes += self._restart is None
+            self.crash()
+        if body.kind in BILLED_KINDS:
+            order = str(query.get("order", headers["request-id"]))
+            self.tally.bill((order, headers["service"], headers["shard"]))
+        seconds = self._service_seconds(request.peer)
+        left = max(0.0, end - self._clock.monotonic())
+        future = asyncio.get_running_loop().create_future()
+        work_id = _work_id(echo)
+        ends = await self._wait(work_id, future, min(seconds, left), otherwise=True)
+        if not ends or seconds > left:
+            return self._reply(504, (), echo)
+        if self._warm_runs is not None:
+            self._warm_runs += 1
+        shard = (headers["service"], headers["shard"], headers["partitioning"])
+        held = self._credits_by_shard.get(shard, [])
+        rows = register.search(held, query, int(headers["snapshot"]))
+        return self._reply(200, (), echo, codec.encode_json({"rows": rows}))
+
+    def _service_seconds(self, peer: str) -> float:
+        seconds = self.options.service_time * self._rng.uniform(0.7, 1.3)
+        if self._warm_runs is not None:
+            seconds *= COLD_SLOWDOWN
+        if peer not in self.known_peers:
+            self.known_peers.add(peer)
+            seconds += self.options.connect_cost
+        return seconds * self.speed_factor
+
+    def _cancel(self, path: str) -> http.Response:
+        parts = path.removeprefix(upstream_wire.SEARCH_PATH + "/").split("/")
+        future = self._waits_by_id.get((parts[0], parts[-1]))
+        if future is None:
+            return http.Response(status=404)
+        _set_result(future, False)
+        return http.Response(status=200)
+
+    def _reply(
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        echo: tuple[tuple[str, str], ...],
+        body: bytes = b"",
+    ) -> http.Response:
+        load = self.load_lie or self._load()
+        text = f"in_flight={load.in_flight}, queued={load.queued}"
+        return http.Response(
+            status=status, body=body, headers=(*headers, *echo, ("Load", text))
+        )
+
+    def _load(self) -> upstream.LoadReport:
+        return upstream.LoadReport(in_flight=self._running, queued=len(self._queue))
+
+    def _announcement(self) -> upstream.Announcement:
+        self._sequence += 1
+        return upstream.Announcement(
+            id=self.options.id,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            address=self.address,
+            availability_zone=self.options.availability_zone,
+            state=self._state,
+            slots=self.options.slots,
+            max_connections=self.options.max_connections,
+            snapshots=self.snapshots,
+            shards=self.shards,
+            load=self.load_lie or self._load(),
+        )
+
+    async def _announce_forever(self) -> None:
+        client = http_client.HttpClient(address=self._entries[0], clock=self._clock)
+        try:
+            while True:
+                self._changed.clear()
+                pause = RETRY_S
+                if self._restart is None:
+                    pause = await self._announce(client)
+                if pause == RETRY_S and self._restart is None:
+                    client.close()
+                    self._entries.append(self._entries.pop(0))
+                    client = http_client.HttpClient(
+                        address=self._entries[0], clock=self._clock
+                    )
+                try:
+                    await asyncio.wait_for(self._changed.wait(), pause)
+                except TimeoutError:
+                    continue
+        finally:
+            client.close()
+
+    async def _announce(self, client: http_client.HttpClient) -> float:
+        body = codec.encode_json(self._announcement())
+        try:
+            reply = await client.request("POST", "/v1/announce", body=body)
+            lease = codec.decode_json(reply.body, upstream.Lease)
+        except exceptions.GreengagehavenError as error:
+            log.debug("announce_failed", upstream=self.options.id, detail=error)
+            return RETRY_S
+        return lease.renew_ms / 1000
+
+    async def _withdraw(self) -> None:
+        if not self._entries:
+            return
+        client = http_client.HttpClient(address=self._entries[0], clock=self._clock)
+        target = f"/v1/announce/{self.options.id}?incarnation={self._incarnation}"
+        try:
+            await client.request("DELETE", target)
+        except exceptions.GreengagehavenError as error:
+            log.debug("withdraw_failed", upstream=self.options.id, detail=error)
+        finally:
+            client.close()
+
+
+def _work_id(echo: tuple[tuple[str, str], ...]) -> tuple[str, str]:
+    values = dict(echo)
+    return values["request-id"], values["attempt"]
+
+
+def _set_result(future: asyncio.Future, result: bool) -> None:
+    if not future.done():
+        future.set_result(result)
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -54,7 +54,7 @@
         self._discarded_bytes = 0
         self._write_blocked = False
         self._closes_after_write = False
-        self._peer = ""
+        self.peer = ""
 
     def connection_made(self, transport: typing.Any) -> None:
         """Take up a new connection."""
@@ -63,7 +63,7 @@
         # With marks at zero, "resume" means that the kernel took everything.
         transport.set_write_buffer_limits(high=0)
         peername = transport.get_extra_info("peername") or ("", 0)
-        self._peer = settings.format_address(peername[0], peername[1])
+        self.peer = settings.format_address(peername[0], peername[1])
         if not self._owner.connection_opened(self):
             transport.abort()
             return
@@ -120,7 +120,7 @@
             self._refuse(exceptions.RequestTimeoutError("the request came too slowly"))
             return
         if self._state is State.WRITING:
-            log.warning("slow_reader_cut", peer=self._peer)
+            log.warning("slow_reader_cut", peer=self.peer)
             self._transport.abort()
             return
         self.close()
@@ -216,7 +216,7 @@
 
     def _handle(self) -> None:
         assert self._head is not None
-        request = _read_request(self._head, b"".join(self._chunks), self._peer)
+        request = _read_request(self._head, b"".join(self._chunks), self.peer)
         self._state = State.HANDLING
         self.deadline = NEVER
         self._early_bytes = 0
@@ -225,6 +225,9 @@
     async def _answer(self, request: http.Request) -> None:
         try:
             response = await self._owner.handler(request)
+        except asyncio.CancelledError:
+            self._transport.close()
+            raise
         except exceptions.GreengagehavenError as error:
             response = to_response(error)
         except Exception as error:
--- /dev/null
+++ b/src/greengagehaven/transport/upstream_wire.py
@@ -0,0 +1,141 @@
+"""The work interface of an upstream as headers and bodies (docs/PROTOCOL.md)."""
+
+import msgspec
+
+from greengagehaven.protocol import codec, upstream
+from greengagehaven.transport import client_connection, http
+
+SEARCH_PATH = "/v1/shard/search"
+HTTP_OK = 200
+REFUSING_STATUSES = frozenset({429, 503})
+WRONG_VERSION_STATUS = 409
+_LOAD_FIELDS = frozenset({"in_flight", "queued"})
+_MILLISECONDS = 1000
+_REPLY_DECODER = msgspec.json.Decoder(upstream.ShardSearchReply)
+
+
+def write_headers(
+    sub_request: upstream.SubRequest, now: float
+) -> list[tuple[str, str]]:
+    """Return the headers of a work request.
+
+    :param now: monotonic seconds, for the time that is left.
+    """
+    left = int((sub_request.deadline - now) * _MILLISECONDS)
+    return [
+        ("Host", sub_request.address),
+        ("Content-Type", "application/json"),
+        ("Request-Id", sub_request.request_id),
+        ("Attempt", str(sub_request.attempt)),
+        ("Deadline-Ms", str(max(1, left))),
+        ("Service", sub_request.shard_ref.service),
+        ("Shard", str(sub_request.shard_ref.shard)),
+        ("Snapshot", str(sub_request.snapshot)),
+        ("Partitioning", str(sub_request.partitioning)),
+    ]
+
+
+def write_body(sub_request: upstream.SubRequest) -> bytes:
+    """Return the body of a work request."""
+    body = upstream.ShardSearchBody(kind=sub_request.kind, query=sub_request.query)
+    return codec.encode_json(body)
+
+
+def echo_matches(
+    sub_request: upstream.SubRequest, reply: client_connection.Reply
+) -> bool:
+    """Tell whether a reply belongs to a sub-request.
+
+    Rows of another request, shard or snapshot would make a wrong answer that
+    looks right. A refusal may come without an echo; a wrong one never counts.
+    """
+    headers = reply.headers
+    if reply.status != HTTP_OK and "request-id" not in headers:
+        return True
+    return (
+        headers.get("request-id") == sub_request.request_id
+        and headers.get("attempt") == str(sub_request.attempt)
+        and headers.get("service") == sub_request.shard_ref.service
+        and headers.get("shard") == str(sub_request.shard_ref.shard)
+        and headers.get("snapshot") == str(sub_request.snapshot)
+        and headers.get("partitioning") == str(sub_request.partitioning)
+    )
+
+
+def read_reply(
+    sub_request: upstream.SubRequest, reply: client_connection.Reply
+) -> upstream.Outcome:
+    """Return the outcome that a reply with a matching echo stands for."""
+    if reply.status != HTTP_OK:
+        return _read_refusal(sub_request, reply)
+    try:
+        rows = _REPLY_DECODER.decode(reply.body).rows
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        detail = f"a malformed reply: {error}"
+        return fail(sub_request, upstream.FailureReason.STATUS, detail=detail)
+    return upstream.Replied(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        rows=rows,
+        load=read_load(reply.headers),
+    )
+
+
+def fail(
+    sub_request: upstream.SubRequest,
+    reason: upstream.FailureReason,
+    *,
+    not_run: bool = False,
+    detail: str = "",
+    retry_after: float | None = None,
+) -> upstream.Failed:
+    """Return a failed outcome of a sub-request."""
+    return upstream.Failed(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        reason=reason,
+        not_run=not_run,
+        detail=detail,
+        retry_after=retry_after,
+    )
+
+
+def read_load(headers: http.Headers) -> upstream.LoadReport | None:
+    """Return the ``Load`` header, ``None`` where it is missing or malformed."""
+    text = headers.get("load")
+    if text is None:
+        return None
+    pairs = [part.strip().partition("=") for part in text.split(",")]
+    try:
+        values = {name: int(value) for name, _, value in pairs if name in _LOAD_FIELDS}
+    except ValueError:
+        return None
+    return upstream.LoadReport(**values)
+
+
+def _read_refusal(
+    sub_request: upstream.SubRequest, reply: client_connection.Reply
+) -> upstream.Failed:
+    not_run = reply.headers.get("not-run", "").lower() == "true"
+    reason = upstream.FailureReason.STATUS
+    if not_run and reply.status in REFUSING_STATUSES:
+        reason = upstream.FailureReason.OVERLOADED
+    elif not_run and reply.status == WRONG_VERSION_STATUS:
+        reason = upstream.FailureReason.WRONG_VERSION
+    else:
+        # Only the listed statuses may promise that nothing was run.
+        not_run = False
+    return fail(
+        sub_request,
+        reason,
+        not_run=not_run,
+        detail=f"status {reply.status}",
+        retry_after=_read_retry_after(reply.headers),
+    )
+
+
+def _read_retry_after(headers: http.Headers) -> float | None:
+    text = headers.get("retry-after", "")
+    return float(text) if text.isascii() and text.isdigit() else None
