--- /dev/null
+++ b/features/steps/query_steps.py
@@ -0,0 +1,131 @@
+"""Steps about one query in the decision core."""
+
+import behave
+
+from fakes import core as fake_core
+from greengagehaven import exceptions
+from greengagehaven.protocol import upstream
+
+LATENCY_SAMPLES = 60
+
+
+@behave.given("a tier with shards 0 and 1 of credits-0 on snapshot 41")
+def given_two_shards(context):
+    context.tier = fake_core.FakeTier()
+    context.tier.put(
+        fake_core.announce("u-0", shards=(("credits-0", 0, 2),)),
+        fake_core.announce("u-1", shards=(("credits-0", 1, 2),)),
+    )
+
+
+@behave.given("shard 0 of credits-0 also has snapshot 42")
+def given_newer_snapshot(context):
+    context.tier.put(
+        fake_core.announce(
+            "u-0", shards=(("credits-0", 0, 2),), snapshots=(41, 42), sequence=2
+        )
+    )
+
+
+@behave.given("the upstream of shard 1 leaves")
+def given_upstream_left(context):
+    context.tier.submit("warm-up")
+    for sub_request in list(context.tier.in_flight.values()):
+        context.tier.reply(sub_request)
+    context.tier.withdraw("u-1")
+
+
+@behave.given("a tier with two replicas of credits-0 that has learned its latency")
+def given_replicas(context):
+    context.tier = fake_core.FakeTier()
+    context.tier.put(fake_core.announce("u-0"), fake_core.announce("u-1"))
+    for number in range(LATENCY_SAMPLES):
+        context.tier.submit(f"warm-up-{number}")
+        context.tier.clock.advance(0.01)
+        for sub_request in list(context.tier.in_flight.values()):
+            context.tier.reply(sub_request)
+    context.tier.sent.clear()
+
+
+@behave.when("a {kind} is submitted and every upstream replies")
+def when_all_reply(context, kind):
+    context.tier.submit("r-1", kind=kind)
+    while context.tier.in_flight:
+        context.tier.reply(next(iter(context.tier.in_flight.values())))
+
+
+@behave.when("a sweep straggles, is hedged, and both upstreams reply")
+def when_hedged(context):
+    context.tier.submit("r-1")
+    context.tier.advance(1.0)
+    assert len(context.tier.sent) == 2, context.tier.sent
+    first, second = context.tier.sent
+    context.tier.reply(second)
+    context.tier.reply(first)
+
+
+@behave.when("a retire is submitted and its connection is reset")
+def when_retire_reset(context):
+    context.tier.submit("r-1", kind="retire", idempotency_key="k-1")
+    context.tier.fail(context.tier.sent[-1], upstream.FailureReason.RESET)
+
+
+@behave.when("a sweep loses snapshot 41 half way and 42 is announced everywhere")
+def when_snapshot_lost(context):
+    tier = context.tier
+    tier.submit("r-1")
+    first, second = tier.sent
+    tier.reply(first)
+    for number in (0, 1):
+        shards = (("credits-0", number, 2),)
+        tier.put(
+            fake_core.announce(
+                f"u-{number}", shards=shards, snapshots=(42,), sequence=2
+            )
+        )
+    tier.fail(second, upstream.FailureReason.WRONG_VERSION, not_run=True)
+    while tier.in_flight:
+        tier.reply(next(iter(tier.in_flight.values())))
+
+
+@behave.then(
+    "the answer has {rows:d} rows of snapshot {snapshot:d} and complete coverage"
+)
+def then_complete(context, rows, snapshot):
+    answer = context.tier.answers_by_id["r-1"]
+    assert len(answer.results) == rows, answer
+    assert answer.snapshot == snapshot, answer
+    assert answer.coverage.complete, answer
+
+
+@behave.then("the answer covers 1 of 2 shards and names shard 1 as no_replica")
+def then_partial(context):
+    coverage = context.tier.answers_by_id["r-1"].coverage
+    assert (coverage.answered, coverage.total) == (1, 2), coverage
+    assert not coverage.complete
+    assert [(miss.shard, miss.reason) for miss in coverage.missing] == [
+        (1, "no_replica")
+    ]
+
+
+@behave.then("the query is refused as incomplete with ran no")
+def then_refused(context):
+    error = context.tier.refusals_by_id["r-1"]
+    assert isinstance(error, exceptions.IncompleteError), error
+    assert error.ran is exceptions.Ran.NO, error.ran
+
+
+@behave.then("the answer has 1 row and the loser was cancelled")
+def then_single(context):
+    assert len(context.tier.answers_by_id["r-1"].results) == 1
+    assert [cancel.attempt for cancel in context.tier.cancelled] == [
+        context.tier.sent[0].attempt
+    ]
+
+
+@behave.then("it was sent once and the refusal says that the outcome is unknown")
+def then_unknown(context):
+    assert len(context.tier.sent) == 1
+    error = context.tier.refusals_by_id["r-1"]
+    assert isinstance(error, exceptions.OutcomeUnknownError), error
+    assert error.ran is exceptions.Ran.UNKNOWN, error.ran
--- /dev/null
+++ b/src/greengagehaven/coordination/timers.py
@@ -0,0 +1,56 @@
+"""Moments at which the decision core wants to be called again."""
+
+import dataclasses
+import heapq
+import itertools
+import typing
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DeadlineTimer:
+    """The moment at which a query gets its answer, whatever there is."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HedgeTimer:
+    """The moment at which attempts count as straggling.
+
+    :param attempts: attempts of the query that were sent together.
+    """
+
+    request_id: str
+    attempts: tuple[int, ...]
+
+
+class Timers:
+    """Timers in the order of their moments."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, typing.Any]] = []
+        self._order = itertools.count()
+        self._armed: float | None = None
+
+    def add(self, moment: float, timer: typing.Any) -> None:
+        """Add a timer for ``moment``, in monotonic seconds."""
+        heapq.heappush(self._heap, (moment, next(self._order), timer))
+
+    def pop_due(self, now: float) -> list[typing.Any]:
+        """Take the timers whose moment has come."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            due.append(heapq.heappop(self._heap)[2])
+        if self._armed is not None and self._armed <= now:
+            self._armed = None
+        return due
+
+    def next_wake(self) -> float | None:
+        """Return a moment to be called at that was not asked for before."""
+        if not self._heap:
+            return None
+        moment = self._heap[0][0]
+        if self._armed is not None and self._armed <= moment:
+            return None
+        self._armed = moment
+        return moment
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -21,6 +21,7 @@
 MAX_KNOWN_RED = 3
 PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_S = 600
+SHOWN_OUTPUT = 4000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -116,9 +117,12 @@
                 env={**os.environ, "PYTHONHASHSEED": "0"},
             )
             results = json.loads(outfile.read_text(encoding="utf-8"))
-        except (OSError, ValueError, subprocess.TimeoutExpired) as error:
+        except subprocess.TimeoutExpired as error:
             return [Check(name=feature.name, passed=False, output=str(error))]
-    output = (done.stdout + done.stderr)[-4000:]
+        except (OSError, ValueError) as error:
+            output = f"{error}\n{done.stdout}{done.stderr}"
+            return [Check(name=feature.name, passed=False, output=output)]
+    output = (done.stdout + done.stderr)[-SHOWN_OUTPUT:]
     checks = [
         Check(
             name=f"features/{feature.name} | {element['name']}",
