Part the life of a query from the core's event handlers

Conclusion: handlers and admission stay in core.py; execution.py advances queries, refusal.py says what a caller is told.

--- /dev/null
+++ b/src/greengagehaven/coordination/execution.py
@@ -0,0 +1,274 @@
+"""The life of queries after admission: send, take replies, retry, hedge, end."""
+
+import typing
+from collections import abc
+
+from greengagehaven import clock as clock_module
+from greengagehaven.coordination import (
+    admission,
+    dispatcher,
+    events,
+    hedging,
+    options,
+    plan,
+    query,
+    refusal,
+    retries,
+    timers,
+)
+from greengagehaven.protocol import search, upstream
+
+
+class Execution:
+    """Queries in progress on one entry host.
+
+    :param clock: time; only ``monotonic`` is read.
+    :param planner: pins snapshots and partitionings.
+    :param usable: whether an upstream may get new work now.
+    :param sender: what sends sub-requests.
+    :param pending: timers of the core.
+    :param options: switches of the mechanisms.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        planner: plan.Planner,
+        usable: plan.Usable,
+        sender: dispatcher.Dispatcher,
+        pending: timers.Timers,
+        options: options.Options,
+    ) -> None:
+        self._clock = clock
+        self._planner = planner
+        self._usable = usable
+        self._dispatcher = sender
+        self._timers = pending
+        self._options = options
+        self._queries_by_id: dict[str, query.Query] = {}
+        self._retry_budget = retries.Budget(ratio=options.retry_budget)
+        self._hedges = hedging.HedgePolicy(
+            quantile=options.hedge_quantile,
+            budget_ratio=options.hedge_budget if options.hedging else 0.0,
+        )
+
+    @property
+    def queries_by_id(self) -> abc.Mapping[str, query.Query]:
+        """Return the queries that have no answer yet."""
+        return self._queries_by_id
+
+    def begin(self, running: query.Query, actions: list[events.Action]) -> None:
+        """Take on an admitted query and send what there is room for."""
+        self._queries_by_id[running.request_id] = running
+        self._arm_deadline(running)
+        self._start(running, actions)
+
+    def end(self, running: query.Query, actions: list[events.Action]) -> None:
+        """Forget a query and give up on its attempts in flight."""
+        del self._queries_by_id[running.request_id]
+        for attempt in running.attempts_in_flight():
+            actions.append(_cancel(running, attempt))
+
+    def take_outcome(
+        self,
+        attempt: dispatcher.Attempt,
+        outcome: upstream.Outcome,
+        actions: list[events.Action],
+    ) -> None:
+        """Advance the query of an attempt that ended, and send what waited."""
+        if isinstance(outcome, upstream.Replied) and not attempt.extra:
+            self._hedges.observe(self._clock.monotonic() - attempt.sent_at)
+        running = self._queries_by_id.get(outcome.request_id)
+        if running is not None:
+            self._advance(running, attempt, outcome, actions)
+        shard_refs = self._dispatcher.shards_beside(attempt.upstream_id)
+        self._send_waiting(shard_refs, actions)
+
+    def take_timer(self, timer: timers.Timer, actions: list[events.Action]) -> None:
+        """Act on a timer of a query whose moment has come."""
+        running = self._queries_by_id.get(timer.request_id)
+        if running is None:
+            return
+        if isinstance(timer, timers.DeadlineTimer):
+            running.give_up_rest(search.MissingReason.TIMEOUT)
+            self._finish_if_settled(running, actions)
+        else:
+            self._hedge(running, timer, actions)
+
+    def reconsider_waiting(self, actions: list[events.Action]) -> None:
+        """Settle or send every shard that is not in flight."""
+        for running in list(self._queries_by_id.values()):
+            for shard_ref, progress in list(running.progress_by_shard.items()):
+                if progress.settled or progress.attempts_by_id:
+                    continue
+                if self._dispatcher.holders(running, shard_ref):
+                    continue
+                if self._start_over(running, actions):
+                    break
+                running.give_up(shard_ref, search.MissingReason.NO_REPLICA)
+            self._finish_if_settled(running, actions)
+        shard_refs = {
+            shard_ref
+            for running in self._queries_by_id.values()
+            for shard_ref, progress in running.progress_by_shard.items()
+            if not progress.settled and not progress.attempts_by_id
+        }
+        self._send_waiting(sorted(shard_refs), actions)
+
+    def _arm_deadline(self, running: query.Query) -> None:
+        moment = running.deadline
+        answer_after = running.kind.answer_after
+        if answer_after is not None and not running.requires_complete:
+            moment = min(moment, running.started + answer_after.total_seconds())
+        timer = timers.DeadlineTimer(request_id=running.request_id)
+        self._timers.add(moment, timer)
+
+    def _start(self, running: query.Query, actions: list[events.Action]) -> None:
+        if self._finish_if_settled(running, actions):
+            return
+        shard_refs = [
+            shard_ref
+            for shard_ref, progress in running.progress_by_shard.items()
+            if not progress.settled
+        ]
+        for shard_ref in shard_refs:
+            self._dispatcher.enqueue(running, shard_ref)
+        self._send_waiting(shard_refs, actions)
+
+    def _send_waiting(
+        self,
+        shard_refs: typing.Iterable[upstream.ShardRef],
+        actions: list[events.Action],
+    ) -> None:
+        batch = self._dispatcher.send_waiting(shard_refs, self._queries_by_id)
+        if not batch:
+            return
+        self._hedges.budget.earn(len(batch))
+        self._retry_budget.earn(len(batch))
+        actions.append(events.Dispatch(batch=tuple(batch)))
+        self._arm_hedges(batch)
+
+    def _arm_hedges(self, batch: list[upstream.SubRequest]) -> None:
+        delay = self._hedges.delay
+        if delay is None or not self._options.hedging:
+            return
+        attempts_by_request: dict[str, list[int]] = {}
+        for sub_request in batch:
+            running = self._queries_by_id[sub_request.request_id]
+            if running.kind.idempotent:
+                attempts = attempts_by_request.setdefault(sub_request.request_id, [])
+                attempts.append(sub_request.attempt)
+        moment = self._clock.monotonic() + delay
+        for request_id, attempts in attempts_by_request.items():
+            timer = timers.HedgeTimer(request_id=request_id, attempts=tuple(attempts))
+            self._timers.add(moment, timer)
+
+    def _advance(
+        self,
+        running: query.Query,
+        attempt: dispatcher.Attempt,
+        outcome: upstream.Outcome,
+        actions: list[events.Action],
+    ) -> None:
+        if isinstance(outcome, upstream.Failed) and outcome.not_run:
+            running.note_not_run()
+        progress = running.end_attempt(attempt.shard_ref, outcome.attempt)
+        if progress is None or progress.settled:
+            return
+        if isinstance(outcome, upstream.Replied):
+            running.take_rows(attempt.shard_ref, outcome.rows)
+            for loser in progress.attempts_by_id:
+                actions.append(_cancel(running, loser))
+            progress.attempts_by_id.clear()
+        else:
+            self._retry(running, progress, outcome, actions)
+        self._finish_if_settled(running, actions)
+
+    def _retry(
+        self,
+        running: query.Query,
+        progress: query.ShardProgress,
+        failed: upstream.Failed,
+        actions: list[events.Action],
+    ) -> None:
+        if progress.attempts_by_id:
+            return
+        shard_ref = progress.target.ref
+        allowed = failed.not_run or running.kind.idempotent
+        if allowed and self._dispatcher.holders(running, shard_ref):
+            if self._retry_budget.spend():
+                self._dispatcher.enqueue(running, shard_ref)
+                self._send_waiting([shard_ref], actions)
+                return
+        elif allowed and self._start_over(running, actions):
+            return
+        running.give_up(shard_ref, refusal.missing_reason(failed))
+
+    def _start_over(self, running: query.Query, actions: list[events.Action]) -> bool:
+        """Begin an idempotent query again on another snapshot, if one covers it."""
+        if not running.kind.idempotent:
+            return False
+        excluded = running.excluded_snapshots | {running.plan.snapshot}
+        pinned = self._planner.pin(
+            running.submitted.services,
+            usable=self._usable,
+            excluded_snapshots=frozenset(excluded),
+        )
+        if pinned is None or pinned.uncovered or not self._retry_budget.spend():
+            return False
+        for attempt in running.attempts_in_flight():
+            actions.append(_cancel(running, attempt))
+        running.excluded_snapshots = excluded
+        targets = admission.select_targets(
+            pinned, running.kind, running.submitted.query
+        )
+        running.pin(targets)
+        self._start(running, actions)
+        return True
+
+    def _finish_if_settled(
+        self, running: query.Query, actions: list[events.Action]
+    ) -> bool:
+        """Answer or refuse a query as soon as its fate is certain."""
+        if running.request_id not in self._queries_by_id:
+            return True
+        gave_up = running.requires_complete and running.has_missing
+        if not running.settled and not gave_up:
+            return False
+        answer = running.answer()
+        coverage = answer.coverage
+        if coverage.complete or (coverage.answered and not running.requires_complete):
+            actions.append(events.AnswerQuery(answer=answer))
+        else:
+            error = refusal.describe(running, coverage)
+            refused = events.RefuseQuery(request_id=running.request_id, error=error)
+            actions.append(refused)
+        self.end(running, actions)
+        return True
+
+    def _hedge(
+        self,
+        running: query.Query,
+        timer: timers.HedgeTimer,
+        actions: list[events.Action],
+    ) -> None:
+        straggling = set(timer.attempts)
+        batch = []
+        for shard_ref, progress in running.progress_by_shard.items():
+            if progress.hedged or not straggling & progress.attempts_by_id.keys():
+                continue
+            if not self._hedges.budget.spend():
+                break
+            sub_request = self._dispatcher.send_extra(running, shard_ref)
+            if sub_request is None:
+                self._hedges.budget.refund()
+                continue
+            progress.hedged = True
+            batch.append(sub_request)
+        if batch:
+            actions.append(events.Dispatch(batch=tuple(batch)))
+
+
+def _cancel(running: query.Query, attempt: int) -> events.Cancel:
+    return events.Cancel(request_id=running.request_id, attempt=attempt)
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -3,7 +3,6 @@
 import dataclasses
 import heapq
 import itertools
-import typing
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,19 +23,22 @@
     attempts: tuple[int, ...]
 
 
+Timer = DeadlineTimer | HedgeTimer
+
+
 class Timers:
     """Timers in the order of their moments."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, typing.Any]] = []
+        self._heap: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._armed: float | None = None
 
-    def add(self, moment: float, timer: typing.Any) -> None:
+    def add(self, moment: float, timer: Timer) -> None:
         """Add a timer for ``moment``, in monotonic seconds."""
         heapq.heappush(self._heap, (moment, next(self._order), timer))
 
-    def pop_due(self, now: float) -> list[typing.Any]:
+    def pop_due(self, now: float) -> list[Timer]:
         """Take the timers whose moment has come."""
         due = []
         while self._heap and self._heap[0][0] <= now:
