Replay traces through the decision core

A trace is JSON lines: a deployment, timed events, stated outcomes. The player runs the daemons' core for nine entry hosts on a clock of its own and holds answers against what the upstreams really sent.

--- /dev/null
+++ b/src/greengagehaven/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, one module for each group."""
--- /dev/null
+++ b/src/greengagehaven/replay/player.py
@@ -0,0 +1,366 @@
+"""Plays a trace: entry hosts run the daemons' core, upstreams obey the trace."""
+
+import datetime
+import fnmatch
+import functools
+import itertools
+import typing
+
+import msgspec
+
+from greengagehaven import clock as clock_module
+from greengagehaven.coordination import events, options
+from greengagehaven.protocol import trace, upstream
+from greengagehaven.replay import hosts, reader, schedule, upstreams
+from greengagehaven.state import document
+
+LEASE_S = 3.0
+RENEW_S = 1.0
+STALL_S = 1.0
+SETTLE_S = 15.0
+
+
+class Player:
+    """One run of a trace.
+
+    :param recorded: the trace.
+    :param switches: mechanisms of the core.
+
+    After :meth:`run`, ``endings_by_id``, ``arrivals``, ``searches`` and
+    ``violations`` tell what happened.
+    """
+
+    def __init__(
+        self, *, recorded: reader.Trace, switches: options.Options = options.DEFAULT
+    ) -> None:
+        self._trace = recorded
+        self._switches = switches
+        self._clock = clock_module.ManualClock()
+        self._schedule = schedule.Schedule(clock=self._clock)
+        self._hop_s = recorded.header.hop_ms / 1000
+        self._seeds = itertools.count(recorded.header.seed)
+        self._groups: tuple[tuple[str, ...], ...] = ()
+        self._one_way = False
+        self._in_force = self._parse(1, recorded.header.document)
+        self._drained = events.ZonesDrained(zones=frozenset())
+        self._upstreams_by_id: dict[str, upstreams.ReplayedUpstream] = {}
+        self._behaviours: list[trace.Behave] = []
+        self._outcomes = self._index_outcomes()
+        self.arrivals: list[upstreams.Arrival] = []
+        self.endings_by_id: dict[str, hosts.Ending] = {}
+        self.searches_by_id: dict[str, tuple[float, trace.Search]] = {}
+        self.lost_request_ids: set[str] = set()
+        self.violations: list[str] = []
+        self._hosts_by_id = {
+            line.id: self._build_host(line) for line in recorded.header.entry_hosts
+        }
+        self._turns = itertools.cycle(self._hosts_by_id)
+        for host in self._hosts_by_id.values():
+            self._brief(host)
+
+    def run(self) -> None:
+        """Play the whole trace and let it settle."""
+        end = 0.0
+        for numbered in self._trace.events:
+            line = numbered.line
+            end = max(end, line.at)
+            if isinstance(line, trace.Search):
+                end = max(end, line.at + line.count * line.every_ms / 1000)
+                self._book_searches(line)
+            elif not isinstance(line, trace.Outcome):
+                self._schedule.call_at(line.at, functools.partial(self._apply, line))
+        self._schedule.run_until(end + SETTLE_S)
+
+    def crashes(self) -> int:
+        """Return how many upstreams crashed."""
+        return sum(known.crashes for known in self._upstreams_by_id.values())
+
+    # What the hosts call (hosts.Network).
+
+    def send_work(
+        self, host: hosts.ReplayedHost, sub_request: upstream.SubRequest
+    ) -> None:
+        """Carry a sub-request to its upstream and the outcome back."""
+        target = self._upstreams_by_id[sub_request.upstream_id]
+        delay = self._delay(host.zone, target.announcement.availability_zone)
+        if delay is None:
+            failed = upstream.Failed(
+                request_id=sub_request.request_id,
+                attempt=sub_request.attempt,
+                upstream_id=sub_request.upstream_id,
+                reason=upstream.FailureReason.STALLED,
+                not_run=False,
+            )
+            self._schedule.call_later(STALL_S, lambda: host.receive(failed))
+            return
+        search = self.searches_by_id[sub_request.request_id][1]
+        work = upstreams.Work(
+            sub_request=sub_request,
+            idempotency_key=search.idempotency_key,
+            reply=lambda outcome: self._return(host, target, outcome),
+        )
+        recorded = self._outcomes.get(_outcome_key(sub_request))
+        if recorded is not None:
+            self._schedule.call_later(
+                recorded.latency_ms / 1000,
+                lambda: host.receive(_recorded_outcome(recorded, sub_request)),
+            )
+            return
+        self._schedule.call_later(delay, lambda: target.receive(work))
+
+    def cancel_work(self, sub_request: upstream.SubRequest) -> None:
+        """Tell an upstream that nobody waits for a sub-request."""
+        target = self._upstreams_by_id[sub_request.upstream_id]
+        cancel = functools.partial(target.cancel, *sub_request.id)
+        self._schedule.call_later(self._hop_s, cancel)
+
+    def broadcast(self, host: hosts.ReplayedHost, notice: events.PeerNotice) -> None:
+        """Carry a notice to the other entry hosts that can be reached."""
+        for other in self._hosts_by_id.values():
+            delay = self._delay(host.zone, other.zone)
+            if other is not host and delay is not None:
+                step = functools.partial(other.step, notice)
+                self._schedule.call_later(delay, step)
+
+    def end(self, request_id: str, ending: hosts.Ending) -> None:
+        """Note how a request ended; a second ending is a violation."""
+        if request_id in self.endings_by_id:
+            self.violations.append(f"{request_id} ended twice")
+            return
+        self.endings_by_id[request_id] = ending
+        if isinstance(ending.result, events.AnswerQuery):
+            self._check_answer(ending.result)
+
+    # Events of the trace.
+
+    def _apply(self, line: trace.EventLine) -> None:
+        if isinstance(line, trace.Announce):
+            self._announce(line.announcement)
+        elif isinstance(line, trace.Withdraw):
+            self._withdraw(line.upstream)
+        elif isinstance(line, trace.Behave):
+            self._behave(line)
+        elif isinstance(line, trace.Drain):
+            self._drained = events.ZonesDrained(zones=frozenset(line.zones))
+            self._tell_all(self._drained)
+        elif isinstance(line, trace.Document):
+            self._in_force = self._parse(line.revision, line.document)
+            self._tell_all(self._in_force)
+        elif isinstance(line, trace.LoseHost):
+            self._lose_host(line.host)
+        elif isinstance(line, trace.RestartHost):
+            self._restart(line.host)
+        elif isinstance(line, trace.Partition):
+            self._groups = line.groups
+            self._one_way = line.one_way
+        elif isinstance(line, trace.StepClock):
+            self._clock.step_wall(datetime.timedelta(seconds=line.seconds))
+
+    def _book_searches(self, line: trace.Search) -> None:
+        for number in range(line.count):
+            request_id = line.request if line.count == 1 else f"{line.request}{number}"
+            moment = line.at + number * line.every_ms / 1000
+            self.searches_by_id[request_id] = (moment, line)
+            self._schedule.call_at(
+                moment, functools.partial(self._search, request_id, line)
+            )
+
+    def _search(self, request_id: str, line: trace.Search) -> None:
+        host = self._hosts_by_id[line.host or self._next_host()]
+        if not host.alive:
+            self.lost_request_ids.add(request_id)
+            return
+        timeout = None if line.timeout_ms is None else line.timeout_ms / 1000
+        host.step(
+            events.QuerySubmitted(
+                request_id=request_id,
+                subscriber_id=line.subscriber,
+                services=line.services,
+                kind=line.kind,
+                query=line.query,
+                deadline=None if timeout is None else self._schedule.now + timeout,
+                idempotency_key=line.idempotency_key,
+            )
+        )
+
+    def _next_host(self) -> str:
+        for host_id in self._turns:
+            if self._hosts_by_id[host_id].alive:
+                return host_id
+        raise AssertionError("cycle ended")
+
+    def _announce(self, announcement: upstream.Announcement) -> None:
+        known = self._upstreams_by_id.get(announcement.id)
+        if known is None:
+            known = upstreams.ReplayedUpstream(
+                announcement=announcement,
+                schedule=self._schedule,
+                arrivals=self.arrivals,
+            )
+            self._upstreams_by_id[announcement.id] = known
+            for behaviour in self._behaviours:
+                if _matches(behaviour.upstreams, announcement.id):
+                    known.behave(behaviour)
+            self._schedule.call_later(RENEW_S, lambda: self._renew(known))
+        known.announce(announcement)
+        self._spread(known)
+
+    def _renew(self, known: upstreams.ReplayedUpstream) -> None:
+        if known.alive and known.announcing:
+            self._spread(known)
+        self._schedule.call_later(RENEW_S, lambda: self._renew(known))
+
+    def _spread(self, known: upstreams.ReplayedUpstream) -> None:
+        zone = known.announcement.availability_zone
+        for host in self._hosts_by_id.values():
+            delay = self._delay(zone, host.zone)
+            if delay is not None:
+                put = functools.partial(host.put, known.announcement)
+                self._schedule.call_later(delay, put)
+
+    def _withdraw(self, upstream_id: str) -> None:
+        known = self._upstreams_by_id[upstream_id]
+        known.announcing = False
+        version = known.announcement.version
+        for host in self._hosts_by_id.values():
+            delay = self._delay(known.announcement.availability_zone, host.zone)
+            if delay is not None:
+                withdraw = functools.partial(host.withdraw, upstream_id, version)
+                self._schedule.call_later(delay, withdraw)
+
+    def _behave(self, line: trace.Behave) -> None:
+        self._behaviours.append(line)
+        for upstream_id, known in self._upstreams_by_id.items():
+            if _matches(line.upstreams, upstream_id):
+                known.behave(line)
+
+    def _tell_all(self, event: events.Event) -> None:
+        for host in self._hosts_by_id.values():
+            host.step(event)
+
+    def _tell_live_hosts(self) -> None:
+        live = {host.id: host.zone for host in self._hosts_by_id.values() if host.alive}
+        self._tell_all(events.HostsChanged(zones_by_host_id=live))
+
+    def _lose_host(self, host_id: str) -> None:
+        host = self._hosts_by_id[host_id]
+        host.alive = False
+        self.lost_request_ids |= host.open_request_ids
+        self._tell_live_hosts()
+
+    def _restart(self, host_id: str) -> None:
+        line = next(
+            line for line in self._trace.header.entry_hosts if line.id == host_id
+        )
+        self._hosts_by_id[host_id] = self._build_host(line)
+        self._brief(self._hosts_by_id[host_id])
+
+    def _brief(self, host: hosts.ReplayedHost) -> None:
+        host.step(self._in_force)
+        host.step(self._drained)
+        for known in self._upstreams_by_id.values():
+            if known.alive and known.announcing:
+                host.put(known.announcement)
+        self._tell_live_hosts()
+
+    def _build_host(self, line: trace.HostLine) -> hosts.ReplayedHost:
+        return hosts.ReplayedHost(
+            host_id=line.id,
+            zone=line.zone,
+            seed=next(self._seeds),
+            clock=self._clock,
+            schedule=self._schedule,
+            network=self,
+            switches=self._switches,
+        )
+
+    def _parse(self, revision: int, text: str) -> events.DocumentInForce:
+        environment = document.parse(text.encode())
+        return events.DocumentInForce(revision=revision, environment=environment)
+
+    def _delay(self, source: str, target: str) -> float | None:
+        """Return seconds for one way between zones, ``None`` where cut off."""
+        if source == target:
+            return self._hop_s / 2
+        if not self._groups:
+            return self._hop_s
+        if any(source in group and target in group for group in self._groups):
+            return self._hop_s
+        if self._one_way and source in self._groups[0]:
+            return self._hop_s
+        return None
+
+    def _return(
+        self,
+        host: hosts.ReplayedHost,
+        target: upstreams.ReplayedUpstream,
+        outcome: upstream.Outcome,
+    ) -> None:
+        delay = self._delay(target.announcement.availability_zone, host.zone)
+        if delay is not None:
+            self._schedule.call_later(delay, lambda: host.receive(outcome))
+            return
+        lost = upstream.Failed(
+            request_id=outcome.request_id,
+            attempt=outcome.attempt,
+            upstream_id=outcome.upstream_id,
+            reason=upstream.FailureReason.STALLED,
+            not_run=False,
+        )
+        self._schedule.call_later(STALL_S, lambda: host.receive(lost))
+
+    def _check_answer(self, action: events.AnswerQuery) -> None:
+        """Hold an answer against what the upstreams really sent."""
+        answer = action.answer
+        stamps = [
+            msgspec.json.decode(result.row, type=upstreams.RowStamp)
+            for result in answer.results
+        ]
+        places = {(stamp.service, stamp.shard) for stamp in stamps}
+        if len(places) != len(stamps):
+            self.violations.append(f"{answer.request_id} holds a row twice")
+        if any(stamp.request != answer.request_id for stamp in stamps):
+            self.violations.append(f"{answer.request_id} holds another's row")
+        if any(stamp.snapshot != answer.snapshot for stamp in stamps):
+            self.violations.append(f"{answer.request_id} mixes snapshots")
+        coverage = answer.coverage
+        if coverage.answered != len(places):
+            self.violations.append(f"{answer.request_id} misstates its coverage")
+        if coverage.complete != (coverage.answered == coverage.total):
+            self.violations.append(f"{answer.request_id} is not as complete as it says")
+
+    def _index_outcomes(self) -> dict[tuple[str, str, int, str], trace.Outcome]:
+        lines = [numbered.line for numbered in self._trace.events]
+        return {
+            (line.request, line.service, line.shard, line.upstream): line
+            for line in lines
+            if isinstance(line, trace.Outcome)
+        }
+
+
+def _matches(patterns: typing.Iterable[str], upstream_id: str) -> bool:
+    return any(fnmatch.fnmatchcase(upstream_id, pattern) for pattern in patterns)
+
+
+def _outcome_key(sub_request: upstream.SubRequest) -> tuple[str, str, int, str]:
+    ref = sub_request.shard_ref
+    return (sub_request.request_id, ref.service, ref.shard, sub_request.upstream_id)
+
+
+def _recorded_outcome(
+    line: trace.Outcome, sub_request: upstream.SubRequest
+) -> upstream.Outcome:
+    if line.result == "replied":
+        return upstream.Replied(
+            request_id=sub_request.request_id,
+            attempt=sub_request.attempt,
+            upstream_id=sub_request.upstream_id,
+            rows=(upstreams.stamp(sub_request),),
+        )
+    return upstream.Failed(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        reason=upstream.FailureReason(line.result),
+        not_run=line.not_run,
+    )
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -17,6 +17,7 @@
     "transport": 3,
     "standin": 4,
     "daemons": 4,
+    "replay": 4,
 }
 TOP_RANK = 5
 FREE_MODULES = frozenset({"exceptions", "clock", "rng", "settings", "log"})
--- /dev/null
+++ b/tools/write_traces.py
@@ -0,0 +1,581 @@
+"""Write the traces in features/traces from the deployments and failures below.
+
+    python tools/write_traces.py
+
+A trace that an operator writes by hand needs none of this; the script only
+saves repeating each deployment's announcements in every file.
+"""
+
+import dataclasses
+import json
+import pathlib
+
+FOLDER = pathlib.Path(__file__).parent.parent / "features/traces"
+KEY = "0" * 64
+SECOND_KEY = "1" * 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tool:
+    """A group of services of the same make.
+
+    :param leaves: upstreams of each service; each holds every shard of it, as
+        ``shards`` says, so that they are replicas.
+    """
+
+    prefix: str
+    services: int
+    leaves: int
+    slots: int
+    connections: int
+    shards: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """A deployment at today's size."""
+
+    name: str
+    zones: str
+    hop_ms: float
+    tools: tuple[Tool, ...]
+    document: str
+
+
+GEORGIA = Deployment(
+    name="georgia",
+    zones="abcd",
+    hop_ms=0.5,
+    tools=(
+        Tool(prefix="buyer", services=10, leaves=3, slots=2, connections=25),
+        Tool(prefix="clerk", services=15, leaves=3, slots=2, connections=25),
+        Tool(prefix="viewer", services=1, leaves=4, slots=6, connections=110),
+        Tool(prefix="audit", services=1, leaves=4, slots=6, connections=110),
+    ),
+    document="""
+[kinds.sweep]
+deadline_ms = 2000
+[kinds.lookup]
+fan_out = "key"
+deadline_ms = 1000
+[kinds.browse]
+coverage = "partial"
+answer_after_ms = 400
+deadline_ms = 1000
+[kinds.retire]
+fan_out = "key"
+idempotent = false
+deadline_ms = 2000
+""",
+)
+NORWAY = Deployment(
+    name="norway",
+    zones="abc",
+    hop_ms=1.5,
+    tools=(
+        Tool(prefix="screening", services=10, leaves=3, slots=2, connections=25),
+        Tool(prefix="billing", services=15, leaves=3, slots=2, connections=25),
+        Tool(prefix="bailiff", services=1, leaves=4, slots=4, connections=45),
+        Tool(prefix="intake", services=1, leaves=3, slots=4, connections=45),
+    ),
+    document="""
+[kinds.sweep]
+standing = 10
+deadline_ms = 3000
+[kinds.name-check]
+standing = -10
+deadline_ms = 1000
+[kinds.case-lookup]
+fan_out = "key"
+deadline_ms = 1000
+[kinds.scan]
+coverage = "partial"
+answer_after_ms = 900
+deadline_ms = 2000
+[kinds.billed]
+fan_out = "key"
+idempotent = false
+deadline_ms = 2000
+""",
+)
+HOSTS = 9
+
+
+def services_of(tool: Tool) -> list[str]:
+    """Return the names of a tool's services."""
+    return [f"{tool.prefix}-{number}" for number in range(tool.services)]
+
+
+def header(deployment: Deployment, story: str, seed: int) -> dict:
+    """Return the first line of a trace."""
+    zones = deployment.zones
+    services = [name for tool in deployment.tools for name in services_of(tool)]
+    text = "version = 1\n"
+    text += f'[subscribers.verifier]\nkey_sha256 = ["{KEY}"]\n'
+    text += f'[subscribers.bulk]\nkey_sha256 = ["{SECOND_KEY}"]\n'
+    text += "".join(f"[services.{name}]\n" for name in services)
+    return {
+        "version": 1,
+        "seed": seed,
+        "story": " ".join(story.split()),
+        "hop_ms": deployment.hop_ms,
+        "entry_hosts": [
+            {"id": f"h-{number}", "zone": zones[number % len(zones)]}
+            for number in range(HOSTS)
+        ],
+        "document": text + deployment.document,
+    }
+
+
+def announce(
+    upstream_id: str,
+    *,
+    at: float = 0.0,
+    service: str,
+    tool: Tool,
+    zone: str,
+    shards: tuple[int, ...] | None = None,
+    shard_count: int | None = None,
+    partitioning: int = 1,
+    snapshots: tuple[int, ...] = (41,),
+    incarnation: int = 1,
+    sequence: int = 1,
+    state: str = "ready",
+) -> dict:
+    """Return the line with which an upstream announces itself."""
+    count = shard_count or tool.shards
+    held = range(count) if shards is None else shards
+    return {
+        "type": "announce",
+        "at": at,
+        "announcement": {
+            "id": upstream_id,
+            "incarnation": incarnation,
+            "sequence": sequence,
+            "address": "127.0.0.1:9",
+            "availability_zone": zone,
+            "state": state,
+            "slots": tool.slots,
+            "max_connections": tool.connections,
+            "snapshots": list(snapshots),
+            "shards": [
+                {
+                    "service": service,
+                    "shard": shard,
+                    "shard_count": count,
+                    "partitioning": partitioning,
+                }
+                for shard in held
+            ],
+        },
+    }
+
+
+def announce_all(deployment: Deployment, **options) -> list[dict]:
+    """Return the announcements of every upstream of a deployment."""
+    lines = []
+    for tool in deployment.tools:
+        for service in services_of(tool):
+            for leaf in range(tool.leaves):
+                zone = deployment.zones[leaf % len(deployment.zones)]
+                lines.append(
+                    announce(
+                        f"{service}-{leaf}",
+                        service=service,
+                        tool=tool,
+                        zone=zone,
+                        **options,
+                    )
+                )
+    return lines
+
+
+def search(request: str, **fields) -> dict:
+    """Return a caller's request."""
+    fields.setdefault("subscriber", "verifier")
+    return {"type": "search", "request": request, **fields}
+
+
+def line(kind: str, **fields) -> dict:
+    """Return any other line."""
+    return {"type": kind, **fields}
+
+
+def write(name: str, lines: list[dict]) -> None:
+    """Write one trace."""
+    text = "".join(json.dumps(item, separators=(",", ":")) + "\n" for item in lines)
+    (FOLDER / f"{name}.jsonl").write_text(text, encoding="utf-8")
+
+
+SWEEP = {"kind": "sweep", "count": 200, "every_ms": 10}
+WARM_UP = search("warm-", at=0.1, services=["buyer-0", "clerk-0"], **SWEEP)
+NORWAY_WARM_UP = search("warm-", at=0.1, services=["screening-0", "billing-0"], **SWEEP)
+
+
+def write_georgia_straggler() -> None:
+    """One replica of each service is ten times slower than the others."""
+    story = """One upstream in three answers ten times slower than its peers. The
+    buyers' sweeps still have to come back whole and soon: every sale waits for
+    the slowest shard."""
+    slow = ["buyer-*-0", "clerk-*-0"]
+    services = [f"buyer-{number}" for number in range(5)]
+    write(
+        "georgia-straggler",
+        [
+            header(GEORGIA, story, 11),
+            *announce_all(GEORGIA),
+            search("warm-", at=0.1, services=services, **SWEEP),
+            line("behave", at=2.5, upstreams=slow, latency_ms=50),
+            search("slow-", at=2.6, services=services, **SWEEP),
+            line("expect_answer", at=6.0, request="", complete=True),
+            line("expect_latency", request="slow-", quantile=0.99, at_most_ms=60),
+            line("expect_extra_load", at_most=0.06),
+        ],
+    )
+
+
+def write_georgia_lost_replicas() -> None:
+    """The only two replicas left of a service die during sweeps."""
+    story = """All replicas of one service die without a word while sweeps run. A
+    browse must say that the service is missing, a sweep must be refused; neither
+    may look complete."""
+    services = ["buyer-0", "buyer-1"]
+    write(
+        "georgia-lost-replicas",
+        [
+            header(GEORGIA, story, 12),
+            *announce_all(GEORGIA),
+            search("before-", at=0.5, services=services, **SWEEP),
+            line("behave", at=3.0, upstreams=["buyer-0-*"], mode="crash"),
+            search("browse-", at=8.0, kind="browse", services=services, count=20),
+            search("sweep-", at=8.0, kind="sweep", services=services, count=20),
+            line("expect_answer", at=3.0, request="before-", complete=True),
+            line(
+                "expect_answer",
+                at=8.5,
+                request="browse-",
+                complete=False,
+                answered=1,
+                total=2,
+            ),
+            line(
+                "expect_refusal", at=8.5, request="sweep-", code="incomplete", ran="no"
+            ),
+        ],
+    )
+
+
+def write_georgia_snapshot_change() -> None:
+    """A new index version reaches the upstreams one by one."""
+    story = """The index of the whole register moves from 41 to 42 while sweeps
+    run; upstreams load the new version one after the other and then drop the old
+    one. No answer may hold rows of both."""
+    lines = [header(GEORGIA, story, 13), *announce_all(GEORGIA)]
+    tool = GEORGIA.tools[0]
+    for step, snapshots in enumerate(((41, 42), (42,))):
+        for number in range(tool.services):
+            for leaf in range(tool.leaves):
+                lines.append(
+                    announce(
+                        f"buyer-{number}-{leaf}",
+                        at=1.0 + step + 0.03 * number + 0.01 * leaf,
+                        service=f"buyer-{number}",
+                        tool=tool,
+                        zone=GEORGIA.zones[leaf],
+                        snapshots=snapshots,
+                        sequence=2 + step,
+                    )
+                )
+    services = [f"buyer-{number}" for number in range(10)]
+    lines += [
+        search(
+            "sweep-", at=0.5, services=services, kind="sweep", count=300, every_ms=8
+        ),
+        search("last-", at=4.0, services=services, kind="sweep", count=20),
+        line("expect_answer", at=4.0, request="sweep-", complete=True, total=10),
+        line("expect_answer", at=4.5, request="last-", complete=True, snapshot=42),
+    ]
+    write("georgia-snapshot-change", lines)
+
+
+def write_georgia_zone_drain() -> None:
+    """Operators take a zone out under load and bring it back."""
+    story = """Operators take availability zone b out of service at short notice
+    and bring it back. No query may fail or be incomplete for it, no new work may
+    reach the zone meanwhile, and its upstreams work again afterwards."""
+    services = [f"clerk-{number}" for number in range(5)]
+    in_zone = ["clerk-*-1", "buyer-*-1"]
+    write(
+        "georgia-zone-drain",
+        [
+            header(GEORGIA, story, 14),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=900,
+                every_ms=10,
+            ),
+            line("drain", at=2.0, zones=["b"]),
+            line("drain", at=6.0, zones=[]),
+            line("expect_answer", at=12.0, request="sweep-", complete=True),
+            line("expect_work", at=0.5, until=2.0, upstreams=in_zone, at_least=20),
+            line("expect_no_work", at=2.5, until=6.0, upstreams=in_zone),
+            line("expect_work", at=6.5, until=9.5, upstreams=in_zone, at_least=20),
+        ],
+    )
+
+
+def write_norway_poison() -> None:
+    """A query that crashes each upstream that runs it is sent again and again."""
+    story = """A name check with a peculiar name crashes the upstream that runs it.
+    The caller sends it again every 100 ms through other hosts. At most two
+    upstreams may be lost to it, and everyone else's checks go on."""
+    services = ["bailiff-0"]
+    write(
+        "norway-poison",
+        [
+            header(NORWAY, story, 21),
+            *announce_all(NORWAY),
+            line("behave", upstreams=["*"], poison="Bobby"),
+            search(
+                "good-",
+                at=0.5,
+                services=services,
+                kind="name-check",
+                count=500,
+                every_ms=10,
+            ),
+            search(
+                "bad-",
+                at=1.0,
+                services=services,
+                kind="name-check",
+                query={"name": "Bobby"},
+                count=40,
+                every_ms=100,
+                subscriber="bulk",
+            ),
+            line("expect_crashes", at=6.0, at_most=2),
+            line("expect_answer", at=7.0, request="good-", complete=True, share=0.99),
+            line(
+                "expect_refusal",
+                at=7.0,
+                request="bad-",
+                code="quarantined",
+                share=0.9,
+            ),
+        ],
+    )
+
+
+def write_norway_billed_resend() -> None:
+    """A billed query is sent again through other hosts while it runs."""
+    story = """A debt collector's billed query is slow. Its caller gives up and
+    sends it again with the same key through every other host. The client must be
+    billed once."""
+    lines = [header(NORWAY, story, 22), *announce_all(NORWAY), NORWAY_WARM_UP]
+    lines.append(line("behave", upstreams=["billing-3-*"], latency_ms=400))
+    for number in range(HOSTS):
+        lines.append(
+            search(
+                f"billed-{number}",
+                at=3.0 + 0.1 * number,
+                host=f"h-{number}",
+                services=["billing-3"],
+                kind="billed",
+                query={"key": "19750412-1234"},
+                idempotency_key="invoice-77",
+            )
+        )
+    lines.append(line("expect_runs", idempotency_key="invoice-77", at_most=1))
+    lines.append(line("expect_answer", at=4.0, request="billed-0", complete=True))
+    write("norway-billed-resend", lines)
+
+
+def write_norway_cold_start() -> None:
+    """A warm upstream turns cold without a warning."""
+    story = """An upstream of a service restarts and bears one sub-request at a
+    time for its first seconds; above that it falls over. Nine hosts that do not
+    see each other's work must not topple it, and once it is warm it is used
+    again."""
+    tool = NORWAY.tools[0]
+    cold = announce(
+        "screening-0-0",
+        at=3.0,
+        service="screening-0",
+        tool=tool,
+        zone="a",
+        incarnation=2,
+    )
+    write(
+        "norway-cold-start",
+        [
+            header(NORWAY, story, 23),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=["screening-0"],
+                kind="sweep",
+                count=1200,
+                every_ms=8,
+            ),
+            line("behave", at=2.0, upstreams=["screening-0-0"], mode="crash"),
+            line("behave", at=2.9, upstreams=["screening-0-0"], cold_slots=1),
+            cold,
+            line("behave", at=6.0, upstreams=["screening-0-0"]),
+            line("expect_crashes", at=12.0, at_most=1),
+            line("expect_answer", at=13.0, request="sweep-", complete=True),
+            line(
+                "expect_work",
+                at=8.0,
+                until=10.0,
+                upstreams=["screening-0-0"],
+                at_least=40,
+            ),
+        ],
+    )
+
+
+def write_norway_silent_connections() -> None:
+    """A third of the upstreams fall silent for good and announce themselves on."""
+    story = """Connections to a third of the upstreams go silent for good, with
+    neither reset nor reply, while the upstreams go on announcing themselves.
+    Sweeps in flight must recover within their deadline through other replicas."""
+    services = [f"screening-{number}" for number in range(5)]
+    write(
+        "norway-silent-connections",
+        [
+            header(NORWAY, story, 24),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=600,
+                every_ms=10,
+            ),
+            line("behave", at=3.0, upstreams=["screening-*-0"], mode="silent"),
+            line("expect_answer", at=10.0, request="sweep-", complete=True),
+        ],
+    )
+
+
+def write_norway_wrong_echo() -> None:
+    """An upstream sends replies that belong to other requests."""
+    story = """A proxy between a host and an upstream mixes up replies, so that one
+    upstream answers with other callers' rows. They must be thrown away and the
+    shard answered by a replica."""
+    write(
+        "norway-wrong-echo",
+        [
+            header(NORWAY, story, 25),
+            *announce_all(NORWAY),
+            line("behave", upstreams=["billing-*-1"], mode="wrong_echo"),
+            search(
+                "sweep-",
+                at=0.5,
+                services=["billing-0", "billing-1"],
+                kind="sweep",
+                count=200,
+                every_ms=20,
+            ),
+            line("expect_answer", at=6.0, request="sweep-", complete=True, rows=2),
+        ],
+    )
+
+
+def write_georgia_repartition_with_loss() -> None:
+    """A service is split into more shards while a replica dies."""
+    story = """A service goes from one shard to two while queries run, and in the
+    middle of it a replica of the old partitioning dies. Answers come from one
+    partitioning, and their total is that partitioning's."""
+    tool = GEORGIA.tools[0]
+    lines = [header(GEORGIA, story, 15), *announce_all(GEORGIA)]
+    for leaf, zone in enumerate("abcd"):
+        lines.append(
+            announce(
+                f"buyer-0-new-{leaf}",
+                at=1.0 + 0.4 * leaf,
+                service="buyer-0",
+                tool=tool,
+                zone=zone,
+                shards=(leaf % 2,),
+                shard_count=2,
+                partitioning=2,
+            )
+        )
+    lines += [
+        line("behave", at=1.2, upstreams=["buyer-0-0"], mode="crash"),
+        line("withdraw", at=3.0, upstream="buyer-0-1"),
+        line("withdraw", at=3.0, upstream="buyer-0-2"),
+        search(
+            "old-", at=0.2, services=["buyer-0"], kind="sweep", count=70, every_ms=10
+        ),
+        search(
+            "new-", at=4.0, services=["buyer-0"], kind="sweep", count=100, every_ms=10
+        ),
+        search(
+            "all-", at=0.2, services=["buyer-0"], kind="sweep", count=480, every_ms=10
+        ),
+        line("expect_answer", at=2.0, request="old-", complete=True, total=1),
+        line("expect_answer", at=6.0, request="new-", complete=True, total=2),
+        line("expect_answer", at=6.0, request="all-", complete=True),
+    ]
+    write("georgia-repartition-with-loss", lines)
+
+
+def write_georgia_leaving_upstream() -> None:
+    """Upstreams leave, one by a word and one that only says it is draining."""
+    story = """One upstream takes its announcement back and another one announces
+    that it is draining. Both finish what they have; neither may get new work."""
+    tool = GEORGIA.tools[1]
+    draining = announce(
+        "clerk-0-1",
+        at=2.0,
+        service="clerk-0",
+        tool=tool,
+        zone="b",
+        sequence=2,
+        state="draining",
+    )
+    write(
+        "georgia-leaving-upstream",
+        [
+            header(GEORGIA, story, 16),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=["clerk-0"],
+                kind="sweep",
+                count=400,
+                every_ms=10,
+            ),
+            line("withdraw", at=2.0, upstream="clerk-0-0"),
+            draining,
+            line("expect_answer", at=6.0, request="sweep-", complete=True),
+            line("expect_work", at=0.5, until=2.0, upstreams=["clerk-0-0"]),
+            line(
+                "expect_no_work",
+                at=2.5,
+                until=20.0,
+                upstreams=["clerk-0-0", "clerk-0-1"],
+            ),
+        ],
+    )
+
+
+def main() -> None:
+    """Write every trace."""
+    for name, write_trace in sorted(globals().items()):
+        if name.startswith("write_"):
+            write_trace()
+
+
+if __name__ == "__main__":
+    main()
