--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,7 +3,7 @@
 import click
 
 from greengagehaven import exceptions
-from greengagehaven.commands import replay
+from greengagehaven.commands import control, document, replay, zone
 
 EXIT_FAILED = 1
 
@@ -25,6 +25,20 @@
 
 
 greengagehaven.add_command(replay.replay)
+for _command in (
+    control.control,
+    control.status,
+    control.history,
+    control.audit,
+    control.recover,
+    document.check,
+    document.diff,
+    document.apply,
+    document.prove,
+    document.promote,
+    zone.zone,
+):
+    greengagehaven.add_command(_command)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/greengagehaven/commands/control.py
@@ -0,0 +1,263 @@
+"""``control`` (the daemon), ``status``, ``history``, ``audit`` and ``recover``."""
+
+import asyncio
+import pathlib
+import random
+import signal
+
+import click
+import prometheus_client
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log, settings
+from greengagehaven.commands import client
+from greengagehaven.daemons import control as control_host
+from greengagehaven.daemons import control_daemon, recovery
+from greengagehaven.protocol import operator
+
+KEY = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+
+@click.command()
+@click.option("--host-id", required=True, help="Name of this host.")
+@click.option("--data-folder", required=True, help="Where its state lives.")
+@click.option(
+    "--peer-address",
+    default="127.0.0.1:7301",
+    show_default=True,
+    metavar="IP:PORT",
+    help="Where other hosts reach it.",
+)
+@click.option(
+    "--operator-address",
+    default="127.0.0.1:7300",
+    show_default=True,
+    metavar="IP:PORT",
+    help="Where operators reach it.",
+)
+@click.option(
+    "--peer",
+    "peer_addresses",
+    multiple=True,
+    metavar="IP:PORT",
+    help="Another control host; may be given several times.",
+)
+@click.option(
+    "--bootstrap",
+    is_flag=True,
+    help="Begin a new log where every other control host answers that it has "
+    "none; may stay set.",
+)
+@click.option("--learner", is_flag=True, help="Only follow, do not count.")
+@click.option("--peer-token", help="Secret that the hosts share.")
+@click.option(
+    "--operator",
+    "operators",
+    multiple=True,
+    metavar="NAME=TOKEN",
+    help="An operator and the secret; may be given several times. Needed "
+    "where the operators' address is not loopback.",
+)
+@click.option("--environment", default="default", help="Name in proofs.")
+@click.option("--signing-key", type=KEY, help="PEM that signs proofs (trial).")
+@click.option(
+    "--trusted-key",
+    "trusted_keys",
+    type=KEY,
+    multiple=True,
+    help="PEM whose proofs are demanded (production); may be given several times.",
+)
+@click.option("--log-level", default="info", show_default=True)
+def control(
+    host_id: str,
+    data_folder: str,
+    peer_address: str,
+    operator_address: str,
+    peer_addresses: tuple[str, ...],
+    bootstrap: bool,
+    learner: bool,
+    peer_token: str | None,
+    operators: tuple[str, ...],
+    environment: str,
+    signing_key: pathlib.Path | None,
+    trusted_keys: tuple[pathlib.Path, ...],
+    log_level: str,
+) -> None:
+    """Run a control host."""
+    log.configure(level=log_level)
+    host, _ = settings.parse_address("operator address", operator_address)
+    tokens = _parse_operators(operators)
+    if not tokens and not settings.is_loopback(host):
+        raise exceptions.SettingError(
+            place="operator",
+            value="none",
+            expected=f"NAME=TOKEN, since {operator_address} is not loopback",
+        )
+    for address in peer_addresses:
+        settings.parse_address("peer", address)
+    chosen = control_host.ControlSettings(
+        host_id=host_id,
+        data_folder=data_folder,
+        peer_address=peer_address,
+        peer_addresses=peer_addresses,
+        bootstrap=bootstrap,
+        voter=not learner,
+        environment=environment,
+        signing_key=signing_key.read_bytes() if signing_key else None,
+        trusted_keys=tuple(path.read_bytes() for path in trusted_keys),
+    )
+    failure = asyncio.run(_run(chosen, operator_address, peer_token, tokens))
+    if failure is not None:
+        raise failure
+
+
+async def _run(
+    chosen: control_host.ControlSettings,
+    operator_address: str,
+    peer_token: str | None,
+    tokens: dict[str, str],
+) -> exceptions.StorageError | None:
+    """Run until a signal or a failure of the disk, which is returned."""
+    stopped: asyncio.Future[exceptions.StorageError | None]
+    loop = asyncio.get_running_loop()
+    stopped = loop.create_future()
+
+    def stop(failure: exceptions.StorageError | None = None) -> None:
+        if not stopped.done():
+            stopped.set_result(failure)
+
+    daemon = control_daemon.ControlDaemon(
+        settings=chosen,
+        operator_address=operator_address,
+        peer_token=peer_token,
+        tokens_by_operator=tokens,
+        clock=clocks.SystemClock(),
+        rng=random.Random(),
+        registry=prometheus_client.REGISTRY,
+        on_failure=stop,
+    )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    try:
+        await daemon.start()
+        log.info("ready", operator=daemon.operator_address, peer=daemon.peer_address)
+        return await stopped
+    finally:
+        await daemon.close()
+
+
+@click.command()
+@client.json_option
+@client.options
+def status(as_json: bool, controls: tuple[str, ...], token: str) -> None:
+    """Show the control hosts, what is in force, and which hosts lag.
+
+    Exit code 1 where the quorum is lost or an entry host lags.
+    """
+    found = client.ControlClient(addresses=controls, token=token).get(
+        "/v1/status", operator.Status
+    )
+    if as_json:
+        client.print_json(found)
+    else:
+        click.echo("\n".join(_describe(found)))
+    is_well = found.quorum == "ok" and all(
+        host.state == "current" for host in found.hosts
+    )
+    raise click.exceptions.Exit(0 if is_well else 1)
+
+
+@click.command()
+@click.option("--limit", default=20, show_default=True, help="How many.")
+@client.json_option
+@client.options
+def history(limit: int, as_json: bool, controls: tuple[str, ...], token: str) -> None:
+    """Show the revisions, the newest first."""
+    _show_records("/v1/history", limit, as_json, controls, token)
+
+
+@click.command()
+@click.option("--limit", default=20, show_default=True, help="How many.")
+@client.json_option
+@client.options
+def audit(limit: int, as_json: bool, controls: tuple[str, ...], token: str) -> None:
+    """Show every change that was asked for, refused ones too."""
+    _show_records("/v1/audit", limit, as_json, controls, token)
+
+
+@click.command()
+@click.option("--data-folder", required=True, help="Of the host that survived.")
+@click.option("--author", required=True, help="Who does this, for the audit trail.")
+@click.option(
+    "--yes",
+    is_flag=True,
+    help="Confirm that the lost control hosts will never come back with their "
+    "old disks.",
+)
+def recover(data_folder: str, author: str, yes: bool) -> None:
+    """Go on from one control host after a majority was lost for good.
+
+    The host must be stopped. It becomes the only voter of a new log.
+    """
+    if not yes:
+        raise click.UsageError("read docs/operations/quorum-lost.md, then add --yes")
+    revision = recovery.recover(
+        data_folder=data_folder, author=author, now=clocks.SystemClock().now()
+    )
+    click.echo(f"recovered at revision {revision}; start the control host again")
+
+
+def _parse_operators(pairs: tuple[str, ...]) -> dict[str, str]:
+    tokens = {}
+    for pair in pairs:
+        name, _, token = pair.partition("=")
+        if not name or not token:
+            raise exceptions.SettingError(
+                place="operator", value=name, expected="NAME=TOKEN"
+            )
+        tokens[name] = token
+    return tokens
+
+
+def _show_records(
+    path: str, limit: int, as_json: bool, controls: tuple[str, ...], token: str
+) -> None:
+    lines = client.ControlClient(addresses=controls, token=token).get(
+        path, list[operator.AuditLine], limit=limit
+    )
+    if as_json:
+        client.print_json(lines)
+        return
+    for line in lines:
+        click.echo(_describe_record(line))
+
+
+def _describe_record(line: operator.AuditLine) -> str:
+    when = line.made_at.isoformat(timespec="seconds")
+    text = (
+        f"{line.number} {when} {line.author}: {line.action}, {line.code}, "
+        f"revision {line.revision}, digest {line.to_digest[:12] or 'none'}, "
+        f"change {line.change_id}"
+    )
+    return f"{text}: {line.detail}" if line.detail else text
+
+
+def _describe(found: operator.Status) -> list[str]:
+    drained = ", ".join(found.drained_zones) or "none"
+    lines = [
+        f"quorum {found.quorum}: {found.detail}",
+        f"revision {found.revision}, digest {found.digest or 'none'}",
+        f"drained zones: {drained}",
+    ]
+    for member in found.members:
+        role = "leader" if member.leader else "voter" if member.voter else "learner"
+        state = "does not answer"
+        if member.answers:
+            state = f"revision {member.revision}, {member.missing_entries} behind"
+        lines.append(f"control host {member.host} {member.address} {role}: {state}")
+    lines.extend(
+        f"entry host {host.host_id} in {host.availability_zone}: "
+        f"{host.state}, revision {host.revision}"
+        for host in found.hosts
+    )
+    return lines
--- /dev/null
+++ b/src/greengagehaven/commands/zone.py
@@ -0,0 +1,105 @@
+"""``zone drain`` and ``zone restore``, and waiting until changes are in force."""
+
+import click
+
+from greengagehaven import exceptions
+from greengagehaven.commands import client
+from greengagehaven.protocol import operator
+
+DEFAULT_WAIT_S = 30.0
+
+
+@click.group()
+def zone() -> None:
+    """Take an availability zone out of service and bring it back."""
+
+
+@zone.command()
+@click.argument("name")
+@click.option("--force", is_flag=True, help="Also the last zone, or an unseen one.")
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.change_id_option
+@client.json_option
+@client.options
+def drain(
+    name: str,
+    force: bool,
+    wait: bool,
+    timeout: float,
+    change_id: str,
+    as_json: bool,
+    controls: tuple[str, ...],
+    token: str,
+) -> None:
+    """Give a zone no new work; what is in flight is finished."""
+    body = operator.ZoneBody(
+        change_id=client.new_change_id(change_id), drained=True, force=force
+    )
+    control = client.ControlClient(addresses=controls, token=token)
+    _change_zone(control, name, body, as_json, timeout if wait else None)
+
+
+@zone.command()
+@click.argument("name")
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.change_id_option
+@client.json_option
+@client.options
+def restore(
+    name: str,
+    wait: bool,
+    timeout: float,
+    change_id: str,
+    as_json: bool,
+    controls: tuple[str, ...],
+    token: str,
+) -> None:
+    """Give a drained zone work again."""
+    body = operator.ZoneBody(change_id=client.new_change_id(change_id), drained=False)
+    control = client.ControlClient(addresses=controls, token=token)
+    _change_zone(control, name, body, as_json, timeout if wait else None)
+
+
+def print_result(result: operator.ChangeBody, as_json: bool) -> None:
+    """Print the result of an accepted change."""
+    if as_json:
+        client.print_json(result)
+    else:
+        click.echo(f"revision {result.revision}, digest {result.digest}")
+
+
+def wait_in_force(control: client.ControlClient, revision: int, timeout: float) -> None:
+    """Return once every entry host that reports has a revision in force.
+
+    :param timeout: seconds to wait.
+    :raises NotInForceError: some still lag; they are named.
+    """
+
+    def lagging() -> list[str]:
+        status = control.get("/v1/status", operator.Status)
+        return [
+            f"{host.host_id} ({host.state}, revision {host.revision})"
+            for host in status.hosts
+            if host.revision < revision
+        ]
+
+    if not client.wait_until(lambda: not lagging(), timeout):
+        raise exceptions.NotInForceError(
+            f"revision {revision} is not in force on: {', '.join(lagging())}"
+        )
+    click.echo(f"revision {revision} is in force on every entry host", err=True)
+
+
+def _change_zone(
+    control: client.ControlClient,
+    name: str,
+    body: operator.ZoneBody,
+    as_json: bool,
+    timeout: float | None,
+) -> None:
+    result = control.post(f"/v1/zones/{name}", body, operator.ChangeBody)
+    print_result(result, as_json)
+    if timeout is not None:
+        wait_in_force(control, result.revision, timeout)
--- a/src/greengagehaven/coordination/following.py
+++ b/src/greengagehaven/coordination/following.py
@@ -24,6 +24,7 @@
         together.
     :param retry: pause after a call that failed.
     :param probe: period between calls to a second source.
+    :param urgent_probe: the same while no leader has been heard of lately.
     :param stale_after: a source that has not heard of a leader for so long is
         left for another.
     """
@@ -33,6 +34,7 @@
     pace: float = 0.1
     retry: float = 0.3
     probe: float = 3.0
+    urgent_probe: float = 1.0
     stale_after: float = 3.0
 
 
@@ -78,6 +80,18 @@
         """Return the host that is followed."""
         return self._source
 
+    @property
+    def is_out_of_touch(self) -> bool:
+        """Tell whether no leader has been heard of lately."""
+        return self.age >= self._timing.stale_after
+
+    @property
+    def probe_pause(self) -> float:
+        """Return the time to the next probe; hosts are kept out of step."""
+        usual, urgent = self._timing.probe, self._timing.urgent_probe
+        period = urgent if self.is_out_of_touch else usual
+        return period * self._rng.uniform(0.75, 1.25)
+
     @property
     def age(self) -> float:
         """Return for how many seconds no leader is known to have been heard."""
@@ -96,8 +110,17 @@
         return self._call(self._source, wait)
 
     def next_probe(self) -> Call | None:
-        """Return a second host to ask whether it knows more."""
-        address = self._choose(avoid=self._source)
+        """Return a second host to ask whether it knows more.
+
+        Out of touch, control hosts are asked in turn: entry hosts that follow
+        each other would else stay among themselves for long after a control
+        host is back.
+        """
+        if self.is_out_of_touch and self._control_addresses:
+            address = self._control_addresses.pop(0)
+            self._control_addresses.append(address)
+        else:
+            address = self._choose(avoid=self._source)
         if address is None or address == self._source:
             return None
         return self._call(address, 0.0)
@@ -109,13 +132,14 @@
         :param is_news: whether it brought a newer revision.
         """
         self._failed_at_by_address.pop(address, None)
+        was_out_of_touch = self.is_out_of_touch
         confirmed_at = self._clock.monotonic() - age
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         is_fresh = age < self._timing.stale_after
         if address == self._source:
             if not is_fresh:
                 self._leave(address)
-        elif is_news and is_fresh:
+        elif is_fresh and (is_news or was_out_of_touch):
             self._source = address
 
     def on_failure(self, address: str) -> None:
--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -33,6 +33,13 @@
 )
 
 REPORTS_METHOD = "control/reports"
+METHODS = (
+    raft_driver.RAFT_METHOD,
+    admission.IDENTIFY_METHOD,
+    admission.JOIN_METHOD,
+    REPORTS_METHOD,
+    follower.FOLLOW_METHOD,
+)
 REPORTS_TIMEOUT_S = 0.5
 STEWARD_PERIOD_S = 0.1
 JOIN_PERIOD_S = 0.5
@@ -55,7 +62,7 @@
     :param trusted_keys: PEMs whose proofs it demands, for production.
     :param proof_lifetime: how old a proof may be.
     :param compact_bytes: growth of the log after which a snapshot is taken.
-    :param timing: periods of the replicated log.
+    :param raft_timing: periods of the replicated log.
     """
 
     host_id: str
@@ -69,7 +76,7 @@
     trusted_keys: tuple[bytes, ...] = ()
     proof_lifetime: datetime.timedelta = proofs.DEFAULT_LIFETIME
     compact_bytes: int = replica.DEFAULT_COMPACT_BYTES
-    timing: timing.Timing = timing.Timing()
+    raft_timing: timing.Timing = timing.Timing()
 
 
 class ControlHost:
@@ -218,18 +225,29 @@
         return (await self.decide(change)).result
 
     async def decide(self, change: configuration.Change) -> audit.AuditRecord:
-        """Have a change decided and return its audit record."""
+        """Have a change decided and return its audit record.
+
+        :raises ChangeRefusedError: its id belongs to a different change.
+        """
         driver = self._need_driver()
         await driver.read()
-        known = self.machine.audit.find(change.change_id)
-        if known is not None:
-            return known
         reports = await self.collect_reports()
         entry = self._writer.write(change, self.machine, reports)
-        record = await driver.propose(changes.encode(entry))
+        record = self.machine.audit.find(change.change_id)
+        if record is None:
+            record = await driver.propose(changes.encode(entry))
+            self._note(record)
+        if not _is_resend(change, record, entry):
+            raise exceptions.ChangeRefusedError(
+                f"change id {change.change_id} belongs to change {record.number}, "
+                f"{record.action} by {record.author}",
+                code="change_id_reused",
+            )
+        return record
+
+    def _note(self, record: audit.AuditRecord) -> None:
         self.metrics.count_change(record)
         _log_change(record)
-        return record
 
     async def read(self) -> configuration.ConfigurationState:
         """Return the state that nobody else can have replaced.
@@ -279,7 +297,7 @@
                 stored=stored,
                 clock=self.clock,
                 rng=self._rng,
-                timing=self.settings.timing,
+                timing=self.settings.raft_timing,
             ),
             storage=self._storage,
             machine=self.machine,
@@ -434,6 +452,15 @@
     )
 
 
+def _is_resend(
+    change: configuration.Change, record: audit.AuditRecord, entry: changes.Entry
+) -> bool:
+    if isinstance(change, configuration.ProofChange) and not change.digest:
+        # It means whatever was in force at its first sending.
+        return record.action == changes.action_of(entry)
+    return changes.is_same(record, entry)
+
+
 def _log_change(record: audit.AuditRecord) -> None:
     log.info(
         "audit",
--- /dev/null
+++ b/src/greengagehaven/daemons/control_daemon.py
@@ -0,0 +1,142 @@
+"""A control host with its sockets: the ``control`` daemon, and part of ``dev``."""
+
+import dataclasses
+import datetime
+import typing
+from collections import abc
+
+import prometheus_client
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, settings
+from greengagehaven import rng as rngs
+from greengagehaven.daemons import control, operator_api
+from greengagehaven.transport import http_server, peers
+
+STOP_GRACE = datetime.timedelta(seconds=1)
+DOCUMENT_BODY_BYTES = 4_000_000
+
+
+class ControlDaemon:
+    """Binds the sockets of a control host and runs it.
+
+    Its settings' ``peer_address`` may have port 0; the bound one is announced.
+
+    :param settings: what the control host is told.
+    :param operator_address: ``IP:PORT`` for operators, port 0 for any.
+    :param peer_token: secret that the hosts of the environment share.
+    :param tokens_by_operator: secret of each operator by name.
+    :param clock: source of time.
+    :param rng: source of election timeouts.
+    :param registry: where metrics are registered.
+    :param on_failure: called when the disk failed and the host halted.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: control.ControlSettings,
+        operator_address: str = "127.0.0.1:0",
+        peer_token: str | None = None,
+        tokens_by_operator: abc.Mapping[str, str] | None = None,
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+        registry: prometheus_client.CollectorRegistry | None = None,
+        on_failure: abc.Callable[[exceptions.StorageError], None] | None = None,
+    ) -> None:
+        self.peer_address = settings.peer_address
+        self.operator_address = operator_address
+        self._settings = settings
+        self._tokens_by_operator = tokens_by_operator
+        self._clock = clock
+        self._rng = rng
+        self._registry = registry
+        self._on_failure = on_failure
+        self._client = peers.PeerClient(token=peer_token, clock=clock)
+        self._peer_token = peer_token
+        self._handlers_by_method: dict[str, typing.Any] = {}
+        self._peer_server: peers.PeerServer | None = None
+        self._http_server: http_server.HttpServer | None = None
+        self._host: control.ControlHost | None = None
+
+    @property
+    def host(self) -> control.ControlHost:
+        """Return the control host; only after ``start``."""
+        assert self._host is not None
+        return self._host
+
+    async def start(self) -> None:
+        """Bind both sockets and take part.
+
+        :raises SettingError: an address or the data folder cannot be used.
+        :raises LogDamagedError: the state on the disk is damaged.
+        """
+        await self._start_peer_server()
+        self._host = control.ControlHost(
+            settings=dataclasses.replace(
+                self._settings, peer_address=self.peer_address
+            ),
+            channel=self._client,
+            clock=self._clock,
+            rng=self._rng,
+            registry=self._registry,
+            on_failure=self._on_failure,
+        )
+        api = operator_api.OperatorApi(
+            host=self._host,
+            tokens_by_operator=self._tokens_by_operator,
+            registry=self._registry,
+        )
+        await self._host.start()
+        for handlers in (self._host.handlers_by_method, api.handlers_by_method):
+            for method, handler in handlers.items():
+                self._handlers_by_method[method].set(handler)
+        self._http_server = http_server.HttpServer(
+            handler=api.handle,
+            clock=self._clock,
+            limits=http_server.Limits(body_bytes=DOCUMENT_BODY_BYTES),
+        )
+        bind = settings.parse_address("operator address", self.operator_address)
+        self.operator_address = await self._http_server.start(*bind)
+
+    async def close(self) -> None:
+        """Finish operators' requests, leave, and release the sockets."""
+        if self._http_server is not None:
+            await self._http_server.drain(STOP_GRACE)
+            await self._http_server.close()
+        if self._host is not None:
+            await self._host.close()
+        if self._peer_server is not None:
+            await self._peer_server.stop(STOP_GRACE)
+        await self._client.close()
+
+    async def _start_peer_server(self) -> None:
+        """Bind the port first, since the host announces it when it starts."""
+        methods = (*control.METHODS, operator_api.OPERATE_METHOD)
+        self._handlers_by_method = {method: _Late() for method in methods}
+        self._peer_server = peers.PeerServer(
+            handlers_by_method={
+                method: late.handle for method, late in self._handlers_by_method.items()
+            },
+            token=self._peer_token,
+            clock=self._clock,
+        )
+        bind = settings.parse_address("peer address", self._settings.peer_address)
+        self.peer_address = await self._peer_server.start(*bind)
+
+
+class _Late:
+    """A handler that is known only after the socket is bound."""
+
+    def __init__(self) -> None:
+        self._handler: typing.Any = None
+
+    def set(self, handler: typing.Any) -> None:
+        """Answer with this handler from now on."""
+        self._handler = handler
+
+    async def handle(self, body: bytes) -> bytes:
+        """Answer a call, or tell that the host is starting."""
+        if self._handler is None:
+            raise exceptions.QuorumLostError("this host is starting")
+        return await self._handler(body)
--- a/src/greengagehaven/daemons/follower.py
+++ b/src/greengagehaven/daemons/follower.py
@@ -117,7 +117,7 @@
 
     async def _probe_forever(self) -> None:
         while True:
-            await asyncio.sleep(self._timing.probe)
+            await asyncio.sleep(self._following.probe_pause)
             call = self._following.next_probe()
             if call is not None:
                 await self._ask(call)
@@ -137,12 +137,12 @@
             )
             reply = codec.decode_msgpack(data, control.FollowReply)
             is_news = self._take(reply)
-        except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
+        except exceptions.PeerError as error:
             log.debug("follow_failed", source=call.address, error=error.detail)
             self._following.on_failure(call.address)
             return False
-        except exceptions.StateMismatchError as error:
-            log.error("delta_mismatch", source=call.address, error=error.detail)
+        except (exceptions.StateMismatchError, exceptions.InvalidRequestError) as error:
+            log.error("follow_mismatch", source=call.address, error=error.detail)
             self._following.on_failure(call.address)
             return False
         age = reply.age_ms / 1000
@@ -160,13 +160,11 @@
     def _take(self, reply: control.FollowReply) -> bool:
         """Move forward by a reply; return whether it brought anything new."""
         before = self._published.revision
-        if reply.state is not None:
-            state = codec.decode_msgpack(
-                bytes(reply.state), configuration.ConfigurationState
-            )
+        if reply.state:
+            state = codec.decode_msgpack(reply.state, configuration.ConfigurationState)
             self._published.replace(state)
         for raw in reply.deltas:
-            delta = codec.decode_msgpack(bytes(raw), configuration.Delta)
+            delta = codec.decode_msgpack(raw, configuration.Delta)
             # A probe and the long call may both bring the same deltas.
             if delta.revision > self._published.revision:
                 self._published.advance(delta)
--- a/src/greengagehaven/daemons/operator_api.py
+++ b/src/greengagehaven/daemons/operator_api.py
@@ -201,7 +201,9 @@
 
     def _ready(self) -> http.Response:
         host = self._host
-        is_ready = host.failure is None and (host.is_leader or bool(host.leader_address))
+        is_ready = host.failure is None and (
+            host.is_leader or bool(host.leader_address)
+        )
         return http.Response(
             status=200 if is_ready else 503, body=codec.encode_json({"ready": is_ready})
         )
@@ -249,9 +251,7 @@
         if not proof:
             raise exceptions.ProofError(f"digest {digest} has no proof here")
         data = state.document if digest == state.digest else b""
-        return _json(
-            operator.ProofDocument(digest=digest, proof=proof, document=data)
-        )
+        return _json(operator.ProofDocument(digest=digest, proof=proof, document=data))
 
     async def _get_withdrawal(
         self, request: http.Request, _author: str
@@ -263,9 +263,7 @@
             raise exceptions.NotFoundError(f"digest {digest} was not withdrawn")
         return _json(operator.WithdrawalDocument(digest=digest, statement=statement))
 
-    async def _post_document(
-        self, request: http.Request, author: str
-    ) -> http.Response:
+    async def _post_document(self, request: http.Request, author: str) -> http.Response:
         body = codec.decode_json(request.body, operator.DocumentBody)
         change = configuration.DocumentChange(
             change_id=_change_id(body.change_id),
--- a/src/greengagehaven/daemons/publisher.py
+++ b/src/greengagehaven/daemons/publisher.py
@@ -36,7 +36,7 @@
         self._clock = clock
         self._news = asyncio.Event()
         self._reports_by_host: dict[str, tuple[float, control.HostReport]] = {}
-        self._encoded: tuple[int, msgspec.Raw] | None = None
+        self._encoded: tuple[int, bytes] | None = None
 
     def notify(self) -> None:
         """Wake every follower that waits, after the state moved forward."""
@@ -55,7 +55,8 @@
         if wait > 0 and self._published.revision <= request.held_revision:
             news = self._news
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(news.wait(), timeout=wait)
+                async with asyncio.timeout(wait):
+                    await news.wait()
         return codec.encode_msgpack(self._reply_to(request.held_revision))
 
     def reports(self) -> tuple[control.HostReport, ...]:
@@ -79,14 +80,14 @@
             return control.FollowReply(
                 revision=revision, age_ms=age_ms, state=self._whole_state()
             )
-        encoded = tuple(msgspec.Raw(codec.encode_msgpack(delta)) for delta in deltas)
+        encoded = tuple(codec.encode_msgpack(delta) for delta in deltas)
         return control.FollowReply(revision=revision, age_ms=age_ms, deltas=encoded)
 
-    def _whole_state(self) -> msgspec.Raw:
+    def _whole_state(self) -> bytes:
         # After a restart of all hosts each asks for the same whole state.
         if self._encoded is None or self._encoded[0] != self._published.revision:
             data = codec.encode_msgpack(self._published.state)
-            self._encoded = (self._published.revision, msgspec.Raw(data))
+            self._encoded = (self._published.revision, data)
         return self._encoded[1]
 
     def _keep_reports(self, reports: tuple[control.HostReport, ...]) -> None:
--- a/src/greengagehaven/daemons/raft_driver.py
+++ b/src/greengagehaven/daemons/raft_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 from collections import abc
 
@@ -134,7 +135,8 @@
 
     async def _wait(self, number: int, waiter: asyncio.Future[typing.Any]):
         try:
-            return await asyncio.wait_for(waiter, timeout=DECISION_TIMEOUT_S)
+            async with asyncio.timeout(DECISION_TIMEOUT_S):
+                return await waiter
         except TimeoutError as error:
             raise exceptions.QuorumLostError(
                 "no quorum of control hosts answered; the change may still be "
@@ -184,11 +186,10 @@
             delay = self.replica.raft.next_wake - self._clock.monotonic()
             if delay > 0:
                 # A step may bring the next moment forward as well as put it off.
-                try:
-                    await asyncio.wait_for(self._wake.wait(), timeout=delay)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(delay):
+                        await self._wake.wait()
                     continue
-                except TimeoutError:
-                    pass
             self.step(events.TimeReached())
 
 
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -355,6 +355,12 @@
         self.code = code
 
 
+class NotInForceError(ControlError):
+    """A revision is not in force on every entry host in the time allowed."""
+
+    code = "not_in_force"
+
+
 class ControlUnreachableError(ControlError):
     """No control host that was asked gave an answer."""
 
--- a/src/greengagehaven/protocol/control.py
+++ b/src/greengagehaven/protocol/control.py
@@ -42,8 +42,8 @@
 
     revision: int
     age_ms: int
-    state: msgspec.Raw | None = None
-    deltas: tuple[msgspec.Raw, ...] = ()
+    state: bytes = b""
+    deltas: tuple[bytes, ...] = ()
 
 
 class IdentifyReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/greengagehaven/protocol/operator.py
+++ b/src/greengagehaven/protocol/operator.py
@@ -5,7 +5,9 @@
 import msgspec
 
 
-class DocumentBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class DocumentBody(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """``POST /v1/changes``: put a document in force.
 
     :param document: its bytes (base64 in JSON).
@@ -34,7 +36,9 @@
     digest: str = ""
 
 
-class WithdrawalBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class WithdrawalBody(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """``POST /v1/withdrawals``: a digest must not be promoted any more."""
 
     change_id: str
--- a/src/greengagehaven/settings.py
+++ b/src/greengagehaven/settings.py
@@ -31,3 +31,8 @@
 def format_address(host: str, port: int) -> str:
     """Return ``IP:PORT``, with brackets around an IPv6 number."""
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def is_loopback(host: str) -> bool:
+    """Tell whether an IP number is reached only from this machine."""
+    return ipaddress.ip_address(host).is_loopback
--- a/src/greengagehaven/state/changes.py
+++ b/src/greengagehaven/state/changes.py
@@ -124,7 +124,7 @@
             change_id=entry.change_id,
             author=entry.author,
             made_at=entry.made_at,
-            action=_action_of(entry),
+            action=action_of(entry),
             from_digest=before,
             to_digest=getattr(entry, "digest", before),
             revision=self.state.revision,
@@ -249,6 +249,12 @@
         self.published.replace(msgspec.structs.replace(state, revision=revision))
 
 
+def is_same(record: audit.AuditRecord, entry: Entry) -> bool:
+    """Tell whether a record is of this entry or of its first sending."""
+    digest = getattr(entry, "digest", record.to_digest)
+    return record.action == action_of(entry) and record.to_digest == digest
+
+
 def encode(entry: Entry) -> bytes:
     """Return an entry as it stands in the log."""
     return codec.encode_msgpack(entry)
@@ -297,7 +303,8 @@
         del data_by_digest[next(iter(data_by_digest))]
 
 
-def _action_of(entry: Entry) -> str:
+def action_of(entry: Entry) -> str:
+    """Return what an entry asks for, as the audit trail names it."""
     match entry:
         case DocumentEntry():
             return "document"
