Agree on hosts and upstreams by gossip

Cause: entry hosts have to know the live hosts and upstreams without a store or a list; late news must not revive what left, a cut-off zone must not get work on old news, and only changes may travel.

--- /dev/null
+++ b/features/fakes/wire.py
@@ -0,0 +1,243 @@
+"""A wire between membership cores: cut links, loss, delay, copies."""
+
+import heapq
+import itertools
+import random
+
+from greengagehaven import clock
+from greengagehaven.coordination import events
+from greengagehaven.coordination.membership import node, signals
+from greengagehaven.protocol import codec, membership, upstream
+from greengagehaven.state import directory
+
+TICK_S = 0.1
+LATENCY_S = 0.001
+
+
+class Host:
+    """One core, the directory it serves and what it has reported."""
+
+    def __init__(self, core: node.Membership, served: directory.Directory) -> None:
+        self.core = core
+        self.directory = served
+        self.counted: dict[str, str] = {}
+        self.notices: list[tuple[str, bytes]] = []
+        self.log: list[str] = []
+
+    @property
+    def upstream_ids(self) -> set[str]:
+        return set(self.directory.upstreams_by_id)
+
+
+class Wire:
+    """Drives cores on one manual clock; every choice comes from one seed."""
+
+    def __init__(self, *, seed: int = 1, latency_s: float = LATENCY_S) -> None:
+        self.clock = clock.ManualClock(start=1000.0)
+        self.rng = random.Random(seed)
+        self.hosts_by_id: dict[str, Host] = {}
+        self.cut_links: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.copies = 0.0
+        self.jitter_s = 0.0
+        self.calls = 0
+        self.bytes = 0
+        self._latency_s = latency_s
+        self._queue: list = []
+        self._order = itertools.count()
+        self._incarnation = itertools.count(100)
+
+    def start_host(
+        self,
+        host_id: str,
+        zone: str,
+        *,
+        seeds: tuple[str, ...] = (),
+        incarnation: int | None = None,
+    ) -> Host:
+        own = membership.HostRecord(
+            id=host_id,
+            zone=zone,
+            address=host_id,
+            incarnation=next(self._incarnation) if incarnation is None else incarnation,
+        )
+        served = directory.Directory()
+        core = node.Membership(
+            own=own,
+            served=served,
+            seeds=seeds,
+            clock=self.clock,
+            rng=random.Random(self.rng.randrange(2**32)),
+        )
+        host = Host(core, served)
+        self.hosts_by_id[host_id] = host
+        self._tick(host_id, host)
+        return host
+
+    def kill(self, host_id: str) -> None:
+        del self.hosts_by_id[host_id]
+
+    def cut(self, sources: set[str], targets: set[str]) -> None:
+        self.cut_links |= {(s, t) for s in sources for t in targets if s != t}
+
+    def heal(self) -> None:
+        self.cut_links.clear()
+
+    def step(self, host_id: str, event: signals.Event) -> list[signals.Action]:
+        host = self.hosts_by_id[host_id]
+        actions = host.core.step(event)
+        for action in actions:
+            self._carry_out(host_id, host, action)
+        return actions
+
+    def announce(self, host_id: str, announcement: upstream.Announcement) -> None:
+        self.step(host_id, signals.UpstreamAnnounced(announcement=announcement))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass; carry out what falls due meanwhile."""
+        end = self.clock.monotonic() + seconds
+        while self._queue and self._queue[0][0] <= end:
+            moment, _, action = heapq.heappop(self._queue)
+            self.clock.advance(max(0.0, moment - self.clock.monotonic()))
+            action()
+        self.clock.advance(max(0.0, end - self.clock.monotonic()))
+
+    def at(self, delay: float, action) -> None:
+        moment = self.clock.monotonic() + delay
+        heapq.heappush(self._queue, (moment, next(self._order), action))
+
+    def _tick(self, host_id: str, host: Host) -> None:
+        if self.hosts_by_id.get(host_id) is not host:
+            return
+        self.step(host_id, signals.Ticked())
+        self.at(TICK_S, lambda: self._tick(host_id, host))
+
+    def _carry_out(self, host_id: str, host: Host, action: signals.Action) -> None:
+        if isinstance(action, signals.Call):
+            self._call(host_id, host, action)
+        elif isinstance(action, events.HostsChanged):
+            host.counted = action.zones_by_host_id
+        elif isinstance(action, signals.NoticeReceived):
+            host.notices.append((action.host_id, action.payload))
+        elif isinstance(action, signals.Noted):
+            host.log.append(action.event)
+
+    def _call(self, source: str, host: Host, call: signals.Call) -> None:
+        state = {"is_over": False}
+
+        def end(event: signals.Event) -> None:
+            if not state["is_over"] and self.hosts_by_id.get(source) is host:
+                state["is_over"] = True
+                self.step(source, event)
+
+        body = codec.encode_msgpack(call.message)
+        self.calls += 1
+        self.bytes += len(body)
+        failed = signals.CallFailed(call_id=call.call_id)
+        self.at(call.timeout, lambda: end(failed))
+        hops = [source, call.address]
+        if call.relay_address is not None:
+            hops.insert(1, call.relay_address)
+
+        def arrive() -> None:
+            answer = self._deliver(call.address, type(call.message), body)
+            if answer is None:
+                return
+            reply_type = (
+                membership.Exchange
+                if isinstance(call.message, membership.Exchange)
+                else membership.SyncReply
+            )
+            self.bytes += len(answer)
+            message = codec.decode_msgpack(answer, reply_type)
+            event = signals.CallAnswered(call_id=call.call_id, answer=message)
+            self._travel(hops[::-1], lambda: end(event))
+
+        self._travel(hops, arrive)
+        if self.rng.random() < self.copies:
+            self._travel(hops, arrive)
+
+    def _travel(self, hops: list[str], arrive) -> None:
+        for link in itertools.pairwise(hops):
+            if link in self.cut_links or link[0] not in self.hosts_by_id:
+                return
+            if self.rng.random() < self.loss:
+                return
+        delay = self._latency_s * (len(hops) - 1)
+        self.at(delay + self.rng.random() * self.jitter_s, arrive)
+
+    def _deliver(self, host_id: str, message_type: type, body: bytes) -> bytes | None:
+        if host_id not in self.hosts_by_id:
+            return None
+        message = codec.decode_msgpack(body, message_type)
+        if message_type is membership.Exchange:
+            event = signals.ExchangeReceived(exchange=message)
+        else:
+            event = signals.SyncReceived(request=message)
+        actions = self.step(host_id, event)
+        replies = [each for each in actions if isinstance(each, signals.Reply)]
+        assert len(replies) == 1, replies
+        return codec.encode_msgpack(replies[0].message)
+
+
+class Upstream:
+    """An upstream that renews through a random host until it is stopped."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        upstream_id: str,
+        zone: str,
+        *,
+        hosts: tuple[str, ...],
+        incarnation: int = 100,
+        address: str | None = None,
+    ) -> None:
+        self.wire = wire
+        self.id = upstream_id
+        self.zone = zone
+        self.hosts = hosts
+        self.incarnation = incarnation
+        self.address = address or f"127.0.0.1:{4000 + hash(upstream_id) % 1000}"
+        self.sequence = 0
+        self.state = upstream.UpstreamState.READY
+        self.is_running = True
+        self._renew()
+
+    def announcement(self) -> upstream.Announcement:
+        shard = upstream.HostedShard(
+            service="credits-0", shard=0, shard_count=1, partitioning=3
+        )
+        return upstream.Announcement(
+            id=self.id,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            address=self.address,
+            availability_zone=self.zone,
+            state=self.state,
+            slots=2,
+            max_connections=25,
+            snapshots=(41, 42),
+            shards=(shard,),
+        )
+
+    def announce(self, host_id: str | None = None) -> None:
+        self.sequence += 1
+        host_id = host_id or self.wire.rng.choice(self.hosts)
+        if host_id in self.wire.hosts_by_id:
+            self.wire.announce(host_id, self.announcement())
+
+    def withdraw(self, host_id: str) -> None:
+        self.is_running = False
+        event = signals.UpstreamWithdrew(
+            upstream_id=self.id, incarnation=self.incarnation
+        )
+        self.wire.step(host_id, event)
+
+    def stop(self) -> None:
+        self.is_running = False
+
+    def _renew(self) -> None:
+        if self.is_running:
+            self.announce()
+            self.wire.at(1.0, self._renew)
--- /dev/null
+++ b/src/greengagehaven/coordination/membership/knowledge.py
@@ -0,0 +1,179 @@
+"""Hosts, upstreams, their digests and ages, kept in step with one another."""
+
+import dataclasses
+
+from greengagehaven.coordination.membership import (
+    digests,
+    freshness,
+    homes,
+    hosts,
+    upstreams,
+)
+from greengagehaven.protocol import membership
+from greengagehaven.state import directory
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Heard:
+    """When an upstream's host or a peer last said that it is alive.
+
+    :param base: sequence of the record that it was unchanged against.
+    :param is_direct: whether anything was heard, or the lease only taken over.
+    """
+
+    incarnation: int
+    sequence: int
+    base: int
+    at: float
+    is_direct: bool
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return (incarnation, sequence)."""
+        return (self.incarnation, self.sequence)
+
+
+class Knowledge:
+    """What this host knows, and what of it holds at this moment.
+
+    :param own: the first record of this host.
+    :param served: the directory that the query path reads.
+    :param lease: seconds that an upstream's announcement holds.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: membership.HostRecord,
+        served: directory.Directory,
+        lease: float,
+    ) -> None:
+        self.digests = digests.ZoneDigests()
+        self.hosts = hosts.HostTable(own=own, zone_digests=self.digests)
+        self.upstreams = upstreams.UpstreamTable(
+            served=served, zone_digests=self.digests
+        )
+        self.ages = freshness.ZoneAges(own_zone=own.zone)
+        self.homes = homes.HomeIndex()
+        self.homes.add_host(own.id)
+        self.heard_by_id: dict[str, Heard] = {}
+        self.lapsed_ids: set[str] = set()
+        self._own_zone = own.zone
+        self._lease = lease
+        self._fresh_by_zone: dict[str, bool] = {}
+
+    @property
+    def own_zone(self) -> str:
+        """Return this host's availability zone."""
+        return self._own_zone
+
+    def put_host(self, record: membership.HostRecord, now: float) -> None:
+        """Take in the record of a host, which has to be news."""
+        known = self.hosts.get(record.id)
+        self.hosts.put(record, now=now)
+        if known is not None and known.zone == self._own_zone != record.zone:
+            self.homes.remove_host(record.id)
+        if record.zone != self._own_zone:
+            return
+        if record.is_live:
+            self.homes.add_host(record.id)
+        else:
+            self.homes.remove_host(record.id)
+
+    def put_upstream(self, record: membership.UpstreamRecord, now: float) -> None:
+        """Take in the record of an upstream, which has to be news."""
+        self.upstreams.put(record, now=now)
+        self.lapsed_ids.discard(record.id)
+        if record.zone == self._own_zone and not record.is_gone:
+            self.homes.add_upstream(record.id)
+        else:
+            self.homes.remove_upstream(record.id)
+        if record.is_gone:
+            self.heard_by_id.pop(record.id, None)
+        else:
+            self.evaluate(record.id, now)
+
+    def evaluate(self, upstream_id: str, now: float) -> None:
+        """Serve an upstream or withhold it, by what holds now."""
+        record = self.upstreams.get(upstream_id)
+        if record is None or record.is_gone:
+            return
+        if self._is_vouched(record, now):
+            self.upstreams.serve(upstream_id)
+        else:
+            self.upstreams.withhold(upstream_id)
+
+    def refresh(self, now: float) -> list[str]:
+        """Serve or withhold whole zones whose word came or ran out.
+
+        :return: the zones that changed.
+        """
+        changed = []
+        for zone in self.digests.zones:
+            fresh = self.is_fresh(zone, now)
+            if fresh == self._fresh_by_zone.get(zone, False):
+                continue
+            self._fresh_by_zone[zone] = fresh
+            changed.append(zone)
+            for upstream_id in list(self.upstreams.live_ids(zone)):
+                self.evaluate(upstream_id, now)
+        return changed
+
+    def is_fresh(self, zone: str, now: float) -> bool:
+        """Tell whether a zone has vouched lately for what is known of it."""
+        count = len(self.hosts.live_ids(zone))
+        return self.ages.is_fresh(zone, now, hosts=count)
+
+    def drop_stale(self, now: float) -> None:
+        """Drop upstreams of zones unheard of for so long that tombstones expire.
+
+        A host that kept them would revive upstreams that left meanwhile.
+        """
+        for zone in self.digests.zones:
+            count = len(self.hosts.live_ids(zone))
+            if self.ages.age(zone, now, hosts=count) <= upstreams.STALE_KEPT_S:
+                continue
+            for upstream_id in list(self.upstreams.live_ids(zone)):
+                if not self._is_heard(upstream_id, now):
+                    self.upstreams.drop(upstream_id)
+                    self.homes.remove_upstream(upstream_id)
+
+    def marks(self, now: float) -> tuple[membership.ZoneMark, ...]:
+        """Return the digest and age of each zone, to send to others."""
+        return tuple(
+            membership.ZoneMark(
+                zone=zone,
+                digest=self.digests.of_zone(zone),
+                age_ms=self.mark_age_ms(zone, now),
+            )
+            for zone in self.digests.zones
+        )
+
+    def mark_age_ms(self, zone: str, now: float) -> int:
+        """Return the age of a zone to send to others, in milliseconds."""
+        count = len(self.hosts.live_ids(zone))
+        return self.ages.mark_age_ms(zone, now, hosts=count)
+
+    def vouch(
+        self, zone: str, age_ms: int, sender: membership.HostRecord, now: float
+    ) -> None:
+        """Take in that a peer knows the same about a zone as is known here.
+
+        A host of this host's own zone vouches for it whatever age it says:
+        hosts that all lost sight of one another would else wait for ever for
+        the first one to be certain.
+        """
+        if sender.zone == zone == self._own_zone:
+            age_ms = 0
+        self.ages.vouch(zone, now - age_ms / 1000)
+
+    def _is_vouched(self, record: membership.UpstreamRecord, now: float) -> bool:
+        if self._is_heard(record.id, now):
+            return True
+        return record.id not in self.lapsed_ids and self.is_fresh(record.zone, now)
+
+    def _is_heard(self, upstream_id: str, now: float) -> bool:
+        heard = self.heard_by_id.get(upstream_id)
+        if heard is None or not heard.is_direct:
+            return False
+        return now - heard.at <= self._lease
--- /dev/null
+++ b/src/greengagehaven/coordination/membership/probing.py
@@ -0,0 +1,120 @@
+"""Probes inside the zone, and contacts beyond it."""
+
+from greengagehaven import rng as rngs
+from greengagehaven.coordination.membership import (
+    calls,
+    detector,
+    intake,
+    knowledge,
+    outbox,
+)
+from greengagehaven.protocol import membership
+
+CONTACT_PERIOD_S = 1.0
+# Contacts a second from one whole zone to each other zone.
+ZONE_CONTACTS = 3
+
+
+class Probing:
+    """Decides when to call whom, so that news and digests meet.
+
+    :param seeds: addresses to ask where they are no live host's.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: knowledge.Knowledge,
+        detector: detector.Detector,
+        intake: intake.Intake,
+        outbox: outbox.Outbox,
+        seeds: list[str],
+        rng: rngs.Rng,
+    ) -> None:
+        self._known = knowledge
+        self._detector = detector
+        self._intake = intake
+        self._outbox = outbox
+        self._seeds = seeds
+        self._rng = rng
+        self._contact_at = 0.0
+
+    def tick(self) -> None:
+        """Make the calls that are due."""
+        now = self._outbox.now
+        for death in self._detector.expired(now):
+            self._intake.take_host(death, push=True, is_own=True)
+        target = self._detector.next_target(now)
+        if target is not None:
+            purpose = calls.Probe(target_id=target.id)
+            timeout = self._detector.direct_timeout
+            self._outbox.call(purpose, target, timeout=timeout)
+        if now >= self._contact_at:
+            self._contact_at = now + CONTACT_PERIOD_S * self._rng.uniform(0.9, 1.1)
+            self._contact_zones()
+            self._contact_silent()
+            self._contact_seed()
+
+    def on_answered(
+        self, purpose: calls.Probe | calls.RelayedProbe, answer: membership.Exchange
+    ) -> None:
+        """Take in the answer to a probe."""
+        if answer.sender.id == purpose.target_id:
+            self._detector.note_answer(purpose.target_id)
+        else:
+            # Another host has taken over the address.
+            self._suspect(self._detector.suspect(purpose.target_id))
+
+    def on_probe_failed(self, purpose: calls.Probe) -> None:
+        """Have other hosts pass on a probe that went unanswered."""
+        target = self._known.hosts.get(purpose.target_id)
+        relays = self._detector.relays_for(purpose.target_id)
+        if target is None or not relays:
+            self._suspect(self._detector.suspect(purpose.target_id))
+            return
+        for relay in relays:
+            self._outbox.call(
+                calls.RelayedProbe(target_id=target.id),
+                target,
+                timeout=self._detector.relayed_timeout,
+                relay=relay,
+            )
+
+    def on_relay_failed(self, purpose: calls.RelayedProbe) -> None:
+        """Suspect a target that no relay reached either."""
+        self._suspect(self._detector.note_relay_failed(purpose.target_id))
+
+    def _suspect(self, suspicion: membership.HostRecord | None) -> None:
+        if suspicion is not None:
+            self._intake.take_host(suspicion, push=True, is_own=True)
+
+    def _contact_zones(self) -> None:
+        near = len(self._known.hosts.live_ids(self._known.own_zone))
+        for zone in self._known.hosts.zones:
+            if zone == self._known.own_zone:
+                continue
+            if self._rng.random() < ZONE_CONTACTS / near:
+                others = self._known.hosts.others(zone)
+                self._contact(f"zone {zone}", self._rng.choice(others))
+
+    def _contact_silent(self) -> None:
+        silent = self._known.hosts.silent()
+        if silent:
+            self._contact("silent", self._rng.choice(silent))
+
+    def _contact_seed(self) -> None:
+        if not self._seeds:
+            return
+        live = {
+            record.address
+            for record in self._known.hosts.records_by_id.values()
+            if record.is_live
+        }
+        missing = [seed for seed in self._seeds if seed not in live]
+        if missing:
+            self._contact("seed", self._rng.choice(missing))
+
+    def _contact(self, slot: str, host: membership.HostRecord | str) -> None:
+        purpose = calls.Contact(slot=slot)
+        if not self._outbox.is_under_way(purpose):
+            self._outbox.call(purpose, host)
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -262,6 +262,20 @@
     status = 409
 
 
+class UpstreamConflictError(RequestError):
+    """Two upstreams claim one id, and this announcement lost.
+
+    :param known_address: address of the upstream that holds the id.
+    """
+
+    code = "upstream_conflict"
+    status = 409
+
+    def __init__(self, detail: str, *, known_address: str) -> None:
+        super().__init__(detail)
+        self.known_address = known_address
+
+
 class UpstreamError(GreengagehavenError):
     """A sub-request that an upstream did not answer."""
 
--- a/src/greengagehaven/state/directory.py
+++ b/src/greengagehaven/state/directory.py
@@ -88,6 +88,13 @@
         )
         return was_live
 
+    def remove(self, upstream_id: str) -> bool:
+        """Take out an upstream that nobody vouches for; it may come back as it was.
+
+        :return: whether it was there.
+        """
+        return self._remove(upstream_id)
+
     def _known_version(self, upstream_id: str) -> tuple[int, int] | None:
         live = self._upstreams_by_id.get(upstream_id)
         if live is not None:
