Serve waiting work by share, shed early, tell peers of usage

Cause: the queue went by standing and arrival; a subscriber that sent most got most, and a place taken by its costly work could not be had back.

--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -14,15 +14,19 @@
     dispatcher,
     events,
     execution,
+    fair_queue,
+    headroom,
     limits,
     options,
     plan,
     query,
     refusal,
+    shedding,
     timers,
-    waiting,
+    usage,
+    wait_times,
 )
-from greengagehaven.protocol import upstream
+from greengagehaven.protocol import notices, upstream
 from greengagehaven.state import directory, document
 
 
@@ -56,8 +60,15 @@
         self._environment: document.Environment | None = None
         self._drained_zones: frozenset[str] = frozenset()
         self._timers = timers.Timers()
+        self._reports_usage = False
+        self._last_report = notices.UsageReport(usages=())
         self._planner = plan.Planner(directory=directory)
         self._limits = limits.SlotLimits()
+        self._ledger = usage.UsageLedger(clock=clock)
+        waits = wait_times.WaitTimes()
+        self._shedding = shedding.Shedding(
+            ledger=self._ledger, waits=waits, options=options
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
             rng=rng,
@@ -65,7 +76,14 @@
             planner=self._planner,
             usable=self._is_usable,
             upstream_limits=self._limits,
-            queue=waiting.ArrivalQueue(),
+            queue=fair_queue.FairQueue(
+                order=self._ledger,
+                waits=waits,
+                fair=options.fairness,
+                standing=options.standing,
+            ),
+            ledger=self._ledger,
+            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
         )
         self._execution = execution.Execution(
             clock=clock,
@@ -123,16 +141,19 @@
                 "no document is in force yet", retry_after=refusal.RETRY_AFTER_S
             )
         kind = admission.check(submitted, self._environment)
-        if self._dispatcher.waiting_count >= self._options.max_waiting:
-            raise exceptions.OverloadedError(
-                "too many sub-requests wait", retry_after=refusal.RETRY_AFTER_S
-            )
         now = self._clock.monotonic()
         deadline = now + kind.deadline.total_seconds()
         if submitted.deadline is not None:
             deadline = min(deadline, submitted.deadline)
         if deadline <= now:
             raise exceptions.DeadlineExceededError("the deadline has passed")
+        self._shedding.check(
+            submitted,
+            kind,
+            waiting_count=self._dispatcher.waiting_count,
+            now=now,
+            deadline=deadline,
+        )
         return query.Query(
             submitted=submitted,
             kind=kind,
@@ -181,6 +202,12 @@
         self, in_force: events.DocumentInForce, actions: list[events.Action]
     ) -> None:
         self._environment = in_force.environment
+        self._ledger.set_shares(
+            {
+                subscriber.id: subscriber.share
+                for subscriber in in_force.environment.subscribers_by_id.values()
+            }
+        )
 
     def _on_zones_drained(
         self, drained: events.ZonesDrained, actions: list[events.Action]
@@ -193,14 +220,35 @@
         self, changed: events.HostsChanged, actions: list[events.Action]
     ) -> None:
         self._limits.set_hosts(changed.zones_by_host_id)
+        self._ledger.set_hosts(changed.zones_by_host_id)
+        if not self._reports_usage:
+            self._reports_usage = True
+            self._arm_usage_report()
 
     def _on_peer_notice(
         self, notice: events.PeerNotice, actions: list[events.Action]
     ) -> None:
-        """Take a message of another host's core; none is known yet."""
+        """Take a message of another host's core."""
+        if isinstance(notice.payload, notices.UsageReport):
+            self._ledger.take_report(notice.host_id, notice.payload)
+
+    def _arm_usage_report(self) -> None:
+        moment = self._clock.monotonic() + usage.REPORT_INTERVAL_S
+        self._timers.add(moment, timers.UsageTimer())
+
+    def _report_usage(self, actions: list[events.Action]) -> None:
+        """Tell the other hosts what subscribers used, unless all is quiet."""
+        self._arm_usage_report()
+        report = self._ledger.make_report()
+        if report.usages or self._last_report.usages:
+            actions.append(events.NotifyPeers(payload=report))
+        self._last_report = report
 
     def _on_time_reached(
         self, reached: events.TimeReached, actions: list[events.Action]
     ) -> None:
         for timer in self._timers.pop_due(self._clock.monotonic()):
+            if isinstance(timer, timers.UsageTimer):
+                self._report_usage(actions)
+                continue
             self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -6,22 +6,28 @@
 from greengagehaven import clock as clock_module
 from greengagehaven import rng as rng_module
 from greengagehaven.coordination import (
+    fair_queue,
+    headroom,
     limits,
     plan,
     query,
     selection,
     upstream_stats,
-    waiting,
+    usage,
 )
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
+_MAX_PASSED_OVER = 8
+"""Sub-requests of one shard that are passed over for a later one that can go."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Attempt:
     """A sub-request in flight.
 
     :param sent_at: monotonic seconds.
+    :param charged: upstream time charged for it in advance, in seconds.
     :param extra: whether it is a hedge or a retry rather than a first attempt.
     """
 
@@ -29,7 +35,9 @@
     incarnation: int
     shard_ref: upstream.ShardRef
     subscriber_id: str
+    kind: str
     sent_at: float
+    charged: float
     extra: bool
 
 
@@ -39,6 +47,8 @@
     :param planner: knows which upstreams can answer a pinned shard.
     :param usable: whether an upstream may get new work now.
     :param queue: order of the sub-requests that wait for room.
+    :param ledger: gets charged with what each subscriber uses.
+    :param reserve: keeps subscribers over their share off the last place.
     """
 
     def __init__(
@@ -50,7 +60,9 @@
         planner: plan.Planner,
         usable: plan.Usable,
         upstream_limits: limits.Limits,
-        queue: waiting.WaitingQueue,
+        queue: fair_queue.WaitingQueue,
+        ledger: usage.UsageLedger,
+        reserve: headroom.Headroom,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -59,6 +71,8 @@
         self._usable = usable
         self._limits = upstream_limits
         self._queue = queue
+        self._ledger = ledger
+        self._reserve = reserve
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
         self._stats_by_id: dict[str, upstream_stats.UpstreamStats] = {}
 
@@ -70,14 +84,20 @@
     def enqueue(self, running: query.Query, shard_ref: upstream.ShardRef) -> None:
         """Let a shard of a query wait for room."""
         self._queue.push(
-            waiting.Waiting(
+            fair_queue.Waiting(
                 request_id=running.request_id,
                 subscriber_id=running.submitted.subscriber_id,
                 shard_ref=shard_ref,
                 standing=running.kind.standing,
+                arrived=running.started,
+                since=self._clock.monotonic(),
             )
         )
 
+    def discard(self, running: query.Query) -> None:
+        """Forget what waits of a query that is over."""
+        self._queue.discard(running.request_id)
+
     def holders(
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> tuple[str, ...]:
@@ -95,7 +115,7 @@
     ) -> list[upstream.SubRequest]:
         """Send what waits for these shards, as far as there is room."""
         batch: list[upstream.SubRequest] = []
-        for shard_ref in shard_refs:
+        for shard_ref in self._queue.sort(shard_refs):
             self._send_shard(shard_ref, queries_by_id, batch)
         return batch
 
@@ -103,10 +123,10 @@
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> upstream.SubRequest | None:
         """Send a further attempt at once, where an untried upstream has room."""
-        upstream_id = self._choose(self.holders(running, shard_ref))
-        if upstream_id is None:
+        with_room = self._with_room(self.holders(running, shard_ref))
+        if not with_room or self._must_leave(running, shard_ref, with_room):
             return None
-        return self._send(running, shard_ref, upstream_id, extra=True)
+        return self._send(running, shard_ref, self._choose(with_room), extra=True)
 
     def end(self, outcome: upstream.Outcome) -> Attempt | None:
         """Take an attempt out of flight and learn from its outcome.
@@ -117,6 +137,7 @@
         attempt = self._attempts_by_id.pop(key, None)
         if attempt is None:
             return None
+        self._settle_charge(attempt)
         stats = self._stats_by_id.get(attempt.upstream_id)
         if stats is None or stats.incarnation != attempt.incarnation:
             return attempt
@@ -148,31 +169,78 @@
         queries_by_id: abc.Mapping[str, query.Query],
         batch: list[upstream.SubRequest],
     ) -> None:
-        blocked: list[waiting.Waiting] = []
-        while (item := self._queue.pop(shard_ref)) is not None:
+        passed_over: list[fair_queue.Waiting] = []
+        held_back: set[str] = set()
+        while len(passed_over) < _MAX_PASSED_OVER:
+            item = self._queue.pop(shard_ref, held_back)
+            if item is None:
+                break
             running = queries_by_id.get(item.request_id)
             if running is None or not _still_wanted(running, shard_ref):
                 continue
-            upstream_id = self._choose(self.holders(running, shard_ref))
-            if upstream_id is None:
-                blocked.append(item)
+            with_room = self._with_room(self.holders(running, shard_ref))
+            if with_room and not self._must_leave(running, shard_ref, with_room):
+                self._send_item(item, running, with_room, batch)
+                continue
+            passed_over.append(item)
+            if with_room:
+                held_back.add(item.subscriber_id)
+                continue
+            self._reserve.note_wait(
+                shard_ref, item.subscriber_id, self._clock.monotonic()
+            )
+            if not running.progress_by_shard[shard_ref].tried:
+                # It could go to any upstream of the shard: none has room.
                 break
-            extra = bool(running.progress_by_shard[shard_ref].tried)
-            batch.append(self._send(running, shard_ref, upstream_id, extra=extra))
-        for item in blocked:
+        for item in passed_over:
             self._queue.push(item)
 
-    def _choose(self, upstream_ids: abc.Sequence[str]) -> str | None:
+    def _send_item(
+        self,
+        item: fair_queue.Waiting,
+        running: query.Query,
+        with_room: abc.Sequence[str],
+        batch: list[upstream.SubRequest],
+    ) -> None:
+        extra = bool(running.progress_by_shard[item.shard_ref].tried)
+        upstream_id = self._choose(with_room)
+        batch.append(self._send(running, item.shard_ref, upstream_id, extra=extra))
+        self._queue.note_sent(item, self._clock.monotonic())
+
+    def _must_leave(
+        self,
+        running: query.Query,
+        shard_ref: upstream.ShardRef,
+        with_room: abc.Sequence[str],
+    ) -> bool:
+        holders = running.progress_by_shard[shard_ref].target.upstream_ids
+        stats = (self._stats_by_id.get(upstream_id) for upstream_id in holders)
+        return self._reserve.must_leave(
+            shard_ref,
+            running.submitted.subscriber_id,
+            free=len(with_room),
+            busy=sum(known.in_flight for known in stats if known is not None),
+            now=self._clock.monotonic(),
+        )
+
+    def _with_room(self, upstream_ids: abc.Sequence[str]) -> list[str]:
         with_room = []
         for upstream_id in upstream_ids:
             announcement = self._directory.upstreams_by_id[upstream_id]
             stats = self._stats_of(announcement)
             if self._limits.has_room(announcement, stats.in_flight):
                 with_room.append(upstream_id)
-        if not with_room:
-            return None
+        return with_room
+
+    def _choose(self, with_room: abc.Sequence[str]) -> str:
         return selection.choose(with_room, stats_by_id=self._stats_by_id, rng=self._rng)
 
+    def _settle_charge(self, attempt: Attempt) -> None:
+        """Put the measured upstream time in place of the estimate."""
+        elapsed = self._clock.monotonic() - attempt.sent_at
+        self._ledger.charge(attempt.subscriber_id, elapsed - attempt.charged)
+        self._ledger.learn(attempt.subscriber_id, attempt.kind, elapsed)
+
     def _stats_of(
         self, announcement: upstream.Announcement
     ) -> upstream_stats.UpstreamStats:
@@ -193,12 +261,17 @@
         announcement = self._directory.upstreams_by_id[upstream_id]
         number = running.begin_attempt(shard_ref, upstream_id)
         self._stats_of(announcement).in_flight += 1
+        subscriber_id = running.submitted.subscriber_id
+        charged = self._ledger.estimate(subscriber_id, running.submitted.kind)
+        self._ledger.charge(subscriber_id, charged)
         self._attempts_by_id[(running.request_id, number)] = Attempt(
             upstream_id=upstream_id,
             incarnation=announcement.incarnation,
             shard_ref=shard_ref,
-            subscriber_id=running.submitted.subscriber_id,
+            subscriber_id=subscriber_id,
+            kind=running.submitted.kind,
             sent_at=self._clock.monotonic(),
+            charged=charged,
             extra=extra,
         )
         return upstream.SubRequest(
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -67,6 +67,7 @@
     def end(self, running: query.Query, actions: list[events.Action]) -> None:
         """Forget a query and give up on its attempts in flight."""
         del self._queries_by_id[running.request_id]
+        self._dispatcher.discard(running)
         for attempt in running.attempts_in_flight():
             actions.append(_cancel(running, attempt))
 
--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -30,7 +30,9 @@
     """A sub-request that waits.
 
     :param standing: standing of its kind; the higher goes first.
-    :param arrived: monotonic seconds at which its query arrived.
+    :param arrived: monotonic seconds at which its query arrived; a retry keeps
+        it and with it its place.
+    :param since: monotonic seconds at which it began to wait.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     shard_ref: upstream.ShardRef
     standing: int
     arrived: float
+    since: float
 
     @property
     def key(self) -> tuple[str, upstream.ShardRef]:
@@ -76,7 +79,6 @@
         """Return shards with waiting work, the most urgent first."""
 
 
-
 class _Level:
     """What waits of one standing at one shard."""
 
@@ -210,7 +212,7 @@
         self._live_by_key[waiting.key] = waiting
         shard_refs = self._shards_by_request.setdefault(waiting.request_id, set())
         shard_refs.add(waiting.shard_ref)
-        self._waits.note_added(waiting.lane, arrived=waiting.arrived)
+        self._waits.note_added(waiting.lane, since=waiting.since)
         queue = self._queues_by_shard.get(waiting.shard_ref)
         if queue is None:
             queue = self._queues_by_shard[waiting.shard_ref] = _ShardQueue()
@@ -249,7 +251,7 @@
 
         :param now: monotonic seconds.
         """
-        self._waits.note_sent(waiting.lane, arrived=waiting.arrived, now=now)
+        self._waits.note_sent(waiting.lane, since=waiting.since, now=now)
         queue = self._queues_by_shard.get(waiting.shard_ref)
         if queue is None:
             return
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -23,7 +23,12 @@
     attempts: tuple[int, ...]
 
 
-Timer = DeadlineTimer | HedgeTimer
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsageTimer:
+    """The moment at which the other hosts are told of subscribers' usage."""
+
+
+Timer = DeadlineTimer | HedgeTimer | UsageTimer
 
 
 class Timers:
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -89,7 +89,9 @@
     def set_hosts(self, host_ids: abc.Iterable[str]) -> None:
         """Forget what hosts reported that are gone."""
         live = set(host_ids)
-        for host_id in [known for known in self._reports_by_host_id if known not in live]:
+        for host_id in [
+            known for known in self._reports_by_host_id if known not in live
+        ]:
             self.take_report(host_id, notices.UsageReport(usages=()))
             del self._reports_by_host_id[host_id]
 
--- a/src/greengagehaven/coordination/wait_times.py
+++ b/src/greengagehaven/coordination/wait_times.py
@@ -36,26 +36,26 @@
     def __init__(self) -> None:
         self._waits_by_lane: dict[Lane, _Waits] = {}
 
-    def note_added(self, lane: Lane, *, arrived: float) -> None:
+    def note_added(self, lane: Lane, *, since: float) -> None:
         """Count a sub-request that begins to wait."""
         waits = self._waits_by_lane.get(lane)
         if waits is None:
             self._make_room()
-            waits = self._waits_by_lane[lane] = _Waits(moved_at=arrived)
+            waits = self._waits_by_lane[lane] = _Waits(moved_at=since)
         if waits.waiting == 0:
-            waits.moved_at = max(waits.moved_at, arrived)
+            waits.moved_at = max(waits.moved_at, since)
         waits.waiting += 1
 
     def note_removed(self, lane: Lane) -> None:
         """Count a sub-request that waits no longer, for whatever reason."""
         self._waits_by_lane[lane].waiting -= 1
 
-    def note_sent(self, lane: Lane, *, arrived: float, now: float) -> None:
+    def note_sent(self, lane: Lane, *, since: float, now: float) -> None:
         """Take in how long a sub-request waited that was sent now."""
         waits = self._waits_by_lane.get(lane)
         if waits is None:
             return
-        waits.average += _WEIGHT * (max(0.0, now - arrived) - waits.average)
+        waits.average += _WEIGHT * (max(0.0, now - since) - waits.average)
         waits.moved_at = now
 
     def expected(self, lane: Lane, now: float) -> float:
@@ -72,6 +72,8 @@
     def _make_room(self) -> None:
         if len(self._waits_by_lane) < MAX_LANES:
             return
-        idle = [lane for lane, waits in self._waits_by_lane.items() if not waits.waiting]
+        idle = [
+            lane for lane, waits in self._waits_by_lane.items() if not waits.waiting
+        ]
         for lane in idle:
             del self._waits_by_lane[lane]
