Replay membership and the directory as the daemons run them

The deployment has five seconds to settle before a trace starts; a trace numbers only what an upstream states, the renewals in between count on.

--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -6,10 +6,15 @@
 
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import core, events, options
-from greengagehaven.protocol import upstream
+from greengagehaven.coordination.membership import node, signals
+from greengagehaven.protocol import codec, membership, notices, upstream
 from greengagehaven.replay import schedule as schedule_module
 from greengagehaven.state import directory
 
+TICK_S = 0.1
+
+MembershipMessage = membership.Exchange | membership.SyncRequest
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ending:
@@ -28,8 +33,8 @@
     def cancel_work(self, sub_request: upstream.SubRequest) -> None:
         """Tell an upstream that nobody waits for a sub-request."""
 
-    def broadcast(self, host: "ReplayedHost", notice: events.PeerNotice) -> None:
-        """Carry a notice to the other entry hosts that can be reached."""
+    def call(self, host: "ReplayedHost", call: signals.Call) -> None:
+        """Carry a call of the membership core and its answer back."""
 
     def end(self, request_id: str, ending: Ending) -> None:
         """Note how a request ended."""
@@ -38,24 +43,24 @@
 class ReplayedHost:
     """One entry host.
 
-    :param host_id: its name.
-    :param zone: its availability zone.
+    :param record: its name, zone, address and incarnation.
+    :param seeds: addresses of the other hosts.
     :param seed: seed of its random choices.
     """
 
     def __init__(
         self,
         *,
-        host_id: str,
-        zone: str,
+        record: membership.HostRecord,
+        seeds: tuple[str, ...],
         seed: int,
         clock: clock_module.Clock,
         schedule: schedule_module.Schedule,
         network: Network,
         switches: options.Options,
     ) -> None:
-        self.id = host_id
-        self.zone = zone
+        self.id = record.id
+        self.zone = record.zone
         self.alive = True
         self.directory = directory.Directory()
         self.open_request_ids: set[str] = set()
@@ -66,10 +71,21 @@
             clock=clock,
             rng=random.Random(seed),
             directory=self.directory,
-            host_id=host_id,
-            zone=zone,
+            host_id=record.id,
+            zone=record.zone,
             options=switches,
         )
+        self._membership = node.Membership(
+            own=record,
+            served=self.directory,
+            seeds=seeds,
+            clock=clock,
+            rng=random.Random(seed),
+        )
+
+    def start(self) -> None:
+        """Look for other hosts from now on."""
+        self._tick()
 
     def step(self, event: events.Event) -> None:
         """Hand an event to the core and carry out its actions."""
@@ -80,17 +96,42 @@
         for action in self._core.step(event):
             self._carry_out(action)
 
-    def put(self, announcement: upstream.Announcement) -> None:
-        """Take in news of an upstream."""
-        if self.alive and self.directory.put(announcement):
-            changed = frozenset({announcement.id})
-            self.step(events.DirectoryChanged(upstream_ids=changed))
+    def announce(self, announcement: upstream.Announcement) -> None:
+        """Take an upstream's announcement or its renewal."""
+        self.signal(signals.UpstreamAnnounced(announcement=announcement))
 
-    def withdraw(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Take in that an upstream left."""
-        if self.alive and self.directory.withdraw(upstream_id, version):
-            changed = frozenset({upstream_id})
-            self.step(events.DirectoryChanged(upstream_ids=changed))
+    def withdraw(self, upstream_id: str, incarnation: int) -> None:
+        """Take an upstream's word that it leaves."""
+        withdrew = signals.UpstreamWithdrew(
+            upstream_id=upstream_id, incarnation=incarnation
+        )
+        self.signal(withdrew)
+
+    def signal(self, signal: signals.Event) -> signals.Reply | None:
+        """Hand a signal to the membership core; return its reply, if any."""
+        reply = None
+        if not self.alive:
+            return None
+        for action in self._membership.step(signal):
+            if isinstance(action, signals.Reply):
+                reply = action
+            elif isinstance(action, signals.Call):
+                self._network.call(self, action)
+            elif isinstance(action, signals.NoticeReceived):
+                payload = codec.decode_msgpack(action.payload, notices.Notice)
+                notice = events.PeerNotice(host_id=action.host_id, payload=payload)
+                self.step(notice)
+            elif not isinstance(action, signals.Noted):
+                self.step(action)
+        return reply
+
+    def answer(self, message: MembershipMessage) -> typing.Any:
+        """Return the reply to another host's message."""
+        if isinstance(message, membership.Exchange):
+            reply = self.signal(signals.ExchangeReceived(exchange=message))
+        else:
+            reply = self.signal(signals.SyncReceived(request=message))
+        return None if reply is None else reply.message
 
     def receive(self, outcome: upstream.Outcome) -> None:
         """Take in the outcome of a sub-request, once."""
@@ -98,6 +139,11 @@
         if self._in_flight.pop(key, None) is not None:
             self.step(events.OutcomeReceived(outcome=outcome))
 
+    def _tick(self) -> None:
+        if self.alive:
+            self.signal(signals.Ticked())
+            self._schedule.call_later(TICK_S, self._tick)
+
     def _carry_out(self, action: events.Action) -> None:
         if isinstance(action, events.Dispatch):
             for sub_request in action.batch:
@@ -110,12 +156,11 @@
         elif isinstance(action, events.RefuseQuery):
             self._end(action.request_id, action)
         elif isinstance(action, events.NotifyPeers):
-            notice = events.PeerNotice(host_id=self.id, payload=action.payload)
-            self._network.broadcast(self, notice)
+            payload = codec.encode_msgpack(action.payload)
+            self.signal(signals.NoticePosted(payload=payload))
         elif isinstance(action, events.WakeAt):
-            self._schedule.call_at(
-                action.moment, lambda: self.step(events.TimeReached())
-            )
+            moment = self._schedule.moment_of(action.moment)
+            self._schedule.call_at(moment, lambda: self.step(events.TimeReached()))
 
     def _cancel(self, cancel: events.Cancel) -> None:
         sub_request = self._in_flight.get((cancel.request_id, cancel.attempt))
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -4,20 +4,23 @@
 import fnmatch
 import functools
 import itertools
+import random
 import typing
 
 import msgspec
 
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import events, options
-from greengagehaven.protocol import trace, upstream
+from greengagehaven.coordination.membership import signals
+from greengagehaven.protocol import membership, trace, upstream
 from greengagehaven.replay import hosts, reader, schedule, upstreams
 from greengagehaven.state import document
 
-LEASE_S = 3.0
 RENEW_S = 1.0
 STALL_S = 1.0
 SETTLE_S = 15.0
+LEAD_IN_S = 5.0
+FIRST_READING_S = 1000.0
 
 
 class Player:
@@ -35,9 +38,11 @@
     ) -> None:
         self._trace = recorded
         self._switches = switches
-        self._clock = clock_module.ManualClock()
-        self._schedule = schedule.Schedule(clock=self._clock)
+        self._clock = clock_module.ManualClock(start=FIRST_READING_S)
+        self._schedule = schedule.Schedule(clock=self._clock, lead_in=LEAD_IN_S)
         self._hop_s = recorded.header.hop_ms / 1000
+        self._rng = random.Random(recorded.header.seed)
+        self._incarnations = itertools.count(1)
         self._seeds = itertools.count(recorded.header.seed)
         self._groups: tuple[tuple[str, ...], ...] = ()
         self._one_way = False
@@ -68,7 +73,8 @@
                 end = max(end, line.at + line.count * line.every_ms / 1000)
                 self._book_searches(line)
             elif not isinstance(line, trace.Outcome):
-                self._schedule.call_at(line.at, functools.partial(self._apply, line))
+                apply = functools.partial(self._apply, line)
+                self._schedule.call_at(line.at or self._schedule.now, apply)
         self._schedule.run_until(end + SETTLE_S)
 
     def crashes(self) -> int:
@@ -114,13 +120,32 @@
         cancel = functools.partial(target.cancel, *sub_request.id)
         self._schedule.call_later(self._hop_s, cancel)
 
-    def broadcast(self, host: hosts.ReplayedHost, notice: events.PeerNotice) -> None:
-        """Carry a notice to the other entry hosts that can be reached."""
-        for other in self._hosts_by_id.values():
-            delay = self._delay(host.zone, other.zone)
-            if other is not host and delay is not None:
-                step = functools.partial(other.step, notice)
-                self._schedule.call_later(delay, step)
+    def call(self, host: hosts.ReplayedHost, call: signals.Call) -> None:
+        """Carry a call of the membership core and its answer back."""
+        open_calls = [call]
+
+        def end(event: signals.Event) -> None:
+            if open_calls:
+                open_calls.clear()
+                host.signal(event)
+
+        failed = signals.CallFailed(call_id=call.call_id)
+        self._schedule.call_later(call.timeout, lambda: end(failed))
+        path = [host.id, call.address]
+        if call.relay_address is not None:
+            path.insert(1, call.relay_address)
+        there = self._path_delay(path)
+        if there is None:
+            return
+
+        def arrive() -> None:
+            answer = self._hosts_by_id[call.address].answer(call.message)
+            back = self._path_delay(path[::-1])
+            if answer is not None and back is not None:
+                answered = signals.CallAnswered(call_id=call.call_id, answer=answer)
+                self._schedule.call_later(back, lambda: end(answered))
+
+        self._schedule.call_later(there, arrive)
 
     def end(self, request_id: str, ending: hosts.Ending) -> None:
         """Note how a request ended; a second ending is a violation."""
@@ -178,7 +203,7 @@
                 services=line.services,
                 kind=line.kind,
                 query=line.query,
-                deadline=None if timeout is None else self._schedule.now + timeout,
+                deadline=None if timeout is None else self._clock.monotonic() + timeout,
                 idempotency_key=line.idempotency_key,
             )
         )
@@ -207,26 +232,44 @@
 
     def _renew(self, known: upstreams.ReplayedUpstream) -> None:
         if known.alive and known.announcing:
+            known.renew()
             self._spread(known)
         self._schedule.call_later(RENEW_S, lambda: self._renew(known))
 
     def _spread(self, known: upstreams.ReplayedUpstream) -> None:
-        zone = known.announcement.availability_zone
-        for host in self._hosts_by_id.values():
-            delay = self._delay(zone, host.zone)
-            if delay is not None:
-                put = functools.partial(host.put, known.announcement)
-                self._schedule.call_later(delay, put)
+        """Let the balancer carry an announcement to some host in reach."""
+        host = self._reachable_host(known.announcement.availability_zone)
+        if host is not None:
+            announce = functools.partial(host.announce, known.announcement)
+            self._schedule.call_later(self._hop_s, announce)
 
     def _withdraw(self, upstream_id: str) -> None:
         known = self._upstreams_by_id[upstream_id]
         known.announcing = False
-        version = known.announcement.version
-        for host in self._hosts_by_id.values():
-            delay = self._delay(known.announcement.availability_zone, host.zone)
-            if delay is not None:
-                withdraw = functools.partial(host.withdraw, upstream_id, version)
-                self._schedule.call_later(delay, withdraw)
+        host = self._reachable_host(known.announcement.availability_zone)
+        if host is not None:
+            incarnation = known.announcement.incarnation
+            host.withdraw(upstream_id, incarnation)
+
+    def _reachable_host(self, zone: str) -> hosts.ReplayedHost | None:
+        reachable = [
+            host
+            for host in self._hosts_by_id.values()
+            if host.alive and self._delay(zone, host.zone) is not None
+        ]
+        return self._rng.choice(reachable) if reachable else None
+
+    def _path_delay(self, host_ids: list[str]) -> float | None:
+        """Return seconds along a path of hosts, ``None`` where it is cut."""
+        total = 0.0
+        for source, target in itertools.pairwise(host_ids):
+            delay = self._delay(
+                self._hosts_by_id[source].zone, self._hosts_by_id[target].zone
+            )
+            if delay is None or not self._hosts_by_id[target].alive:
+                return None
+            total += delay
+        return total
 
     def _behave(self, line: trace.Behave) -> None:
         self._behaviours.append(line)
@@ -238,15 +281,10 @@
         for host in self._hosts_by_id.values():
             host.step(event)
 
-    def _tell_live_hosts(self) -> None:
-        live = {host.id: host.zone for host in self._hosts_by_id.values() if host.alive}
-        self._tell_all(events.HostsChanged(zones_by_host_id=live))
-
     def _lose_host(self, host_id: str) -> None:
         host = self._hosts_by_id[host_id]
         host.alive = False
         self.lost_request_ids |= host.open_request_ids
-        self._tell_live_hosts()
 
     def _restart(self, host_id: str) -> None:
         line = next(
@@ -258,15 +296,18 @@
     def _brief(self, host: hosts.ReplayedHost) -> None:
         host.step(self._in_force)
         host.step(self._drained)
-        for known in self._upstreams_by_id.values():
-            if known.alive and known.announcing:
-                host.put(known.announcement)
-        self._tell_live_hosts()
+        host.start()
 
     def _build_host(self, line: trace.HostLine) -> hosts.ReplayedHost:
+        lines = self._trace.header.entry_hosts
         return hosts.ReplayedHost(
-            host_id=line.id,
-            zone=line.zone,
+            record=membership.HostRecord(
+                id=line.id,
+                zone=line.zone,
+                address=line.id,
+                incarnation=next(self._incarnations),
+            ),
+            seeds=tuple(other.id for other in lines if other.id != line.id),
             seed=next(self._seeds),
             clock=self._clock,
             schedule=self._schedule,
--- a/src/greengagehaven/replay/upstreams.py
+++ b/src/greengagehaven/replay/upstreams.py
@@ -54,6 +54,7 @@
         arrivals: list[Arrival],
     ) -> None:
         self.announcement = announcement
+        self._stated_sequence = announcement.sequence
         self.behaviour = trace.Behave(upstreams=())
         self.alive = True
         self.announcing = True
@@ -64,14 +65,29 @@
         self._queue: list[Work] = []
 
     def announce(self, announcement: upstream.Announcement) -> None:
-        """Take in what the upstream says of itself; a new start revives it."""
+        """Take in what the upstream says of itself; a new start revives it.
+
+        A trace numbers only what it states; the renewals in between count on.
+        """
         if announcement.incarnation > self.announcement.incarnation:
             self.alive = True
             self.announcing = True
             self._running.clear()
             self._queue.clear()
+            self._stated_sequence = announcement.sequence
+        elif announcement.sequence > self._stated_sequence:
+            self._stated_sequence = announcement.sequence
+            sequence = self.announcement.sequence + 1
+            announcement = msgspec.structs.replace(announcement, sequence=sequence)
         self.announcement = announcement
 
+    def renew(self) -> None:
+        """Count the announcement on."""
+        sequence = self.announcement.sequence + 1
+        self.announcement = msgspec.structs.replace(
+            self.announcement, sequence=sequence
+        )
+
     def behave(self, behaviour: trace.Behave) -> None:
         """Change the behaviour."""
         self.behaviour = behaviour
