--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -1,6 +1,7 @@
 """Sends sub-requests: waiting, room at upstreams, choice, attempts in flight."""
 
 import dataclasses
+import itertools
 from collections import abc
 
 from greengagehaven import clock as clock_module
@@ -71,6 +72,7 @@
         self._usable = usable
         self._limits = upstream_limits
         self._queue = queue
+        self._order = itertools.count()
         self._ledger = ledger
         self._reserve = reserve
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
@@ -91,6 +93,7 @@
                 standing=running.kind.standing,
                 arrived=running.started,
                 since=self._clock.monotonic(),
+                order=next(self._order),
             )
         )
 
--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -33,6 +33,7 @@
     :param arrived: monotonic seconds at which its query arrived; a retry keeps
         it and with it its place.
     :param since: monotonic seconds at which it began to wait.
+    :param order: decides where ``arrived`` is the same.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     standing: int
     arrived: float
     since: float
+    order: int
 
     @property
     def key(self) -> tuple[str, upstream.ShardRef]:
@@ -99,7 +101,7 @@
         if items is None:
             items = self._items_by_subscriber[lane] = []
             self._enter(lane)
-        heapq.heappush(items, (waiting.arrived, next(self._count), waiting))
+        heapq.heappush(items, (waiting.arrived, waiting.order, waiting))
 
     def pop(
         self, is_live: typing.Callable[[Waiting], bool], passed_over: abc.Container[str]
