Record traces for hosts, zones, clocks and subscribers

Nine more traces of the two deployments: lost and restarted hosts, planned stops, a zone alone, late announcements, clock steps, a heavy subscriber, a warm upstream that turns cold, a straggler together with a loss.

--- a/src/greengagehaven/protocol/trace.py
+++ b/src/greengagehaven/protocol/trace.py
@@ -114,6 +114,12 @@
     host: str
 
 
+class StopHost(Line, frozen=True, kw_only=True, tag="stop_host"):
+    """An entry host stops as planned: no new callers, then it leaves."""
+
+    host: str
+
+
 class RestartHost(Line, frozen=True, kw_only=True, tag="restart_host"):
     """An entry host starts with nothing in memory."""
 
@@ -231,6 +237,7 @@
     | Drain
     | Document
     | LoseHost
+    | StopHost
     | RestartHost
     | Partition
     | StepClock
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -62,6 +62,7 @@
         self.id = record.id
         self.zone = record.zone
         self.alive = True
+        self._is_stopping = False
         self.directory = directory.Directory()
         self.open_request_ids: set[str] = set()
         self._schedule = schedule
@@ -83,6 +84,25 @@
             rng=random.Random(seed),
         )
 
+    @property
+    def takes_callers(self) -> bool:
+        """Tell whether the balancer sends callers and upstreams here."""
+        return self.alive and not self._is_stopping
+
+    def stop(self) -> None:
+        """Take nobody new, finish what is open, then leave."""
+        self._is_stopping = True
+        self._leave_when_done()
+
+    def _leave_when_done(self) -> None:
+        if not self.alive:
+            return
+        if self.open_request_ids:
+            self._schedule.call_later(TICK_S, self._leave_when_done)
+            return
+        self.signal(signals.LeaveRequested())
+        self.alive = False
+
     def start(self) -> None:
         """Look for other hosts from now on."""
         self._tick()
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -173,6 +173,8 @@
             self._tell_all(self._in_force)
         elif isinstance(line, trace.LoseHost):
             self._lose_host(line.host)
+        elif isinstance(line, trace.StopHost):
+            self._hosts_by_id[line.host].stop()
         elif isinstance(line, trace.RestartHost):
             self._restart(line.host)
         elif isinstance(line, trace.Partition):
@@ -210,7 +212,7 @@
 
     def _next_host(self) -> str:
         for host_id in self._turns:
-            if self._hosts_by_id[host_id].alive:
+            if self._hosts_by_id[host_id].takes_callers:
                 return host_id
         raise AssertionError("cycle ended")
 
@@ -255,7 +257,7 @@
         reachable = [
             host
             for host in self._hosts_by_id.values()
-            if host.alive and self._delay(zone, host.zone) is not None
+            if host.takes_callers and self._delay(zone, host.zone) is not None
         ]
         return self._rng.choice(reachable) if reachable else None
 
--- a/tools/write_traces.py
+++ b/tools/write_traces.py
@@ -570,6 +570,352 @@
     )
 
 
+def write_norway_partition() -> None:
+    """Zones are separated for a while; each goes on with its own upstreams."""
+    story = """Availability zone c is cut off from the other two and comes back.
+    Each side has a replica of every shard and must go on from the first second,
+    within the deadline and with complete answers."""
+    services = [f"screening-{number}" for number in range(3)]
+    write(
+        "norway-partition",
+        [
+            header(NORWAY, story, 26),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=1500,
+                every_ms=10,
+            ),
+            line("partition", at=3.0, groups=[["a", "b"], ["c"]]),
+            line("partition", at=10.0, groups=[]),
+            line("expect_answer", at=20.0, request="sweep-", complete=True),
+            line("expect_work", at=11.0, until=15.0, upstreams=["*-2"], at_least=100),
+        ],
+    )
+
+
+def write_norway_partition_one_way() -> None:
+    """Messages of one zone arrive elsewhere, but nothing comes back."""
+    story = """Messages from zone a still arrive in b and c, but nothing gets back
+    to a. Its hosts send work that is run and never answered; queries must recover
+    on replicas that do answer, and no billed query may run twice."""
+    services = [f"screening-{number}" for number in range(3)]
+    write(
+        "norway-partition-one-way",
+        [
+            header(NORWAY, story, 27),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=1000,
+                every_ms=10,
+            ),
+            line("partition", at=3.0, groups=[["a"], ["b", "c"]], one_way=True),
+            line("partition", at=8.0, groups=[]),
+            line("expect_answer", at=15.0, request="sweep-", complete=True),
+        ],
+    )
+
+
+def write_georgia_zone_alone() -> None:
+    """A zone that is cut off holds only a part of the register."""
+    story = """Zone d is cut off. It has a replica of the viewer's service and none
+    of the clerks'. Its hosts must answer what they can at once and say truthfully
+    what is missing, never that a partial search is whole."""
+    write(
+        "georgia-zone-alone",
+        [
+            header(GEORGIA, story, 17),
+            *announce_all(GEORGIA),
+            search("warm-", at=0.1, services=["viewer-0", "clerk-0"], **SWEEP),
+            line("partition", at=3.0, groups=[["a", "b", "c"], ["d"]]),
+            search(
+                "viewer-",
+                at=9.0,
+                host="h-3",
+                services=["viewer-0"],
+                kind="sweep",
+                count=50,
+                every_ms=20,
+            ),
+            search(
+                "both-",
+                at=9.0,
+                host="h-3",
+                services=["viewer-0", "clerk-0"],
+                kind="browse",
+                count=50,
+                every_ms=20,
+            ),
+            line("expect_answer", at=11.0, request="viewer-", complete=True),
+            line(
+                "expect_answer",
+                at=11.0,
+                request="both-",
+                complete=False,
+                answered=1,
+                total=2,
+            ),
+        ],
+    )
+
+
+def write_norway_restart_in_partition() -> None:
+    """A host restarts inside a zone that is cut off."""
+    story = """Zone c is cut off, and one of its entry hosts restarts with nothing
+    in memory. It has to start from a peer in its zone and serve what the zone's
+    upstreams cover."""
+    services = ["screening-0", "billing-0"]
+    write(
+        "norway-restart-in-partition",
+        [
+            header(NORWAY, story, 28),
+            *announce_all(NORWAY),
+            search("warm-", at=0.1, services=services, **SWEEP),
+            line("partition", at=3.0, groups=[["a", "b"], ["c"]]),
+            line("lose_host", at=5.0, host="h-2"),
+            line("restart_host", at=6.0, host="h-2"),
+            search(
+                "after-",
+                at=11.0,
+                host="h-2",
+                services=services,
+                kind="sweep",
+                count=100,
+                every_ms=10,
+            ),
+            line("expect_answer", at=13.0, request="after-", complete=True),
+        ],
+    )
+
+
+def write_georgia_second_loss_after_repair() -> None:
+    """A second entry host is lost just after the first one came back."""
+    story = """An entry host is lost and comes back; a moment later its neighbour
+    is lost, home of other leases. Callers of the hosts that live must notice
+    nothing, and no upstream may drop out of the directory."""
+    services = [f"buyer-{number}" for number in range(6)]
+    write(
+        "georgia-second-loss-after-repair",
+        [
+            header(GEORGIA, story, 18),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=800,
+                every_ms=10,
+            ),
+            line("lose_host", at=2.0, host="h-0"),
+            line("restart_host", at=4.0, host="h-0"),
+            line("lose_host", at=4.3, host="h-4"),
+            search("last-", at=9.0, services=services, kind="sweep", count=50),
+            line("expect_answer", at=12.0, request="sweep-", complete=True, share=0.99),
+            line("expect_answer", at=12.0, request="last-", complete=True, total=6),
+        ],
+    )
+
+
+def write_georgia_planned_stop() -> None:
+    """Three entry hosts are stopped as planned, one after the other."""
+    story = """Operators replace entry hosts one after the other under load. A
+    planned stop cuts off nothing that is in flight, and nobody notices it."""
+    services = [f"buyer-{number}" for number in range(6)]
+    write(
+        "georgia-planned-stop",
+        [
+            header(GEORGIA, story, 19),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=900,
+                every_ms=10,
+            ),
+            line("stop_host", at=2.0, host="h-0"),
+            line("stop_host", at=3.0, host="h-1"),
+            line("restart_host", at=4.5, host="h-0"),
+            line("stop_host", at=5.0, host="h-2"),
+            line("expect_answer", at=12.0, request="sweep-", complete=True),
+        ],
+    )
+
+
+def write_georgia_late_announcements() -> None:
+    """Old announcements arrive after an upstream has left or restarted."""
+    story = """An upstream leaves and its last announcements arrive late, through
+    another host. They must not revive it: its callers would be sent to a process
+    that is gone."""
+    tool = GEORGIA.tools[1]
+    late = [
+        announce(
+            "clerk-0-0",
+            at=moment,
+            service="clerk-0",
+            tool=tool,
+            zone="a",
+            sequence=1,
+        )
+        for moment in (2.2, 2.6, 3.4)
+    ]
+    write(
+        "georgia-late-announcements",
+        [
+            header(GEORGIA, story, 31),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=["clerk-0"],
+                kind="sweep",
+                count=500,
+                every_ms=10,
+            ),
+            line("withdraw", at=2.0, upstream="clerk-0-0"),
+            *late,
+            line("expect_answer", at=7.0, request="sweep-", complete=True),
+            line("expect_no_work", at=2.5, until=20.0, upstreams=["clerk-0-0"]),
+        ],
+    )
+
+
+def write_georgia_clock_steps() -> None:
+    """The wall clock of the hosts jumps forward and back."""
+    story = """Time synchronisation sets the hosts' wall clocks an hour forward and
+    then two hours back. Leases and deadlines must not notice."""
+    services = [f"clerk-{number}" for number in range(4)]
+    write(
+        "georgia-clock-steps",
+        [
+            header(GEORGIA, story, 32),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=500,
+                every_ms=10,
+            ),
+            line("step_clock", at=2.0, seconds=3600),
+            line("step_clock", at=4.0, seconds=-7200),
+            line("expect_answer", at=7.0, request="sweep-", complete=True),
+            line("expect_latency", request="sweep-", quantile=0.99, at_most_ms=40),
+        ],
+    )
+
+
+def write_norway_straggler_and_loss() -> None:
+    """One replica is slow while another one of the same services dies."""
+    story = """One replica of each service has become ten times slower when another
+    one dies without a word. One good replica is left, and the sweeps at the credit
+    desk have to come back whole."""
+    services = [f"screening-{number}" for number in range(4)]
+    write(
+        "norway-straggler-and-loss",
+        [
+            header(NORWAY, story, 33),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=services,
+                kind="sweep",
+                count=700,
+                every_ms=12,
+            ),
+            line("behave", at=2.0, upstreams=["screening-*-0"], latency_ms=50),
+            line("behave", at=4.0, upstreams=["screening-*-1"], mode="crash"),
+            line("expect_answer", at=14.0, request="sweep-", complete=True),
+            line("expect_latency", request="sweep-", quantile=0.99, at_most_ms=500),
+        ],
+    )
+
+
+def write_norway_heavy_subscriber() -> None:
+    """One subscriber sends ten times what the upstreams can do."""
+    story = """One subscriber floods a service through all hosts with far more than
+    its upstreams can do. Everyone else's checks must stay prompt and complete;
+    the flood is refused truthfully."""
+    write(
+        "norway-heavy-subscriber",
+        [
+            header(NORWAY, story, 34),
+            *announce_all(NORWAY),
+            search(
+                "light-",
+                at=0.5,
+                services=["screening-0"],
+                kind="name-check",
+                count=300,
+                every_ms=20,
+            ),
+            search(
+                "flood-",
+                at=1.5,
+                services=["screening-0"],
+                kind="name-check",
+                subscriber="bulk",
+                count=8000,
+                every_ms=0.5,
+            ),
+            line("expect_answer", at=9.0, request="light-", complete=True, share=0.99),
+            line("expect_latency", request="light-", quantile=0.95, at_most_ms=150),
+            line(
+                "expect_refusal",
+                at=9.0,
+                request="flood-",
+                code="share_exceeded",
+                ran="no",
+                share=0.1,
+            ),
+        ],
+    )
+
+
+def write_norway_warm_turns_cold() -> None:
+    """An upstream that had warmed up becomes cold without a restart."""
+    story = """An upstream reloads its index: it answers slowly, and half a second
+    later it falls over under more than one sub-request at a time. It announces
+    nothing of this."""
+    write(
+        "norway-warm-turns-cold",
+        [
+            header(NORWAY, story, 35),
+            *announce_all(NORWAY),
+            search(
+                "sweep-",
+                at=0.5,
+                services=["screening-0"],
+                kind="sweep",
+                count=900,
+                every_ms=10,
+            ),
+            line("behave", at=3.0, upstreams=["screening-0-0"], latency_ms=60),
+            line(
+                "behave",
+                at=3.6,
+                upstreams=["screening-0-0"],
+                latency_ms=60,
+                cold_slots=1,
+            ),
+            line("behave", at=6.0, upstreams=["screening-0-0"]),
+            line("expect_crashes", at=12.0, at_most=0),
+            line("expect_answer", at=13.0, request="sweep-", complete=True),
+        ],
+    )
+
+
 def main() -> None:
     """Write every trace."""
     for name, write_trace in sorted(globals().items()):
