--- /dev/null
+++ b/features/fakes/raft_faults.py
@@ -0,0 +1,66 @@
+"""Faults planted in the replicated log, to see that the checks find them."""
+
+import contextlib
+from unittest import mock
+
+from greengagehaven.coordination.raft import core, leadership, timing
+from greengagehaven.state import audit
+
+# Planted by the cluster itself, on its disks and at a start.
+IN_CLUSTER = (
+    "acknowledge before sync",
+    "forget the vote at a restart",
+    "forget the leader at a restart",
+)
+
+
+def _count_older_terms(self):
+    log = self._raft.log
+    index = self._quorum_value(log.last.index, lambda progress: progress.match_index)
+    self._raft.commit(index)
+
+
+def _change_at_once(self, membership):
+    if self.is_settled and membership != self._raft.log.membership:
+        payload = leadership.codec.encode_msgpack(membership)
+        self._append(leadership.records.EntryKind.MEMBERSHIP, payload)
+        self._refresh_members()
+        self._send_new()
+
+
+def _forget_records(self, records, count):
+    self.count = count
+
+
+PATCHES = {
+    "vote while empty": ((core.Raft, "_is_empty", lambda self: False),),
+    "count entries of older terms": (
+        (leadership.Leadership, "_advance_commit", _count_older_terms),
+    ),
+    "change two members at once": (
+        (leadership.Leadership, "change_membership", _change_at_once),
+    ),
+    "cut the log at every request": (
+        (core.Raft, "_without_known", lambda self, entries: entries),
+    ),
+    "vote for anyone": ((core.Raft, "_may_grant", lambda self, request: True),),
+    "keep the lease too long": (
+        (timing.Timing, "lease", property(lambda self: 3 * self.election_max)),
+    ),
+    "read before the term is settled": (
+        (leadership.Leadership, "is_settled", property(lambda self: True)),
+    ),
+    "forget change ids in a snapshot": (
+        (audit.AuditTrail, "restore", _forget_records),
+    ),
+}
+ALL = (*IN_CLUSTER, *PATCHES)
+
+
+@contextlib.contextmanager
+def planted(name):
+    """Plant a fault for as long as the context lasts."""
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, replacement in PATCHES.get(name, ()):
+            stack.enter_context(mock.patch.object(owner, attribute, replacement))
+        yield
--- /dev/null
+++ b/features/replicated_log.feature
@@ -0,0 +1,82 @@
+Feature: The replicated log loses nothing that it acknowledged
+
+  Scenario Outline: Random schedules of faults over <size> hosts
+    Messages get lost, doubled, late and out of order, hosts crash, lose what they
+    had not synced or their whole disk, partitions cut one direction or both, and
+    disks fill up or fail to sync, also a second one just after a repair. A lost
+    change would bring back a configuration that operators had replaced.
+
+    When <count> schedules over <size> control hosts run from seed <seed>
+    Then every invariant of the log held and a last change was accepted in each
+
+    Examples:
+      | size | count | seed |
+      | 3    | 120   | 1000 |
+      | 5    | 50    | 2000 |
+
+  Scenario Outline: A state machine looks for short schedules over <size> hosts
+    The same faults in an order that hypothesis chooses, which shortens what it
+    finds to the few steps that matter.
+
+    When a state machine over <size> control hosts runs <examples> examples
+    Then every invariant of the log held and a last change was accepted in each
+
+    Examples:
+      | size | examples |
+      | 3    | 25       |
+      | 5    | 10       |
+
+  Scenario Outline: The checks find a planted fault: <fault>
+    A check that cannot fail shows nothing: this fault in the code would lose or
+    double a change, so the same schedules have to break an invariant.
+
+    When the fault "<fault>" is planted and schedules run from seed <seed>
+    Then an invariant of the log is broken
+
+    Examples:
+      | fault                           | seed |
+      | acknowledge before sync         | 2    |
+      | vote while empty                | 12   |
+      | change two members at once      | 207  |
+      | cut the log at every request    | 61   |
+      | vote for anyone                 | 0    |
+      | read before the term is settled | 20   |
+      | forget change ids in a snapshot | 14   |
+      | forget the leader at a restart  | 257  |
+      | keep the lease too long         | 720  |
+
+  Scenario: The last record is torn
+    The power fails in the middle of a write, before the record is acknowledged;
+    a host that refused to start for it would cost a repair at every power
+    cut.
+
+    Given the write-ahead log of a host with 3 entries
+    When its last record is cut short
+    Then the host starts with 2 entries and goes on from there
+
+  Scenario Outline: A record in the middle is damaged
+    A disk returns other bytes than were written. Dropping the record and those
+    behind it would lose changes that were acknowledged.
+
+    Given the write-ahead log of a host with 3 entries
+    When a bit in the <part> of its second record flips
+    Then the start stops with an error that names the file and the offset
+
+    Examples:
+      | part    |
+      | length  |
+      | payload |
+
+  Scenario Outline: The disk fails: <failure>
+    The disk takes no more writes. Were a change acknowledged all the same, the
+    next power cut would lose it, so the operator has to hear that it was not taken.
+
+    Given a single control host on a disk
+    When <failure> and a change is proposed
+    Then the change is not acknowledged and the host halts
+    And after a restart on a working disk a resend is acknowledged once
+
+    Examples:
+      | failure           |
+      | the disk is full  |
+      | the sync fails    |
--- /dev/null
+++ b/features/steps/replicated_log_steps.py
@@ -0,0 +1,131 @@
+"""Steps about the replicated log and what it keeps on disks."""
+
+import random
+
+import behave
+
+from fakes import control as control_fakes
+from fakes import raft, raft_faults, raft_machine
+from greengagehaven import exceptions
+from greengagehaven.state import records, storage, wal
+
+
+@behave.when("{count:d} schedules over {size:d} control hosts run from seed {seed:d}")
+def when_schedules(context, count, size, seed):
+    context.broken = []
+    for number in range(seed, seed + count):
+        try:
+            raft.walk(number, size=size)
+        except raft.InvariantBrokenError as error:
+            context.broken.append((number, error))
+
+
+@behave.when("a state machine over {size:d} control hosts runs {examples:d} examples")
+def when_machine(context, size, examples):
+    context.broken = []
+    machine = raft_machine.RaftMachine if size == 3 else raft_machine.FiveHosts
+    try:
+        raft_machine.run(machine, seed=size, examples=examples)
+    except raft.InvariantBrokenError as error:
+        context.broken.append((size, error))
+
+
+@behave.then("every invariant of the log held and a last change was accepted in each")
+def then_held(context):
+    assert not context.broken, context.broken
+
+
+@behave.when('the fault "{fault}" is planted and schedules run from seed {seed:d}')
+def when_planted(context, fault, seed):
+    context.broken = None
+    assert fault in raft_faults.ALL, fault
+    with raft_faults.planted(fault):
+        try:
+            raft.walk(seed, faults=(fault,))
+        except raft.InvariantBrokenError as error:
+            context.broken = error
+
+
+@behave.then("an invariant of the log is broken")
+def then_broken(context):
+    assert context.broken is not None
+
+
+@behave.given("the write-ahead log of a host with {count:d} entries")
+def given_log(context, count):
+    context.folder = control_fakes.MemoryFolder(rng=random.Random(1))
+    kept = storage.Storage(folder=context.folder)
+    kept.initialise(records.Identity(host="c1", member_id="c1-1", group_id="g"))
+    context.offsets = []
+    for index in range(1, count + 1):
+        context.offsets.append(len(context.folder.read(wal.FILE_NAME)))
+        entry = records.Entry(index, 1, records.EntryKind.CHANGE, b"change")
+        kept.save(vote=None, entries=(entry,))
+
+
+@behave.when("its last record is cut short")
+def when_torn(context):
+    size = len(context.folder.read(wal.FILE_NAME))
+    context.folder.truncate(wal.FILE_NAME, size - 3)
+
+
+@behave.then("the host starts with {count:d} entries and goes on from there")
+def then_starts(context, count):
+    kept = storage.Storage(folder=context.folder)
+    assert len(kept.load().entries) == count
+    entry = records.Entry(count + 1, 2, records.EntryKind.CHANGE, b"again")
+    kept.save(vote=None, entries=(entry,))
+    stored = storage.Storage(folder=context.folder).load()
+    assert stored.entries[-1] == entry, stored
+
+
+@behave.when("a bit in the {part} of its second record flips")
+def when_damaged(context, part):
+    within = {"length": 3, "payload": 20}[part]
+    context.folder.damage(wal.FILE_NAME, context.offsets[1] + within)
+
+
+@behave.then("the start stops with an error that names the file and the offset")
+def then_stops(context):
+    try:
+        storage.Storage(folder=context.folder).load()
+    except exceptions.LogDamagedError as error:
+        assert error.offset == context.offsets[1], error
+        assert error.path == context.folder.path_of(wal.FILE_NAME), error
+    else:
+        raise AssertionError("a damaged log was accepted")
+
+
+@behave.given("a single control host on a disk")
+def given_single(context):
+    context.cluster = raft.Cluster(seed=1, size=1)
+    context.cluster.advance(1.2)
+    assert context.cluster.hosts[0].replica.is_leader
+
+
+@behave.when("the disk is full and a change is proposed")
+def when_full(context):
+    context.cluster.fill_disk(0)
+    context.cluster.propose(0)
+
+
+@behave.when("the sync fails and a change is proposed")
+def when_sync_fails(context):
+    context.cluster.fill_disk(0, sync_fails=True)
+    context.cluster.propose(0)
+
+
+@behave.then("the change is not acknowledged and the host halts")
+def then_halts(context):
+    assert context.cluster.acknowledged == 0
+    assert not context.cluster.hosts[0].is_up
+
+
+@behave.then("after a restart on a working disk a resend is acknowledged once")
+def then_resend(context):
+    cluster = context.cluster
+    cluster.restart(0)
+    cluster.advance(1.2)
+    cluster.propose(0, again=True)
+    assert cluster.acknowledged == 1
+    assert cluster.hosts[0].replica.machine.audit.count == 1
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -289,7 +289,7 @@
                     self._leadership.on_reply(message)
 
     def _on_vote_request(self, request: messages.VoteRequest) -> None:
-        if self.log.last.index == 0:
+        if self._is_empty():
             # An empty disk cannot know what it promised or held before; its
             # vote could elect a leader that lacks committed entries.
             return
@@ -309,6 +309,9 @@
         )
         self.emit(events.Send(message=reply))
 
+    def _is_empty(self) -> bool:
+        return self.log.last.index == 0
+
     def _hears_leader(self) -> bool:
         if self._leadership is not None:
             return True
