Run a non-idempotent request only with grants of a majority of recorders

Cause: a resend with the same key through another host ran a second time: the core kept no record at all. An owner host chosen from the live hosts moves with membership, so a resend during a partition would find no record; a fixed set of recorders does not move.

--- a/features/fakes/core.py
+++ b/features/fakes/core.py
@@ -75,8 +75,10 @@
         document_text: str = DOCUMENT,
         switches: options.Options = options.DEFAULT,
         host_id: str = "h-1",
+        recorder_ids: frozenset[str] = frozenset(),
+        shared_clock: clock.ManualClock | None = None,
     ) -> None:
-        self.clock = clock.ManualClock()
+        self.clock = shared_clock or clock.ManualClock()
         self.directory = directory.Directory()
         self.core = core.Core(
             clock=self.clock,
@@ -85,6 +87,7 @@
             host_id=host_id,
             zone="a",
             options=switches,
+            recorder_ids=recorder_ids,
         )
         self.in_flight: dict[tuple[str, int], upstream.SubRequest] = {}
         self.sent: list[upstream.SubRequest] = []
@@ -92,6 +95,7 @@
         self.notices: list[events.NotifyPeers] = []
         self.answers_by_id: dict[str, object] = {}
         self.refusals_by_id: dict[str, object] = {}
+        self.asks: list[events.AskRecorder] = []
         self.wakes: list[float] = []
         environment = document.parse(document_text.encode())
         self.step(events.DocumentInForce(revision=1, environment=environment))
@@ -192,5 +196,7 @@
             self.refusals_by_id[action.request_id] = action.error
         elif isinstance(action, events.NotifyPeers):
             self.notices.append(action)
+        elif isinstance(action, events.AskRecorder):
+            self.asks.append(action)
         elif isinstance(action, events.WakeAt):
             self.wakes.append(action.moment)
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -4,6 +4,7 @@
 runs in the daemons, in ``dev`` and in replays.
 """
 
+import dataclasses
 import typing
 
 from greengagehaven import clock as clock_module
@@ -16,6 +17,7 @@
     execution,
     fair_queue,
     headroom,
+    keyed,
     limits,
     options,
     plan,
@@ -40,6 +42,8 @@
     :param host_id: name of this entry host among its peers.
     :param zone: availability zone of this entry host.
     :param options: switches of the mechanisms.
+    :param recorder_ids: the fixed set of hosts that remember idempotency keys,
+        the same on every entry host; empty for a host that is alone.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         host_id: str,
         zone: str,
         options: options.Options = options.DEFAULT,
+        recorder_ids: frozenset[str] = frozenset(),
     ) -> None:
         self._clock = clock
         self._host_id = host_id
@@ -93,6 +98,12 @@
             pending=self._timers,
             options=options,
         )
+        self._keyed = keyed.KeyedRequests(
+            clock=clock,
+            recorder_ids=recorder_ids,
+            pending=self._timers,
+            run=self._run,
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.QuerySubmitted: self._on_submitted,
             events.QueryAbandoned: self._on_abandoned,
@@ -102,6 +113,7 @@
             events.ZonesDrained: self._on_zones_drained,
             events.HostsChanged: self._on_hosts_changed,
             events.PeerNotice: self._on_peer_notice,
+            events.RecorderReplied: self._on_recorder_replied,
             events.TimeReached: self._on_time_reached,
         }
 
@@ -114,6 +126,7 @@
         """Take one event and return what is to be done, in order."""
         actions: list[events.Action] = []
         self._handlers_by_event[type(event)](event, actions)
+        self._keyed.note_results(actions)
         moment = self._timers.next_wake()
         if moment is not None:
             actions.append(events.WakeAt(moment=moment))
@@ -128,25 +141,49 @@
         self, submitted: events.QuerySubmitted, actions: list[events.Action]
     ) -> None:
         try:
-            running = self._admit(submitted)
+            kind = self._check(submitted)
+            if kind.idempotent:
+                self._run(submitted, actions)
+                return
+            deadline = self._deadline_of(submitted, kind)
         except exceptions.RequestError as error:
-            refusal = events.RefuseQuery(request_id=submitted.request_id, error=error)
-            actions.append(refusal)
+            refused = events.RefuseQuery(request_id=submitted.request_id, error=error)
+            actions.append(refused)
             return
+        # The claim takes its time out of the caller's, not on top of it.
+        submitted = dataclasses.replace(submitted, deadline=deadline)
+        self._keyed.begin(submitted, deadline=deadline, actions=actions)
+
+    def _run(
+        self, submitted: events.QuerySubmitted, actions: list[events.Action]
+    ) -> None:
+        """Admit a query and begin it; nothing was sent where this raises."""
+        running = self._admit(submitted, self._check(submitted))
         self._execution.begin(running, actions)
 
-    def _admit(self, submitted: events.QuerySubmitted) -> query.Query:
+    def _check(self, submitted: events.QuerySubmitted) -> document.Kind:
         if self._environment is None:
             raise exceptions.NotConfiguredError(
                 "no document is in force yet", retry_after=refusal.RETRY_AFTER_S
             )
-        kind = admission.check(submitted, self._environment)
+        return admission.check(submitted, self._environment)
+
+    def _deadline_of(
+        self, submitted: events.QuerySubmitted, kind: document.Kind
+    ) -> float:
         now = self._clock.monotonic()
         deadline = now + kind.deadline.total_seconds()
         if submitted.deadline is not None:
             deadline = min(deadline, submitted.deadline)
         if deadline <= now:
             raise exceptions.DeadlineExceededError("the deadline has passed")
+        return deadline
+
+    def _admit(
+        self, submitted: events.QuerySubmitted, kind: document.Kind
+    ) -> query.Query:
+        now = self._clock.monotonic()
+        deadline = self._deadline_of(submitted, kind)
         self._shedding.check(
             submitted,
             kind,
@@ -178,6 +215,8 @@
     def _on_abandoned(
         self, abandoned: events.QueryAbandoned, actions: list[events.Action]
     ) -> None:
+        if self._keyed.abandon(abandoned.request_id, actions):
+            return
         running = self._execution.queries_by_id.get(abandoned.request_id)
         if running is not None and running.kind.idempotent:
             self._execution.end(running, actions)
@@ -232,6 +271,11 @@
         if isinstance(notice.payload, notices.UsageReport):
             self._ledger.take_report(notice.host_id, notice.payload)
 
+    def _on_recorder_replied(
+        self, replied: events.RecorderReplied, actions: list[events.Action]
+    ) -> None:
+        self._keyed.take_reply(replied, actions)
+
     def _arm_usage_report(self) -> None:
         moment = self._clock.monotonic() + usage.REPORT_INTERVAL_S
         self._timers.add(moment, timers.UsageTimer())
@@ -250,5 +294,9 @@
         for timer in self._timers.pop_due(self._clock.monotonic()):
             if isinstance(timer, timers.UsageTimer):
                 self._report_usage(actions)
-                continue
-            self._execution.take_timer(timer, actions)
+            elif isinstance(timer, timers.ClaimTimer):
+                self._keyed.take_claim_timer(timer.request_id, actions)
+            elif isinstance(timer, timers.ResendTimer):
+                self._keyed.take_resend_timer(actions)
+            else:
+                self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/events.py
+++ b/src/greengagehaven/coordination/events.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from greengagehaven import exceptions
-from greengagehaven.protocol import search, upstream
+from greengagehaven.protocol import claims, search, upstream
 from greengagehaven.state import document
 
 
@@ -87,6 +87,19 @@
     payload: msgspec.Struct
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecorderReplied:
+    """A recorder of idempotency keys answered, or not at all.
+
+    :param request: what it was asked.
+    :param reply: ``None`` where no answer came in time.
+    """
+
+    recorder_id: str
+    request: claims.RecorderRequest
+    reply: claims.RecorderReply | None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeReached:
     """The clock reached a moment that the core asked for."""
@@ -101,6 +114,7 @@
     | ZonesDrained
     | HostsChanged
     | PeerNotice
+    | RecorderReplied
     | TimeReached
 )
 
@@ -149,6 +163,14 @@
     payload: msgspec.Struct
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AskRecorder:
+    """Send a request to a recorder; its reply comes as ``RecorderReplied``."""
+
+    recorder_id: str
+    request: claims.RecorderRequest
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WakeAt:
     """Send ``TimeReached`` at this moment, in monotonic seconds."""
@@ -163,6 +185,7 @@
     | RefuseQuery
     | RetireConnections
     | NotifyPeers
+    | AskRecorder
     | WakeAt
 )
 
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -28,7 +28,19 @@
     """The moment at which the other hosts are told of subscribers' usage."""
 
 
-Timer = DeadlineTimer | HedgeTimer | UsageTimer
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimTimer:
+    """The moment at which the claim of an idempotency key is decided."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ResendTimer:
+    """The moment at which recorders are told again what they missed."""
+
+
+Timer = DeadlineTimer | HedgeTimer | UsageTimer | ClaimTimer | ResendTimer
 
 
 class Timers:
