Keep recorders' grants on disk; carry claims between hosts

Cause: the records of idempotency keys lived in memory; a power cut of a site would have let every resend run again.

--- /dev/null
+++ b/src/greengagehaven/daemons/recorder_host.py
@@ -0,0 +1,213 @@
+"""A recorder of idempotency keys on a host with a disk."""
+
+import asyncio
+import contextlib
+from collections import abc
+
+import msgspec
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import peers
+from greengagehaven.coordination.idempotency import recorder
+from greengagehaven.protocol import claims, codec
+from greengagehaven.state import claim_journal
+
+METHOD = "claims/ask"
+CALL_TIMEOUT_S = 1.0
+COPY_PERIOD_S = 0.5
+COMPACT_AT_CHANGES = 50_000
+
+
+class _Start(msgspec.Struct, frozen=True, kw_only=True):
+    """First record of a journal.
+
+    :param complete: whether the journal holds all that was ever granted; false
+        while an emptied recorder copies the others.
+    """
+
+    incarnation: int
+    complete: bool
+
+
+class RecorderHost:
+    """Answers claims; every grant is on the disk before it is told.
+
+    :param recorder_id: name of this recorder in the set.
+    :param addresses_by_id: peer addresses of the whole set, itself included.
+    :param channel: calls to the other recorders.
+    :param folder: data folder for the journal.
+    :param is_new_set: true once, when all recorders start for the first time:
+        a recorder without a journal abstains otherwise until it has copied the
+        others.
+    """
+
+    def __init__(
+        self,
+        *,
+        recorder_id: str,
+        addresses_by_id: abc.Mapping[str, str],
+        channel: peers.PeerChannel,
+        clock: clocks.Clock,
+        folder: claim_journal.JournalFolder,
+        is_new_set: bool = False,
+        limits: recorder.RecorderLimits | None = None,
+    ) -> None:
+        self._id = recorder_id
+        self._addresses_by_id = addresses_by_id
+        self._channel = channel
+        self._clock = clock
+        self._journal = claim_journal.ClaimJournal(folder=folder)
+        self._is_new_set = is_new_set
+        self._limits = limits
+        self._recorder: recorder.Recorder | None = None
+        self._unsynced: list[recorder.Change] = []
+        self._sync: asyncio.Task[None] | None = None
+        self._changes_since_compact = 0
+        self._copier: asyncio.Task[None] | None = None
+
+    @property
+    def handlers_by_method(self) -> dict[str, peers.Handler]:
+        """Return what a ``PeerServer`` answers other hosts with."""
+        return {METHOD: self._handle}
+
+    @property
+    def abstains(self) -> bool:
+        """Tell whether it may have forgotten keys and so grants none."""
+        return self._recorder is None or self._recorder.abstains
+
+    @property
+    def record_count(self) -> int:
+        """Return how many keys it remembers."""
+        return 0 if self._recorder is None else len(self._recorder)
+
+    def start(self) -> None:
+        """Read the journal and begin to answer.
+
+        :raises LogDamagedError: the journal is damaged. Once it is removed, the
+            recorder copies the others.
+        """
+        payloads = self._journal.load()
+        if payloads:
+            start = msgspec.msgpack.decode(payloads[0], type=_Start)
+        else:
+            start = _Start(incarnation=0, complete=False)
+        has_memory = start.complete or (payloads is None and self._is_new_set)
+        incarnation = start.incarnation
+        if not start.complete:
+            incarnation = int(self._clock.now().timestamp() * 1000)
+        changes = [
+            msgspec.msgpack.decode(payload, type=recorder.Change)
+            for payload in (payloads or ())[1:]
+        ]
+        self._recorder = recorder.Recorder(
+            clock=self._clock,
+            recorder_id=self._id,
+            recorder_ids=frozenset(self._addresses_by_id),
+            incarnation=incarnation,
+            changes=changes if start.complete else (),
+            has_memory=has_memory,
+            limits=self._limits,
+        )
+        self._rewrite(complete=has_memory)
+        log.info(
+            "recorder_started",
+            recorder=self._id,
+            records=len(self._recorder),
+            abstains=self._recorder.abstains,
+        )
+        if self._recorder.abstains:
+            loop = asyncio.get_running_loop()
+            self._copier = loop.create_task(self._copy_until_complete())
+
+    async def close(self) -> None:
+        """Stop; what was granted is on the disk."""
+        for task in (self._copier, self._sync):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+
+    async def _handle(self, body: bytes) -> bytes:
+        request = codec.decode_msgpack(body, claims.RecorderRequest)
+        if self._recorder is None:
+            raise exceptions.PeerError("the recorder has not started")
+        reply, change = self._recorder.handle(request)
+        if change is not None:
+            self._unsynced.append(change)
+        await self._synced()
+        return codec.encode_msgpack(reply)
+
+    async def _synced(self) -> None:
+        """Wait until all that was decided so far is on the disk.
+
+        Requests that arrive together share one sync. A reply that needs no
+        change waits too: it may tell of a grant that is not on the disk yet.
+        """
+        if self._unsynced and (self._sync is None or self._sync.done()):
+            self._sync = asyncio.get_running_loop().create_task(self._write())
+        if self._sync is not None:
+            await asyncio.shield(self._sync)
+
+    async def _write(self) -> None:
+        # One turn of the loop, so that requests that came together join in.
+        await asyncio.sleep(0)
+        changes, self._unsynced = self._unsynced, []
+        try:
+            self._journal.append(map(msgspec.msgpack.encode, changes))
+        except exceptions.StorageError as error:
+            # Memory is ahead of the disk by now: granting on would be a lie.
+            self._recorder = None
+            log.error("recorder_failed", recorder=self._id, detail=error.detail)
+            raise
+        self._changes_since_compact += len(changes)
+        if self._changes_since_compact >= COMPACT_AT_CHANGES:
+            self._rewrite(complete=not self.abstains)
+
+    def _rewrite(self, *, complete: bool) -> None:
+        if self._recorder is None:
+            return
+        start = _Start(incarnation=self._recorder.incarnation, complete=complete)
+        changes = self._recorder.snapshot()
+        self._journal.rewrite(map(msgspec.msgpack.encode, [start, *changes]))
+        self._changes_since_compact = 0
+
+    async def _copy_until_complete(self) -> None:
+        others = [
+            address
+            for recorder_id, address in self._addresses_by_id.items()
+            if recorder_id != self._id
+        ]
+        while True:
+            if await self._copy_all(others):
+                break
+            await asyncio.sleep(COPY_PERIOD_S)
+        # What was copied has to be on the disk before the first grant; nothing
+        # else runs between the last page and this.
+        self._rewrite(complete=True)
+        log.info("recorder_copied", recorder=self._id, records=self.record_count)
+
+    async def _copy_all(self, addresses: list[str]) -> bool:
+        """Copy recorders until enough are copied; return whether they are."""
+        for address in addresses:
+            if self._recorder is None or not self._recorder.abstains:
+                return True
+            await self._copy(self._recorder, address)
+        return self._recorder is None or not self._recorder.abstains
+
+    async def _copy(self, empty: recorder.Recorder, address: str) -> None:
+        after = ""
+        while True:
+            body = codec.encode_msgpack(empty.copy_request(after))
+            try:
+                data = await self._channel.call(
+                    address, METHOD, body, timeout=CALL_TIMEOUT_S
+                )
+            except exceptions.PeerError as error:
+                log.debug("recorder_copy_failed", address=address, detail=error.detail)
+                return
+            reply = codec.decode_msgpack(data, claims.RecorderReply)
+            empty.take_copy(reply)
+            if reply.is_last or not reply.records:
+                return
+            after = reply.records[-1].record_id
