--- a/features/control.feature
+++ b/features/control.feature
@@ -22,20 +22,25 @@
     Then a resend of change resent returns the first result
     And a different change under the id resent is refused
 
-  Scenario: A control host is silently cut off
+  Scenario Outline: A control host is silently cut off from <others>
     Something between the hosts drops every packet of one control host, and no
     connection breaks. Entry hosts that follow it would go on with an old
     document, and at its return it could disturb the others.
 
     Given an environment of 3 control hosts and entry hosts in a and b
     And document 1 is in force everywhere
-    When a control host is silently cut off
+    When a control host is silently cut off from <others>
     And document 2 is applied at another control host
     Then every entry host has it in force within 8 seconds
     And the cut-off host calls its own state outdated and its quorum lost
     When the cut-off host comes back
     Then it catches up without a new election
 
+    Examples:
+      | others                  |
+      | every host              |
+      | the other control hosts |
+
   Scenario: The quorum is lost for good
     Two of three control hosts lose their disks. Nothing can be accepted any
     more, and an operator has to see that plainly and find a way back without
@@ -48,9 +53,22 @@
     And entry hosts go on with document 1
     When the last control host is recovered
     And document 2 is applied at another control host
-    Then every entry host has it in force within 8 seconds
+    Then every entry host has it in force within 4 seconds
     And a replaced control host joins it and has the same revision
 
+  Scenario: The control host that is left had missed the last change
+    The last document was accepted by the two control hosts that are lost. Entry
+    hosts have it. Would the survivor give out its number again, they would take
+    the next document for the one they have, and stay on the old one for good.
+
+    Given an environment of 3 control hosts and entry hosts in a and b
+    And document 1 is in force everywhere
+    And document 2 reached every host but control host c1
+    When all control hosts but one are lost for good
+    And the last control host is recovered
+    And document 3 is applied at another control host
+    Then every entry host has it in force within 4 seconds
+
   Scenario: The last zone is kept in service
     An operator drains one zone after another. Without a guard the last one
     would go too, and every query would be refused.
@@ -73,3 +91,19 @@
     And document 1 is in force everywhere
     When every control host is cut off and a new entry host starts in a
     Then it starts from a peer at the same revision
+
+  Scenario: A source has lost touch with the leader
+    The control host or peer that an entry host follows still answers, but has
+    itself heard nothing for a while; its answers would stay the same for ever.
+
+    Given an entry host that may follow control hosts and peers
+    When its source answers without having heard of a leader for 4 seconds
+    Then it asks another source next
+
+  Scenario: Control was lost and comes back
+    While no control host answered, entry hosts followed each other. Were they to
+    stay among themselves, a change after the repair would be long in coming.
+
+    Given an entry host that may follow control hosts and peers
+    When no source has heard of a leader for 4 seconds
+    Then its next probes go to every control host, more often than before
--- a/features/fakes/control.py
+++ b/features/fakes/control.py
@@ -89,15 +89,25 @@
     def __init__(self):
         self.handlers_by_address = {}
         self._cut = set()
-        self.is_cut = lambda source, target: source in self._cut or target in self._cut
+        self._cut_pairs = set()
+
+    def is_cut(self, source, target):
+        """Tell whether a call from one host to another gets lost."""
+        is_pair_cut = frozenset((source, target)) in self._cut_pairs
+        return is_pair_cut or source in self._cut or target in self._cut
 
     def cut_off(self, address):
         """Let every call from and to a host hang, as a silent partition does."""
         self._cut.add(address)
 
+    def cut_between(self, address, others):
+        """Let every call between a host and some others hang."""
+        self._cut_pairs |= {frozenset((address, other)) for other in others}
+
     def heal(self):
         """Let every call through again."""
         self._cut.clear()
+        self._cut_pairs.clear()
 
     def channel_of(self, address):
         """Return the channel of one host."""
--- a/features/fakes/raft_faults.py
+++ b/features/fakes/raft_faults.py
@@ -50,6 +50,9 @@
     "read before the term is settled": (
         (leadership.Leadership, "is_settled", property(lambda self: True)),
     ),
+    "apply a change id twice": (
+        (audit.AuditTrail, "find", lambda self, change_id: None),
+    ),
     "forget change ids in a snapshot": (
         (audit.AuditTrail, "restore", _forget_records),
     ),
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -42,6 +42,7 @@
       | vote for anyone                 | 0    |
       | read before the term is settled | 20   |
       | forget change ids in a snapshot | 14   |
+      | apply a change id twice         | 1    |
       | forget the leader at a restart  | 257  |
       | keep the lease too long         | 720  |
 
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -4,185 +4,18 @@
 import random
 
 import behave
-import msgspec
 
 from fakes import control as control_fakes
-from greengagehaven import exceptions, log
-from greengagehaven.daemons import control, follower, operator_api, recovery
+from fakes import environment as environments
+from greengagehaven import clock
+from greengagehaven.coordination import following
+from greengagehaven.daemons import recovery
 from greengagehaven.state import configuration
-from greengagehaven.transport import http
-
-DOCUMENT = b"""version = 1
-[subscribers.demo]
-key_sha256 = ["%s"]
-[services.credits-0]
-[kinds.sweep]
-standing = %d
-"""
-
-
-def document_with(standing):
-    return DOCUMENT % (b"ab" * 32, standing)
-
-
-log.configure(level="critical")
-
-
-class Environment:
-    """Control and entry hosts on one virtual loop."""
-
-    def __init__(self, seed=1, **settings):
-        self.loop = control_fakes.VirtualLoop()
-        self.network = control_fakes.Network()
-        self.rng = random.Random(seed)
-        self.settings = settings
-        self.folders_by_host = {}
-        self.controls_by_host = {}
-        self.entries_by_host = {}
-        self.events_by_host = {}
-
-    def run(self, awaitable):
-        return self.loop.run_until_complete(awaitable)
-
-    def wait(self, seconds):
-        self.run(asyncio.sleep(seconds))
-
-    def wait_until(self, condition, seconds=30.0):
-        end = self.loop.time() + seconds
-        while not condition():
-            assert self.loop.time() < end, "it did not happen in time"
-            self.wait(0.05)
-
-    def start_control(self, name, **settings):
-        address = f"10.0.0.{name[1:]}:1"
-        others = tuple(
-            f"10.0.0.{other[1:]}:1" for other in self.folders_by_host if other != name
-        )
-        files = self.folders_by_host.setdefault(
-            name, control_fakes.MemoryFolder(rng=self.rng)
-        )
-        host = control.ControlHost(
-            settings=control.ControlSettings(
-                host_id=name,
-                data_folder="memory",
-                peer_address=address,
-                peer_addresses=others,
-                **{"bootstrap": not others, **self.settings, **settings},
-            ),
-            channel=self.network.channel_of(address),
-            clock=self.loop.clock,
-            rng=self.rng,
-            data_folder=files,
-        )
-        api = operator_api.OperatorApi(host=host)
-        handlers = {**host.handlers_by_method, **api.handlers_by_method}
-        self.network.handlers_by_address[address] = handlers
-        self.controls_by_host[name] = (host, api)
-        self.run(host.start())
-        return host
-
-    def stop_control(self, name):
-        host, _ = self.controls_by_host.pop(name)
-        del self.network.handlers_by_address[host.settings.peer_address]
-        self.run(host.close())
-        self.folders_by_host[name].crash()
-
-    def start_controls(self, count):
-        for number in range(1, count + 1):
-            self.start_control(f"c{number}")
-        self.wait_until(lambda: len(self.voters()) == count)
-
-    def voters(self):
-        leader = self.leader()
-        return () if leader is None else leader.raft.log.membership.voter_ids
-
-    def leader(self):
-        hosts = [host for host, _ in self.controls_by_host.values()]
-        reachable = [
-            host
-            for host in hosts
-            if host.is_leader
-            and not self.network.is_cut("", host.settings.peer_address)
-        ]
-        return max(reachable, key=lambda host: host.raft.term, default=None)
-
-    def start_entry(self, name, zone):
-        address = f"10.0.1.{name[1:]}:1"
-        events = self.events_by_host[name] = []
-        entry = follower.ConfigurationFollower(
-            channel=self.network.channel_of(address),
-            host_id=name,
-            availability_zone=zone,
-            control_addresses=[
-                host.settings.peer_address for host, _ in self.controls_by_host.values()
-            ],
-            peer_addresses=lambda: [
-                other
-                for other in sorted(self.network.handlers_by_address)
-                if other.startswith("10.0.1.") and other != address
-            ],
-            on_event=events.append,
-            clock=self.loop.clock,
-            rng=self.rng,
-        )
-        self.network.handlers_by_address[address] = entry.handlers_by_method
-        self.entries_by_host[name] = entry
-
-        async def start():
-            entry.start()
-
-        self.run(start())
-        return entry
-
-    def ask(self, method, path, body=None, via=None, raw=b""):
-        """Return (status, decoded body) of an operator's request."""
-        _, api = self.controls_by_host[via or next(iter(self.controls_by_host))]
-        data = raw if body is None else msgspec.json.encode(body)
-        request = http.Request(
-            method=method,
-            path=path,
-            parameters={},
-            headers=http.Headers(),
-            body=data,
-            peer="",
-        )
-        try:
-            response = self.run(api.handle(request))
-        except exceptions.GreengagehavenError as error:
-            fields = {"code": error.code, "detail": error.detail}
-            return getattr(error, "status", 500), fields
-        return response.status, msgspec.json.decode(response.body)
-
-    def apply(self, document, change_id, expected=None, via=None):
-        body = {
-            "change_id": change_id,
-            "document": document,
-            "expected_revision": expected,
-        }
-        return self.ask("POST", "/v1/changes", body, via)
-
-    def drain(self, zone, *, drained=True, force=False):
-        body = {
-            "change_id": f"{zone}-{drained}-{force}-{self.rng.random()}",
-            "drained": drained,
-            "force": force,
-        }
-        return self.ask("POST", f"/v1/zones/{zone}", body)
-
-    def revisions(self):
-        return {name: entry.revision for name, entry in self.entries_by_host.items()}
-
-    def close(self):
-        for entry in self.entries_by_host.values():
-            self.run(entry.close())
-        for host, _ in self.controls_by_host.values():
-            self.run(host.close())
-        self.loop.close()
 
 
 @behave.given("an environment of {count:d} control hosts and entry hosts in {zones}")
 def given_environment(context, count, zones):
-    context.environment = environment = Environment()
+    context.environment = environment = environments.Environment()
     context.add_cleanup(environment.close)
     environment.start_controls(count)
     for number, zone in enumerate(zones.split(" and ")):
@@ -193,7 +26,9 @@
 @behave.given("document {number:d} is in force everywhere")
 def given_in_force(context, number):
     environment = context.environment
-    status, result = environment.apply(document_with(number), f"given-{number}")
+    status, result = environment.apply(
+        environments.document_with(number), f"given-{number}"
+    )
     assert status == 200, result
     context.revision = result["revision"]
     environment.wait_until(
@@ -216,7 +51,7 @@
                     configuration.DocumentChange(
                         change_id=f"race-{author}",
                         author=author,
-                        document=document_with(10 + number),
+                        document=environments.document_with(10 + number),
                         expected_revision=context.revision,
                     )
                 )
@@ -250,7 +85,9 @@
 @behave.when("change {change_id} is applied and its reply is lost")
 def when_reply_lost(context, change_id):
     environment = context.environment
-    context.first = environment.apply(document_with(77), change_id, context.revision)
+    context.first = environment.apply(
+        environments.document_with(77), change_id, context.revision
+    )
     assert context.first[0] == 200, context.first
 
 
@@ -268,24 +105,36 @@
 @behave.then("a resend of change {change_id} returns the first result")
 def then_first_result(context, change_id):
     environment = context.environment
-    again = environment.apply(document_with(77), change_id, context.revision)
+    again = environment.apply(
+        environments.document_with(77), change_id, context.revision
+    )
     assert again == context.first, (again, context.first)
 
 
 @behave.then("a different change under the id {change_id} is refused")
 def then_reuse_refused(context, change_id):
-    status, problem = context.environment.apply(document_with(78), change_id)
+    status, problem = context.environment.apply(
+        environments.document_with(78), change_id
+    )
     assert (status, problem["code"]) == (409, "change_id_reused"), problem
 
 
-@behave.when("a control host is silently cut off")
-def when_cut_off(context):
+@behave.when("a control host is silently cut off from {others}")
+def when_cut_off(context, others):
     environment = context.environment
     followed = {
         entry._following.source for entry in environment.entries_by_host.values()
     }
     context.cut = sorted(address for address in followed if address)[0]
-    environment.network.cut_off(context.cut)
+    if others == "every host":
+        environment.network.cut_off(context.cut)
+    else:
+        addresses = [
+            host.settings.peer_address
+            for host, _ in environment.controls_by_host.values()
+        ]
+        environment.network.cut_between(context.cut, addresses)
+    environment.wait(2.0)
     context.cut_host = next(
         host
         for host, _ in environment.controls_by_host.values()
@@ -303,10 +152,11 @@
     environment = context.environment
     environment.wait_until(lambda: environment.leader() is not None)
     status, result = environment.apply(
-        document_with(number), f"elsewhere-{number}", via=context.via
+        environments.document_with(number), f"elsewhere-{number}", via=context.via
     )
     assert status == 200, result
     context.revision = result["revision"]
+    context.digest = result["digest"]
 
 
 @behave.then("every entry host has it in force within {seconds:d} seconds")
@@ -315,6 +165,7 @@
     environment.wait_until(
         lambda: set(environment.revisions().values()) == {context.revision}, seconds
     )
+    assert set(environment.digests().values()) == {context.digest}
 
 
 @behave.then("the cut-off host calls its own state outdated and its quorum lost")
@@ -344,12 +195,24 @@
     assert host.age < 1.0, host.age
 
 
+@behave.given("document {number:d} reached every host but control host c1")
+def given_missed(context, number):
+    environment = context.environment
+    environment.network.cut_off("10.0.0.1:1")
+    context.via = "c2"
+    environment.wait(2.0)
+    when_applied_elsewhere(context, number)
+    then_everywhere(context, 8)
+    environment.network.heal()
+    others = ("10.0.0.2:1", "10.0.0.3:1")
+    environment.network.cut_between("10.0.0.1:1", others)
+
+
 @behave.when("all control hosts but one are lost for good")
 def when_quorum_lost(context):
     environment = context.environment
-    names = list(environment.controls_by_host)
-    context.via = names[0]
-    for name in names[1:]:
+    context.via = "c1"
+    for name in ("c2", "c3"):
         environment.stop_control(name)
     environment.wait(3.0)
 
@@ -360,7 +223,9 @@
     _, status = environment.ask("GET", "/v1/status", via=context.via)
     assert status["quorum"] == "lost", status
     assert "no answer from: c2, c3" in status["detail"], status["detail"]
-    code, problem = environment.apply(document_with(5), "lost", via=context.via)
+    code, problem = environment.apply(
+        environments.document_with(5), "lost", via=context.via
+    )
     assert (code, problem["code"]) == (503, "quorum_lost"), problem
 
 
@@ -396,6 +261,45 @@
     )
 
 
+@behave.given("an entry host that may follow control hosts and peers")
+def given_following(context):
+    context.clock = clock.ManualClock()
+    context.following = following.Following(
+        control_addresses=("c1", "c2", "c3"),
+        peer_addresses=lambda: ("e2",),
+        clock=context.clock,
+        rng=random.Random(1),
+        timing=following.Timing(),
+    )
+
+
+@behave.when("its source answers without having heard of a leader for {age:d} seconds")
+def when_source_stale(context, age):
+    call = context.following.next_call()
+    context.following.on_reply(call.address, age=0.1, is_news=True)
+    context.left = context.following.source
+    context.clock.advance(1.0)
+    context.following.on_reply(call.address, age=age, is_news=False)
+
+
+@behave.then("it asks another source next")
+def then_other_source(context):
+    assert context.following.next_call().address != context.left
+
+
+@behave.when("no source has heard of a leader for {seconds:d} seconds")
+def when_out_of_touch(context, seconds):
+    context.following.next_call()
+    context.clock.advance(seconds)
+
+
+@behave.then("its next probes go to every control host, more often than before")
+def then_probes_all(context):
+    asked = {context.following.next_probe().address for _ in range(3)}
+    assert asked == {"c1", "c2", "c3"}, asked
+    assert context.following.probe_pause < following.Timing().probe / 2
+
+
 @behave.when("an operator drains zone {zone}")
 def when_drained(context, zone):
     context.answer = context.environment.drain(zone)
--- /dev/null
+++ b/features/steps/promotion_steps.py
@@ -0,0 +1,171 @@
+"""Steps about proofs, from a trial environment to production."""
+
+import behave
+import msgspec
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from fakes import environment as environments
+from greengagehaven.state import document
+
+MONTH_S = 30 * 86_400.0
+
+
+def key_pair(number):
+    """Return the PEMs of a private and a public key."""
+    key = ed25519.Ed25519PrivateKey.from_private_bytes(bytes([number]) * 32)
+    private = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    public = key.public_key().public_bytes(
+        serialization.Encoding.PEM, serialization.PublicFormat.SubjectPublicKeyInfo
+    )
+    return private, public
+
+
+def start(context, **settings):
+    environment = environments.Environment(**settings)
+    context.add_cleanup(environment.close)
+    environment.start_controls(1)
+    environment.start_entry("e1", "a")
+    environment.start_entry("e2", "b")
+    environment.wait(1.0)
+    return environment
+
+
+def prove(environment, data):
+    """Put a document in force in a trial environment and prove it."""
+    status, result = environment.apply(data, "tried")
+    assert status == 200, result
+    environment.wait(1.0)
+    status, result = environment.ask("POST", "/v1/proofs", {"change_id": "proved"})
+    assert status == 200, result
+    status, body = environment.ask("GET", f"/v1/proofs/{document.digest_of(data)}")
+    assert status == 200, body
+    return msgspec.json.decode(msgspec.json.encode(body["proof"]), type=bytes)
+
+
+def promote(context, data, proof, change_id="promoted"):
+    body = {
+        "change_id": change_id,
+        "document": data,
+        "expected_revision": None,
+        "proof": proof,
+    }
+    return context.production.ask("POST", "/v1/changes", body)
+
+
+@behave.given("a trial environment whose proofs production trusts")
+def given_trial(context):
+    private, public = key_pair(1)
+    context.trial = start(context, environment="trial", signing_key=private)
+    context.production = start(context, trusted_keys=(public,))
+
+
+@behave.given("a document that was proved in trial")
+def given_proved(context):
+    context.data = environments.document_with(7)
+    context.proof = prove(context.trial, context.data)
+
+
+@behave.when("it is promoted to production with its proof")
+def when_promoted(context):
+    context.answer = promote(context, context.data, context.proof)
+
+
+@behave.when("it is promoted to production with a byte altered")
+def when_altered(context):
+    altered = context.data.replace(b"standing = 7", b"standing = 8")
+    context.answer = promote(context, altered, context.proof)
+
+
+@behave.when("it is promoted to production without its proof")
+def when_unproved(context):
+    context.answer = promote(context, context.data, b"")
+
+
+@behave.when("it is promoted to production with a proof of a foreign environment")
+def when_foreign(context):
+    private, _ = key_pair(2)
+    foreign = start(context, environment="foreign", signing_key=private)
+    context.answer = promote(context, context.data, prove(foreign, context.data))
+
+
+@behave.when("it is promoted to production with an altered statement")
+def when_forged(context):
+    signed = msgspec.json.decode(context.proof)
+    statement = msgspec.convert(signed["statement"], bytes, strict=False)
+    forged = statement.replace(b'"revision":1', b'"revision":9')
+    assert forged != statement
+    signed["statement"] = forged
+    context.answer = promote(context, context.data, msgspec.json.encode(signed))
+
+
+@behave.when("it is promoted to production after trial withdrew it")
+def when_withdrawn(context):
+    digest = document.digest_of(context.data)
+    body = {"change_id": "withdrawn", "digest": digest}
+    status, result = context.trial.ask("POST", "/v1/withdrawals", body)
+    assert status == 200, result
+    status, refused = context.trial.ask("GET", f"/v1/proofs/{digest}")
+    assert (status, refused["code"]) == (403, "proof_refused"), refused
+    status, withdrawal = context.trial.ask("GET", f"/v1/withdrawals/{digest}")
+    assert status == 200, withdrawal
+    carried = {**body, "statement": withdrawal["statement"]}
+    status, result = context.production.ask("POST", "/v1/withdrawals", carried)
+    assert status == 200, result
+    context.answer = promote(context, context.data, context.proof)
+
+
+@behave.when("it is promoted to production a month later")
+def when_late(context):
+    context.production.loop.clock.step_wall(
+        document.datetime.timedelta(seconds=MONTH_S)
+    )
+    context.answer = promote(context, context.data, context.proof)
+
+
+@behave.then("production has the same digest in force as trial")
+def then_same(context):
+    status, result = context.answer
+    assert status == 200, result
+    _, trial = context.trial.ask("GET", "/v1/status")
+    _, production = context.production.ask("GET", "/v1/status")
+    assert trial["digest"] == production["digest"] == result["digest"]
+
+
+@behave.then("going back to it later needs no new proof")
+def then_back(context):
+    other = environments.document_with(8)
+    status, result = promote(context, other, b"", "unproved")
+    assert (status, result["code"]) == (403, "proof_refused"), result
+    status, result = promote(context, context.data, b"", "back")
+    assert status == 200, result
+
+
+@behave.then('production refuses it, says "{reason}", and audits the refusal')
+def then_refused(context, reason):
+    status, problem = context.answer
+    assert (status, problem["code"]) == (403, "proof_refused"), problem
+    assert reason in problem["detail"], problem
+    _, lines = context.production.ask("GET", "/v1/audit")
+    assert lines[0]["code"] == "proof_refused", lines[0]
+    _, found = context.production.ask("GET", "/v1/status")
+    assert found["digest"] == "", found
+
+
+@behave.when("a document is applied that one of its entry hosts cannot get")
+def when_one_cut_off(context):
+    context.trial.network.cut_off("10.0.1.2:1")
+    status, result = context.trial.apply(environments.document_with(9), "tried")
+    assert status == 200, result
+    context.trial.wait(1.0)
+
+
+@behave.then("trial refuses to prove it and names that host")
+def then_names_host(context):
+    status, problem = context.trial.ask("POST", "/v1/proofs", {"change_id": "p"})
+    assert (status, problem["code"]) == (403, "proof_refused"), problem
+    assert "e2" in problem["detail"], problem
--- a/src/greengagehaven/coordination/following.py
+++ b/src/greengagehaven/coordination/following.py
@@ -121,7 +121,7 @@
             self._control_addresses.append(address)
         else:
             address = self._choose(avoid=self._source)
-        if address is None or address == self._source:
+        if address is None:
             return None
         return self._call(address, 0.0)
 
