Prove membership, directory and partitions on a fake wire

Cause: each failure needs a test that turns red without its mechanism. Doing so showed three faults, mended here: a host cut off inside its zone spread deaths and ended leases on its own; its word kept other zones certain of a broken zone; and that word came back to it through them as if it were news.

--- a/features/fakes/wire.py
+++ b/features/fakes/wire.py
@@ -1,12 +1,14 @@
 """A wire between membership cores: cut links, loss, delay, copies."""
 
+import collections
+import datetime
 import heapq
 import itertools
 import random
 
 from greengagehaven import clock
 from greengagehaven.coordination import events
-from greengagehaven.coordination.membership import node, signals
+from greengagehaven.coordination.membership import node, signals, upstreams
 from greengagehaven.protocol import codec, membership, upstream
 from greengagehaven.state import directory
 
@@ -32,7 +34,14 @@
 class Wire:
     """Drives cores on one manual clock; every choice comes from one seed."""
 
-    def __init__(self, *, seed: int = 1, latency_s: float = LATENCY_S) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        latency_s: float = LATENCY_S,
+        retention: upstreams.Retention = node.DEFAULT_RETENTION,
+    ) -> None:
+        self.retention = retention
         self.clock = clock.ManualClock(start=1000.0)
         self.rng = random.Random(seed)
         self.hosts_by_id: dict[str, Host] = {}
@@ -40,8 +49,10 @@
         self.loss = 0.0
         self.copies = 0.0
         self.jitter_s = 0.0
-        self.calls = 0
+        self.calls_by_host: collections.Counter[str] = collections.Counter()
         self.bytes = 0
+        self.upstream_records = 0
+        self._frozen_hosts: list[Host] = []
         self._latency_s = latency_s
         self._queue: list = []
         self._order = itertools.count()
@@ -63,6 +74,7 @@
         )
         served = directory.Directory()
         core = node.Membership(
+            retention=self.retention,
             own=own,
             served=served,
             seeds=seeds,
@@ -77,6 +89,17 @@
     def kill(self, host_id: str) -> None:
         del self.hosts_by_id[host_id]
 
+    def freeze(self, host_id: str) -> Host:
+        """Stop a process without ending it; its calls get no answers."""
+        host = self.hosts_by_id.pop(host_id)
+        self._frozen_hosts.append(host)
+        return host
+
+    def thaw(self, host_id: str, host: Host) -> None:
+        self._frozen_hosts.remove(host)
+        self.hosts_by_id[host_id] = host
+        self._tick(host_id, host)
+
     def cut(self, sources: set[str], targets: set[str]) -> None:
         self.cut_links |= {(s, t) for s in sources for t in targets if s != t}
 
@@ -102,6 +125,9 @@
             action()
         self.clock.advance(max(0.0, end - self.clock.monotonic()))
 
+    def step_wall(self, seconds: float) -> None:
+        self.clock.step_wall(datetime.timedelta(seconds=seconds))
+
     def at(self, delay: float, action) -> None:
         moment = self.clock.monotonic() + delay
         heapq.heappush(self._queue, (moment, next(self._order), action))
@@ -126,12 +152,16 @@
         state = {"is_over": False}
 
         def end(event: signals.Event) -> None:
-            if not state["is_over"] and self.hosts_by_id.get(source) is host:
+            if host in self._frozen_hosts:
+                self.at(TICK_S, lambda: end(event))
+            elif not state["is_over"] and self.hosts_by_id.get(source) is host:
                 state["is_over"] = True
                 self.step(source, event)
 
         body = codec.encode_msgpack(call.message)
-        self.calls += 1
+        self.calls_by_host[source] += 1
+        if isinstance(call.message, membership.Exchange):
+            self.upstream_records += len(call.message.upstreams)
         self.bytes += len(body)
         failed = signals.CallFailed(call_id=call.call_id)
         self.at(call.timeout, lambda: end(failed))
@@ -189,16 +219,16 @@
         upstream_id: str,
         zone: str,
         *,
-        hosts: tuple[str, ...],
+        hosts: tuple[str, ...] = (),
         incarnation: int = 100,
         address: str | None = None,
     ) -> None:
         self.wire = wire
         self.id = upstream_id
         self.zone = zone
-        self.hosts = hosts
+        self.hosts = hosts or tuple(sorted(wire.hosts_by_id))
         self.incarnation = incarnation
-        self.address = address or f"127.0.0.1:{4000 + hash(upstream_id) % 1000}"
+        self.address = address or f"127.0.0.1:{wire.rng.randrange(4000, 5000)}"
         self.sequence = 0
         self.state = upstream.UpstreamState.READY
         self.is_running = True
@@ -223,8 +253,10 @@
 
     def announce(self, host_id: str | None = None) -> None:
         self.sequence += 1
-        host_id = host_id or self.wire.rng.choice(self.hosts)
-        if host_id in self.wire.hosts_by_id:
+        live = [host for host in self.hosts if host in self.wire.hosts_by_id]
+        if host_id is None and live:
+            host_id = self.wire.rng.choice(live)
+        if host_id is not None:
             self.wire.announce(host_id, self.announcement())
 
     def withdraw(self, host_id: str) -> None:
--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,602 @@
+"""Steps about membership, the upstream directory and partitions."""
+
+import datetime
+
+import behave
+
+from fakes import wire
+from greengagehaven import exceptions
+from greengagehaven.coordination.membership import signals, upstreams
+from greengagehaven.protocol import upstream
+
+SAMPLE_S = 0.1
+SEED = 7
+
+
+def hosts_of(context, zone):
+    return {each for each in context.wire.hosts_by_id if each.startswith(zone)}
+
+
+def serving(context, upstream_id):
+    return {
+        host_id
+        for host_id, host in context.wire.hosts_by_id.items()
+        if upstream_id in host.directory.upstreams_by_id
+    }
+
+
+def zones_served(context, host):
+    ids = host.directory.upstreams_by_id
+    return {context.upstreams_by_id[upstream_id].zone for upstream_id in ids}
+
+
+def over(context, seconds, check):
+    """Check all through a span, not only at its end."""
+    for _ in range(round(seconds / SAMPLE_S)):
+        context.wire.run(SAMPLE_S)
+        check()
+
+
+def check_serving_all(context, hosts, upstream_ids):
+    for host_id in hosts:
+        missing = upstream_ids - context.wire.hosts_by_id[host_id].upstream_ids
+        assert not missing, f"{host_id} misses {missing}"
+
+
+def live_upstream_ids(context):
+    return {each.id for each in context.upstreams_by_id.values() if each.is_running}
+
+
+@behave.given('the zones "{zones}" of three membership hosts each, started from seeds')
+def given_zones(context, zones, retention=None):
+    context.wire = wire.Wire(seed=SEED, retention=retention or upstreams.Retention())
+    context.upstreams_by_id = {}
+    context.seeds = tuple(f"{zone}1" for zone in zones.split())
+    for number in (1, 2, 3):
+        for zone in zones.split():
+            context.wire.start_host(f"{zone}{number}", zone, seeds=context.seeds)
+    context.wire.run(3)
+
+
+@behave.given(
+    "tombstones are kept for {kept:d} s and news of silent zones for {stale:d} s"
+)
+def given_retention(context, kept, stale):
+    retention = upstreams.Retention(
+        tombstones=datetime.timedelta(seconds=kept),
+        stale=datetime.timedelta(seconds=stale),
+    )
+    count = len(context.upstreams_by_id) // 3
+    given_zones(context, "a b c", retention)
+    given_upstreams(context, count)
+
+
+@behave.given(
+    "{count:d} directory upstreams in each zone that announce to any host of it"
+)
+def given_upstreams(context, count):
+    for zone in ("a", "b", "c"):
+        hosts = tuple(sorted(hosts_of(context, zone)))
+        for number in range(count):
+            each = wire.Upstream(context.wire, f"u-{zone}{number}", zone, hosts=hosts)
+            context.upstreams_by_id[each.id] = each
+    context.wire.run(5)
+
+
+@behave.when("{seconds:g} s pass for membership")
+def when_time_passes(context, seconds):
+    context.wire.run(seconds)
+
+
+@behave.when('membership host "{host_id}" dies')
+def when_host_dies(context, host_id):
+    context.wire.kill(host_id)
+
+
+@behave.when('membership hosts "{host_ids}" die')
+def when_hosts_die(context, host_ids):
+    for host_id in host_ids.split():
+        context.wire.kill(host_id)
+
+
+@behave.when('membership host "{host_id}" starts again with incarnation {number:d}')
+def when_host_starts(context, host_id, number):
+    context.wire.start_host(
+        host_id, host_id[0], seeds=context.seeds, incarnation=number
+    )
+
+
+@behave.when('membership host "{host_id}" restarts')
+def when_host_restarts(context, host_id):
+    context.wire.kill(host_id)
+    context.wire.run(1)
+    context.wire.start_host(host_id, host_id[0], seeds=context.seeds)
+
+
+@behave.when('membership host "{host_id}" leaves')
+def when_host_leaves(context, host_id):
+    context.wire.step(host_id, signals.LeaveRequested())
+    context.wire.kill(host_id)
+
+
+@behave.when('membership host "{host_id}" stands still for {seconds:d} s')
+def when_host_stalls(context, host_id, seconds):
+    host = context.wire.freeze(host_id)
+    context.wire.run(seconds)
+    context.wire.thaw(host_id, host)
+
+
+@behave.when(
+    'membership host "{host_id}" stands still while "{upstream_id}" withdraws '
+    "and {seconds:d} s pass"
+)
+def when_host_sleeps(context, host_id, upstream_id, seconds):
+    host = context.wire.freeze(host_id)
+    context.upstreams_by_id[upstream_id].withdraw("b2")
+    context.wire.run(seconds)
+    context.wire.thaw(host_id, host)
+
+
+@behave.when('the link between "{one}" and "{other}" is cut both ways')
+def when_link_cut(context, one, other):
+    context.wire.cut({one}, {other})
+    context.wire.cut({other}, {one})
+
+
+@behave.when("one membership message in {loss:d} is lost and one in {copies:d} copied")
+def when_lossy(context, loss, copies):
+    context.wire.loss = 1 / loss
+    context.wire.copies = 1 / copies
+    context.wire.jitter_s = 0.02
+
+
+@behave.when('membership host "{host_id}" posts the notices "{texts}"')
+def when_notices_posted(context, host_id, texts):
+    for text in texts.split():
+        context.wire.step(host_id, signals.NoticePosted(payload=text.encode()))
+
+
+@behave.when('zone "{zone}" is cut off')
+def when_zone_cut(context, zone):
+    inside = hosts_of(context, zone)
+    outside = set(context.wire.hosts_by_id) - inside
+    context.wire.cut(inside, outside)
+    context.wire.cut(outside, inside)
+
+
+@behave.when('messages from zone "{zone}" to the others are lost')
+def when_zone_cut_one_way(context, zone):
+    inside = hosts_of(context, zone)
+    context.wire.cut(inside, set(context.wire.hosts_by_id) - inside)
+
+
+@behave.when('zone "{one}" and zone "{other}" are cut off from each other')
+def when_two_zones_cut(context, one, other):
+    context.wire.cut(hosts_of(context, one), hosts_of(context, other))
+    context.wire.cut(hosts_of(context, other), hosts_of(context, one))
+
+
+@behave.when('host "{host_id}" is cut off from all others')
+def when_host_cut(context, host_id):
+    others = set(context.wire.hosts_by_id) - {host_id}
+    context.wire.cut({host_id}, others)
+    context.wire.cut(others, {host_id})
+    for each in context.upstreams_by_id.values():
+        each.hosts = tuple(host for host in each.hosts if host != host_id)
+
+
+@behave.when('hosts "{host_ids}" are cut off from all others')
+def when_hosts_cut(context, host_ids):
+    inside = set(host_ids.split())
+    outside = set(context.wire.hosts_by_id) - inside
+    context.wire.cut(inside, outside)
+    context.wire.cut(outside, inside)
+
+
+@behave.when("every link between hosts is cut")
+def when_all_cut(context):
+    hosts = set(context.wire.hosts_by_id)
+    context.wire.cut(hosts, hosts)
+
+
+@behave.when('host "{host_id}" loses its links inside the zone')
+def when_links_lost(context, host_id):
+    peers = hosts_of(context, host_id[0]) - {host_id}
+    context.wire.cut({host_id}, peers)
+    context.wire.cut(peers, {host_id})
+
+
+@behave.when(
+    'a new upstream "{upstream_id}" announces itself once, at host "{host_id}"'
+)
+def when_heard_once(context, upstream_id, host_id):
+    each = wire.Upstream(context.wire, upstream_id, host_id[0], hosts=(host_id,))
+    each.stop()
+    home_id = context.wire.hosts_by_id[host_id].core.knowledge.homes.home(upstream_id)
+    assert home_id != host_id, "choose another id: the host itself would be the home"
+
+
+@behave.when("the zones are joined again")
+def when_healed(context):
+    context.wire.heal()
+    context.healed_at = context.wire.clock.monotonic()
+    context.wire.calls_by_host.clear()
+
+
+@behave.when('the directory upstream "{upstream_id}" withdraws at host "{host_id}"')
+def when_withdraws(context, upstream_id, host_id):
+    context.upstreams_by_id[upstream_id].withdraw(host_id)
+
+
+@behave.when('the directory upstream "{upstream_id}" falls silent')
+def when_silent(context, upstream_id):
+    context.upstreams_by_id[upstream_id].stop()
+
+
+@behave.when(
+    'a late copy of the last announcement of "{upstream_id}" reaches host "{host}"'
+)
+def when_late_copy(context, upstream_id, host):
+    announcement = context.upstreams_by_id[upstream_id].announcement()
+    context.wire.announce(host, announcement)
+
+
+@behave.when(
+    'the directory upstream "{upstream_id}" announces that it drains, '
+    'at host "{host_id}"'
+)
+def when_drains(context, upstream_id, host_id):
+    each = context.upstreams_by_id[upstream_id]
+    context.earlier = each.announcement()
+    each.state = upstream.UpstreamState.DRAINING
+    each.announce(host_id)
+
+
+@behave.when(
+    'an announcement of "{upstream_id}" from before that reaches hosts "{hosts}"'
+)
+def when_earlier_arrives(context, upstream_id, hosts):
+    context.wire.announce(hosts.split()[0], context.earlier)
+    context.wire.run(0.5)
+    for host_id in hosts.split()[1:]:
+        context.wire.announce(host_id, context.earlier)
+
+
+@behave.when(
+    'a stray change of "{upstream_id}" arrives after the renewal that undid it'
+)
+def when_stray_change(context, upstream_id):
+    each = context.upstreams_by_id[upstream_id]
+    each.sequence += 1
+    each.state = upstream.UpstreamState.STARTING
+    stray = each.announcement()
+    each.state = upstream.UpstreamState.READY
+    each.announce()
+    context.wire.run(0.5)
+    others = [host for host in each.hosts if host != home_of(context, upstream_id)]
+    # From now on nobody but the home host can know better.
+    each.stop()
+    context.wire.announce(others[0], stray)
+
+
+@behave.when(
+    'the directory upstream "{upstream_id}" restarts with incarnation {number:d}'
+)
+def when_restarts(context, upstream_id, number):
+    known = context.upstreams_by_id[upstream_id]
+    known.stop()
+    context.upstreams_by_id[upstream_id] = wire.Upstream(
+        context.wire,
+        upstream_id,
+        known.zone,
+        hosts=known.hosts,
+        incarnation=number,
+        address=known.address,
+    )
+
+
+@behave.when(
+    'a withdrawal of incarnation {number:d} of "{upstream_id}" reaches host "{host_id}"'
+)
+def when_old_withdrawal(context, number, upstream_id, host_id):
+    event = signals.UpstreamWithdrew(upstream_id=upstream_id, incarnation=number)
+    context.wire.step(host_id, event)
+
+
+@behave.when('the directory upstream "{upstream_id}" moves to zone "{zone}"')
+def when_moves(context, upstream_id, zone):
+    context.upstreams_by_id[upstream_id].stop()
+    context.upstreams_by_id[upstream_id] = wire.Upstream(
+        context.wire,
+        upstream_id,
+        zone,
+        hosts=tuple(sorted(hosts_of(context, zone))),
+        incarnation=200,
+    )
+
+
+@behave.when('another upstream claims "{upstream_id}" from a second address')
+def when_claimed(context, upstream_id):
+    known = context.upstreams_by_id[upstream_id]
+    context.first_address = known.address
+    impostor = wire.Upstream(
+        context.wire, "other", known.zone, hosts=known.hosts, address="127.0.0.1:9"
+    )
+    impostor.stop()
+    impostor.id = upstream_id
+    impostor.sequence = known.sequence + 5
+    context.refusals = []
+    for host_id in known.hosts:
+        try:
+            context.wire.announce(host_id, impostor.announcement())
+        except exceptions.UpstreamConflictError as error:
+            context.refusals.append(error.code)
+
+
+@behave.when('the home host of "{upstream_id}" dies')
+def when_home_dies(context, upstream_id):
+    context.wire.kill(home_of(context, upstream_id))
+
+
+def home_of(context, upstream_id):
+    zone = context.upstreams_by_id[upstream_id].zone
+    host = context.wire.hosts_by_id[min(hosts_of(context, zone))]
+    return host.core.knowledge.homes.home(upstream_id)
+
+
+@behave.when("the wall clock of the hosts jumps by {seconds:d} s")
+def when_clock_jumps(context, seconds):
+    context.wire.step_wall(seconds)
+
+
+@behave.when(
+    'the directory upstreams of zone "{zone}" announce to hosts of "{zones}" only'
+)
+def when_other_hosts(context, zone, zones):
+    hosts = set().union(*(hosts_of(context, each) for each in zones.split()))
+    for each in context.upstreams_by_id.values():
+        if each.zone == zone:
+            each.hosts = tuple(sorted(hosts))
+
+
+@behave.then("after {seconds:g} s every membership host counts {count:d} hosts")
+def then_count_after(context, seconds, count):
+    context.wire.run(seconds)
+    check_count(context, count)
+
+
+@behave.then("every membership host counts {count:d} hosts")
+def check_count(context, count):
+    for host_id, host in context.wire.hosts_by_id.items():
+        assert len(host.counted) == count, f"{host_id} counts {host.counted}"
+
+
+@behave.then('after {seconds:g} s no membership host takes "{host_id}" for live')
+def then_dead(context, seconds, host_id):
+    context.wire.run(seconds)
+    for other_id, host in context.wire.hosts_by_id.items():
+        record = host.core.knowledge.hosts.get(host_id)
+        assert not record.is_live, f"{other_id} holds {record}"
+
+
+@behave.then("every membership host takes all others for live")
+def then_all_live(context):
+    ids = set(context.wire.hosts_by_id)
+    for host_id, host in context.wire.hosts_by_id.items():
+        records = host.core.knowledge.hosts.records_by_id.values()
+        live = {record.id for record in records if record.is_live}
+        assert live == ids, f"{host_id} misses {ids - live}"
+
+
+@behave.then("after {seconds:g} s every membership host takes all others for live")
+def then_all_live_after(context, seconds):
+    context.wire.run(seconds)
+    then_all_live(context)
+
+
+@behave.then("no membership host was ever suspected")
+def then_never_suspected(context):
+    for host_id, host in context.wire.hosts_by_id.items():
+        assert "host_suspected" not in host.log, host_id
+
+
+@behave.then('some host serves "{upstream_id}"')
+def then_some_serve(context, upstream_id):
+    assert serving(context, upstream_id)
+
+
+@behave.then(
+    'after {seconds:g} s only hosts "{host_ids}" may know that "{upstream_id}" left, '
+    "and none serves it"
+)
+def then_none_serves(context, seconds, host_ids, upstream_id):
+    context.wire.run(seconds)
+    knowing = {
+        host_id
+        for host_id, host in context.wire.hosts_by_id.items()
+        if host.core.knowledge.upstreams.get(upstream_id).is_gone
+    }
+    assert knowing <= set(host_ids.split()), knowing
+    assert not serving(context, upstream_id), serving(context, upstream_id)
+
+
+@behave.then('membership host "{host_id}" never declared anybody dead')
+def then_never_declared(context, host_id):
+    assert "host_dead" not in context.wire.hosts_by_id[host_id].log
+
+
+@behave.then('every other membership host got the notices "{texts}" once')
+def then_notices(context, texts):
+    expected = sorted(text.encode() for text in texts.split())
+    for host_id, host in context.wire.hosts_by_id.items():
+        got = sorted(payload for _, payload in host.notices)
+        assert host_id == "c3" or got == expected, f"{host_id} got {got}"
+
+
+@behave.then("over {seconds:d} s no upstream record travels between hosts")
+def then_no_record_travels(context, seconds):
+    before = context.wire.upstream_records
+    context.wire.run(seconds)
+    travelled = context.wire.upstream_records - before
+    assert travelled == 0, travelled
+
+
+@behave.then('after {seconds:g} s no host serves "{upstream_id}"')
+def then_not_served(context, seconds, upstream_id):
+    context.wire.run(seconds)
+    assert not serving(context, upstream_id), serving(context, upstream_id)
+
+
+@behave.then('over {seconds:d} s no host ever serves "{upstream_id}"')
+def then_never_served(context, seconds, upstream_id):
+    def check():
+        assert not serving(context, upstream_id), serving(context, upstream_id)
+
+    over(context, seconds, check)
+
+
+@behave.then(
+    'over {seconds:d} s every host that serves "{upstream_id}" knows that it drains'
+)
+def then_drains(context, seconds, upstream_id):
+    context.wire.run(0.3)
+
+    def check():
+        for host in context.wire.hosts_by_id.values():
+            known = host.directory.upstreams_by_id[upstream_id]
+            assert known.state is upstream.UpstreamState.DRAINING, known
+
+    over(context, seconds, check)
+
+
+@behave.then('after {seconds:g} s every host knows "{upstream_id}" as it is')
+def then_known(context, seconds, upstream_id):
+    context.wire.run(seconds)
+    for host_id, host in context.wire.hosts_by_id.items():
+        known = host.directory.upstreams_by_id[upstream_id]
+        expected = context.upstreams_by_id[upstream_id].state
+        assert known.state is expected, f"{host_id} holds {known}"
+
+
+@behave.then(
+    'after {seconds:g} s every host serves incarnation {number:d} of "{upstream_id}"'
+)
+def then_incarnation(context, seconds, number, upstream_id):
+    context.wire.run(seconds)
+    for host_id, host in context.wire.hosts_by_id.items():
+        known = host.directory.upstreams_by_id[upstream_id]
+        assert known.incarnation == number, f"{host_id} holds {known}"
+
+
+@behave.then('after {seconds:g} s every host serves "{upstream_id}" in zone "{zone}"')
+def then_in_zone(context, seconds, upstream_id, zone):
+    context.wire.run(seconds)
+    for host_id, host in context.wire.hosts_by_id.items():
+        known = host.directory.upstreams_by_id[upstream_id]
+        assert known.availability_zone == zone, f"{host_id} holds {known}"
+
+
+@behave.then('after {seconds:g} s every host serves "{upstream_id}"')
+def then_served(context, seconds, upstream_id):
+    context.wire.run(seconds)
+    missing = set(context.wire.hosts_by_id) - serving(context, upstream_id)
+    assert not missing, missing
+
+
+@behave.then('the claim is refused with "{code}"')
+def then_refused(context, code):
+    assert context.refusals == [code] * 3, context.refusals
+
+
+@behave.then(
+    'over {seconds:d} s every host serves "{upstream_id}" at its first address'
+)
+def then_first_address(context, seconds, upstream_id):
+    def check():
+        for host in context.wire.hosts_by_id.values():
+            known = host.directory.upstreams_by_id[upstream_id]
+            assert known.address == context.first_address, known
+
+    over(context, seconds, check)
+
+
+@behave.then("over {seconds:d} s every host serves all directory upstreams")
+def then_all_served(context, seconds):
+    over(
+        context,
+        seconds,
+        lambda: check_serving_all(
+            context, context.wire.hosts_by_id, set(context.upstreams_by_id)
+        ),
+    )
+
+
+@behave.then("after {seconds:g} s every host serves all directory upstreams")
+def then_all_served_after(context, seconds):
+    context.wire.run(seconds)
+    ids = set(context.upstreams_by_id)
+    check_serving_all(context, context.wire.hosts_by_id, ids)
+
+
+@behave.then(
+    'over {seconds:d} s every host but "{host_id}" serves all live directory upstreams'
+)
+def then_others_serve(context, seconds, host_id):
+    hosts = set(context.wire.hosts_by_id) - {host_id}
+    ids = live_upstream_ids(context)
+    over(context, seconds, lambda: check_serving_all(context, hosts, ids))
+
+
+@behave.then("over {seconds:d} s every host serves the upstreams of its own zone")
+def then_own_zone_served(context, seconds):
+    def check():
+        for host_id in context.wire.hosts_by_id:
+            own = {
+                each.id
+                for each in context.upstreams_by_id.values()
+                if each.zone == host_id[0] and each.is_running
+            }
+            check_serving_all(context, {host_id}, own)
+
+    over(context, seconds, check)
+
+
+@behave.then('hosts of zone "{zone}" serve only upstreams of "{zones}"')
+def then_zones_served(context, zone, zones):
+    for host_id in hosts_of(context, zone):
+        served = zones_served(context, context.wire.hosts_by_id[host_id])
+        assert served == set(zones.split()), f"{host_id} serves {served}"
+
+
+@behave.then(
+    'after {seconds:g} s hosts of zone "{zone}" serve only upstreams of "{zones}"'
+)
+def then_zones_served_after(context, seconds, zone, zones):
+    context.wire.run(seconds)
+    then_zones_served(context, zone, zones)
+
+
+@behave.then("every host knows the same")
+def then_one_view(context):
+    views = {
+        host_id: tuple(
+            host.core.knowledge.digests.of_zone(zone) for zone in ("a", "b", "c")
+        )
+        for host_id, host in context.wire.hosts_by_id.items()
+    }
+    assert len(set(views.values())) == 1, views
+
+
+@behave.then("after {seconds:g} s every host knows the same")
+def then_one_view_after(context, seconds):
+    context.wire.run(seconds)
+    then_one_view(context)
+
+
+@behave.then(
+    "after the healing no host made more than {limit:d} membership calls a second"
+)
+def then_no_storm(context, limit):
+    elapsed = context.wire.clock.monotonic() - context.healed_at
+    for host_id, count in context.wire.calls_by_host.items():
+        assert count / elapsed <= limit, f"{host_id} made {count} in {elapsed} s"
--- a/src/greengagehaven/coordination/membership/detector.py
+++ b/src/greengagehaven/coordination/membership/detector.py
@@ -21,9 +21,6 @@
 _DIRECT_SHARE = 0.5
 _RELAYED_SHARE = 0.9
 _MAX_HEALTH_SCORE = 4
-# A gap this long between two ticks means that this host itself stood still;
-# then silence is no evidence against others.
-STALL_S = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -87,17 +84,18 @@
             self._probes_by_target[target.id] = _Probe(target=target)
         return target
 
+    def is_waiting_for(self, target_id: str) -> bool:
+        """Tell whether a probe is still unanswered."""
+        return target_id in self._probes_by_target
+
     def relays_for(self, target_id: str) -> list[membership.HostRecord]:
         """Return who should pass on the probe that went unanswered."""
-        probe = self._probes_by_target.get(target_id)
-        if probe is None:
-            return []
         relays = self._choose_relays(target_id)
-        probe.relays_left = len(relays)
+        self._probes_by_target[target_id].relays_left = len(relays)
         return relays
 
     def note_answer(self, host_id: str) -> None:
-        """Take in that a probe was answered, directly or through a relay."""
+        """Take in a sign of life: an answer, or a message of the host's own."""
         if self._probes_by_target.pop(host_id, None) is not None:
             self._health_score = max(0, self._health_score - 1)
 
@@ -132,6 +130,15 @@
         else:
             self._suspected_at_by_id.pop(record.id, None)
 
+    def postpone(self, now: float) -> None:
+        """Start the terms of all suspicions anew, as this host hears nobody.
+
+        It would else declare its whole zone dead, and each of them would have
+        to refute that when it comes back.
+        """
+        for host_id in self._suspected_at_by_id:
+            self._suspected_at_by_id[host_id] = now
+
     def expired(self, now: float) -> list[membership.HostRecord]:
         """Return the deaths of hosts that did not refute in time."""
         deaths = []
@@ -144,12 +151,6 @@
                 deaths.append(record.with_status(membership.HostStatus.DEAD))
         return deaths
 
-    def pardon(self, seconds: float) -> None:
-        """Disregard a time in which this host itself stood still."""
-        self._probes_by_target.clear()
-        for host_id in self._suspected_at_by_id:
-            self._suspected_at_by_id[host_id] += seconds
-
     def _pop_target(self) -> membership.HostRecord | None:
         live = self._table.live_ids(self._zone)
         while self._queue:
--- a/src/greengagehaven/coordination/membership/freshness.py
+++ b/src/greengagehaven/coordination/membership/freshness.py
@@ -10,6 +10,9 @@
 import math
 
 ZONE_LEASE_S = 3.0
+# For this long after it last agreed with a peer of its zone, a host takes its
+# own word for the zone's.
+OWN_WORD_S = 1.0
 MAX_AGE_S = 86_400.0
 # A word takes about log2(hosts) probes to spread through a zone.
 _SPREAD_S = 0.5
@@ -49,7 +52,7 @@
         the rest of the zone and may have missed something.
         """
         age = self.age(zone, now, hosts=hosts)
-        if zone == self._own_zone and age <= lease(hosts):
+        if zone == self._own_zone and age <= OWN_WORD_S:
             return 0
         return int(min(age, MAX_AGE_S) * 1000)
 
--- a/src/greengagehaven/coordination/membership/hosts.py
+++ b/src/greengagehaven/coordination/membership/hosts.py
@@ -11,7 +11,7 @@
 SILENT_COUNTS_S = 60.0
 # A record of a host that is gone has to outlive every copy of the older news
 # that it was alive.
-GONE_KEPT_S = 3600.0
+GONE_KEPT_S = 7200.0
 
 
 class HostTable:
@@ -101,14 +101,6 @@
             if record.status is membership.HostStatus.DEAD
         ]
 
-    def has_majority(self, zone: str, now: float) -> bool:
-        """Tell whether more than half of a zone's counted hosts are live."""
-        live = len(self.live_ids(zone))
-        counted = sum(
-            1 for host_zone in self.counted(now).values() if host_zone == zone
-        )
-        return 2 * live > counted
-
     def forget_gone(self, now: float) -> None:
         """Drop records of hosts that have been gone for long."""
         for host_id, record in list(self._records_by_id.items()):
--- a/src/greengagehaven/coordination/membership/intake.py
+++ b/src/greengagehaven/coordination/membership/intake.py
@@ -47,6 +47,8 @@
 
         :param push: whether news is passed on at once.
         """
+        self._known.note_contact(exchange.sender, self._outbox.now)
+        self._detector.note_answer(exchange.sender.id)
         self.take_host(exchange.sender, push=True)
         for host in exchange.hosts:
             self.take_host(host, push=push)
--- a/src/greengagehaven/coordination/membership/knowledge.py
+++ b/src/greengagehaven/coordination/membership/knowledge.py
@@ -1,6 +1,7 @@
 """Hosts, upstreams, their digests and ages, kept in step with one another."""
 
 import dataclasses
+import math
 
 from greengagehaven.coordination.membership import (
     digests,
@@ -12,6 +13,10 @@
 from greengagehaven.protocol import membership
 from greengagehaven.state import directory
 
+# Shorter than a lease, so that a host that is cut off doubts itself before
+# leases that it cannot hear of run out.
+IN_TOUCH_S = 1.5
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Heard:
@@ -39,6 +44,7 @@
     :param own: the first record of this host.
     :param served: the directory that the query path reads.
     :param lease: seconds that an upstream's announcement holds.
+    :param retention: how long news that is no longer used is kept.
     """
 
     def __init__(
@@ -47,11 +53,12 @@
         own: membership.HostRecord,
         served: directory.Directory,
         lease: float,
+        retention: upstreams.Retention,
     ) -> None:
         self.digests = digests.ZoneDigests()
         self.hosts = hosts.HostTable(own=own, zone_digests=self.digests)
         self.upstreams = upstreams.UpstreamTable(
-            served=served, zone_digests=self.digests
+            served=served, zone_digests=self.digests, retention=retention
         )
         self.ages = freshness.ZoneAges(own_zone=own.zone)
         self.homes = homes.HomeIndex()
@@ -60,13 +67,35 @@
         self.lapsed_ids: set[str] = set()
         self._own_zone = own.zone
         self._lease = lease
+        self._stale_kept_s = retention.stale.total_seconds()
         self._fresh_by_zone: dict[str, bool] = {}
+        self._near_at = -math.inf
+        self._any_at = -math.inf
 
     @property
     def own_zone(self) -> str:
         """Return this host's availability zone."""
         return self._own_zone
 
+    def note_contact(self, sender: membership.HostRecord, now: float) -> None:
+        """Take in that a message of another host arrived."""
+        self._any_at = now
+        if sender.zone == self._own_zone:
+            self._near_at = now
+
+    def is_in_touch(self, now: float) -> bool:
+        """Tell whether some other host was heard lately.
+
+        A host that hears nobody is more likely cut off than alone alive.
+        """
+        return now - self._any_at <= IN_TOUCH_S
+
+    def is_in_touch_with_zone(self, now: float) -> bool:
+        """Tell whether this host hears its zone, or is the only one in it."""
+        if len(self.hosts.live_ids(self._own_zone)) <= 1:
+            return True
+        return now - self._near_at <= IN_TOUCH_S
+
     def put_host(self, record: membership.HostRecord, now: float) -> None:
         """Take in the record of a host, which has to be news."""
         known = self.hosts.get(record.id)
@@ -131,7 +160,7 @@
         """
         for zone in self.digests.zones:
             count = len(self.hosts.live_ids(zone))
-            if self.ages.age(zone, now, hosts=count) <= upstreams.STALE_KEPT_S:
+            if self.ages.age(zone, now, hosts=count) <= self._stale_kept_s:
                 continue
             for upstream_id in list(self.upstreams.live_ids(zone)):
                 if not self._is_heard(upstream_id, now):
@@ -159,11 +188,14 @@
     ) -> None:
         """Take in that a peer knows the same about a zone as is known here.
 
-        A host of this host's own zone vouches for it whatever age it says:
-        hosts that all lost sight of one another would else wait for ever for
-        the first one to be certain.
+        For this host's own zone only its other hosts can vouch, whatever age
+        they say: the word of another zone may be this host's own, come back to
+        it, and hosts that all lost sight of one another would else wait for
+        ever for the first one to be certain.
         """
-        if sender.zone == zone == self._own_zone:
+        if zone == self._own_zone:
+            if sender.zone != zone:
+                return
             age_ms = 0
         self.ages.vouch(zone, now - age_ms / 1000)
 
--- a/src/greengagehaven/coordination/membership/leases.py
+++ b/src/greengagehaven/coordination/membership/leases.py
@@ -152,11 +152,11 @@
         return tombstones
 
     def retry_lapsed(self, now: float) -> None:
-        """Give lapsed upstreams a new term once this host has company again.
+        """Give lapsed upstreams a new term once this host hears its zone again.
 
-        While it was alone it could not know whether others heard them.
+        While it was cut off it could not know whether others heard them.
         """
-        if not self._knowledge.lapsed_ids or not self._has_majority(now):
+        if not self._knowledge.is_in_touch_with_zone(now):
             return
         lapsed = list(self._knowledge.lapsed_ids)
         self._knowledge.lapsed_ids.clear()
@@ -182,11 +182,6 @@
             return None
         return msgspec.structs.replace(known, sequence=heard.sequence)
 
-    def pardon(self, seconds: float) -> None:
-        """Extend every lease by a time in which this host itself stood still."""
-        for heard in self._knowledge.heard_by_id.values():
-            heard.at += seconds
-
     def withdraw(
         self, upstream_id: str, announced_incarnation: int
     ) -> membership.UpstreamRecord | None:
@@ -216,7 +211,7 @@
         record = self._knowledge.upstreams.get(upstream_id)
         if record is None or self._knowledge.homes.home(upstream_id) != own_id:
             return None
-        if not self._has_majority(now):
+        if not self._knowledge.is_in_touch_with_zone(now):
             self._knowledge.lapsed_ids.add(upstream_id)
             return None
         return membership.UpstreamRecord(
@@ -228,9 +223,6 @@
             is_gone=True,
         )
 
-    def _has_majority(self, now: float) -> bool:
-        return self._knowledge.hosts.has_majority(self._knowledge.own_zone, now)
-
     def _choose_zone(
         self,
         announcement: upstream.Announcement,
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -19,6 +19,7 @@
     signals,
     syncing,
     telling,
+    upstreams,
 )
 from greengagehaven.protocol import membership
 from greengagehaven.state import directory
@@ -30,6 +31,8 @@
 # A host that finds no peer for this long serves by itself.
 JOIN_PATIENCE_S = 3.0
 SLOW_CHECK_S = 1.0
+STALL_S = 1.0
+DEFAULT_RETENTION = upstreams.Retention()
 
 
 class Membership:
@@ -45,6 +48,7 @@
     :param clock: source of time.
     :param rng: source of choices.
     :param lease: seconds that an upstream's announcement holds.
+    :param retention: how long news that is no longer used is kept.
     """
 
     def __init__(
@@ -56,11 +60,14 @@
         clock: clocks.Clock,
         rng: rngs.Rng,
         lease: float = leases.LEASE_S,
+        retention: upstreams.Retention = DEFAULT_RETENTION,
     ) -> None:
         self._clock = clock
         self._rng = rng
         seeds = [seed for seed in seeds if seed != own.address]
-        known = knowledge.Knowledge(own=own, served=served, lease=lease)
+        known = knowledge.Knowledge(
+            own=own, served=served, lease=lease, retention=retention
+        )
         self._known = known
         self._rumors = rumors.Rumors()
         self._leases = leases.Leases(knowledge=known, lease=lease)
@@ -137,6 +144,11 @@
         """Tell whether this host has said that it leaves."""
         return self._known.hosts.own.status is membership.HostStatus.LEFT
 
+    def knows_address(self, address: str) -> bool:
+        """Tell whether a live host has this address."""
+        records = self._known.hosts.records_by_id.values()
+        return any(each.address == address and each.is_live for each in records)
+
     def step(self, event: signals.Event) -> list[signals.Action]:
         """Take one event and return what is to be done, in order.
 
@@ -247,11 +259,9 @@
         now = self._outbox.now
         gap = now - self._stepped_at
         self._stepped_at = now
-        if gap > detector.STALL_S:
-            # The process stood still: renewals and answers wait unread, so
-            # silence proves nothing, while what is known of zones has aged.
-            self._detector.pardon(gap)
-            self._leases.pardon(gap)
+        if gap > STALL_S:
+            # The process stood still. What it knows may have outlived the
+            # tombstones of what left meanwhile, and must not be spread.
             self._known.drop_stale(now)
             self._outbox.note("stalled", seconds=round(gap, 3))
         self._refresh_zones()
--- a/src/greengagehaven/coordination/membership/probing.py
+++ b/src/greengagehaven/coordination/membership/probing.py
@@ -42,6 +42,8 @@
     def tick(self) -> None:
         """Make the calls that are due."""
         now = self._outbox.now
+        if not self._known.is_in_touch(now):
+            self._detector.postpone(now)
         for death in self._detector.expired(now):
             self._intake.take_host(death, push=True, is_own=True)
         target = self._detector.next_target(now)
@@ -67,6 +69,8 @@
 
     def on_probe_failed(self, purpose: calls.Probe) -> None:
         """Have other hosts pass on a probe that went unanswered."""
+        if not self._detector.is_waiting_for(purpose.target_id):
+            return
         target = self._known.hosts.get(purpose.target_id)
         relays = self._detector.relays_for(purpose.target_id)
         if target is None or not relays:
--- a/src/greengagehaven/coordination/membership/upstreams.py
+++ b/src/greengagehaven/coordination/membership/upstreams.py
@@ -1,18 +1,31 @@
 """What this host knows of all upstreams, and which of them it may use."""
 
+import dataclasses
+import datetime
 from collections import abc
 
 from greengagehaven.coordination.membership import digests
 from greengagehaven.protocol import membership
 from greengagehaven.state import directory
 
-# A tombstone has to outlive every live copy of the same news. Copies in a
-# zone that is cut off are dropped after ``STALE_KEPT_S``, well before that.
-TOMBSTONE_KEPT_S = 7200.0
-STALE_KEPT_S = 4500.0
 MAX_TOMBSTONES = 20_000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Retention:
+    """How long news that is no longer good for use is kept.
+
+    A tombstone has to outlive every live copy of older news, so ``stale`` is
+    shorter than ``tombstones`` by far more than a message can be under way.
+
+    :param tombstones: for upstreams that are gone.
+    :param stale: for upstreams of a zone that does not vouch for them.
+    """
+
+    tombstones: datetime.timedelta = datetime.timedelta(hours=2)
+    stale: datetime.timedelta = datetime.timedelta(minutes=75)
+
+
 class UpstreamTable:
     """Records of upstreams by id, tombstones included.
 
@@ -21,11 +34,17 @@
 
     :param served: the directory that the query path reads.
     :param zone_digests: digests to keep in step with the records.
+    :param retention: how long tombstones are kept.
     """
 
     def __init__(
-        self, *, served: directory.Directory, zone_digests: digests.ZoneDigests
+        self,
+        *,
+        served: directory.Directory,
+        zone_digests: digests.ZoneDigests,
+        retention: Retention,
     ) -> None:
+        self._kept_s = retention.tombstones.total_seconds()
         self._served = served
         self._digests = zone_digests
         self._records_by_id: dict[str, membership.UpstreamRecord] = {}
@@ -119,7 +138,7 @@
     def forget_gone(self, now: float) -> None:
         """Drop tombstones that no late news can outlive."""
         for upstream_id, gone_at in list(self._gone_at_by_id.items()):
-            if now - gone_at <= TOMBSTONE_KEPT_S:
+            if now - gone_at <= self._kept_s:
                 break
             self.drop(upstream_id)
 
