--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -30,9 +30,6 @@
             raise exceptions.StorageError("no space", path=name)
         self.files_by_name[name] += data
 
-    def truncate(self, name, size):
-        self.files_by_name[name] = self.files_by_name[name][:size]
-
     def replace(self, name, data):
         self.files_by_name[name] = data
 
--- a/src/greengagehaven/state/claim_journal.py
+++ b/src/greengagehaven/state/claim_journal.py
@@ -1,8 +1,9 @@
 """Journal of a recorder of idempotency keys: synced before a key is granted.
 
 A record is a head (length and CRC of the payload) and opaque bytes. A torn last
-record was never acknowledged and is cut off; a damaged one in the middle was,
-so the start stops there.
+record was never acknowledged and is left out; a damaged one in the middle was,
+so the start stops there. Whoever loads a journal rewrites it before it appends:
+behind a torn record nothing could be read again.
 """
 
 import struct
@@ -29,9 +30,6 @@
     def append(self, name: str, data: bytes) -> None:
         """Write bytes at the end of a file and sync it."""
 
-    def truncate(self, name: str, size: int) -> None:
-        """Cut a file to ``size`` bytes and sync it."""
-
     def replace(self, name: str, data: bytes) -> None:
         """Put a file in place whole, synced."""
 
@@ -60,8 +58,6 @@
         while (payload := self._read(data, offset)) is not None:
             payloads.append(payload)
             offset += _HEAD.size + len(payload)
-        if offset < len(data):
-            self._folder.truncate(FILE_NAME, offset)
         return payloads
 
     def append(self, payloads: abc.Iterable[bytes]) -> None:
