--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -66,10 +66,10 @@
 
     async def claim(self, recorder_id, token, key="k"):
         record = claims.Record(record_id=key, fingerprint="f", token=token, run_ms=1000)
-        body = codec.encode_msgpack(claims.Claim(recorders=SET, record=record))
+        body = codec.encode_msgpack((claims.Claim(recorders=SET, record=record),))
         address = ADDRESSES_BY_ID[recorder_id]
         data = await self.call(address, recorder_host.METHOD, body, timeout=1.0)
-        return codec.decode_msgpack(data, claims.RecorderReply)
+        return codec.decode_msgpack(data, tuple[claims.RecorderReply])[0]
 
 
 @behave.given("three recorder hosts that have granted a key to t-1")
--- a/src/greengagehaven/coordination/idempotency/recorder.py
+++ b/src/greengagehaven/coordination/idempotency/recorder.py
@@ -23,7 +23,7 @@
 from greengagehaven.protocol import claims
 
 DEFAULT_RETENTION_S = 3600.0
-MAX_RECORDS = 100_000
+MAX_RECORDS = 50_000
 MAX_ANSWER_BYTES = 64 * 1024
 MAX_ANSWERS_BYTES = 16 * 1024 * 1024
 COPY_PAGE = 200
--- a/src/greengagehaven/daemons/claim_calls.py
+++ b/src/greengagehaven/daemons/claim_calls.py
@@ -1,6 +1,7 @@
 """Calls of an entry host to the recorders of idempotency keys."""
 
 import asyncio
+import collections
 import typing
 from collections import abc
 
@@ -11,11 +12,18 @@
 from greengagehaven.protocol import claims, codec, search
 
 CALL_TIMEOUT_S = 0.8
+MAX_CALLS = 4
+MAX_BATCH = 256
+
+_OnReply = typing.Callable[[claims.RecorderReply | None], None]
 
 
 class ClaimCalls:
     """Carries the core's questions to the recorders and their replies back.
 
+    Questions to one recorder that come while it has ``MAX_CALLS`` calls to
+    answer travel together, so that a burst costs it few calls and few syncs.
+
     :param channel: calls to other hosts.
     :param addresses_by_id: peer address of each recorder of the fixed set.
     :param submit: hands an event to the core.
@@ -28,16 +36,27 @@
         addresses_by_id: abc.Mapping[str, str],
         submit: typing.Callable[[events.Event], None],
     ) -> None:
-        self._channel = channel
-        self._addresses_by_id = addresses_by_id
+        self._lines_by_id = {
+            recorder_id: _Line(channel=channel, address=address)
+            for recorder_id, address in addresses_by_id.items()
+        }
         self._submit = submit
-        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def recorder_ids(self) -> frozenset[str]:
+        """Return the fixed set of recorders."""
+        return frozenset(self._lines_by_id)
 
     def ask(self, action: events.AskRecorder) -> None:
         """Carry out an action of the core; the reply comes as an event."""
-        task = asyncio.get_running_loop().create_task(self._carry(action))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+
+        def take(reply: claims.RecorderReply | None) -> None:
+            event = events.RecorderReplied(
+                recorder_id=action.recorder_id, request=action.request, reply=reply
+            )
+            self._submit(event)
+
+        self._lines_by_id[action.recorder_id].ask(action.request, take)
 
     async def status_of(self, subscriber_id: str, key: str) -> search.RequestStatus:
         """Return what became of a subscriber's idempotency key.
@@ -45,39 +64,77 @@
         :raises NotFoundError: no request with this key is known.
         """
         request = claims.Lookup(
-            recorders=recorder.recorder_set(frozenset(self._addresses_by_id)),
+            recorders=recorder.recorder_set(self.recorder_ids),
             record_id=claimant.record_id(subscriber_id, key),
         )
-        replies = await asyncio.gather(
-            *(self._call(each, request) for each in self._addresses_by_id)
-        )
-        answered = [reply for reply in replies if reply is not None]
-        return status.describe(key, answered, recorder_count=len(self._addresses_by_id))
+        loop = asyncio.get_running_loop()
+        futures = []
+        for line in self._lines_by_id.values():
+            future = loop.create_future()
+            line.ask(request, _settle(future))
+            futures.append(future)
+        replies = [reply for reply in await asyncio.gather(*futures) if reply]
+        return status.describe(key, replies, recorder_count=len(futures))
 
     async def close(self) -> None:
         """Give up on calls under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for line in self._lines_by_id.values():
+            await line.close()
 
-    async def _carry(self, action: events.AskRecorder) -> None:
-        reply = await self._call(action.recorder_id, action.request)
-        self._submit(
-            events.RecorderReplied(
-                recorder_id=action.recorder_id, request=action.request, reply=reply
-            )
+
+class _Line:
+    """Questions to one recorder: some under way, the rest in order."""
+
+    def __init__(self, *, channel: peers.PeerChannel, address: str) -> None:
+        self._channel = channel
+        self._address = address
+        self._waiting: collections.deque[tuple[claims.RecorderRequest, _OnReply]] = (
+            collections.deque()
         )
+        self._calls: set[asyncio.Task[None]] = set()
+
+    def ask(self, request: claims.RecorderRequest, on_reply: _OnReply) -> None:
+        """Send a request; ``on_reply`` is called once, with ``None`` on failure."""
+        self._waiting.append((request, on_reply))
+        if len(self._calls) < MAX_CALLS:
+            task = asyncio.get_running_loop().create_task(self._call_while_any_wait())
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+
+    async def close(self) -> None:
+        """Cancel the calls under way; nobody hears of them."""
+        calls = list(self._calls)
+        for task in calls:
+            task.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _call_while_any_wait(self) -> None:
+        while self._waiting:
+            count = min(MAX_BATCH, len(self._waiting))
+            batch = [self._waiting.popleft() for _ in range(count)]
+            replies = await self._call([request for request, _ in batch])
+            for (_, on_reply), reply in zip(batch, replies, strict=True):
+                on_reply(reply)
 
     async def _call(
-        self, recorder_id: str, request: claims.RecorderRequest
-    ) -> claims.RecorderReply | None:
-        address = self._addresses_by_id[recorder_id]
-        body = codec.encode_msgpack(request)
+        self, requests: list[claims.RecorderRequest]
+    ) -> abc.Sequence[claims.RecorderReply | None]:
+        failed = [None] * len(requests)
+        body = codec.encode_msgpack(requests)
         try:
             data = await self._channel.call(
-                address, recorder_host.METHOD, body, timeout=CALL_TIMEOUT_S
+                self._address, recorder_host.METHOD, body, timeout=CALL_TIMEOUT_S
             )
-            return codec.decode_msgpack(data, claims.RecorderReply)
+            replies = codec.decode_msgpack(data, list[claims.RecorderReply])
         except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
-            log.debug("recorder_unreachable", recorder=recorder_id, detail=str(error))
-            return None
+            log.debug("recorder_unreachable", address=self._address, detail=str(error))
+            return failed
+        return replies if len(replies) == len(requests) else failed
+
+
+def _settle(future: asyncio.Future) -> _OnReply:
+    def take(reply: claims.RecorderReply | None) -> None:
+        if not future.done():
+            future.set_result(reply)
+
+    return take
--- a/src/greengagehaven/daemons/recorder_host.py
+++ b/src/greengagehaven/daemons/recorder_host.py
@@ -129,14 +129,17 @@
                     await task
 
     async def _handle(self, body: bytes) -> bytes:
-        request = codec.decode_msgpack(body, claims.RecorderRequest)
+        requests = codec.decode_msgpack(body, tuple[claims.RecorderRequest, ...])
         if self._recorder is None:
-            raise exceptions.PeerError("the recorder has not started")
-        reply, change = self._recorder.handle(request)
-        if change is not None:
-            self._unsynced.append(change)
+            raise exceptions.PeerError("the recorder has not started or has failed")
+        replies = []
+        for request in requests:
+            reply, change = self._recorder.handle(request)
+            replies.append(reply)
+            if change is not None:
+                self._unsynced.append(change)
         await self._synced()
-        return codec.encode_msgpack(reply)
+        return codec.encode_msgpack(replies)
 
     async def _synced(self) -> None:
         """Wait until all that was decided so far is on the disk.
@@ -198,7 +201,7 @@
     async def _copy(self, empty: recorder.Recorder, address: str) -> None:
         after = ""
         while True:
-            body = codec.encode_msgpack(empty.copy_request(after))
+            body = codec.encode_msgpack((empty.copy_request(after),))
             try:
                 data = await self._channel.call(
                     address, METHOD, body, timeout=CALL_TIMEOUT_S
@@ -206,7 +209,7 @@
             except exceptions.PeerError as error:
                 log.debug("recorder_copy_failed", address=address, detail=error.detail)
                 return
-            reply = codec.decode_msgpack(data, claims.RecorderReply)
+            (reply,) = codec.decode_msgpack(data, tuple[claims.RecorderReply])
             empty.take_copy(reply)
             if reply.is_last or not reply.records:
                 return
--- a/src/greengagehaven/protocol/notices.py
+++ b/src/greengagehaven/protocol/notices.py
@@ -35,23 +35,34 @@
     group: str
 
 
+class InFlightReport(msgspec.Struct, frozen=True, kw_only=True, tag="in_flight"):
+    """A suspected request is in flight from this host: wait for how it ends."""
+
+    fingerprint: str
+
+
 class LossCleared(msgspec.Struct, frozen=True, kw_only=True, tag="cleared"):
-    """A suspected request was answered where it had been lost before."""
+    """A suspected request was answered where it had been lost before.
+
+    :param bans: how often it had been quarantined; hosts on which its last ban
+        has not ended yet lift it.
+    """
 
     fingerprint: str
     service: str
     shard: int
+    bans: int = 0
 
 
 class QuarantineReport(msgspec.Struct, frozen=True, kw_only=True, tag="quarantine"):
     """A request is refused from now on.
 
-    :param seconds: how long.
+    :param bans: how often it has been quarantined, this time included.
     """
 
     fingerprint: str
-    seconds: float
+    bans: int
     upstream_ids: tuple[str, ...]
 
 
-Notice = UsageReport | LossReport | LossCleared | QuarantineReport
+Notice = UsageReport | LossReport | InFlightReport | LossCleared | QuarantineReport
