--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -50,7 +50,7 @@
             channel=self,
             clock=self.clock,
             folder=self.folders_by_id[recorder_id],
-            is_new_set=self.is_new,
+            may_be_new=self.is_new,
         )
         host.start()
         self.hosts_by_id[recorder_id] = host
@@ -77,12 +77,14 @@
     async def grant():
         for recorder_id in ADDRESSES_BY_ID:
             context.site.start(recorder_id)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        for recorder_id in ADDRESSES_BY_ID:
             reply = await context.site.claim(recorder_id, "t-1")
             assert reply.verdict is claims.Verdict.GRANTED, reply
 
     context.site = Site()
     asyncio.run(grant())
-    context.site.is_new = False
 
 
 @behave.when("all three are started again from their disks")
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -48,6 +48,14 @@
     help="Begin a new log where every other control host answers that it has "
     "none; may stay set.",
 )
+@click.option(
+    "--recorder",
+    "recorders",
+    multiple=True,
+    metavar="HOST-ID=IP:PORT",
+    help="A control host that remembers idempotency keys, with its peer address; "
+    "give the same set to all control and entry hosts.",
+)
 @click.option("--learner", is_flag=True, help="Only follow, do not count.")
 @click.option("--peer-token", help="Secret that the hosts share.")
 @click.option(
@@ -75,6 +83,7 @@
     operator_address: str,
     peer_addresses: tuple[str, ...],
     bootstrap: bool,
+    recorders: tuple[str, ...],
     learner: bool,
     peer_token: str | None,
     operators: tuple[str, ...],
@@ -102,6 +111,7 @@
         peer_addresses=peer_addresses,
         bootstrap=bootstrap,
         voter=not learner,
+        recorder_addresses_by_id=settings.parse_named_addresses("recorder", recorders),
         environment=environment,
         signing_key=signing_key.read_bytes() if signing_key else None,
         trusted_keys=tuple(path.read_bytes() for path in trusted_keys),
--- a/src/greengagehaven/coordination/idempotency/recorder.py
+++ b/src/greengagehaven/coordination/idempotency/recorder.py
@@ -175,6 +175,10 @@
             after=after,
         )
 
+    def trust_empty(self) -> None:
+        """Go on with nothing: the whole set is new, there is nothing to copy."""
+        self._abstains = False
+
     def take_copy(self, reply: claims.RecorderReply) -> list[Change]:
         """Take in a page of another recorder's records.
 
--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -62,6 +62,8 @@
     :param trusted_keys: PEMs whose proofs it demands, for production.
     :param proof_lifetime: how old a proof may be.
     :param compact_bytes: growth of the log after which a snapshot is taken.
+    :param recorder_addresses_by_id: peer addresses of the recorders of
+        idempotency keys; this host is one where its name is among them.
     :param raft_timing: periods of the replicated log.
     """
 
@@ -76,6 +78,9 @@
     trusted_keys: tuple[bytes, ...] = ()
     proof_lifetime: datetime.timedelta = proofs.DEFAULT_LIFETIME
     compact_bytes: int = replica.DEFAULT_COMPACT_BYTES
+    recorder_addresses_by_id: abc.Mapping[str, str] = dataclasses.field(
+        default_factory=dict
+    )
     raft_timing: timing.Timing = timing.Timing()
 
 
--- a/src/greengagehaven/daemons/control_daemon.py
+++ b/src/greengagehaven/daemons/control_daemon.py
@@ -10,11 +10,13 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, settings
 from greengagehaven import rng as rngs
-from greengagehaven.daemons import control, operator_api
+from greengagehaven.daemons import control, operator_api, recorder_host
+from greengagehaven.state import folder
 from greengagehaven.transport import http_server, peers
 
 STOP_GRACE = datetime.timedelta(seconds=1)
 DOCUMENT_BODY_BYTES = 4_000_000
+RECORDER_FOLDER = "claims"
 
 
 class ControlDaemon:
@@ -58,6 +60,7 @@
         self._peer_server: peers.PeerServer | None = None
         self._http_server: http_server.HttpServer | None = None
         self._host: control.ControlHost | None = None
+        self._recorder: recorder_host.RecorderHost | None = None
 
     @property
     def host(self) -> control.ControlHost:
@@ -88,6 +91,8 @@
             registry=self._registry,
         )
         await self._host.start()
+        if self._settings.host_id in self._settings.recorder_addresses_by_id:
+            self._start_recorder()
         for handlers in (self._host.handlers_by_method, api.handlers_by_method):
             for method, handler in handlers.items():
                 self._handlers_by_method[method].set(handler)
@@ -104,15 +109,36 @@
         if self._http_server is not None:
             await self._http_server.drain(STOP_GRACE)
             await self._http_server.close()
+        if self._recorder is not None:
+            await self._recorder.close()
         if self._host is not None:
             await self._host.close()
         if self._peer_server is not None:
             await self._peer_server.stop(STOP_GRACE)
         await self._client.close()
 
+    def _start_recorder(self) -> None:
+        self._recorder = recorder_host.RecorderHost(
+            recorder_id=self._settings.host_id,
+            addresses_by_id=self._settings.recorder_addresses_by_id,
+            channel=self._client,
+            clock=self._clock,
+            folder=folder.DiskFolder(
+                path=f"{self._settings.data_folder}/{RECORDER_FOLDER}"
+            ),
+            may_be_new=self._settings.bootstrap,
+        )
+        self._recorder.start()
+        for method, handler in self._recorder.handlers_by_method.items():
+            self._handlers_by_method[method].set(handler)
+
     async def _start_peer_server(self) -> None:
         """Bind the port first, since the host announces it when it starts."""
-        methods = (*control.METHODS, operator_api.OPERATE_METHOD)
+        methods = (
+            *control.METHODS,
+            operator_api.OPERATE_METHOD,
+            recorder_host.METHOD,
+        )
         self._handlers_by_method = {method: _Late() for method in methods}
         self._peer_server = peers.PeerServer(
             handlers_by_method={
--- a/src/greengagehaven/daemons/recorder_host.py
+++ b/src/greengagehaven/daemons/recorder_host.py
@@ -37,9 +37,9 @@
     :param addresses_by_id: peer addresses of the whole set, itself included.
     :param channel: calls to the other recorders.
     :param folder: data folder for the journal.
-    :param is_new_set: true once, when all recorders start for the first time:
-        a recorder without a journal abstains otherwise until it has copied the
-        others.
+    :param may_be_new: a recorder without a journal takes the whole set for new
+        where every other one answers that it has nothing either; else it
+        abstains until it has copied the others.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         channel: peers.PeerChannel,
         clock: clocks.Clock,
         folder: claim_journal.JournalFolder,
-        is_new_set: bool = False,
+        may_be_new: bool = False,
         limits: recorder.RecorderLimits | None = None,
     ) -> None:
         self._id = recorder_id
@@ -58,7 +58,7 @@
         self._channel = channel
         self._clock = clock
         self._journal = claim_journal.ClaimJournal(folder=folder)
-        self._is_new_set = is_new_set
+        self._may_be_new = may_be_new
         self._limits = limits
         self._recorder: recorder.Recorder | None = None
         self._unsynced: list[recorder.Change] = []
@@ -92,7 +92,6 @@
             start = msgspec.msgpack.decode(payloads[0], type=_Start)
         else:
             start = _Start(incarnation=0, complete=False)
-        has_memory = start.complete or (payloads is None and self._is_new_set)
         incarnation = start.incarnation
         if not start.complete:
             incarnation = int(self._clock.now().timestamp() * 1000)
@@ -106,10 +105,10 @@
             recorder_ids=frozenset(self._addresses_by_id),
             incarnation=incarnation,
             changes=changes if start.complete else (),
-            has_memory=has_memory,
+            has_memory=start.complete,
             limits=self._limits,
         )
-        self._rewrite(complete=has_memory)
+        self._rewrite(complete=start.complete)
         log.info(
             "recorder_started",
             recorder=self._id,
@@ -192,13 +191,20 @@
 
     async def _copy_all(self, addresses: list[str]) -> bool:
         """Copy recorders until enough are copied; return whether they are."""
+        empty = self._recorder
+        found_nothing = 0
         for address in addresses:
-            if self._recorder is None or not self._recorder.abstains:
+            if empty is None or not empty.abstains:
                 return True
-            await self._copy(self._recorder, address)
-        return self._recorder is None or not self._recorder.abstains
-
-    async def _copy(self, empty: recorder.Recorder, address: str) -> None:
+            found_nothing += await self._copy(empty, address)
+        if empty is None:
+            return True
+        if self._may_be_new and found_nothing == len(addresses) and not len(empty):
+            empty.trust_empty()
+        return not empty.abstains
+
+    async def _copy(self, empty: recorder.Recorder, address: str) -> bool:
+        """Copy one recorder; return whether it answered that it has nothing."""
         after = ""
         while True:
             body = codec.encode_msgpack((empty.copy_request(after),))
@@ -208,9 +214,9 @@
                 )
             except exceptions.PeerError as error:
                 log.debug("recorder_copy_failed", address=address, detail=error.detail)
-                return
+                return False
             (reply,) = codec.decode_msgpack(data, tuple[claims.RecorderReply])
             empty.take_copy(reply)
             if reply.is_last or not reply.records:
-                return
+                return not after and not reply.records
             after = reply.records[-1].record_id
--- a/src/greengagehaven/settings.py
+++ b/src/greengagehaven/settings.py
@@ -1,6 +1,7 @@
 """Checks of settings that come as flags or environment variables."""
 
 import ipaddress
+from collections import abc
 
 from greengagehaven import exceptions
 
@@ -36,3 +37,22 @@
 def is_loopback(host: str) -> bool:
     """Tell whether an IP number is reached only from this machine."""
     return ipaddress.ip_address(host).is_loopback
+
+
+def parse_named_addresses(name: str, values: abc.Iterable[str]) -> dict[str, str]:
+    """Return addresses by host id, from settings ``HOST-ID=IP:PORT``.
+
+    :param name: the setting, for the error.
+    :raises SettingError: one is no such pair, or a name stands twice.
+    """
+    addresses_by_id: dict[str, str] = {}
+    for value in values:
+        host_id, separator, address = value.partition("=")
+        is_named = separator and host_id and "," not in host_id
+        if not is_named or host_id in addresses_by_id:
+            raise exceptions.SettingError(
+                place=name, value=value, expected="HOST-ID=IP:PORT, each host once"
+            )
+        parse_address(name, address)
+        addresses_by_id[host_id] = address
+    return addresses_by_id
