--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -86,8 +86,11 @@
 
     @property
     def takes_callers(self) -> bool:
-        """Tell whether the balancer sends callers and upstreams here."""
-        return self.alive and not self._is_stopping
+        """Tell whether the balancer sends callers and upstreams here.
+
+        A host is not ready before it has started from a peer.
+        """
+        return self.alive and not self._is_stopping and self._membership.is_joined
 
     def stop(self) -> None:
         """Take nobody new, finish what is open, then leave."""
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -22,6 +22,8 @@
 PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_S = 600
 SHOWN_OUTPUT = 4000
+# The order of a set of strings would differ from run to run.
+ENVIRONMENT = {**os.environ, "PYTHONHASHSEED": "0"}
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -74,6 +76,7 @@
         text=True,
         timeout=FEATURE_TIMEOUT_S,
         check=False,
+        env=ENVIRONMENT,
     )
     output = done.stdout + done.stderr
     return Check(name=name, passed=done.returncode == 0, output=output)
@@ -114,7 +117,7 @@
                 text=True,
                 timeout=FEATURE_TIMEOUT_S,
                 check=False,
-                env={**os.environ, "PYTHONHASHSEED": "0"},
+                env=ENVIRONMENT,
             )
             results = json.loads(outfile.read_text(encoding="utf-8"))
         except subprocess.TimeoutExpired as error:
