--- /dev/null
+++ b/features/steps/http_steps.py
@@ -0,0 +1,245 @@
+"""Steps about the HTTP listener; a real one on loopback, time by hand."""
+
+import asyncio
+import datetime
+import json
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from greengagehaven import clock, exceptions
+from greengagehaven.transport import http, http_server
+
+ORDINARY = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
+CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+LIMITS = http_server.Limits(
+    body_bytes=20_000,
+    head_bytes=4_000,
+    connections=8,
+    idle_connections=6,
+    linger=datetime.timedelta(milliseconds=200),
+)
+BYTES = {
+    "garbage": b"\x00\xff\xfe nothing of ours\r\n\r\n",
+    "a huge head": HEAD + b"X: " + b"y" * 8_000,
+    "a huge body": HEAD + b"Content-Length: 900000\r\n\r\n" + b"x" * 900_000,
+    "a long length": HEAD + b"Content-Length: 99999999999\r\n\r\n",
+    "endless chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK * 200,
+    "two hundred names": b"GET /?" + b"a=1&" * 200 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
+    "a failing handler": b"GET /fail HTTP/1.1\r\nHost: x\r\n\r\n",
+    "a refused request": b"GET /refuse HTTP/1.1\r\nHost: x\r\n\r\n",
+}
+LARGE = 30_000_000
+WAIT_S = 10
+
+
+class Listener:
+    """A listener with a handler that can fail, wait and answer at length."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.gate = asyncio.Event()
+        self.entered = asyncio.Event()
+        self.server = http_server.HttpServer(
+            handler=self.handle, clock=self.clock, limits=LIMITS
+        )
+
+    async def handle(self, request):
+        if request.path == "/fail":
+            raise ValueError("a fault in a handler")
+        if request.path == "/refuse":
+            raise exceptions.OverloadedError("busy", retry_after=1.0)
+        if request.path == "/wait":
+            self.entered.set()
+            await self.gate.wait()
+        body = b"x" * LARGE if request.path == "/large" else b"{}"
+        return http.Response(status=200, body=body)
+
+    async def start(self):
+        address = await self.server.start()
+        self.host, _, self.port = address.rpartition(":")
+
+    async def connect(self):
+        return await asyncio.open_connection(self.host, int(self.port))
+
+    async def send(self, data):
+        """Send bytes and return all that comes back."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(data)
+            answer = await asyncio.wait_for(reader.read(), WAIT_S)
+        except ConnectionError:
+            answer = b""
+        finally:
+            writer.close()
+        return answer
+
+    async def until(self, holds):
+        for _ in range(WAIT_S * 100):
+            if holds():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it did not come true")
+
+
+def _status(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    status = int(head.split(b" ")[1])
+    return status, json.loads(body) if body else None
+
+
+@behave.given("an HTTP listener with small limits")
+def given_listener(context):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.listener = Listener()
+    context.runner.run(context.listener.start())
+    context.add_cleanup(lambda: context.runner.run(context.listener.server.close()))
+
+
+@behave.when("raw bytes are sent to the listener: {name}")
+def when_raw_bytes(context, name):
+    context.answer = context.runner.run(context.listener.send(BYTES[name]))
+
+
+@behave.then("the listener answers with status {status:d} and code {code}")
+def then_listener_answers(context, status, code):
+    got, body = _status(context.answer)
+    assert (got, body["code"]) == (status, code), context.answer[:500]
+
+
+@behave.then("the listener still answers an ordinary request")
+def then_listener_still_answers(context):
+    answer = context.runner.run(context.listener.send(ORDINARY))
+    assert answer.startswith(b"HTTP/1.1 200 "), answer[:200]
+
+
+@behave.when("half a request is sent and the request timeout passes")
+def when_half_request(context):
+    listener = context.listener
+
+    async def send_half():
+        reader, writer = await listener.connect()
+        writer.write(HEAD + b"Content-Length: 10\r\n\r\nhalf")
+        await listener.until(lambda: listener.server.buffered_bytes == 4)
+        listener.clock.advance(LIMITS.request_timeout.total_seconds())
+        answer = await asyncio.wait_for(reader.read(), WAIT_S)
+        writer.close()
+        return answer
+
+    context.answer = context.runner.run(send_half())
+
+
+@behave.when("a large answer is asked for, not read, and the write timeout passes")
+def when_large_answer(context):
+    listener = context.listener
+
+    async def ask():
+        reader, writer = await listener.connect()
+        writer.transport.pause_reading()
+        writer.write(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        server = listener.server
+        await listener.until(lambda: server.blocked_count == 1)
+        assert server.connection_count == 1
+        listener.clock.advance(LIMITS.write_timeout.total_seconds())
+        await listener.until(lambda: server.connection_count == 0)
+        writer.transport.abort()
+
+    context.runner.run(ask())
+
+
+@behave.then("the listener has no open connection")
+def then_no_connection(context):
+    server = context.listener.server
+    context.runner.run(context.listener.until(lambda: server.connection_count == 0))
+
+
+@behave.when("{count:d} callers connect to the listener and stay idle")
+def when_idle_callers(context, count):
+    async def connect_all():
+        context.pairs = [await context.listener.connect() for _ in range(count)]
+
+    context.runner.run(connect_all())
+
+
+@behave.then("the listener holds at most {count:d} connections")
+def then_at_most(context, count):
+    assert context.listener.server.connection_count <= count
+
+
+@behave.when("the listener drains while a request runs and another comes late")
+def when_drains(context):
+    listener = context.listener
+
+    async def drain():
+        late_reader, late_writer = await listener.connect()
+        running = asyncio.ensure_future(
+            listener.send(ORDINARY.replace(b" / ", b" /wait "))
+        )
+        await listener.entered.wait()
+        draining = asyncio.ensure_future(
+            listener.server.drain(datetime.timedelta(seconds=WAIT_S))
+        )
+        await listener.until(lambda: listener.server.draining)
+        late_writer.write(ORDINARY)
+        late = await asyncio.wait_for(late_reader.read(), WAIT_S)
+        listener.gate.set()
+        context.answers = [await running, late]
+        context.left = await draining
+
+    context.runner.run(drain())
+
+
+@behave.then("both requests of the drain are answered with status 200")
+def then_both_answered(context):
+    assert [_status(answer)[0] for answer in context.answers] == [200, 200]
+    assert context.left == 0
+
+
+@behave.then("new connections are refused")
+def then_refused(context):
+    try:
+        context.runner.run(context.listener.connect())
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("a connection was accepted after the drain")
+
+
+@behave.when("arbitrary bytes are sent to the listener many times")
+def when_arbitrary(context):
+    pieces = strategies.sampled_from(
+        [
+            HEAD,
+            ORDINARY,
+            CHUNK,
+            b"\r\n",
+            b"Content-Length: 5\r\n",
+            b"\x00",
+            b"0\r\n\r\n",
+        ]
+    )
+    inputs = strategies.lists(pieces | strategies.binary(max_size=200), max_size=8)
+
+    async def send(data):
+        _, writer = await context.listener.connect()
+        writer.write(data)
+        writer.write_eof()
+        await asyncio.sleep(0)
+        writer.close()
+
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=150, deadline=None
+    )
+    @hypothesis.given(inputs)
+    def fuzz(parts):
+        context.runner.run(send(b"".join(parts)))
+
+    fuzz()
+
+
+@behave.then("the listener holds no body bytes")
+def then_no_body_bytes(context):
+    server = context.listener.server
+    context.runner.run(context.listener.until(lambda: server.buffered_bytes == 0))
--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,6 +3,7 @@
 import click
 
 from greengagehaven import exceptions
+from greengagehaven.commands import daemons
 
 EXIT_FAILED = 1
 
@@ -23,6 +24,10 @@
     """A query tier over many shards."""
 
 
+greengagehaven.add_command(daemons.dev)
+greengagehaven.add_command(daemons.entry)
+
+
 def main() -> None:
     """Run the command; every flag is also ``GREENGAGEHAVEN_COMMAND_FLAG``."""
     greengagehaven(auto_envvar_prefix="GREENGAGEHAVEN")
--- /dev/null
+++ b/src/greengagehaven/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of commands of the command line; each module has one."""
--- /dev/null
+++ b/src/greengagehaven/commands/daemons.py
@@ -0,0 +1,160 @@
+"""Commands that run a daemon until it is told to stop."""
+
+import asyncio
+import datetime
+import pathlib
+import sys
+
+import click
+
+from greengagehaven import log, settings
+from greengagehaven.daemons import dev as dev_module
+from greengagehaven.daemons import entry as entry_module
+from greengagehaven.daemons import lifecycle
+from greengagehaven.transport import tls as tls_module
+
+UPSTREAMS = ("demo", "none")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+_PORT = click.IntRange(0, settings.MAX_PORT)
+_FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+log_level_option = click.option(
+    "--log-level",
+    type=click.Choice(LOG_LEVELS),
+    default="info",
+    show_default=True,
+    help="Least level of log events.",
+)
+
+
+@click.command()
+@click.option("--entry-port", type=_PORT, default=8080, show_default=True)
+@click.option("--operator-port", type=_PORT, default=8081, show_default=True)
+@click.option(
+    "--key",
+    default=dev_module.DEMO_KEY,
+    show_default=True,
+    help="The demo subscriber's key.",
+)
+@click.option(
+    "--upstreams",
+    type=click.Choice(UPSTREAMS),
+    default="demo",
+    show_default=True,
+    help="Start stand-in upstreams, or none to bring your own.",
+)
+@click.option("--document", type=_FILE, help="Environment document, else an example.")
+@click.option(
+    "--upstream-count",
+    type=click.IntRange(1, 9),
+    default=3,
+    show_default=True,
+    help="Stand-in upstreams of each service.",
+)
+@click.option(
+    "--hosts-per-zone", type=click.IntRange(1, 9), default=1, show_default=True
+)
+@log_level_option
+def dev(
+    entry_port: int,
+    operator_port: int,
+    key: str,
+    upstreams: str,
+    document: pathlib.Path | None,
+    upstream_count: int,
+    hosts_per_zone: int,
+    log_level: str,
+) -> None:
+    """Run a whole environment in one process on loopback.
+
+    Three availability zones with entry hosts, control hosts and stand-in
+    upstreams. Ctrl-C stops it in order.
+    """
+    log.configure(level=log_level)
+    dev_settings = dev_module.DevSettings(
+        entry_port=entry_port,
+        operator_port=operator_port,
+        key=key,
+        upstream_count=upstream_count if upstreams == "demo" else 0,
+        hosts_per_zone=hosts_per_zone,
+        document=None if document is None else document.read_bytes(),
+    )
+    sys.exit(asyncio.run(dev_module.run(dev_settings)))
+
+
+@click.command()
+@click.option("--host-id", required=True, help="Name of this host, unique.")
+@click.option("--zone", required=True, help="Availability zone of this host.")
+@click.option(
+    "--listen",
+    default="127.0.0.1:8080",
+    show_default=True,
+    help="IP:PORT for callers, and for upstreams unless --announce-listen is set.",
+)
+@click.option("--announce-listen", help="IP:PORT for upstreams only.")
+@click.option("--document", type=_FILE, help="Document to start with.")
+@click.option("--metrics-token", help="Bearer token that /metrics asks for.")
+@click.option(
+    "--balancer-wait-ms",
+    type=click.IntRange(0, 600_000),
+    default=2_000,
+    show_default=True,
+    help="Between not ready and no longer accepting.",
+)
+@click.option(
+    "--drain-ms",
+    type=click.IntRange(0, 600_000),
+    default=20_000,
+    show_default=True,
+    help="Longest wait for requests in flight.",
+)
+@click.option("--tls-certificate", type=_FILE, help="PEM chain of the listeners.")
+@click.option("--tls-key", type=_FILE, help="PEM key of the listeners.")
+@click.option("--tls-client-ca", type=_FILE, help="Ask callers for a certificate.")
+@click.option(
+    "--upstream-ca", type=_FILE, help="Use TLS to upstreams; PEM of their CA."
+)
+@log_level_option
+def entry(
+    host_id: str,
+    zone: str,
+    listen: str,
+    announce_listen: str | None,
+    document: pathlib.Path | None,
+    metrics_token: str | None,
+    balancer_wait_ms: int,
+    drain_ms: int,
+    tls_certificate: pathlib.Path | None,
+    tls_key: pathlib.Path | None,
+    tls_client_ca: pathlib.Path | None,
+    upstream_ca: pathlib.Path | None,
+    log_level: str,
+) -> None:
+    """Run an entry host."""
+    log.configure(level=log_level)
+    entry_settings = entry_module.EntrySettings(
+        host_id=host_id,
+        zone=zone,
+        listen=listen,
+        announce_listen=announce_listen,
+        balancer_wait=datetime.timedelta(milliseconds=balancer_wait_ms),
+        drain_bound=datetime.timedelta(milliseconds=drain_ms),
+        metrics_token=metrics_token,
+    )
+    host = entry_module.EntryHost(
+        entry_settings=entry_settings,
+        tls=tls_module.server_context(
+            certificate=tls_certificate, key=tls_key, client_authority=tls_client_ca
+        ),
+        upstream_tls=tls_module.client_context(authority=upstream_ca),
+    )
+    data = None if document is None else document.read_bytes()
+    sys.exit(asyncio.run(_run_entry(host, data)))
+
+
+async def _run_entry(host: entry_module.EntryHost, document: bytes | None) -> int:
+    await host.start()
+    if document is not None:
+        host.take_document(document)
+    log.info("ready", entry=host.address, announce=host.announce_address)
+    return await lifecycle.run(host)
--- /dev/null
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -0,0 +1,212 @@
+"""Drives the decision core: events in, actions carried out, timers kept."""
+
+import asyncio
+import collections
+import typing
+
+import msgspec
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import events
+from greengagehaven.daemons import metrics as metrics_module
+from greengagehaven.protocol import search, upstream
+from greengagehaven.state import directory
+
+Notify = typing.Callable[[msgspec.Struct], None]
+
+
+class CoreLoop:
+    """The one place where a core's actions become input and output.
+
+    :param core: the decision core.
+    :param channel: the way to upstreams.
+    :param directory_view: tells the zone of an upstream, for the metrics.
+    :param notify: takes messages for the cores of the other live hosts.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: events.Core,
+        channel: upstream.UpstreamChannel,
+        clock: clocks.Clock,
+        directory_view: directory.DirectoryView,
+        metrics: metrics_module.Metrics,
+        notify: Notify = lambda payload: None,
+    ) -> None:
+        self._core = core
+        self._channel = channel
+        self._clock = clock
+        self._directory = directory_view
+        self._metrics = metrics
+        self._notify = notify
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._is_stepping = False
+        self._futures_by_request_id: dict[str, asyncio.Future] = {}
+        self._in_flight_by_shard: dict[tuple[str, upstream.ShardRef], int] = {}
+        self._shards_by_id: dict[tuple[str, int], upstream.ShardRef] = {}
+        self._shards_by_request_id: dict[str, set[upstream.ShardRef]] = {}
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._handlers: dict[type, typing.Callable[[typing.Any], None]] = {
+            events.Dispatch: self._dispatch,
+            events.Cancel: self._cancel,
+            events.AnswerQuery: self._answer,
+            events.RefuseQuery: self._refuse,
+            events.RetireConnections: self._retire,
+            events.NotifyPeers: self._notify_peers,
+            events.WakeAt: self._wake_at,
+        }
+
+    @property
+    def waiting_count(self) -> int:
+        """Return queries whose caller waits."""
+        return len(self._futures_by_request_id)
+
+    async def search(self, submitted: events.QuerySubmitted) -> search.Answer:
+        """Have a query decided and return its answer.
+
+        A caller that goes away cancels this coroutine; the core hears of it.
+
+        :raises RequestError: the query got an error instead of an answer.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._futures_by_request_id[submitted.request_id] = future
+        self._shards_by_request_id[submitted.request_id] = set()
+        started = self._clock.monotonic()
+        try:
+            self.submit(submitted)
+            answer = await future
+        except exceptions.RequestError as error:
+            elapsed = self._clock.monotonic() - started
+            kind = "" if error.code == "unknown_kind" else submitted.kind
+            self._metrics.observe_refusal(kind, elapsed, error.code)
+            raise
+        except asyncio.CancelledError:
+            self.submit(events.QueryAbandoned(request_id=submitted.request_id))
+            raise
+        finally:
+            self._futures_by_request_id.pop(submitted.request_id, None)
+            self._shards_by_request_id.pop(submitted.request_id, None)
+        elapsed = self._clock.monotonic() - started
+        self._metrics.observe_answer(submitted.kind, elapsed, answer.coverage)
+        return answer
+
+    def submit(self, event: events.Event) -> None:
+        """Give the core an event and carry out what it decides.
+
+        An action may end at once and bring the next event; that one waits until
+        all actions of the first are carried out, so the core is never entered
+        twice.
+        """
+        self._events.append(event)
+        if self._is_stepping:
+            return
+        self._is_stepping = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._is_stepping = False
+
+    def close(self) -> None:
+        """Drop timers and fail the queries that still wait."""
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+        for future in self._futures_by_request_id.values():
+            if not future.done():
+                error = exceptions.DrainingError(
+                    "the host stopped", ran=exceptions.Ran.UNKNOWN
+                )
+                future.set_exception(error)
+
+    def _step(self, event: events.Event) -> None:
+        try:
+            for action in self._core.step(event):
+                self._handlers[type(action)](action)
+        except Exception as error:
+            # A fault in one decision must not stop the loop for all queries;
+            # the query that met it ends at its deadline.
+            log.error(
+                "core_failed",
+                step=type(event).__name__,
+                error=type(error).__name__,
+                detail=error,
+            )
+            if isinstance(event, events.QuerySubmitted):
+                self._fail(event.request_id)
+
+    def _fail(self, request_id: str) -> None:
+        future = self._futures_by_request_id.get(request_id)
+        if future is not None and not future.done():
+            future.set_exception(
+                exceptions.GreengagehavenError("unexpected failure, see the host's log")
+            )
+
+    def _dispatch(self, action: events.Dispatch) -> None:
+        for sub_request in action.batch:
+            self._count_dispatch(sub_request)
+        self._channel.dispatch(action.batch, self._on_outcome)
+
+    def _count_dispatch(self, sub_request: upstream.SubRequest) -> None:
+        shard_ref = sub_request.shard_ref
+        key = (sub_request.request_id, shard_ref)
+        in_flight = self._in_flight_by_shard.get(key, 0)
+        seen = self._shards_by_request_id.setdefault(sub_request.request_id, set())
+        if in_flight:
+            purpose = "hedge"
+        elif shard_ref in seen:
+            purpose = "retry"
+        else:
+            purpose = "primary"
+        seen.add(shard_ref)
+        self._in_flight_by_shard[key] = in_flight + 1
+        self._shards_by_id[sub_request.id] = shard_ref
+        self._metrics.count_sub_request(purpose)
+
+    def _on_outcome(self, outcome: upstream.Outcome) -> None:
+        shard_ref = self._shards_by_id.pop((outcome.request_id, outcome.attempt))
+        key = (outcome.request_id, shard_ref)
+        left = self._in_flight_by_shard[key] - 1
+        if left:
+            self._in_flight_by_shard[key] = left
+        else:
+            del self._in_flight_by_shard[key]
+        announcement = self._directory.upstreams_by_id.get(outcome.upstream_id)
+        zone = announcement.availability_zone if announcement else "gone"
+        failed = isinstance(outcome, upstream.Failed)
+        name = str(outcome.reason) if failed else "ok"
+        self._metrics.count_outcome(zone, name)
+        self.submit(events.OutcomeReceived(outcome=outcome))
+
+    def _cancel(self, action: events.Cancel) -> None:
+        self._channel.cancel(action.request_id, action.attempt)
+
+    def _answer(self, action: events.AnswerQuery) -> None:
+        future = self._futures_by_request_id.get(action.answer.request_id)
+        if future is not None and not future.done():
+            future.set_result(action.answer)
+
+    def _refuse(self, action: events.RefuseQuery) -> None:
+        future = self._futures_by_request_id.get(action.request_id)
+        if future is not None and not future.done():
+            future.set_exception(action.error)
+
+    def _retire(self, action: events.RetireConnections) -> None:
+        self._channel.retire_connections(action.upstream_id)
+
+    def _notify_peers(self, action: events.NotifyPeers) -> None:
+        self._notify(action.payload)
+
+    def _wake_at(self, action: events.WakeAt) -> None:
+        delay = max(0.0, action.moment - self._clock.monotonic())
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(delay, self._wake)
+        self._timers.add(timer)
+        if len(self._timers) > 64:
+            now = loop.time()
+            self._timers = {timer for timer in self._timers if timer.when() > now}
+
+    def _wake(self) -> None:
+        self.submit(events.TimeReached())
--- a/src/greengagehaven/standin/register.py
+++ b/src/greengagehaven/standin/register.py
@@ -11,7 +11,7 @@
 
 def shard_of(credit: str, shard_count: int) -> int:
     """Return the shard that holds a credit."""
-    return xxhash.xxh64_intdigest(credit) % shard_count
+    return xxhash.xxh64_intdigest(credit.encode()) % shard_count
 
 
 def credits_of(service: str, shard: int, shard_count: int) -> list[str]:
@@ -22,7 +22,7 @@
 
 def make_row(credit: str, snapshot: int) -> dict[str, typing.Any]:
     """Return a credit as one snapshot of the register shows it."""
-    seed = xxhash.xxh64_intdigest(credit)
+    seed = xxhash.xxh64_intdigest(credit.encode())
     return {
         "credit": credit,
         "holder": f"holder-{seed % _HOLDERS}",
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -87,6 +87,11 @@
         """Return how many connections have a request that is not answered."""
         return len(self._connections) - len(self._idle)
 
+    @property
+    def blocked_count(self) -> int:
+        """Return connections whose other side does not read its response."""
+        return sum(connection.is_blocked for connection in self._connections)
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the bound ``IP:PORT``.
 
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -56,6 +56,11 @@
         self._closes_after_write = False
         self.peer = ""
 
+    @property
+    def is_blocked(self) -> bool:
+        """Tell whether a response waits for the other side to read."""
+        return self._state is State.WRITING
+
     def connection_made(self, transport: typing.Any) -> None:
         """Take up a new connection."""
         self._transport = transport
