--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -28,8 +28,8 @@
     "a long length": HEAD + b"Content-Length: 99999999999\r\n\r\n",
     "endless chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNK * 200,
     "two hundred names": b"GET /?" + b"a=1&" * 200 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
-    "a failing handler": b"GET /fail HTTP/1.1\r\nHost: x\r\n\r\n",
-    "a refused request": b"GET /refuse HTTP/1.1\r\nHost: x\r\n\r\n",
+    "a failing handler": ORDINARY.replace(b" / ", b" /fail "),
+    "a refused request": ORDINARY.replace(b" / ", b" /refuse "),
 }
 LARGE = 30_000_000
 WAIT_S = 10
@@ -185,9 +185,10 @@
         await listener.until(lambda: listener.server.draining)
         late_writer.write(ORDINARY)
         late = await asyncio.wait_for(late_reader.read(), WAIT_S)
+        late_writer.close()
         listener.gate.set()
         context.answers = [await running, late]
-        context.left = await draining
+        context.left = await asyncio.wait_for(draining, WAIT_S)
 
     context.runner.run(drain())
 
--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,7 +3,7 @@
 import click
 
 from greengagehaven import exceptions
-from greengagehaven.commands import daemons
+from greengagehaven.commands import control, daemons, document, replay, zone
 
 EXIT_FAILED = 1
 
@@ -24,8 +24,23 @@
     """A query tier over many shards."""
 
 
-greengagehaven.add_command(daemons.dev)
-greengagehaven.add_command(daemons.entry)
+greengagehaven.add_command(replay.replay)
+for _command in (
+    daemons.dev,
+    daemons.entry,
+    control.control,
+    control.status,
+    control.history,
+    control.audit,
+    control.recover,
+    document.check,
+    document.diff,
+    document.apply,
+    document.prove,
+    document.promote,
+    zone.zone,
+):
+    greengagehaven.add_command(_command)
 
 
 def main() -> None:
--- a/src/greengagehaven/commands/__init__.py
+++ b/src/greengagehaven/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Groups of commands of the command line; each module has one."""
+"""Commands of the command line, one module for each group."""
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -262,6 +262,20 @@
     status = 409
 
 
+class UpstreamConflictError(RequestError):
+    """Two upstreams claim one id, and this announcement lost.
+
+    :param known_address: address of the upstream that holds the id.
+    """
+
+    code = "upstream_conflict"
+    status = 409
+
+    def __init__(self, detail: str, *, known_address: str) -> None:
+        super().__init__(detail)
+        self.known_address = known_address
+
+
 class UpstreamError(GreengagehavenError):
     """A sub-request that an upstream did not answer."""
 
@@ -329,6 +343,44 @@
     code = "quorum_lost"
 
 
+class StorageFailedError(ControlError):
+    """This control host's disk failed; it takes no part until it restarts."""
+
+    code = "storage_failed"
+
+
+class StateMismatchError(ControlError):
+    """A delta that does not follow the state it is applied to."""
+
+    code = "state_mismatch"
+
+
+class ChangeRefusedError(ControlError):
+    """A change that was decided and refused; a resend is refused as well.
+
+    :param code: the refusal's own code.
+    """
+
+    code = "change_refused"
+    status = 409
+
+    def __init__(self, detail: str, *, code: str) -> None:
+        super().__init__(detail)
+        self.code = code
+
+
+class NotInForceError(ControlError):
+    """A revision is not in force on every entry host in the time allowed."""
+
+    code = "not_in_force"
+
+
+class ControlUnreachableError(ControlError):
+    """No control host that was asked gave an answer."""
+
+    code = "control_unreachable"
+
+
 class ProofError(ControlError):
     """A digest that has no valid proof from the trial environment."""
 
