--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -323,7 +323,11 @@
         self._state = State.LINGERING
         linger = self._limits.linger.total_seconds()
         self.deadline = self._owner.clock.monotonic() + linger
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self._transport.abort()
+            return
         self._transport.resume_reading()
 
 
