--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,7 +3,7 @@
 import click
 
 from greengagehaven import exceptions
-from greengagehaven.commands import control, document, replay, zone
+from greengagehaven.commands import control, daemons, document, replay, zone
 
 EXIT_FAILED = 1
 
@@ -26,6 +26,8 @@
 
 greengagehaven.add_command(replay.replay)
 for _command in (
+    daemons.dev,
+    daemons.entry,
     control.control,
     control.status,
     control.history,
