--- a/src/greengagehaven/protocol/control.py
+++ b/src/greengagehaven/protocol/control.py
@@ -3,7 +3,7 @@
 import msgspec
 
 
-class HostReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class HostReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one entry host has in force.
 
     :param revision: the newest revision it could put in force.
@@ -18,7 +18,7 @@
     age_ms: int = 0
 
 
-class FollowRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class FollowRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Ask for what changed after a revision.
 
     :param held_revision: the newest state held; deltas follow it.
@@ -31,7 +31,7 @@
     reports: tuple[HostReport, ...] = ()
 
 
-class FollowReply(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class FollowReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What changed; the payloads are msgpack of ``state.configuration``.
 
     :param revision: the newest known to the host that answers.
--- a/src/greengagehaven/state/configuration.py
+++ b/src/greengagehaven/state/configuration.py
@@ -58,7 +58,7 @@
     drained_zones: tuple[str, ...] = ()
 
 
-class Delta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Delta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one accepted change did to the state before it.
 
     :param splice: the change to the document, ``None`` where it stays.
