Let a host whose state differs ask for the whole one

Cause: a delta that does not fit was asked for again for ever. Conclusion: a forked host catches up with the next change.

--- a/features/control.feature
+++ b/features/control.feature
@@ -69,6 +69,17 @@
     And document 3 is applied at another control host
     Then every entry host has it in force within 4 seconds
 
+  Scenario: An entry host holds other bytes than the next change is based on
+    After a recovery of control from a host that had missed changes, an entry host
+    may hold another document under a revision. The next change does not fit on
+    it, and it must not stay behind for that.
+
+    Given an environment of 3 control hosts and entry hosts in a and b
+    And document 1 is in force everywhere
+    And entry host e1 holds other bytes under the same revision
+    When document 2 is applied at control host c1
+    Then every entry host has it in force within 4 seconds
+
   Scenario: The last zone is kept in service
     An operator drains one zone after another. Without a guard the last one
     would go too, and every query would be refused.
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -4,6 +4,7 @@
 import random
 
 import behave
+import msgspec
 
 from fakes import control as control_fakes
 from fakes import environment as environments
@@ -147,6 +148,12 @@
     )
 
 
+@behave.when("document {number:d} is applied at control host {name}")
+def when_applied_at(context, number, name):
+    context.via = name
+    when_applied_elsewhere(context, number)
+
+
 @behave.when("document {number:d} is applied at another control host")
 def when_applied_elsewhere(context, number):
     environment = context.environment
@@ -261,6 +268,14 @@
     )
 
 
+@behave.given("entry host {name} holds other bytes under the same revision")
+def given_other_bytes(context, name):
+    held = context.environment.entries_by_host[name]._published
+    held.state = msgspec.structs.replace(
+        held.state, document=held.state.document + b"# other\n"
+    )
+
+
 @behave.given("an entry host that may follow control hosts and peers")
 def given_following(context):
     context.clock = clock.ManualClock()
--- a/src/greengagehaven/daemons/follower.py
+++ b/src/greengagehaven/daemons/follower.py
@@ -68,6 +68,7 @@
         )
         self._revision = 0
         self._refused_revision = 0
+        self._needs_whole = False
         self._tasks: list[asyncio.Task[None]] = []
         self._in_force = asyncio.Event()
         self._add_metrics(registry)
@@ -125,6 +126,7 @@
         request = control.FollowRequest(
             held_revision=self._published.revision,
             wait_ms=round(call.wait * 1000),
+            whole=self._needs_whole,
             reports=(self._report(), *self._publisher.reports()),
         )
         try:
@@ -141,6 +143,10 @@
             self._following.on_failure(call.address)
             return False
         except (exceptions.StateMismatchError, exceptions.InvalidRequestError) as error:
+            # The state held here is not the one that the deltas follow, as after
+            # a recovery of control from a host that had missed changes. Asking
+            # for the same deltas again would fail for ever.
+            self._needs_whole = True
             log.error("follow_mismatch", source=call.address, error=error.detail)
             self._following.on_failure(call.address)
             return False
@@ -162,6 +168,7 @@
         if reply.state:
             state = codec.decode_msgpack(reply.state, configuration.ConfigurationState)
             self._published.replace(state)
+            self._needs_whole = False
         for raw in reply.deltas:
             delta = codec.decode_msgpack(raw, configuration.Delta)
             # A probe and the long call may both bring the same deltas.
--- a/src/greengagehaven/daemons/publisher.py
+++ b/src/greengagehaven/daemons/publisher.py
@@ -57,7 +57,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await news.wait()
-        return codec.encode_msgpack(self._reply_to(request.held_revision))
+        return codec.encode_msgpack(self._reply_to(request))
 
     def reports(self) -> tuple[control.HostReport, ...]:
         """Return what the hosts that follow this one lately reported."""
@@ -72,11 +72,11 @@
             for said_at, report in self._reports_by_host.values()
         )
 
-    def _reply_to(self, held_revision: int) -> control.FollowReply:
+    def _reply_to(self, request: control.FollowRequest) -> control.FollowReply:
         age_ms = round(min(self._age(), MAX_AGE_S) * 1000)
         revision = self._published.revision
-        deltas = self._published.since(held_revision)
-        if deltas is None:
+        deltas = self._published.since(request.held_revision)
+        if deltas is None or request.whole:
             return control.FollowReply(
                 revision=revision, age_ms=age_ms, state=self._whole_state()
             )
--- a/src/greengagehaven/protocol/control.py
+++ b/src/greengagehaven/protocol/control.py
@@ -23,11 +23,13 @@
 
     :param held_revision: the newest state held; deltas follow it.
     :param wait_ms: how long to wait for news where there is none.
+    :param whole: ask for the whole state, since deltas did not fit.
     :param reports: the asking host's own and those of hosts that follow it.
     """
 
     held_revision: int
     wait_ms: int = 0
+    whole: bool = False
     reports: tuple[HostReport, ...] = ()
 
 
