--- a/features/fakes/raft.py
+++ b/features/fakes/raft.py
@@ -14,6 +14,7 @@
     core,
     events,
     messages,
+    roles,
     steward,
     timing,
 )
@@ -517,7 +518,7 @@
     # What must always hold.
 
     def _check_role(self, change, host):
-        if change.role != core.Role.LEADER:
+        if change.role != roles.Role.LEADER:
             return
         member_id = host.replica.raft.member_id
         known = self.leaders_by_term.setdefault(change.term, member_id)
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -1,18 +1,18 @@
 """One member of a replicated log: terms, votes, and following a leader."""
 
-import enum
 import typing
 
-import xxhash
-
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions
 from greengagehaven import rng as rngs
 from greengagehaven.coordination.raft import (
+    candidacy,
     events,
     leadership,
     messages,
     raftlog,
+    reception,
+    roles,
     timing,
 )
 from greengagehaven.state import records
@@ -20,14 +20,6 @@
 MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
 
 
-class Role(enum.StrEnum):
-    """What a member does in its term."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
 class Raft:
     """A member of a replicated log; ``step`` takes an event, returns actions.
 
@@ -56,7 +48,7 @@
         self.timing = timing
         self.log = raftlog.RaftLog(stored=stored)
         self.vote = stored.vote
-        self.role = Role.FOLLOWER
+        self.role = roles.Role.FOLLOWER
         self.leader_id: str | None = None
         self.commit_index = stored.snapshot.last.index
         self.commit_target = self.commit_index
@@ -64,20 +56,14 @@
         # leader counts on it to give no vote until its lease ends. Without
         # this, two hosts could answer reads in the same moment.
         self.heard_leader_at = clock.monotonic()
-        self._current_at = float("-inf")
-        self._rng = rng
+        self.current_at = float("-inf")
         self._actions: list[events.Action] = []
         self._saved_vote = stored.vote
         self._unsaved: list[records.Entry] = []
         self._compact: events.Compact | None = None
-        self._grants: set[str] = set()
-        self._is_trial = False
-        self._chunks: _Chunks | None = None
         self._leadership: leadership.Leadership | None = None
-        self._election_at = 0.0
-        self._reset_election_timer()
-        if self.log.membership.voter_ids == {self.member_id}:
-            self._election_at = clock.monotonic()
+        self._candidacy = candidacy.Candidacy(raft=self, rng=rng)
+        self._reception = reception.Reception(raft=self)
 
     @property
     def term(self) -> int:
@@ -100,7 +86,7 @@
         now = self.clock.monotonic()
         office = self._leadership
         if office is None or not office.is_settled:
-            return now - self._current_at
+            return now - self.current_at
         return 0.0 if now < office.lease_end else now - office.answered_at
 
     @property
@@ -113,7 +99,7 @@
         """Return the monotonic second at which ``TimeReached`` is due."""
         if self._leadership is not None:
             return self._leadership.next_wake
-        return self._election_at
+        return self._candidacy.election_at
 
     def step(self, *batch: events.Event) -> list[events.Action]:
         """Take events in their order and return what is to be done, in order.
@@ -155,10 +141,25 @@
         if self._leadership is not None:
             self._leadership.give_up()
             self._leadership = None
-            self._reset_election_timer()
-        self.role = Role.FOLLOWER
+            self._candidacy.reset_timer()
+        self.role = roles.Role.FOLLOWER
         self.leader_id = leader_id
-        self._grants = set()
+        self._candidacy.give_up()
+
+    def lead(self) -> None:
+        """Begin to lead in this term."""
+        self.role = roles.Role.LEADER
+        self.leader_id = self.member_id
+        self._leadership = leadership.Leadership(raft=self)
+        self._leadership.begin()
+
+    def install(self, snapshot: records.Snapshot) -> None:
+        """Start over from a leader's snapshot."""
+        self.log.install(snapshot)
+        self._unsaved = []
+        self.commit_index = snapshot.last.index
+        self.commit_target = snapshot.last.index
+        self._compact = self._compaction(install=True)
 
     def _dispatch(self, event: events.Event) -> None:
         match event:
@@ -213,49 +214,11 @@
     def _on_time(self) -> None:
         if self._leadership is not None:
             self._leadership.on_time()
-        elif self.clock.monotonic() >= self._election_at:
-            self._reset_election_timer()
-            if self.is_voter:
-                self._campaign(trial=True)
-
-    def _reset_election_timer(self) -> None:
-        low, high = self.timing.election_min, self.timing.election_max
-        self._election_at = self.clock.monotonic() + self._rng.uniform(low, high)
-
-    def _campaign(self, *, trial: bool) -> None:
-        # The trial asks before the term is raised. A host that was cut off
-        # would otherwise come back with a high term and depose a leader whom
-        # everyone else hears.
-        self._is_trial = trial
-        self._grants = {self.member_id}
-        self.leader_id = None
-        self.role = Role.CANDIDATE
-        if not trial:
-            self.vote = records.Vote(term=self.term + 1, member_id=self.member_id)
-        if self._has_quorum():
-            self._win()
-            return
-        term = self.term + 1 if trial else self.term
-        for member_id in sorted(self.log.membership.voter_ids - {self.member_id}):
-            request = messages.VoteRequest(
-                **self._head(member_id, term), last=self.log.last, trial=trial
-            )
-            self.emit(events.Send(message=request))
-
-    def _has_quorum(self) -> bool:
-        membership = self.log.membership
-        return len(self._grants & membership.voter_ids) >= membership.quorum
-
-    def _win(self) -> None:
-        if self._is_trial:
-            self._campaign(trial=False)
-            return
-        self.role = Role.LEADER
-        self.leader_id = self.member_id
-        self._leadership = leadership.Leadership(raft=self)
-        self._leadership.begin()
+        else:
+            self._candidacy.on_time()
 
-    def _head(self, receiver: str, term: int | None = None) -> dict[str, typing.Any]:
+    def head(self, receiver: str, term: int | None = None) -> dict[str, typing.Any]:
+        """Return the head of a message, of this term or another."""
         return {
             "group_id": self.group_id,
             "sender": self.member_id,
@@ -265,7 +228,7 @@
 
     def send(self, kind: type, receiver: str, **fields: typing.Any) -> None:
         """Send a message of this term."""
-        self.emit(events.Send(message=kind(**self._head(receiver), **fields)))
+        self.emit(events.Send(message=kind(**self.head(receiver), **fields)))
 
     def _on_message(self, message: messages.Message) -> None:
         is_mine = message.receiver == self.member_id
@@ -273,72 +236,21 @@
             return
         match message:
             case messages.VoteRequest():
-                self._on_vote_request(message)
+                self._candidacy.on_request(message)
             case messages.VoteReply():
-                self._on_vote_reply(message)
+                self._candidacy.on_reply(message)
             case messages.AppendRequest():
                 if self._accept_leader(message):
-                    self._on_append(message)
+                    self._reception.on_append(message)
             case messages.SnapshotChunk():
                 if self._accept_leader(message):
-                    self._on_chunk(message)
+                    self._reception.on_chunk(message)
             case messages.AppendReply() | messages.SnapshotReply():
                 if message.term > self.term:
                     self.follow(message.term, None)
                 elif self._leadership is not None and message.term == self.term:
                     self._leadership.on_reply(message)
 
-    def _on_vote_request(self, request: messages.VoteRequest) -> None:
-        if self._is_empty():
-            # An empty disk cannot know what it promised or held before; its
-            # vote could elect a leader that lacks committed entries.
-            return
-        if self._hears_leader():
-            return
-        if not request.trial and request.term > self.term:
-            self.follow(request.term, None)
-        granted = self._may_grant(request)
-        if granted and not request.trial:
-            self.vote = records.Vote(term=self.term, member_id=request.sender)
-            self._reset_election_timer()
-        # A refused trial carries this member's own term, so that a candidate
-        # which is behind learns it.
-        term = request.term if granted else self.term
-        reply = messages.VoteReply(
-            **self._head(request.sender, term), granted=granted, trial=request.trial
-        )
-        self.emit(events.Send(message=reply))
-
-    def _is_empty(self) -> bool:
-        return self.log.last.index == 0
-
-    def _hears_leader(self) -> bool:
-        if self._leadership is not None:
-            return True
-        elapsed = self.clock.monotonic() - self.heard_leader_at
-        return elapsed < self.timing.election_min
-
-    def _may_grant(self, request: messages.VoteRequest) -> bool:
-        last = self.log.last
-        is_complete = (request.last.term, request.last.index) >= (last.term, last.index)
-        if request.trial:
-            return is_complete and request.term > self.term
-        is_free = self.vote.member_id in (None, request.sender)
-        return is_complete and is_free and request.term == self.term
-
-    def _on_vote_reply(self, reply: messages.VoteReply) -> None:
-        if not reply.granted:
-            if reply.term > self.term:
-                self.follow(reply.term, None)
-            return
-        expected = self.term + 1 if reply.trial else self.term
-        is_awaited = self.role is Role.CANDIDATE and reply.trial == self._is_trial
-        if not is_awaited or reply.term != expected:
-            return
-        self._grants.add(reply.sender)
-        if self._has_quorum():
-            self._win()
-
     def _accept_leader(
         self, message: messages.AppendRequest | messages.SnapshotChunk
     ) -> bool:
@@ -354,104 +266,9 @@
             return False
         self.follow(message.term, message.sender)
         self.heard_leader_at = self.clock.monotonic()
-        self._reset_election_timer()
+        self._candidacy.reset_timer()
         return True
 
-    def _on_append(self, request: messages.AppendRequest) -> None:
-        previous = request.previous
-        entries = request.entries
-        if previous.index < self.log.base.index:
-            # What lies before the base is committed and the same everywhere.
-            entries = tuple(
-                entry for entry in entries if entry.index > self.log.base.index
-            )
-            previous = self.log.base
-        if self.log.term_at(previous.index) != previous.term:
-            self._reply_append(request, False, self._agreement_below(previous.index))
-            return
-        new = self._without_known(entries)
-        if new:
-            self.append(new)
-        match_index = previous.index + len(entries)
-        self.commit(min(request.commit_index, match_index))
-        if match_index >= request.commit_index:
-            self._current_at = self.clock.monotonic()
-        self._reply_append(request, True, match_index)
-
-    def _reply_append(
-        self, request: messages.AppendRequest, success: bool, match_index: int
-    ) -> None:
-        self.send(
-            messages.AppendReply,
-            request.sender,
-            success=success,
-            match_index=match_index,
-            sent_at=request.sent_at,
-        )
-
-    def _agreement_below(self, index: int) -> int:
-        """Return the highest index at which this log may agree with the leader."""
-        if self.log.last.index < index:
-            return self.log.last.index
-        first = self.log.first_index_of_term(index)
-        return max(first - 1, self.commit_index)
-
-    def _without_known(
-        self, entries: tuple[records.Entry, ...]
-    ) -> tuple[records.Entry, ...]:
-        # Cutting the log off at every request would drop entries that this
-        # member has acknowledged when an older request arrives late.
-        for number, entry in enumerate(entries):
-            if self.log.term_at(entry.index) != entry.term:
-                return entries[number:]
-        return ()
-
-    def _on_chunk(self, chunk: messages.SnapshotChunk) -> None:
-        if self.log.term_at(chunk.last.index) == chunk.last.term:
-            # This log holds the snapshot's last entry and perhaps acknowledged
-            # ones behind it, which starting over would drop.
-            self.commit(chunk.last.index)
-        if chunk.last.index <= self.commit_target:
-            self.send(
-                messages.AppendReply,
-                chunk.sender,
-                success=True,
-                match_index=chunk.last.index,
-                sent_at=chunk.sent_at,
-            )
-            return
-        if self._chunks is None or not self._chunks.belongs(chunk):
-            self._chunks = _Chunks(first=chunk)
-        data = self._chunks.add(chunk)
-        if data is None:
-            self.send(
-                messages.SnapshotReply,
-                chunk.sender,
-                last=chunk.last,
-                received=self._chunks.received,
-                sent_at=chunk.sent_at,
-            )
-            return
-        self._chunks = None
-        snapshot = records.Snapshot(
-            last=chunk.last, membership=chunk.membership, data=data
-        )
-        self._install(snapshot)
-        self.send(
-            messages.AppendReply,
-            chunk.sender,
-            success=True,
-            match_index=chunk.last.index,
-            sent_at=chunk.sent_at,
-        )
-
-    def _install(self, snapshot: records.Snapshot) -> None:
-        self.log.install(snapshot)
-        self._unsaved = []
-        self.commit_index = snapshot.last.index
-        self.commit_target = snapshot.last.index
-        self._compact = self._compaction(install=True)
-
     def _on_snapshot_taken(self, event: events.SnapshotTaken) -> None:
         term = self.log.term_at(event.index)
         is_new = event.index > self.log.snapshot.last.index
@@ -473,36 +290,3 @@
             entries=self.log.kept(),
             install=install,
         )
-
-
-class _Chunks:
-    """Parts of one snapshot as they arrive."""
-
-    def __init__(self, *, first: messages.SnapshotChunk) -> None:
-        self._key = _key_of(first)
-        self._data = bytearray()
-
-    @property
-    def received(self) -> int:
-        """Return how many bytes arrived in order."""
-        return len(self._data)
-
-    def belongs(self, chunk: messages.SnapshotChunk) -> bool:
-        """Tell whether a chunk is of this snapshot of this leader."""
-        return self._key == _key_of(chunk)
-
-    def add(self, chunk: messages.SnapshotChunk) -> bytes | None:
-        """Take a chunk and return the whole once it is there and intact."""
-        if chunk.offset == len(self._data):
-            self._data += chunk.data
-        if len(self._data) < chunk.size:
-            return None
-        data = bytes(self._data)
-        if xxhash.xxh64_intdigest(data) != chunk.checksum:
-            self._data.clear()
-            return None
-        return data
-
-
-def _key_of(chunk: messages.SnapshotChunk) -> tuple[object, ...]:
-    return (chunk.sender, chunk.term, chunk.last, chunk.size, chunk.checksum)
--- a/src/greengagehaven/coordination/raft/replica.py
+++ b/src/greengagehaven/coordination/raft/replica.py
@@ -4,7 +4,7 @@
 import typing
 
 from greengagehaven import exceptions
-from greengagehaven.coordination.raft import core, events, messages
+from greengagehaven.coordination.raft import core, events, messages, roles
 from greengagehaven.state import records
 
 DEFAULT_COMPACT_BYTES = 4 * 1024 * 1024
@@ -161,7 +161,7 @@
 
     def _give_up_proposals(self, change: events.RoleChanged) -> list[Decided]:
         """Tell proposers of a lost term that the outcome is not known here."""
-        if change.role == core.Role.LEADER:
+        if change.role == roles.Role.LEADER:
             return []
         error = exceptions.NotLeaderError(leader=change.leader_id)
         numbers = list(self._proposal_ids_by_place.values())
