--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -12,11 +12,13 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
-from greengagehaven.coordination import peers, proposals
+from greengagehaven.coordination import peers
 from greengagehaven.coordination.raft import core, events, replica, timing
 from greengagehaven.daemons import (
     admission,
     control_metrics,
+    control_reports,
+    deciding,
     follower,
     publisher,
     raft_driver,
@@ -32,15 +34,13 @@
     storage,
 )
 
-REPORTS_METHOD = "control/reports"
 METHODS = (
     raft_driver.RAFT_METHOD,
     admission.IDENTIFY_METHOD,
     admission.JOIN_METHOD,
-    REPORTS_METHOD,
+    control_reports.REPORTS_METHOD,
     follower.FOLLOW_METHOD,
 )
-REPORTS_TIMEOUT_S = 0.5
 STEWARD_PERIOD_S = 0.1
 JOIN_PERIOD_S = 0.5
 FIRST_INDEX = 1
@@ -124,7 +124,6 @@
         self._folder = data_folder
         self._storage: storage.Storage | None = None
         self._seen_revision = 0
-        self._writer = _writer_of(settings, clock)
         self._admission = admission.Admission(
             channel=channel,
             own=records.Member(
@@ -136,7 +135,8 @@
             peer_addresses=settings.peer_addresses,
             clock=clock,
         )
-        self._deciding_document = asyncio.Lock()
+        self.reports = control_reports.Reports(host=self)
+        self._decider = deciding.Decider(host=self)
         self._tasks: list[asyncio.Task[None]] = []
         self.metrics = control_metrics.ControlMetrics(host=self, registry=registry)
 
@@ -147,7 +147,7 @@
             raft_driver.RAFT_METHOD: self._handle_raft,
             admission.IDENTIFY_METHOD: self._handle_identify,
             admission.JOIN_METHOD: self._handle_join,
-            REPORTS_METHOD: self._handle_reports,
+            control_reports.REPORTS_METHOD: self.reports.handle,
             follower.FOLLOW_METHOD: self.publisher.handle,
         }
 
@@ -235,39 +235,7 @@
 
         :raises ChangeRefusedError: its id belongs to a different change.
         """
-        if isinstance(change, configuration.DocumentChange):
-            # One at a time: each travels as a splice of the document before it,
-            # which is a few bytes where the whole may be a megabyte.
-            async with self._deciding_document:
-                entry, record = await self._decide_one(change, ())
-        else:
-            reports = await self.collect_reports()
-            entry, record = await self._decide_one(change, reports)
-        if not _is_resend(change, record, entry):
-            raise exceptions.ChangeRefusedError(
-                f"change id {change.change_id} belongs to change {record.number}, "
-                f"{record.action} by {record.author}",
-                code="change_id_reused",
-            )
-        return record
-
-    async def _decide_one(
-        self,
-        change: configuration.Change,
-        reports: tuple[control.HostReport, ...],
-    ) -> tuple[changes.Entry, audit.AuditRecord]:
-        driver = self._need_driver()
-        await driver.read()
-        entry = self._writer.write(change, self.machine, reports)
-        record = self.machine.audit.find(change.change_id)
-        if record is None:
-            record = await driver.propose(changes.encode(entry))
-            self._note(record)
-        return entry, record
-
-    def _note(self, record: audit.AuditRecord) -> None:
-        self.metrics.count_change(record)
-        _log_change(record)
+        return await self._decider.decide(change)
 
     async def read(self) -> configuration.ConfigurationState:
         """Return the state that nobody else can have replaced.
@@ -275,33 +243,14 @@
         :raises NotLeaderError: another host leads.
         :raises QuorumLostError: no quorum answered.
         """
-        await self._need_driver().read()
+        await self.need_driver().read()
         return self.machine.state
 
-    async def collect_reports(self) -> tuple[control.HostReport, ...]:
-        """Return what entry hosts reported to any control host, newest each."""
-        replies = await self.collect_members()
-        newest: dict[str, control.HostReport] = {}
-        for reply in replies.values():
-            for report in () if reply is None else reply.reports:
-                known = newest.get(report.host_id)
-                if known is None or report.age_ms < known.age_ms:
-                    newest[report.host_id] = report
-        return tuple(newest[host_id] for host_id in sorted(newest))
-
-    async def collect_members(self) -> dict[str, control.ReportsReply | None]:
-        """Ask each member for its state; ``None`` where one does not answer."""
-        raft = self.raft
-        members = () if raft is None else raft.log.membership.members
-        own_id = "" if raft is None else raft.member_id
-        others = [member for member in members if member.id != own_id]
-        replies = await asyncio.gather(
-            *(self._ask_reports(member.address) for member in others)
-        )
-        by_id = dict(zip((member.id for member in others), replies, strict=True))
-        return {own_id: self._own_reports(), **by_id}
+    def need_driver(self) -> raft_driver.RaftDriver:
+        """Return the member of the log.
 
-    def _need_driver(self) -> raft_driver.RaftDriver:
+        :raises QuorumLostError: this host has not found its log yet.
+        """
         if self.driver is None:
             raise exceptions.QuorumLostError("this host has not found its log yet")
         return self.driver
@@ -407,7 +356,7 @@
             self._on_failure(error)
 
     async def _handle_raft(self, body: bytes) -> bytes:
-        return await self._need_driver().handle(body)
+        return await self.need_driver().handle(body)
 
     async def _handle_identify(self, _body: bytes) -> bytes:
         group_id = "" if self.raft is None else self.raft.group_id
@@ -422,46 +371,6 @@
         address = self.leader_address or ""
         return codec.encode_msgpack(control.JoinReply(leader_address=address))
 
-    async def _handle_reports(self, _body: bytes) -> bytes:
-        return codec.encode_msgpack(self._own_reports())
-
-    def _own_reports(self) -> control.ReportsReply:
-        applied = 0 if self.driver is None else self.driver.replica.applied_index
-        return control.ReportsReply(
-            revision=self.machine.state.revision,
-            applied_index=applied,
-            log_bytes=self.log_bytes,
-            reports=self.publisher.reports(),
-        )
-
-    async def _ask_reports(self, address: str) -> control.ReportsReply | None:
-        try:
-            data = await self.channel.call(
-                address, REPORTS_METHOD, b"", timeout=REPORTS_TIMEOUT_S
-            )
-            return codec.decode_msgpack(data, control.ReportsReply)
-        except (exceptions.PeerError, exceptions.InvalidRequestError):
-            return None
-
-
-def _writer_of(
-    settings: ControlSettings, clock: clocks.Clock
-) -> proposals.ChangeWriter:
-    signer = None
-    if settings.signing_key is not None:
-        signer = proofs.Signer(private_key_pem=settings.signing_key)
-    verifier = None
-    if settings.trusted_keys:
-        verifier = proofs.Verifier(
-            public_keys_pem=settings.trusted_keys, lifetime=settings.proof_lifetime
-        )
-    return proposals.ChangeWriter(
-        environment=settings.environment,
-        signer=signer,
-        verifier=verifier,
-        clock=clock,
-    )
-
 
 def _join_request(member: records.Member) -> control.JoinRequest:
     return control.JoinRequest(
@@ -470,27 +379,3 @@
         address=member.address,
         voter=member.voter,
     )
-
-
-def _is_resend(
-    change: configuration.Change, record: audit.AuditRecord, entry: changes.Entry
-) -> bool:
-    if isinstance(change, configuration.ProofChange) and not change.digest:
-        # It means whatever was in force at its first sending.
-        return record.action == changes.action_of(entry)
-    return changes.is_same(record, entry)
-
-
-def _log_change(record: audit.AuditRecord) -> None:
-    log.info(
-        "audit",
-        number=record.number,
-        change_id=record.change_id,
-        author=record.author,
-        action=record.action,
-        revision=record.revision,
-        code=record.code,
-        from_digest=record.from_digest,
-        to_digest=record.to_digest,
-        detail=record.detail,
-    )
--- a/src/greengagehaven/daemons/control_status.py
+++ b/src/greengagehaven/daemons/control_status.py
@@ -17,11 +17,11 @@
 
     :param has_quorum: whether this host leads and a quorum has just answered.
     """
-    replies = await host.collect_members()
+    replies = await host.reports.collect_members()
     raft = host.raft
     state = host.machine.state
     members = () if raft is None else _member_lines(host, replies)
-    reports = await host.collect_reports()
+    reports = await host.reports.collect()
     return operator.Status(
         quorum="ok" if has_quorum else "lost",
         detail=_detail(host, members, has_quorum),
