--- a/features/control.feature
+++ b/features/control.feature
@@ -118,3 +118,17 @@
     Given an entry host that may follow control hosts and peers
     When no source has heard of a leader for 4 seconds
     Then its next probes go to every control host, more often than before
+
+  Scenario Outline: A document takes <spent> s to put in force
+    With very many subscribers each change costs a host a noticeable part of a
+    core. Were every change put in force by itself, callers would wait for it.
+
+    Given an entry host that may follow control hosts and peers
+    When it took <spent> seconds to put the last change in force
+    Then it asks again after <pause> seconds
+
+    Examples:
+      | spent | pause |
+      | 0.001 | 0.1   |
+      | 0.108 | 3.6   |
+      | 2.0   | 10    |
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -302,6 +302,16 @@
     assert context.following.next_call().address != context.left
 
 
+@behave.when("it took {spent:g} seconds to put the last change in force")
+def when_spent(context, spent):
+    context.pause = context.following.pause_after(spent)
+
+
+@behave.then("it asks again after {pause:g} seconds")
+def then_pause(context, pause):
+    assert abs(context.pause - pause) < 0.01, context.pause
+
+
 @behave.when("no source has heard of a leader for {seconds:d} seconds")
 def when_out_of_touch(context, seconds):
     context.following.next_call()
--- a/src/greengagehaven/coordination/following.py
+++ b/src/greengagehaven/coordination/following.py
@@ -22,6 +22,9 @@
     :param call_timeout: longest call beyond ``wait``.
     :param pace: shortest time between two calls; changes of this time travel
         together.
+    :param max_share: part of the time that putting changes in force may take;
+        where a document is large, more changes travel together.
+    :param max_pace: longest pause for the sake of ``max_share``.
     :param retry: pause after a call that failed.
     :param probe: period between calls to a second source.
     :param urgent_probe: the same while no leader has been heard of lately.
@@ -32,6 +35,8 @@
     wait: float = 5.0
     call_timeout: float = 1.0
     pace: float = 0.1
+    max_share: float = 0.03
+    max_pace: float = 10.0
     retry: float = 0.3
     probe: float = 3.0
     urgent_probe: float = 1.0
@@ -92,6 +97,14 @@
         period = urgent if self.is_out_of_touch else usual
         return period * self._rng.uniform(0.75, 1.25)
 
+    def pause_after(self, spent: float) -> float:
+        """Return the pause before the next call.
+
+        :param spent: seconds that it took to put the last news in force.
+        """
+        pause = max(self._timing.pace, spent / self._timing.max_share)
+        return min(pause, self._timing.max_pace)
+
     @property
     def age(self) -> float:
         """Return for how many seconds no leader is known to have been heard."""
--- a/src/greengagehaven/daemons/follower.py
+++ b/src/greengagehaven/daemons/follower.py
@@ -69,6 +69,8 @@
         self._revision = 0
         self._refused_revision = 0
         self._needs_whole = False
+        self._spent = 0.0
+        self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self._in_force = asyncio.Event()
         self._add_metrics(registry)
@@ -113,7 +115,8 @@
             if call is None or not await self._ask(call):
                 await asyncio.sleep(self._timing.retry)
             else:
-                await asyncio.sleep(self._timing.pace)
+                await asyncio.sleep(self._following.pause_after(self._spent))
+                self._spent = 0.0
 
     async def _probe_forever(self) -> None:
         while True:
@@ -176,7 +179,9 @@
                 self._published.advance(delta)
         if self._published.revision == before:
             return False
+        started = self._clock.monotonic()
         self._put_in_force(self._published.state)
+        self._spent = self._clock.monotonic() - started
         self._publisher.notify()
         return True
 
