--- a/features/control.feature
+++ b/features/control.feature
@@ -80,6 +80,17 @@
     When document 2 is applied at control host c1
     Then every entry host has it in force within 4 seconds
 
+  Scenario: A control host that lost its disk starts while it is cut off
+    Its service file tells it to begin a log, as on the first day. Would it do so
+    whenever nobody answers, two logs would take changes side by side.
+
+    Given an environment of 3 control hosts and entry hosts in a and b
+    And document 1 is in force everywhere
+    When control host c1 is cut off, loses its disk and starts with --bootstrap
+    Then it begins no log and takes no change
+    When the network is whole again
+    Then control host c1 is a voter of the old log under a new identity
+
   Scenario: Random schedules over whole hosts
     Control hosts stop, start, lose their disks and are cut off from all or from
     each other, entry hosts restart, and operators send changes and send them
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -277,6 +277,46 @@
     )
 
 
+@behave.when(
+    "control host {name} is cut off, loses its disk and starts with --bootstrap"
+)
+def when_lost_disk(context, name):
+    environment = context.environment
+    context.old_voters = environment.voters()
+    context.lost = name
+    environment.network.cut_off("10.0.0.1:1")
+    environment.stop_control(name)
+    environment.folders_by_host[name] = control_fakes.MemoryFolder(rng=environment.rng)
+    environment.start_control(name, bootstrap=True)
+    environment.wait(5.0)
+
+
+@behave.then("it begins no log and takes no change")
+def then_no_log(context):
+    host, _ = context.environment.controls_by_host[context.lost]
+    assert host.raft is None
+    data = environments.document_with(2)
+    status, problem = context.environment.apply(data, "alone", via=context.lost)
+    assert (status, problem["code"]) == (503, "quorum_lost"), problem
+
+
+@behave.when("the network is whole again")
+def when_whole(context):
+    context.environment.network.heal()
+    context.environment.wait(5.0)
+
+
+@behave.then("control host {name} is a voter of the old log under a new identity")
+def then_new_identity(context, name):
+    environment = context.environment
+    voters = environment.voters()
+    kept = {voter for voter in context.old_voters if not voter.startswith(name)}
+    assert kept < voters and len(voters) == 3, (context.old_voters, voters)
+    host, _ = environment.controls_by_host[name]
+    assert host.raft.member_id in voters - context.old_voters
+    assert host.machine.state.revision == context.revision
+
+
 @behave.when("{count:d} schedules over control and entry hosts run from seed {seed:d}")
 def when_walks(context, count, seed):
     context.broken = []
--- a/features/steps/promotion_steps.py
+++ b/features/steps/promotion_steps.py
@@ -2,29 +2,14 @@
 
 import behave
 import msgspec
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from fakes import environment as environments
+from fakes import keys
 from greengagehaven.state import document
 
 MONTH_S = 30 * 86_400.0
 
 
-def key_pair(number):
-    """Return the PEMs of a private and a public key."""
-    key = ed25519.Ed25519PrivateKey.from_private_bytes(bytes([number]) * 32)
-    private = key.private_bytes(
-        serialization.Encoding.PEM,
-        serialization.PrivateFormat.PKCS8,
-        serialization.NoEncryption(),
-    )
-    public = key.public_key().public_bytes(
-        serialization.Encoding.PEM, serialization.PublicFormat.SubjectPublicKeyInfo
-    )
-    return private, public
-
-
 def start(context, **settings):
     environment = environments.Environment(**settings)
     context.add_cleanup(environment.close)
@@ -59,7 +44,7 @@
 
 @behave.given("a trial environment whose proofs production trusts")
 def given_trial(context):
-    private, public = key_pair(1)
+    private, public = keys.key_pair(1)
     context.trial = start(context, environment="trial", signing_key=private)
     context.production = start(context, trusted_keys=(public,))
 
@@ -88,7 +73,7 @@
 
 @behave.when("it is promoted to production with a proof of a foreign environment")
 def when_foreign(context):
-    private, _ = key_pair(2)
+    private, _ = keys.key_pair(2)
     foreign = start(context, environment="foreign", signing_key=private)
     context.answer = promote(context, context.data, prove(foreign, context.data))
 
