--- a/features/recorder.feature
+++ b/features/recorder.feature
@@ -30,3 +30,11 @@
     Given three recorder hosts that have granted a key to t-1
     When c-1 is started again with an empty disk
     Then c-1 abstains at first and then holds the key for t-1 too
+
+  Scenario: A recorder with an empty disk trusts nobody's silence
+    A host comes back with an empty disk while it reaches no other recorder, and
+    it was started with the flag that lets a new environment begin.
+
+    Given three recorder hosts that have granted a key to t-1
+    When c-1 is started again with an empty disk while the others are down
+    Then c-1 still abstains
--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -58,7 +58,9 @@
 
     async def call(self, address, method, body, *, timeout):
         ids_by_address = {value: key for key, value in ADDRESSES_BY_ID.items()}
-        host = self.hosts_by_id[ids_by_address[address]]
+        host = self.hosts_by_id.get(ids_by_address[address])
+        if host is None:
+            raise exceptions.PeerError("no answer")
         try:
             return await host.handlers_by_method[method](body)
         except exceptions.StorageError as error:
@@ -183,3 +185,22 @@
     assert not context.abstains
     assert context.second.verdict is claims.Verdict.HELD, context.second
     assert context.second.record.token == "t-1"
+
+
+@behave.when("c-1 is started again with an empty disk while the others are down")
+def when_alone(context):
+    async def restart():
+        context.site.hosts_by_id.clear()
+        context.site.folders_by_id["c-1"] = MemoryFolder()
+        host = context.site.start("c-1")
+        for _ in range(20):
+            await asyncio.sleep(0)
+        context.second = await context.site.claim("c-1", "t-2")
+        await host.close()
+
+    asyncio.run(restart())
+
+
+@behave.then("c-1 still abstains")
+def then_still_abstains(context):
+    assert context.second.verdict is claims.Verdict.ABSTAINS, context.second
