--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -16,11 +16,14 @@
     events,
     execution,
     fair_queue,
+    fingerprint,
     headroom,
+    isolation,
     keyed,
     limits,
     options,
     plan,
+    quarantine,
     query,
     refusal,
     shedding,
@@ -70,6 +73,10 @@
         self._planner = plan.Planner(directory=directory)
         self._limits = limits.SlotLimits()
         self._ledger = usage.UsageLedger(clock=clock)
+        self._cases = quarantine.Quarantine(clock=clock, host_id=host_id)
+        self._isolation = isolation.Isolation(
+            cases=self._cases, enabled=options.quarantine
+        )
         waits = wait_times.WaitTimes()
         self._shedding = shedding.Shedding(
             ledger=self._ledger, waits=waits, options=options
@@ -89,6 +96,7 @@
             ),
             ledger=self._ledger,
             reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            isolation=self._isolation,
         )
         self._execution = execution.Execution(
             clock=clock,
@@ -96,6 +104,7 @@
             usable=self._is_usable,
             sender=self._dispatcher,
             pending=self._timers,
+            isolation=self._isolation,
             options=options,
         )
         self._keyed = keyed.KeyedRequests(
@@ -127,6 +136,8 @@
         actions: list[events.Action] = []
         self._handlers_by_event[type(event)](event, actions)
         self._keyed.note_results(actions)
+        for notice in self._cases.take_notices():
+            actions.append(events.NotifyPeers(payload=notice))
         moment = self._timers.next_wake()
         if moment is not None:
             actions.append(events.WakeAt(moment=moment))
@@ -182,6 +193,8 @@
     def _admit(
         self, submitted: events.QuerySubmitted, kind: document.Kind
     ) -> query.Query:
+        name = fingerprint.of_query(submitted.kind, submitted.query)
+        self._isolation.check(name)
         now = self._clock.monotonic()
         deadline = self._deadline_of(submitted, kind)
         self._shedding.check(
@@ -197,6 +210,7 @@
             pinned=self._pin(submitted, kind),
             started=now,
             deadline=deadline,
+            fingerprint=name,
         )
 
     def _pin(
@@ -260,6 +274,7 @@
     ) -> None:
         self._limits.set_hosts(changed.zones_by_host_id)
         self._ledger.set_hosts(changed.zones_by_host_id)
+        self._cases.set_hosts(changed.zones_by_host_id)
         if not self._reports_usage:
             self._reports_usage = True
             self._arm_usage_report()
@@ -268,8 +283,24 @@
         self, notice: events.PeerNotice, actions: list[events.Action]
     ) -> None:
         """Take a message of another host's core."""
-        if isinstance(notice.payload, notices.UsageReport):
-            self._ledger.take_report(notice.host_id, notice.payload)
+        payload = notice.payload
+        if isinstance(payload, notices.UsageReport):
+            self._ledger.take_report(notice.host_id, payload)
+            return
+        if not self._options.quarantine:
+            return
+        if isinstance(payload, notices.InFlightReport):
+            self._cases.take_in_flight(payload)
+        elif isinstance(payload, notices.LossCleared):
+            self._cases.take_cleared(payload)
+        elif isinstance(payload, notices.QuarantineReport):
+            self._cases.take_ban(payload)
+            self._execution.stop_convicted(payload.fingerprint, actions)
+        elif isinstance(payload, notices.LossReport):
+            is_here = bool(self._isolation.request_ids(payload.fingerprint))
+            if self._cases.take_loss(payload, in_flight=is_here):
+                self._execution.stop_convicted(payload.fingerprint, actions)
+        self._execution.release_parked(actions)
 
     def _on_recorder_replied(
         self, replied: events.RecorderReplied, actions: list[events.Action]
@@ -298,5 +329,7 @@
                 self._keyed.take_claim_timer(timer.request_id, actions)
             elif isinstance(timer, timers.ResendTimer):
                 self._keyed.take_resend_timer(actions)
+            elif isinstance(timer, timers.ReleaseTimer):
+                self._execution.release_parked(actions)
             else:
                 self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -9,6 +9,7 @@
 from greengagehaven.coordination import (
     fair_queue,
     headroom,
+    isolation,
     limits,
     plan,
     query,
@@ -37,6 +38,7 @@
     shard_ref: upstream.ShardRef
     subscriber_id: str
     kind: str
+    fingerprint: str
     sent_at: float
     charged: float
     extra: bool
@@ -49,6 +51,7 @@
     :param usable: whether an upstream may get new work now.
     :param queue: order of the sub-requests that wait for room.
     :param ledger: gets charged with what each subscriber uses.
+    :param isolation: keeps suspected requests apart.
     :param reserve: keeps subscribers over their share off the last place.
     """
 
@@ -64,6 +67,7 @@
         queue: fair_queue.WaitingQueue,
         ledger: usage.UsageLedger,
         reserve: headroom.Headroom,
+        isolation: isolation.Isolation,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -75,13 +79,14 @@
         self._order = itertools.count()
         self._ledger = ledger
         self._reserve = reserve
+        self._isolation = isolation
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
         self._stats_by_id: dict[str, upstream_stats.UpstreamStats] = {}
 
     @property
     def waiting_count(self) -> int:
         """Return how many sub-requests wait for room."""
-        return len(self._queue)
+        return len(self._queue) + self._isolation.parked_count
 
     def enqueue(self, running: query.Query, shard_ref: upstream.ShardRef) -> None:
         """Let a shard of a query wait for room."""
@@ -126,6 +131,8 @@
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> upstream.SubRequest | None:
         """Send a further attempt at once, where an untried upstream has room."""
+        if self._isolation.is_suspect(running):
+            return None
         with_room = self._with_room(self.holders(running, shard_ref))
         if not with_room or self._must_leave(running, shard_ref, with_room):
             return None
@@ -181,7 +188,15 @@
             running = queries_by_id.get(item.request_id)
             if running is None or not _still_wanted(running, shard_ref):
                 continue
+            if not self._isolation.may_go(running, shard_ref):
+                continue
             with_room = self._with_room(self.holders(running, shard_ref))
+            crowded = self._isolation.crowded(running)
+            if crowded.intersection(with_room):
+                with_room = [held for held in with_room if held not in crowded]
+                if not with_room:
+                    self._isolation.park(running, shard_ref)
+                    continue
             if with_room and not self._must_leave(running, shard_ref, with_room):
                 self._send_item(item, running, with_room, batch)
                 continue
@@ -273,10 +288,12 @@
             shard_ref=shard_ref,
             subscriber_id=subscriber_id,
             kind=running.submitted.kind,
+            fingerprint=running.fingerprint,
             sent_at=self._clock.monotonic(),
             charged=charged,
             extra=extra,
         )
+        self._isolation.note_sent(running, number, upstream_id)
         return upstream.SubRequest(
             request_id=running.request_id,
             attempt=number,
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -9,6 +9,7 @@
     dispatcher,
     events,
     hedging,
+    isolation,
     options,
     plan,
     query,
@@ -27,6 +28,7 @@
     :param usable: whether an upstream may get new work now.
     :param sender: what sends sub-requests.
     :param pending: timers of the core.
+    :param isolation: keeps suspected requests apart and convicted ones out.
     :param options: switches of the mechanisms.
     """
 
@@ -38,6 +40,7 @@
         usable: plan.Usable,
         sender: dispatcher.Dispatcher,
         pending: timers.Timers,
+        isolation: isolation.Isolation,
         options: options.Options,
     ) -> None:
         self._clock = clock
@@ -45,7 +48,9 @@
         self._usable = usable
         self._dispatcher = sender
         self._timers = pending
+        self._isolation = isolation
         self._options = options
+        self._release_at: float | None = None
         self._queries_by_id: dict[str, query.Query] = {}
         self._retry_budget = retries.Budget(ratio=options.retry_budget)
         self._hedges = hedging.HedgePolicy(
@@ -61,6 +66,7 @@
     def begin(self, running: query.Query, actions: list[events.Action]) -> None:
         """Take on an admitted query and send what there is room for."""
         self._queries_by_id[running.request_id] = running
+        self._isolation.begin(running)
         self._arm_deadline(running)
         self._start(running, actions)
 
@@ -68,6 +74,7 @@
         """Forget a query and give up on its attempts in flight."""
         del self._queries_by_id[running.request_id]
         self._dispatcher.discard(running)
+        self._isolation.end(running)
         for attempt in running.attempts_in_flight():
             actions.append(_cancel(running, attempt))
 
@@ -80,12 +87,45 @@
         """Advance the query of an attempt that ended, and send what waited."""
         if isinstance(outcome, upstream.Replied) and not attempt.extra:
             self._hedges.observe(self._clock.monotonic() - attempt.sent_at)
+        convicted = self._isolation.note_outcome(
+            attempt.fingerprint,
+            outcome,
+            incarnation=attempt.incarnation,
+            shard_ref=attempt.shard_ref,
+        )
+        if convicted:
+            self.stop_convicted(attempt.fingerprint, actions)
         running = self._queries_by_id.get(outcome.request_id)
         if running is not None:
             self._advance(running, attempt, outcome, actions)
+        self.release_parked(actions)
         shard_refs = self._dispatcher.shards_beside(attempt.upstream_id)
         self._send_waiting(shard_refs, actions)
 
+    def stop_convicted(self, fingerprint: str, actions: list[events.Action]) -> None:
+        """Refuse the queries in progress that were convicted, at once."""
+        for request_id in self._isolation.request_ids(fingerprint):
+            running = self._queries_by_id[request_id]
+            error = self._isolation.describe(running)
+            if error is not None:
+                actions.append(events.RefuseQuery(request_id=request_id, error=error))
+                self.end(running, actions)
+
+    def release_parked(self, actions: list[events.Action]) -> None:
+        """Let suspected requests go on that may go by now."""
+        released = []
+        for request_id, shard_ref in self._isolation.take_released():
+            running = self._queries_by_id.get(request_id)
+            if running is not None and shard_ref in running.progress_by_shard:
+                self._dispatcher.enqueue(running, shard_ref)
+                released.append(shard_ref)
+        if released:
+            self._send_waiting(dict.fromkeys(released), actions)
+        moment = self._isolation.next_release()
+        if moment is not None and moment != self._release_at:
+            self._release_at = moment
+            self._timers.add(moment, timers.ReleaseTimer())
+
     def take_timer(self, timer: timers.Timer, actions: list[events.Action]) -> None:
         """Act on a timer of a query whose moment has come."""
         running = self._queries_by_id.get(timer.request_id)
--- a/src/greengagehaven/coordination/query.py
+++ b/src/greengagehaven/coordination/query.py
@@ -42,6 +42,7 @@
     :param kind: its kind in the document in force.
     :param pinned: its plan.
     :param deadline: monotonic seconds.
+    :param fingerprint: the same for every resend, whatever its services.
     """
 
     def __init__(
@@ -52,11 +53,13 @@
         pinned: plan.Plan,
         started: float,
         deadline: float,
+        fingerprint: str = "",
     ) -> None:
         self.submitted = submitted
         self.kind = kind
         self.started = started
         self.deadline = deadline
+        self.fingerprint = fingerprint
         self.excluded_snapshots: set[int] = set()
         self._last_attempt = 0
         self._possible_runs = 0
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -40,7 +40,14 @@
     """The moment at which recorders are told again what they missed."""
 
 
-Timer = DeadlineTimer | HedgeTimer | UsageTimer | ClaimTimer | ResendTimer
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseTimer:
+    """The moment at which a suspected request may be tried."""
+
+
+Timer = (
+    DeadlineTimer | HedgeTimer | UsageTimer | ClaimTimer | ResendTimer | ReleaseTimer
+)
 
 
 class Timers:
