--- /dev/null
+++ b/features/fakes/crashing.py
@@ -0,0 +1,158 @@
+"""Upstreams behind several hosts that some requests bring down."""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from fakes import core as fake_core
+from fakes import hosts
+from greengagehaven.coordination import events
+from greengagehaven.protocol import upstream
+
+STEP_S = 0.001
+RESTART_S = 2.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Run:
+    """A sub-request that an upstream runs."""
+
+    host_id: str
+    sub_request: upstream.SubRequest
+    ends: float
+
+
+class CrashingTier:
+    """Entry hosts and upstreams on one clock, in steps of a millisecond.
+
+    :param announcements: the upstreams.
+    :param run_s: how long an upstream runs a request.
+    :param crash_s: how long it runs a poisonous one before it crashes.
+    :param is_poison: whether a sub-request crashes its upstream.
+    """
+
+    def __init__(
+        self, *, host_count, announcements, run_s=0.01, crash_s=0.01, is_poison
+    ):
+        self.hosts = hosts.Hosts(count=host_count, on_sent=self._take)
+        self.run_s = run_s
+        self.crash_s = crash_s
+        self.is_poison = is_poison
+        self.runs_by_upstream = collections.defaultdict(list)
+        self.crashes = []
+        self.sent_count = 0
+        self._announcements_by_id = {each.id: each for each in announcements}
+        self._restarts = {}
+        zones = dict.fromkeys(self.hosts.tiers_by_id, "a")
+        for tier in self.hosts.tiers_by_id.values():
+            tier.step(events.HostsChanged(zones_by_host_id=zones))
+            tier.put(*announcements)
+
+    @property
+    def now(self):
+        return self.hosts.clock.monotonic()
+
+    def submit(self, host_id, request_id, **fields):
+        self.hosts.submit(host_id, request_id, **fields)
+        self.hosts.carry()
+
+    def answer(self, request_id):
+        return self._find("answers_by_id", request_id)
+
+    def refusal(self, request_id):
+        return self._find("refusals_by_id", request_id)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.hosts.advance(STEP_S)
+            self._restart_due()
+            for upstream_id in list(self.runs_by_upstream):
+                self._end_due(upstream_id)
+
+    def crash(self, upstream_id, *, restarts=True):
+        """Lose an upstream with all that it runs."""
+        self.crashes.append(upstream_id)
+        lost = self.runs_by_upstream.pop(upstream_id, [])
+        known = self._announcements_by_id[upstream_id]
+        for tier in self.hosts.tiers_by_id.values():
+            tier.directory.withdraw(upstream_id, (known.incarnation, known.sequence))
+        for run in lost:
+            tier = self.hosts.tiers_by_id[run.host_id]
+            if run.sub_request.id in tier.in_flight:
+                tier.fail(run.sub_request, upstream.FailureReason.RESET)
+        changed = events.DirectoryChanged(upstream_ids=frozenset({upstream_id}))
+        for tier in self.hosts.tiers_by_id.values():
+            tier.step(changed)
+        if restarts:
+            self._restarts[upstream_id] = self.now + RESTART_S
+        self.hosts.carry()
+
+    def add(self, announcement):
+        """Announce one more upstream to every host."""
+        self._announcements_by_id[announcement.id] = announcement
+        for tier in self.hosts.tiers_by_id.values():
+            tier.put(announcement)
+
+    def _take(self, host_id, sub_request):
+        self.sent_count += 1
+        upstream_id = sub_request.upstream_id
+        is_gone = upstream_id in self._restarts
+        if is_gone:
+            tier = self.hosts.tiers_by_id[host_id]
+            tier.fail(sub_request, upstream.FailureReason.CONNECT, not_run=True)
+            return
+        takes = self.crash_s if self.is_poison(sub_request) else self.run_s
+        run = Run(host_id=host_id, sub_request=sub_request, ends=self.now + takes)
+        self.runs_by_upstream[upstream_id].append(run)
+
+    def _end_due(self, upstream_id):
+        for run in list(self.runs_by_upstream.get(upstream_id, ())):
+            if run.ends > self.now or upstream_id not in self.runs_by_upstream:
+                continue
+            tier = self.hosts.tiers_by_id[run.host_id]
+            if run.sub_request.id not in tier.in_flight:
+                self.runs_by_upstream[upstream_id].remove(run)
+            elif self.is_poison(run.sub_request):
+                self.crash(upstream_id)
+            else:
+                self.runs_by_upstream[upstream_id].remove(run)
+                tier.reply(run.sub_request)
+                self.hosts.carry()
+
+    def _restart_due(self):
+        for upstream_id, moment in list(self._restarts.items()):
+            if moment > self.now:
+                continue
+            del self._restarts[upstream_id]
+            known = self._announcements_by_id[upstream_id]
+            fresh = msgspec.structs.replace(known, incarnation=known.incarnation + 1)
+            self._announcements_by_id[upstream_id] = fresh
+            for tier in self.hosts.tiers_by_id.values():
+                tier.put(fresh)
+
+    def _find(self, name, request_id):
+        for tier in self.hosts.tiers_by_id.values():
+            found = getattr(tier, name)
+            if request_id in found:
+                return found[request_id]
+        return None
+
+
+def replicas(count):
+    """Return upstreams that all hold the one shard of credits-0."""
+    return [fake_core.announce(f"u-{number}", slots=4) for number in range(count)]
+
+
+def sharded(shards):
+    """Return two upstreams for each shard of credits-0, in zones a and b."""
+    return [
+        fake_core.announce(
+            f"u-{zone}-{shard}",
+            shards=(("credits-0", shard, shards),),
+            zone=zone,
+            slots=4,
+        )
+        for shard in range(shards)
+        for zone in ("a", "b")
+    ]
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,228 @@
+"""Steps about requests that crash upstreams."""
+
+import random
+
+import behave
+
+from fakes import crashing
+from greengagehaven import clock
+from greengagehaven.coordination import quarantine
+from greengagehaven.protocol import upstream
+
+POISON = b'{"name": "x", "poison": 1}'
+SPELLINGS = (POISON, b'{"poison":1,"name":"x"}', b' { "name":"x","poison" : 1 } ')
+
+
+def is_poison(sub_request):
+    return b"poison" in bytes(sub_request.query)
+
+
+@behave.given(
+    "{hosts:d} entry hosts and {count:d} replicas, and a query that crashes them"
+    " after {crash_ms:d} ms"
+)
+def given_replicas(context, hosts, count, crash_ms):
+    context.tier = crashing.CrashingTier(
+        host_count=hosts,
+        announcements=crashing.replicas(count),
+        crash_s=crash_ms / 1000,
+        is_poison=is_poison,
+    )
+    context.host_ids = sorted(context.tier.hosts.tiers_by_id)
+
+
+@behave.given(
+    "{hosts:d} entry hosts and {shards:d} shards in two zones, and a sweep that {does}"
+)
+def given_shards(context, hosts, shards, does):
+    def crashes(sub_request):
+        return is_poison(sub_request) and sub_request.shard_ref.shard == 2
+
+    context.tier = crashing.CrashingTier(
+        host_count=hosts,
+        announcements=crashing.sharded(shards),
+        is_poison=crashes if does == "crashes shard 2" else lambda sent: False,
+    )
+    context.host_ids = sorted(context.tier.hosts.tiers_by_id)
+
+
+def send(context, number, **fields):
+    host_id = context.host_ids[number % len(context.host_ids)]
+    context.tier.submit(host_id, f"poison-{number}", **{"query": POISON, **fields})
+
+
+@behave.when(
+    "the {what} is sent {count:d} times, every 100 ms, each time through the next host"
+)
+def when_resent(context, what, count):
+    for number in range(count):
+        send(context, number, kind="sweep")
+        context.tier.run(0.1)
+    context.tier.run(2.5)
+
+
+@behave.when("the query is sent 20 times with other spacing, order and services")
+def when_respelled(context):
+    services = (("credits-0",), ("credits-0", "credits-1"))
+    context.tier.hosts.tiers_by_id["h-1"].put()
+    for number in range(20):
+        spelling = SPELLINGS[number % len(SPELLINGS)]
+        send(context, number, query=spelling, services=services[number % 2])
+        context.tier.run(0.1)
+
+
+@behave.when("it is sent every 100 ms among 6 other queries every 10 ms for 2 s")
+def when_mixed(context):
+    rng = random.Random(7)
+    context.others = []
+    for tick in range(200):
+        if tick % 10 == 0:
+            send(context, tick // 10, kind="sweep")
+        for number in range(6):
+            request_id = f"other-{tick}-{number}"
+            query = b'{"name": "%d"}' % rng.randrange(1000)
+            context.others.append(request_id)
+            context.tier.submit(rng.choice(context.host_ids), request_id, query=query)
+        context.tier.run(0.01)
+    context.tier.run(2.5)
+
+
+@behave.when(
+    "a harmless query and the poisonous one share it, and one more replica comes"
+)
+def when_shared(context):
+    context.tier.run_s = 0.05
+    context.tier.submit("h-1", "harmless", query=b'{"name": "y"}')
+    send(context, 0)
+    context.tier.add(crashing.replicas(2)[1])
+    context.tier.run(2.5)
+
+
+@behave.then("the harmless query is answered and only the poisonous one is quarantined")
+def then_only_poison(context):
+    assert len(context.tier.crashes) == 2, context.tier.crashes
+    context.tier.submit("h-2", "harmless-again", query=b'{"name": "y"}')
+    send(context, 1)
+    context.tier.run(0.2)
+    refusal = context.tier.refusal("harmless-again")
+    assert context.tier.answer("harmless-again") is not None, refusal
+    assert context.tier.refusal("poison-1").code == "quarantined"
+
+
+@behave.then("at most 2 upstreams were lost to it")
+def then_two_lost(context):
+    assert 1 <= len(context.tier.crashes) <= 2, context.tier.crashes
+
+
+@behave.then("the later ones were refused as quarantined with ran no")
+def then_refused(context):
+    refusals = [context.tier.refusal(f"poison-{number}") for number in range(5, 10)]
+    found = {(error.code, str(error.ran)) for error in refusals}
+    assert found == {("quarantined", "no")}, found
+    assert all(200 < error.retry_after < 400 for error in refusals)
+
+
+@behave.then("every other query was answered")
+def then_others(context):
+    missing = [each for each in context.others if context.tier.answer(each) is None]
+    reasons = [context.tier.refusal(each) for each in missing]
+    assert not missing, (len(missing), [repr(reason) for reason in reasons[:5]])
+
+
+@behave.when("zone a goes down while the sweep is in flight from every host")
+def when_zone_down(context):
+    for number in range(len(context.host_ids)):
+        context.tier.submit(
+            context.host_ids[number],
+            f"sweep-{number}",
+            query=b'{"name": "%d"}' % number,
+        )
+    context.tier.run(0.005)
+    for shard in range(6):
+        context.tier.crash(f"u-a-{shard}", restarts=False)
+    context.tier.run(1.5)
+
+
+@behave.then("the sweeps were answered in full and nothing is quarantined")
+def then_sweeps(context):
+    for number in range(len(context.host_ids)):
+        answer = context.tier.answer(f"sweep-{number}")
+        refusal = context.tier.refusal(f"sweep-{number}")
+        assert answer is not None, refusal
+        assert answer.coverage.complete, answer.coverage
+    context.tier.submit("h-1", "again", query=b'{"name": "0"}')
+    context.tier.run(0.1)
+    assert context.tier.answer("again") is not None, context.tier.refusal("again")
+
+
+@behave.given("the query was quarantined and has become harmless")
+def given_harmless(context):
+    when_resent(context, "query", 5)
+    assert len(context.tier.crashes) == 2
+    context.tier.is_poison = lambda sub_request: False
+
+
+@behave.given("the query was quarantined and is still poisonous")
+def given_poisonous(context):
+    when_resent(context, "query", 5)
+    assert len(context.tier.crashes) == 2
+
+
+@behave.when("its ban is over and it is sent through every host within 15 s")
+def when_ban_over(context):
+    context.tier.hosts.clock.advance(quarantine.FIRST_BAN_S - 3.0)
+    context.tier.run(0.001)
+    context.trials = []
+    host_count = len(context.host_ids)
+    for tick in range(60):
+        numbers = range(100 + tick * host_count, 100 + (tick + 1) * host_count)
+        for number in numbers:
+            send(context, number, kind="sweep")
+        context.tier.run(0.25)
+        answers = [context.tier.answer(f"poison-{number}") for number in numbers]
+        context.trials.append(sum(answer is not None for answer in answers))
+    context.last = f"poison-{numbers[-1]}"
+
+
+@behave.then("it was answered once by a trial, and then by every host")
+def then_cleared(context):
+    first = next(index for index, count in enumerate(context.trials) if count)
+    assert first > 0, context.trials
+    assert context.trials[first] == 1, context.trials
+    assert set(context.trials[first + 1 :]) == {4}, context.trials
+    assert len(context.tier.crashes) == 2
+
+
+@behave.then("exactly 1 more upstream was lost to it")
+def then_one_more(context):
+    assert len(context.tier.crashes) == 3, context.tier.crashes
+    assert not any(context.trials)
+
+
+@behave.then("the new ban is twice as long")
+def then_longer(context):
+    error = context.tier.refusal(context.last)
+    assert error.code == "quarantined", error
+    assert 500 < error.retry_after < 700, error.retry_after
+
+
+@behave.when("one host loses 5000 connections under 5000 different queries")
+def when_many(context):
+    manual = clock.ManualClock()
+    context.cases = quarantine.Quarantine(clock=manual, host_id="h-1")
+    for number in range(5000):
+        for upstream_number in range(1 + number % 2):
+            context.cases.note_loss(
+                f"f-{number}",
+                (f"r-{number}-{upstream_number}", 1),
+                upstream_id=f"u-{upstream_number}",
+                incarnation=1,
+                shard_ref=upstream.ShardRef("credits-0", 0),
+            )
+    context.notice_count = len(context.cases.take_notices())
+
+
+@behave.then("it remembers at most 2000 suspects and 2000 bans")
+def then_bounded(context):
+    assert context.cases.suspect_count <= 2000, context.cases.suspect_count
+    assert 1000 < context.cases.ban_count <= 2000, context.cases.ban_count
--- a/src/greengagehaven/coordination/quarantine.py
+++ b/src/greengagehaven/coordination/quarantine.py
@@ -329,10 +329,11 @@
 
     def _rank(self, fingerprint: str) -> int:
         """Return this host's place in an order that all hosts agree on."""
-        ranked = sorted(
-            self._host_ids,
-            key=lambda host_id: xxhash.xxh3_64_intdigest(f"{fingerprint}/{host_id}"),
-        )
+
+        def weigh(host_id: str) -> int:
+            return xxhash.xxh3_64_intdigest(f"{fingerprint}/{host_id}".encode())
+
+        ranked = sorted(self._host_ids, key=weigh)
         return ranked.index(self._host_id)
 
     def _put_on_trial(self, fingerprint: str) -> None:
