--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -14,11 +14,15 @@
     dispatcher,
     events,
     execution,
+    hedging,
+    latency,
     limits,
     options,
+    ownership,
     plan,
     query,
     refusal,
+    selection,
     timers,
     waiting,
 )
@@ -57,22 +61,41 @@
         self._drained_zones: frozenset[str] = frozenset()
         self._timers = timers.Timers()
         self._planner = plan.Planner(directory=directory)
-        self._limits = limits.SlotLimits()
+        self._owners = ownership.Ownership(
+            host_id=host_id, zone=zone, enabled=options.shared_limits
+        )
+        self._limits = (
+            limits.SharedLimits() if options.shared_limits else limits.SlotLimits()
+        )
+        latencies = latency.LatencyBook(quantile=options.hedge_quantile)
+        hedges = hedging.HedgePolicy(
+            latencies=latencies,
+            budget_ratio=options.hedge_budget if options.hedging else 0.0,
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
-            rng=rng,
             directory=directory,
             planner=self._planner,
-            usable=self._is_usable,
+            usable=self.is_usable,
             upstream_limits=self._limits,
+            selector=selection.Selector(
+                rng=rng,
+                started=clock.monotonic(),
+                zone=zone if options.zone_preference else None,
+                ejection=options.ejection,
+                owners=self._owners,
+            ),
+            latencies=latencies,
             queue=waiting.ArrivalQueue(),
+            may_probe=hedges.budget.spend,
         )
         self._execution = execution.Execution(
             clock=clock,
             planner=self._planner,
-            usable=self._is_usable,
+            usable=self.is_usable,
             sender=self._dispatcher,
             pending=self._timers,
+            hedges=hedges,
             options=options,
         )
         self._handlers_by_event: dict[type, typing.Callable] = {
@@ -101,7 +124,13 @@
             actions.append(events.WakeAt(moment=moment))
         return actions
 
-    def _is_usable(self, announcement: upstream.Announcement) -> bool:
+    @property
+    def owners(self) -> ownership.Ownership:
+        """Return which entry host sends to which upstream."""
+        return self._owners
+
+    def is_usable(self, announcement: upstream.Announcement) -> bool:
+        """Tell whether an upstream may get new work now."""
         if announcement.availability_zone in self._drained_zones:
             return False
         return announcement.state is upstream.UpstreamState.READY
@@ -112,8 +141,8 @@
         try:
             running = self._admit(submitted)
         except exceptions.RequestError as error:
-            refusal = events.RefuseQuery(request_id=submitted.request_id, error=error)
-            actions.append(refusal)
+            refused = events.RefuseQuery(request_id=submitted.request_id, error=error)
+            actions.append(refused)
             return
         self._execution.begin(running, actions)
 
@@ -146,7 +175,7 @@
         submitted: events.QuerySubmitted,
         kind: document.Kind,
     ) -> plan.Plan:
-        pinned = self._planner.pin(submitted.services, usable=self._is_usable)
+        pinned = self._planner.pin(submitted.services, usable=self.is_usable)
         if pinned is None:
             raise exceptions.IncompleteError(
                 "no upstream of a service has ever been seen",
@@ -173,8 +202,8 @@
     def _on_directory_changed(
         self, changed: events.DirectoryChanged, actions: list[events.Action]
     ) -> None:
-        self._planner.invalidate()
-        self._dispatcher.forget_departed()
+        self._planner.invalidate(changed.upstream_ids)
+        self._dispatcher.upstreams_changed()
         self._execution.reconsider_waiting(actions)
 
     def _on_document(
@@ -192,6 +221,7 @@
     def _on_hosts_changed(
         self, changed: events.HostsChanged, actions: list[events.Action]
     ) -> None:
+        self._owners.set_hosts(changed.zones_by_host_id)
         self._limits.set_hosts(changed.zones_by_host_id)
 
     def _on_peer_notice(
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -1,5 +1,6 @@
 """The life of queries after admission: send, take replies, retry, hedge, end."""
 
+import dataclasses
 import typing
 from collections import abc
 
@@ -18,6 +19,9 @@
 )
 from greengagehaven.protocol import search, upstream
 
+_MAX_RESTARTS = 2
+_HEDGE_AGAIN_RATIO = 0.5
+
 
 class Execution:
     """Queries in progress on one entry host.
@@ -27,6 +31,7 @@
     :param usable: whether an upstream may get new work now.
     :param sender: what sends sub-requests.
     :param pending: timers of the core.
+    :param hedges: when to send a second attempt.
     :param options: switches of the mechanisms.
     """
 
@@ -38,6 +43,7 @@
         usable: plan.Usable,
         sender: dispatcher.Dispatcher,
         pending: timers.Timers,
+        hedges: hedging.HedgePolicy,
         options: options.Options,
     ) -> None:
         self._clock = clock
@@ -48,10 +54,8 @@
         self._options = options
         self._queries_by_id: dict[str, query.Query] = {}
         self._retry_budget = retries.Budget(ratio=options.retry_budget)
-        self._hedges = hedging.HedgePolicy(
-            quantile=options.hedge_quantile,
-            budget_ratio=options.hedge_budget if options.hedging else 0.0,
-        )
+        self._restart_budget = retries.Budget(ratio=options.retry_budget)
+        self._hedges = hedges
 
     @property
     def queries_by_id(self) -> abc.Mapping[str, query.Query]:
@@ -61,6 +65,7 @@
     def begin(self, running: query.Query, actions: list[events.Action]) -> None:
         """Take on an admitted query and send what there is room for."""
         self._queries_by_id[running.request_id] = running
+        self._restart_budget.earn()
         self._arm_deadline(running)
         self._start(running, actions)
 
@@ -77,8 +82,6 @@
         actions: list[events.Action],
     ) -> None:
         """Advance the query of an attempt that ended, and send what waited."""
-        if isinstance(outcome, upstream.Replied) and not attempt.extra:
-            self._hedges.observe(self._clock.monotonic() - attempt.sent_at)
         running = self._queries_by_id.get(outcome.request_id)
         if running is not None:
             self._advance(running, attempt, outcome, actions)
@@ -91,11 +94,24 @@
         if running is None:
             return
         if isinstance(timer, timers.DeadlineTimer):
-            running.give_up_rest(search.MissingReason.TIMEOUT)
-            self._finish_if_settled(running, actions)
+            self._take_deadline(running, actions)
         else:
             self._hedge(running, timer, actions)
 
+    def _take_deadline(
+        self, running: query.Query, actions: list[events.Action]
+    ) -> None:
+        is_final = self._clock.monotonic() >= running.deadline
+        if not is_final and not running.answered:
+            # Nothing has come yet. An error now helps nobody: the first shard
+            # that answers ends the wait.
+            running.is_overdue = True
+            timer = timers.DeadlineTimer(request_id=running.request_id)
+            self._timers.add(running.deadline, timer)
+            return
+        running.give_up_rest(search.MissingReason.TIMEOUT)
+        self._finish_if_settled(running, actions)
+
     def reconsider_waiting(self, actions: list[events.Action]) -> None:
         """Settle or send every shard that is not in flight."""
         for running in list(self._queries_by_id.values()):
@@ -104,7 +120,7 @@
                     continue
                 if self._dispatcher.holders(running, shard_ref):
                     continue
-                if self._start_over(running, actions):
+                if self._start_over(running, progress.target, actions):
                     break
                 running.give_up(shard_ref, search.MissingReason.NO_REPLICA)
             self._finish_if_settled(running, actions)
@@ -144,25 +160,34 @@
         batch = self._dispatcher.send_waiting(shard_refs, self._queries_by_id)
         if not batch:
             return
-        self._hedges.budget.earn(len(batch))
-        self._retry_budget.earn(len(batch))
+        firsts = sum(
+            not self._dispatcher.attempts_by_id[sub_request.id].extra
+            for sub_request in batch
+        )
+        self._hedges.budget.earn(firsts)
+        self._retry_budget.earn(firsts)
         actions.append(events.Dispatch(batch=tuple(batch)))
         self._arm_hedges(batch)
 
     def _arm_hedges(self, batch: list[upstream.SubRequest]) -> None:
-        delay = self._hedges.delay
-        if delay is None or not self._options.hedging:
-            return
-        attempts_by_request: dict[str, list[int]] = {}
+        attempts_by_timer: dict[tuple[str, float], list] = {}
         for sub_request in batch:
+            attempt = self._dispatcher.attempts_by_id[sub_request.id]
             running = self._queries_by_id[sub_request.request_id]
-            if running.kind.idempotent:
-                attempts = attempts_by_request.setdefault(sub_request.request_id, [])
-                attempts.append(sub_request.attempt)
-        moment = self._clock.monotonic() + delay
-        for request_id, attempts in attempts_by_request.items():
-            timer = timers.HedgeTimer(request_id=request_id, attempts=tuple(attempts))
-            self._timers.add(moment, timer)
+            if attempt.is_probe or not running.kind.idempotent:
+                continue
+            delay = self._hedges.delay(attempt.latency_class)
+            if delay is None:
+                continue
+            key = (sub_request.request_id, delay)
+            attempts = attempts_by_timer.setdefault(key, [])
+            attempts.append((sub_request.shard_ref, sub_request.attempt))
+        now = self._clock.monotonic()
+        for (request_id, delay), attempts in attempts_by_timer.items():
+            timer = timers.HedgeTimer(
+                request_id=request_id, attempts=tuple(attempts), delay=delay
+            )
+            self._timers.add(now + delay, timer)
 
     def _advance(
         self,
@@ -181,6 +206,8 @@
             for loser in progress.attempts_by_id:
                 actions.append(_cancel(running, loser))
             progress.attempts_by_id.clear()
+            if running.is_overdue:
+                running.give_up_rest(search.MissingReason.TIMEOUT)
         else:
             self._retry(running, progress, outcome, actions)
         self._finish_if_settled(running, actions)
@@ -201,25 +228,35 @@
                 self._dispatcher.enqueue(running, shard_ref)
                 self._send_waiting([shard_ref], actions)
                 return
-        elif allowed and self._start_over(running, actions):
+        elif allowed and self._start_over(running, progress.target, actions):
             return
         running.give_up(shard_ref, refusal.missing_reason(failed))
 
-    def _start_over(self, running: query.Query, actions: list[events.Action]) -> bool:
-        """Begin an idempotent query again on another snapshot, if one covers it."""
-        if not running.kind.idempotent:
+    def _start_over(
+        self,
+        running: query.Query,
+        lost: plan.ShardTarget,
+        actions: list[events.Action],
+    ) -> bool:
+        """Begin an idempotent query again on other versions, if any cover it.
+
+        :param lost: the shard that cannot be answered as it was pinned.
+        """
+        if not running.kind.idempotent or running.restarts >= _MAX_RESTARTS:
             return False
-        excluded = running.excluded_snapshots | {running.plan.snapshot}
+        version = plan.Version(
+            lost.ref.service, running.plan.snapshot, lost.partitioning
+        )
+        excluded = running.excluded | {version}
         pinned = self._planner.pin(
-            running.submitted.services,
-            usable=self._usable,
-            excluded_snapshots=frozenset(excluded),
+            running.submitted.services, usable=self._usable, excluded=excluded
         )
-        if pinned is None or pinned.uncovered or not self._retry_budget.spend():
+        if pinned is None or pinned.uncovered or not self._restart_budget.spend():
             return False
         for attempt in running.attempts_in_flight():
             actions.append(_cancel(running, attempt))
-        running.excluded_snapshots = excluded
+        running.excluded = excluded
+        running.restarts += 1
         targets = admission.select_targets(
             pinned, running.kind, running.submitted.query
         )
@@ -253,21 +290,37 @@
         timer: timers.HedgeTimer,
         actions: list[events.Action],
     ) -> None:
-        straggling = set(timer.attempts)
         batch = []
-        for shard_ref, progress in running.progress_by_shard.items():
-            if progress.hedged or not straggling & progress.attempts_by_id.keys():
+        unserved = []
+        for shard_ref, attempt in timer.attempts:
+            progress = running.progress_by_shard.get(shard_ref)
+            if progress is None or attempt not in progress.attempts_by_id:
                 continue
-            if not self._hedges.budget.spend():
-                break
-            sub_request = self._dispatcher.send_extra(running, shard_ref)
+            if progress.hedged:
+                continue
+            sub_request = self._send_hedge(running, shard_ref)
             if sub_request is None:
-                self._hedges.budget.refund()
+                unserved.append((shard_ref, attempt))
                 continue
             progress.hedged = True
             batch.append(sub_request)
         if batch:
             actions.append(events.Dispatch(batch=tuple(batch)))
+        if unserved:
+            # Room or budget may come before the straggler's reply does.
+            again = dataclasses.replace(timer, attempts=tuple(unserved))
+            moment = self._clock.monotonic() + timer.delay * _HEDGE_AGAIN_RATIO
+            self._timers.add(moment, again)
+
+    def _send_hedge(
+        self, running: query.Query, shard_ref: upstream.ShardRef
+    ) -> upstream.SubRequest | None:
+        if not self._hedges.budget.spend():
+            return None
+        sub_request = self._dispatcher.send_extra(running, shard_ref)
+        if sub_request is None:
+            self._hedges.budget.refund()
+        return sub_request
 
 
 def _cancel(running: query.Query, attempt: int) -> events.Cancel:
--- a/src/greengagehaven/coordination/limits.py
+++ b/src/greengagehaven/coordination/limits.py
@@ -1,15 +1,27 @@
-"""How many sub-requests this host may have in flight at each upstream."""
+"""How many sub-requests this host may have out for each upstream.
+
+The gate at an upstream's owner holds its work to its slots exactly. The limits
+here keep the queue at that gate short: what waits at a gate is bound to one
+upstream, what waits in this host's own queue can still go to any replica, and
+in the order of standing and fairness.
+"""
 
 import typing
 
+from greengagehaven.coordination import upstream_stats
 from greengagehaven.protocol import upstream
 
 
 class Limits(typing.Protocol):
     """Decides whether an upstream may get one more sub-request from here."""
 
-    def has_room(self, announcement: upstream.Announcement, in_flight: int) -> bool:
-        """Tell whether one more fits beside ``in_flight`` of this host."""
+    def has_room(
+        self,
+        announcement: upstream.Announcement,
+        stats: upstream_stats.UpstreamStats,
+        now: float,
+    ) -> bool:
+        """Tell whether one more fits beside what this host has out."""
 
     def set_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts, this one included."""
@@ -18,9 +30,47 @@
 class SlotLimits:
     """Limit of an upstream's whole slots, without regard to other hosts."""
 
-    def has_room(self, announcement: upstream.Announcement, in_flight: int) -> bool:
-        """Tell whether one more fits beside ``in_flight`` of this host."""
-        return in_flight < max(1, announcement.slots)
+    def has_room(
+        self,
+        announcement: upstream.Announcement,
+        stats: upstream_stats.UpstreamStats,
+        now: float,
+    ) -> bool:
+        """Tell whether one more fits beside what this host has out."""
+        return stats.in_flight < max(1, announcement.slots)
 
     def set_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts; this limit does not depend on them."""
+
+
+class SharedLimits:
+    """Equal windows of all hosts, and all free slots for whoever needs them.
+
+    The windows add up to one sub-request above the slots, which keeps the
+    slots busy while an outcome travels to the host and the next sub-request
+    back. A host whose peers have nothing to send may fill the slots alone: the
+    owner's reports of the whole load tell it.
+    """
+
+    def __init__(self) -> None:
+        self._host_count = 1
+
+    def has_room(
+        self,
+        announcement: upstream.Announcement,
+        stats: upstream_stats.UpstreamStats,
+        now: float,
+    ) -> bool:
+        """Tell whether one more fits beside what this host has out."""
+        in_flight = stats.in_flight
+        if in_flight and stats.slowness is None:
+            return False
+        slots = max(1, announcement.slots)
+        window = slots
+        if self._host_count > 1:
+            window = -(-(slots + 1) // self._host_count)
+        return in_flight < window or stats.load(now) < slots
+
+    def set_hosts(self, zones_by_host_id: dict[str, str]) -> None:
+        """Take in the live entry hosts, this one included."""
+        self._host_count = max(1, len(zones_by_host_id))
--- a/src/greengagehaven/coordination/plan.py
+++ b/src/greengagehaven/coordination/plan.py
@@ -9,14 +9,25 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
 Usable = typing.Callable[[upstream.Announcement], bool]
-Holders = dict[tuple[int, int], list[str]]
+Holders = dict[tuple[int, int], tuple[str, ...]]
 
 _SNAPSHOTS_REMEMBERED = 16
+_PARTITIONINGS_REMEMBERED = 8
+_PINS_CACHED = 256
+
+
+class Version(typing.NamedTuple):
+    """What one service is answered from."""
+
+    service: str
+    snapshot: int
+    partitioning: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,37 +80,70 @@
         self._directory = directory
         self._shard_counts_by_service: dict[str, dict[int, int]] = {}
         self._snapshots_seen: set[int] = set()
-        self._plans_by_service: dict[tuple[str, int], ServicePlan | None] = {}
-        self._holders_by_service: dict[tuple[str, int], Holders] = {}
+        self._services_by_upstream: dict[str, frozenset[str]] = {}
+        self._plans_by_service: dict[str, dict[int, ServicePlan | None]] = {}
+        self._holders_by_service: dict[str, dict[int, Holders]] = {}
         self._snapshots_by_service: dict[str, frozenset[int]] = {}
+        self._pins_by_services: dict[tuple[str, ...], Plan | None] = {}
+
+    def invalidate(self, upstream_ids: abc.Iterable[str] | None = None) -> None:
+        """Forget cached plans, because upstreams or their usability changed.
 
-    def invalidate(self) -> None:
-        """Forget cached plans, because upstreams or their usability changed."""
-        self._plans_by_service.clear()
-        self._holders_by_service.clear()
-        self._snapshots_by_service.clear()
+        :param upstream_ids: those that changed; ``None`` for any of them.
+        """
+        self._pins_by_services.clear()
+        if upstream_ids is None:
+            self._plans_by_service.clear()
+            self._holders_by_service.clear()
+            self._snapshots_by_service.clear()
+            return
+        for upstream_id in upstream_ids:
+            services = self._services_by_upstream.pop(upstream_id, frozenset())
+            announcement = self._directory.upstreams_by_id.get(upstream_id)
+            if announcement is not None:
+                services |= self._remember(announcement)
+            for service in services:
+                self._plans_by_service.pop(service, None)
+                self._holders_by_service.pop(service, None)
+                self._snapshots_by_service.pop(service, None)
 
     def pin(
         self,
         services: tuple[str, ...],
         *,
         usable: Usable,
-        excluded_snapshots: frozenset[int] = frozenset(),
+        excluded: frozenset[Version] = frozenset(),
     ) -> Plan | None:
         """Return the plan for a query over ``services``.
 
         :param services: names of services, without repeats.
         :param usable: whether an upstream may get new work; the answer may
             change only together with a call of :meth:`invalidate`.
-        :param excluded_snapshots: snapshots that proved unusable.
+        :param excluded: versions that proved unusable.
         :return: ``None`` where a service has never been seen.
         """
+        if excluded:
+            return self._pin(services, usable, excluded)
+        if services in self._pins_by_services:
+            return self._pins_by_services[services]
+        if len(self._pins_by_services) >= _PINS_CACHED:
+            self._pins_by_services.clear()
+        pinned = self._pin(services, usable, excluded)
+        self._pins_by_services[services] = pinned
+        return pinned
+
+    def _pin(
+        self,
+        services: tuple[str, ...],
+        usable: Usable,
+        excluded: frozenset[Version],
+    ) -> Plan | None:
         best: tuple[float, int] | None = None
         best_plans: list[ServicePlan] = []
-        snapshots = self._snapshots_of(services, usable) - excluded_snapshots
-        for snapshot in sorted(snapshots, reverse=True):
+        for snapshot in sorted(self._snapshots_of(services, usable), reverse=True):
             plans = [
-                self._plan_service(service, snapshot, usable) for service in services
+                self._plan_service(service, snapshot, usable, excluded)
+                for service in services
             ]
             if any(plan is None for plan in plans):
                 continue
@@ -137,7 +181,7 @@
                     snapshots.update(announcement.snapshots)
         return frozenset(snapshots)
 
-    def _remember(self, announcement: upstream.Announcement) -> None:
+    def _remember(self, announcement: upstream.Announcement) -> frozenset[str]:
         self._snapshots_seen.update(announcement.snapshots)
         if len(self._snapshots_seen) > _SNAPSHOTS_REMEMBERED:
             newest = sorted(self._snapshots_seen)[-_SNAPSHOTS_REMEMBERED:]
@@ -145,24 +189,43 @@
         for hosted in announcement.shards:
             counts = self._shard_counts_by_service.setdefault(hosted.service, {})
             counts[hosted.partitioning] = hosted.shard_count
+            if len(counts) > _PARTITIONINGS_REMEMBERED:
+                del counts[min(counts)]
+        services = frozenset(hosted.service for hosted in announcement.shards)
+        self._services_by_upstream[announcement.id] = services
+        return services
 
     def _plan_service(
-        self, service: str, snapshot: int, usable: Usable
+        self,
+        service: str,
+        snapshot: int,
+        usable: Usable,
+        excluded: frozenset[Version],
     ) -> ServicePlan | None:
-        key = (service, snapshot)
-        if key not in self._plans_by_service:
-            self._plans_by_service[key] = self._best_partitioning(
-                service, snapshot, usable
+        if any(
+            (each.service, each.snapshot) == (service, snapshot) for each in excluded
+        ):
+            return self._best_partitioning(service, snapshot, usable, excluded)
+        plans = self._plans_by_service.setdefault(service, {})
+        if snapshot not in plans:
+            plans[snapshot] = self._best_partitioning(
+                service, snapshot, usable, frozenset()
             )
-        return self._plans_by_service[key]
+        return plans[snapshot]
 
     def _best_partitioning(
-        self, service: str, snapshot: int, usable: Usable
+        self,
+        service: str,
+        snapshot: int,
+        usable: Usable,
+        excluded: frozenset[Version],
     ) -> ServicePlan | None:
         ids_by_shard = self._holders_of(service, snapshot, usable)
         counts = self._shard_counts_by_service.get(service, {})
         best: ServicePlan | None = None
         for partitioning in sorted(counts, reverse=True):
+            if Version(service, snapshot, partitioning) in excluded:
+                continue
             plan = _build(service, partitioning, counts[partitioning], ids_by_shard)
             if best is None or _coverage([plan]) > _coverage([best]):
                 best = plan
@@ -178,18 +241,16 @@
         :param usable: as in :meth:`pin`.
         """
         ids_by_shard = self._holders_of(target.ref.service, snapshot, usable)
-        return tuple(ids_by_shard.get((target.partitioning, target.ref.shard), ()))
+        return ids_by_shard.get((target.partitioning, target.ref.shard), ())
 
     def _holders_of(self, service: str, snapshot: int, usable: Usable) -> Holders:
-        key = (service, snapshot)
-        if key not in self._holders_by_service:
-            self._holders_by_service[key] = self._find_holders(
-                service, snapshot, usable
-            )
-        return self._holders_by_service[key]
+        holders = self._holders_by_service.setdefault(service, {})
+        if snapshot not in holders:
+            holders[snapshot] = self._find_holders(service, snapshot, usable)
+        return holders[snapshot]
 
     def _find_holders(self, service: str, snapshot: int, usable: Usable) -> Holders:
-        ids_by_shard: Holders = {}
+        ids_by_shard: dict[tuple[int, int], list[str]] = {}
         for shard_ref in self._directory.shards_of(service):
             for upstream_id in sorted(self._directory.hosts_of(shard_ref)):
                 announcement = self._directory.upstreams_by_id[upstream_id]
@@ -199,7 +260,7 @@
                     if hosted.ref == shard_ref:
                         place = (hosted.partitioning, hosted.shard)
                         ids_by_shard.setdefault(place, []).append(upstream_id)
-        return ids_by_shard
+        return {place: tuple(ids) for place, ids in ids_by_shard.items()}
 
 
 def _build(
@@ -212,7 +273,7 @@
         ShardTarget(
             ref=upstream.ShardRef(service, shard),
             partitioning=partitioning,
-            upstream_ids=tuple(ids_by_shard.get((partitioning, shard), ())),
+            upstream_ids=ids_by_shard.get((partitioning, shard), ()),
         )
         for shard in range(shard_count)
     )
--- a/src/greengagehaven/coordination/query.py
+++ b/src/greengagehaven/coordination/query.py
@@ -16,6 +16,8 @@
     """What came of one shard of a query.
 
     :param attempts_by_id: upstream by attempt, for attempts in flight.
+    :param probes: attempts in flight that only show how their upstream does;
+        nothing waits for them.
     :param tried: upstreams that got an attempt of this shard.
     :param rows: the rows of the one reply that was taken.
     :param missing: why there will be no rows, once that is certain.
@@ -24,6 +26,7 @@
 
     target: plan.ShardTarget
     attempts_by_id: dict[int, str] = dataclasses.field(default_factory=dict)
+    probes: set[int] = dataclasses.field(default_factory=set)
     tried: set[str] = dataclasses.field(default_factory=set)
     rows: tuple[msgspec.Raw, ...] | None = None
     missing: search.MissingReason | None = None
@@ -57,7 +60,9 @@
         self.kind = kind
         self.started = started
         self.deadline = deadline
-        self.excluded_snapshots: set[int] = set()
+        self.excluded: frozenset[plan.Version] = frozenset()
+        self.restarts = 0
+        self.is_overdue = False
         self._last_attempt = 0
         self._possible_runs = 0
         self.pin(pinned)
@@ -112,12 +117,21 @@
         for target in pinned.uncovered:
             self.give_up(target.ref, search.MissingReason.NO_REPLICA)
 
-    def begin_attempt(self, shard_ref: upstream.ShardRef, upstream_id: str) -> int:
+    def begin_attempt(
+        self,
+        shard_ref: upstream.ShardRef,
+        upstream_id: str,
+        *,
+        is_probe: bool = False,
+    ) -> int:
         """Note an attempt on a shard and return its number."""
         self._last_attempt += 1
         self._possible_runs += 1
         progress = self.progress_by_shard[shard_ref]
-        progress.attempts_by_id[self._last_attempt] = upstream_id
+        if is_probe:
+            progress.probes.add(self._last_attempt)
+        else:
+            progress.attempts_by_id[self._last_attempt] = upstream_id
         progress.tried.add(upstream_id)
         return self._last_attempt
 
@@ -132,6 +146,9 @@
         progress = self.progress_by_shard.get(shard_ref)
         if progress is None:
             return None
+        if attempt in progress.probes:
+            progress.probes.discard(attempt)
+            return progress
         if progress.attempts_by_id.pop(attempt, None) is None:
             return None
         return progress
@@ -164,7 +181,7 @@
             self.give_up(shard_ref, reason)
 
     def attempts_in_flight(self) -> typing.Iterator[int]:
-        """Yield the attempts that have not ended."""
+        """Yield the attempts that have not ended, probes left out."""
         for progress in self.progress_by_shard.values():
             yield from progress.attempts_by_id
 
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -4,6 +4,8 @@
 import heapq
 import itertools
 
+from greengagehaven.protocol import upstream
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DeadlineTimer:
@@ -16,11 +18,14 @@
 class HedgeTimer:
     """The moment at which attempts count as straggling.
 
-    :param attempts: attempts of the query that were sent together.
+    :param attempts: attempts of the query that were sent together, each with
+        its shard.
+    :param delay: seconds from sending to this moment.
     """
 
     request_id: str
-    attempts: tuple[int, ...]
+    attempts: tuple[tuple[upstream.ShardRef, int], ...]
+    delay: float
 
 
 Timer = DeadlineTimer | HedgeTimer
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -1,35 +1,123 @@
-"""What this host has seen of each upstream: work in flight and latency."""
+"""What this host has seen of each upstream: work in flight and slowness.
+
+Slowness is latency over the usual latency of the same class of sub-requests,
+so that one that serves heavy queries does not look slow beside one that serves
+light ones. Its average is sensitive to peaks: it rises at once with a slow
+reply and comes down over about a second of faster ones. Attempts that have no
+reply yet tell by their age: a straggler shows before its first reply, and an
+upstream that died shows although it never replies.
+"""
 
 import dataclasses
+import math
+
+_DECAY_S = 1.0
+_FAILURE_DECAY_S = 2.0
+_MAX_FAILURES = 20.0
+_FAILURES_TO_EJECT = 3.0
+_FAILURE_WEIGHT = 4.0
+_LOAD_HINT_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Outstanding:
+    """An attempt in flight: when it was sent, what it usually takes."""
 
-_LATENCY_WEIGHT = 0.2
-_INITIAL_LATENCY_S = 0.02
+    sent_at: float
+    usual: float
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class UpstreamStats:
     """Own observations of one incarnation of an upstream.
 
-    :param in_flight: sub-requests sent and not yet ended.
-    :param latency: moving average of replies, in seconds.
-    :param failures_in_row: failures since the last reply.
+    :param known_since: when this host first knew of the incarnation.
+    :param slowness: latency in multiples of the usual, ``None`` while unknown.
+    :param outstanding_by_id: attempts in flight, oldest first.
+    :param probed_at: when it last got work only to see how it does.
     """
 
     incarnation: int
-    in_flight: int = 0
-    latency: float = _INITIAL_LATENCY_S
-    failures_in_row: int = 0
+    known_since: float
+    slowness: float | None = None
+    outstanding_by_id: dict[tuple[str, int], Outstanding] = dataclasses.field(
+        default_factory=dict
+    )
+    probed_at: float = -math.inf
+    _seen_at: float = -math.inf
+    _failures: float = 0.0
+    _failed_at: float = 0.0
+    _others_load: int = 0
+    _load_at: float = -math.inf
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many sub-requests of this host have not ended."""
+        return len(self.outstanding_by_id)
+
+    @property
+    def seen_at(self) -> float:
+        """Return when an attempt last told something of it."""
+        return max(self.known_since, self._seen_at, self._failed_at)
 
-    def record_reply(self, latency: float) -> None:
-        """Take in a reply that came after ``latency`` seconds."""
-        self.latency += _LATENCY_WEIGHT * (latency - self.latency)
-        self.failures_in_row = 0
+    def record_reply(self, slowness: float, now: float) -> None:
+        """Take in a reply that took ``slowness`` times the usual."""
+        if self.slowness is None or slowness > self.slowness:
+            self.slowness = slowness
+        else:
+            weight = 1.0 - math.exp((self._seen_at - now) / _DECAY_S)
+            self.slowness += max(0.05, weight) * (slowness - self.slowness)
+        self._seen_at = now
+        # A reply makes up for a failure: one odd failure ejects nothing, while
+        # an upstream that mostly fails is passed over.
+        self._failures = max(0.0, self._failures_at(now) - 1.0)
+        self._failed_at = now if self._failures else 0.0
 
-    def record_failure(self) -> None:
+    def record_abandoned(self, age: float, now: float) -> None:
+        """Take in that an attempt had no reply for ``age`` times the usual."""
+        if self.slowness is None or age > self.slowness:
+            self.slowness = age
+            self._seen_at = now
+
+    def record_failure(self, now: float) -> None:
         """Take in a failure."""
-        self.failures_in_row += 1
+        self._failures = min(_MAX_FAILURES, self._failures_at(now) + 1.0)
+        self._failed_at = now
 
-    @property
-    def cost(self) -> float:
-        """Return the expected wait for one more sub-request, in seconds."""
-        return self.latency * (self.in_flight + 1) * (1 + self.failures_in_row)
+    def record_load(self, load: int, now: float) -> None:
+        """Take in how much work of all hosts the upstream has.
+
+        A report only ever adds to the cost. One that says idle draws no work:
+        it may be late or a lie.
+        """
+        self._others_load = max(0, load - self.in_flight)
+        self._load_at = now
+
+    def expected_slowness(self, now: float) -> float | None:
+        """Return what a reply takes by the signs of now; ``None`` if unknown."""
+        if not self.outstanding_by_id:
+            return self.slowness
+        oldest = next(iter(self.outstanding_by_id.values()))
+        age = (now - oldest.sent_at) / oldest.usual
+        return max(self.slowness or 0.0, age)
+
+    def load(self, now: float) -> int:
+        """Return the work that the upstream has, as far as it is known."""
+        if now - self._load_at < _LOAD_HINT_S:
+            return self.in_flight + self._others_load
+        return self.in_flight
+
+    def cost(self, now: float, slots: int) -> float:
+        """Return the expected wait for one more, in multiples of the usual."""
+        slowness = self.expected_slowness(now) or 1.0
+        queue = 1.0 + self.load(now) / max(1, slots)
+        return slowness * queue * (1.0 + _FAILURE_WEIGHT * self._failures_at(now))
+
+    def is_failing(self, now: float) -> bool:
+        """Tell whether failures prevail lately."""
+        return self._failures_at(now) >= _FAILURES_TO_EJECT
+
+    def _failures_at(self, now: float) -> float:
+        if not self._failures:
+            return 0.0
+        return self._failures * math.exp((self._failed_at - now) / _FAILURE_DECAY_S)
--- /dev/null
+++ b/src/greengagehaven/protocol/owner.py
@@ -0,0 +1,149 @@
+"""Messages between an entry host and the owner of an upstream (msgpack).
+
+Sub-requests of one query share its body, so they travel as a group. Rows and
+queries are JSON and travel as bytes.
+"""
+
+import msgspec
+
+from greengagehaven.protocol import upstream
+
+
+class OfferItem(msgspec.Struct, frozen=True, array_like=True):
+    """One sub-request of a group; the fields are those of ``SubRequest``."""
+
+    attempt: int
+    upstream_id: str
+    incarnation: int
+    address: str
+    service: str
+    shard: int
+    partitioning: int
+
+
+class OfferGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Sub-requests of one query.
+
+    :param time_left: seconds until the deadline, when it was sent.
+    """
+
+    request_id: str
+    kind: str
+    snapshot: int
+    time_left: float
+    query: bytes
+    items: tuple[OfferItem, ...]
+
+
+class RepliedItem(msgspec.Struct, frozen=True, array_like=True):
+    """A usable reply."""
+
+    request_id: str
+    attempt: int
+    upstream_id: str
+    rows: tuple[bytes, ...]
+    load: upstream.LoadReport | None
+
+
+class Parcel(msgspec.Struct, frozen=True, array_like=True):
+    """What one host has for another at the moment.
+
+    :param host_id: the sender, to which the outcomes of ``groups`` go.
+    :param cancels: (request id, attempt) of those nobody waits for any more.
+    :param replied: usable replies to sub-requests of the receiver.
+    :param failed: other outcomes of sub-requests of the receiver.
+    """
+
+    host_id: str
+    groups: tuple[OfferGroup, ...] = ()
+    cancels: tuple[tuple[str, int], ...] = ()
+    replied: tuple[RepliedItem, ...] = ()
+    failed: tuple[upstream.Failed, ...] = ()
+
+
+def write_groups(
+    sub_requests: list[upstream.SubRequest], now: float
+) -> tuple[OfferGroup, ...]:
+    """Return sub-requests as they travel.
+
+    :param now: monotonic seconds on the clock of their deadlines.
+    """
+    items_by_query: dict[tuple[str, int], list[OfferItem]] = {}
+    firsts_by_query: dict[tuple[str, int], upstream.SubRequest] = {}
+    for sub_request in sub_requests:
+        query = (sub_request.request_id, sub_request.snapshot)
+        firsts_by_query.setdefault(query, sub_request)
+        items_by_query.setdefault(query, []).append(_write_item(sub_request))
+    return tuple(
+        OfferGroup(
+            request_id=first.request_id,
+            kind=first.kind,
+            snapshot=first.snapshot,
+            time_left=max(0.0, first.deadline - now),
+            query=bytes(first.query),
+            items=tuple(items_by_query[query]),
+        )
+        for query, first in firsts_by_query.items()
+    )
+
+
+def read_group(group: OfferGroup, now: float) -> list[upstream.SubRequest]:
+    """Return the sub-requests of a group.
+
+    :param now: monotonic seconds on the clock that their deadlines shall have.
+    """
+    query = msgspec.Raw(group.query)
+    return [
+        upstream.SubRequest(
+            request_id=group.request_id,
+            attempt=item.attempt,
+            upstream_id=item.upstream_id,
+            incarnation=item.incarnation,
+            address=item.address,
+            shard_ref=upstream.ShardRef(item.service, item.shard),
+            snapshot=group.snapshot,
+            partitioning=item.partitioning,
+            deadline=now + group.time_left,
+            kind=group.kind,
+            query=query,
+        )
+        for item in group.items
+    ]
+
+
+def write_reply(outcome: upstream.Replied) -> RepliedItem:
+    """Return a reply as it travels."""
+    return RepliedItem(
+        request_id=outcome.request_id,
+        attempt=outcome.attempt,
+        upstream_id=outcome.upstream_id,
+        rows=tuple(bytes(row) for row in outcome.rows),
+        load=outcome.load,
+    )
+
+
+def read_outcomes(parcel: Parcel) -> list[upstream.Outcome]:
+    """Return the outcomes of a parcel."""
+    replied = [
+        upstream.Replied(
+            request_id=item.request_id,
+            attempt=item.attempt,
+            upstream_id=item.upstream_id,
+            rows=tuple(msgspec.Raw(row) for row in item.rows),
+            load=item.load,
+        )
+        for item in parcel.replied
+    ]
+    return [*replied, *parcel.failed]
+
+
+def _write_item(sub_request: upstream.SubRequest) -> OfferItem:
+    return OfferItem(
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        incarnation=sub_request.incarnation,
+        address=sub_request.address,
+        service=sub_request.shard_ref.service,
+        shard=sub_request.shard_ref.shard,
+        partitioning=sub_request.partitioning,
+    )
