Eject failing upstreams for a while that doubles

Conclusion: ejection has its own term with backoff; a doubtful upstream loses the preference for the own zone at its first failure.

--- a/src/greengagehaven/coordination/selection.py
+++ b/src/greengagehaven/coordination/selection.py
@@ -119,6 +119,8 @@
         announcement = candidate.announcement
         if announcement.availability_zone != self._zone:
             return False
+        if candidate.stats.is_doubtful(now):
+            return False
         return candidate.stats.load(now) < announcement.slots
 
     def _cost(self, candidate: Candidate, now: float) -> float:
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -13,8 +13,11 @@
 
 _DECAY_S = 1.0
 _FAILURE_DECAY_S = 2.0
-_MAX_FAILURES = 20.0
-_FAILURES_TO_EJECT = 3.0
+_FAILURES_TO_EJECT = 2.0
+_FAILURES_TO_DOUBT = 0.5
+_FIRST_EJECTION_S = 0.5
+_LONGEST_EJECTION_S = 30.0
+_MOST_EJECTIONS = 8
 _FAILURE_WEIGHT = 4.0
 _LOAD_HINT_S = 0.2
 
@@ -46,7 +49,9 @@
     probed_at: float = -math.inf
     _seen_at: float = -math.inf
     _failures: float = 0.0
-    _failed_at: float = 0.0
+    _failed_at: float = -math.inf
+    _ejections: int = 0
+    _ejected_until: float = -math.inf
     _others_load: int = 0
     _load_at: float = -math.inf
 
@@ -58,7 +63,7 @@
     @property
     def seen_at(self) -> float:
         """Return when an attempt last told something of it."""
-        return max(self.known_since, self._seen_at, self._failed_at)
+        return max(self.known_since, self._seen_at)
 
     def record_reply(self, slowness: float, now: float) -> None:
         """Take in a reply that took ``slowness`` times the usual."""
@@ -71,7 +76,10 @@
         # A reply makes up for a failure: one odd failure ejects nothing, while
         # an upstream that mostly fails is passed over.
         self._failures = max(0.0, self._failures_at(now) - 1.0)
-        self._failed_at = now if self._failures else 0.0
+        self._failed_at = now
+        self._ejected_until = -math.inf
+        if not self._failures:
+            self._ejections = 0
 
     def record_abandoned(self, age: float, now: float) -> None:
         """Take in that an attempt had no reply for ``age`` times the usual."""
@@ -80,9 +88,19 @@
             self._seen_at = now
 
     def record_failure(self, now: float) -> None:
-        """Take in a failure."""
-        self._failures = min(_MAX_FAILURES, self._failures_at(now) + 1.0)
+        """Take in a failure; several in a row eject for a while.
+
+        The while doubles with each ejection until the upstream replies.
+        """
+        self._failures = self._failures_at(now) + 1.0
         self._failed_at = now
+        if self._failures < _FAILURES_TO_EJECT or now < self._ejected_until:
+            return
+        seconds = _FIRST_EJECTION_S * 2**self._ejections
+        self._ejected_until = now + min(_LONGEST_EJECTION_S, seconds)
+        self._ejections = min(_MOST_EJECTIONS, self._ejections + 1)
+        # What comes after the ejection is one try, not several.
+        self._failures = _FAILURES_TO_EJECT - 0.5
 
     def record_load(self, load: int, now: float) -> None:
         """Take in how much work of all hosts the upstream has.
@@ -114,8 +132,12 @@
         return slowness * queue * (1.0 + _FAILURE_WEIGHT * self._failures_at(now))
 
     def is_failing(self, now: float) -> bool:
-        """Tell whether failures prevail lately."""
-        return self._failures_at(now) >= _FAILURES_TO_EJECT
+        """Tell whether the upstream is ejected for its failures."""
+        return now < self._ejected_until
+
+    def is_doubtful(self, now: float) -> bool:
+        """Tell whether a failure of late is not made up for yet."""
+        return self._failures_at(now) >= _FAILURES_TO_DOUBT
 
     def _failures_at(self, now: float) -> float:
         if not self._failures:
