--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+from collections import abc
 
 from greengagehaven import clock as clock_module
 from greengagehaven import exceptions
@@ -24,6 +25,7 @@
     refusal,
     selection,
     timers,
+    upstream_stats,
     waiting,
 )
 from greengagehaven.protocol import upstream
@@ -124,6 +126,16 @@
             actions.append(events.WakeAt(moment=moment))
         return actions
 
+    @property
+    def attempts_in_flight(self) -> int:
+        """Return how many sub-requests have no outcome yet."""
+        return len(self._dispatcher.attempts_by_id)
+
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._dispatcher.stats_by_id
+
     @property
     def owners(self) -> ownership.Ownership:
         """Return which entry host sends to which upstream."""
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -109,6 +109,11 @@
         """Return the attempts in flight by (request id, attempt)."""
         return self._attempts_by_id
 
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._stats_by_id
+
     def enqueue(self, running: query.Query, shard_ref: upstream.ShardRef) -> None:
         """Let a shard of a query wait for room."""
         self._queue.push(
@@ -158,9 +163,10 @@
         :return: the attempt, ``None`` where its outcome had come before.
         """
         key = (outcome.request_id, outcome.attempt)
-        attempt = self._attempts_by_id.pop(key, None)
-        if attempt is None:
+        attempt = self._attempts_by_id.get(key)
+        if attempt is None or attempt.upstream_id != outcome.upstream_id:
             return None
+        del self._attempts_by_id[key]
         now = self._clock.monotonic()
         took = now - attempt.sent_at
         if isinstance(outcome, upstream.Replied) and not attempt.extra:
