--- a/features/steps/repartition_steps.py
+++ b/features/steps/repartition_steps.py
@@ -32,7 +32,7 @@
     kept, refused = context.old
     reason = upstream.FailureReason.WRONG_VERSION
     tier.fail(refused, reason, not_run=True)
-    tier.reply(kept)
+    tier.reply(kept, b'"old"')
     for sub_request in list(tier.in_flight.values()):
         assert sub_request.partitioning == 2, sub_request
         tier.reply(sub_request)
@@ -50,6 +50,7 @@
 def then_whole(context):
     answer = context.tier.answers_by_id["r-1"]
     assert sorted(result.shard for result in answer.results) == [0, 1, 2], answer
+    assert all(bytes(result.row) == b"{}" for result in answer.results), answer
     assert (answer.coverage.answered, answer.coverage.total) == (3, 3), answer
     assert answer.coverage.complete, answer
 
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -4,6 +4,7 @@
 runs in the daemons, in ``dev`` and in replays.
 """
 
+import dataclasses
 import typing
 from collections import abc
 
@@ -15,7 +16,10 @@
     dispatcher,
     events,
     execution,
+    fair_queue,
+    headroom,
     hedging,
+    keyed,
     latency,
     limits,
     options,
@@ -23,12 +27,15 @@
     plan,
     query,
     refusal,
+    replicas,
     selection,
+    shedding,
     timers,
     upstream_stats,
-    waiting,
+    usage,
+    wait_times,
 )
-from greengagehaven.protocol import upstream
+from greengagehaven.protocol import notices, upstream
 from greengagehaven.state import directory, document
 
 
@@ -42,6 +49,8 @@
     :param host_id: name of this entry host among its peers.
     :param zone: availability zone of this entry host.
     :param options: switches of the mechanisms.
+    :param recorder_ids: the fixed set of hosts that remember idempotency keys,
+        the same on every entry host; empty for a host that is alone.
     """
 
     def __init__(
@@ -53,6 +62,7 @@
         host_id: str,
         zone: str,
         options: options.Options = options.DEFAULT,
+        recorder_ids: frozenset[str] = frozenset(),
     ) -> None:
         self._clock = clock
         self._host_id = host_id
@@ -62,7 +72,14 @@
         self._environment: document.Environment | None = None
         self._drained_zones: frozenset[str] = frozenset()
         self._timers = timers.Timers()
+        self._reports_usage = False
+        self._last_report = notices.UsageReport(usages=())
         self._planner = plan.Planner(directory=directory)
+        self._ledger = usage.UsageLedger(clock=clock)
+        waits = wait_times.WaitTimes()
+        self._shedding = shedding.Shedding(
+            ledger=self._ledger, waits=waits, options=options
+        )
         self._owners = ownership.Ownership(
             host_id=host_id, zone=zone, enabled=options.shared_limits
         )
@@ -79,16 +96,26 @@
             directory=directory,
             planner=self._planner,
             usable=self.is_usable,
-            upstream_limits=self._limits,
-            selector=selection.Selector(
-                rng=rng,
-                started=clock.monotonic(),
-                zone=zone if options.zone_preference else None,
-                ejection=options.ejection,
-                owners=self._owners,
+            candidates=replicas.Replicas(
+                clock=clock,
+                directory=directory,
+                upstream_limits=self._limits,
+                selector=selection.Selector(
+                    rng=rng,
+                    zone=zone if options.zone_preference else None,
+                    ejection=options.ejection,
+                    owners=self._owners,
+                ),
             ),
             latencies=latencies,
-            queue=waiting.ArrivalQueue(),
+            queue=fair_queue.FairQueue(
+                order=self._ledger,
+                waits=waits,
+                fair=options.fairness,
+                standing=options.standing,
+            ),
+            ledger=self._ledger,
+            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
             may_probe=hedges.budget.spend,
         )
         self._execution = execution.Execution(
@@ -100,6 +127,12 @@
             hedges=hedges,
             options=options,
         )
+        self._keyed = keyed.KeyedRequests(
+            clock=clock,
+            recorder_ids=recorder_ids,
+            pending=self._timers,
+            run=self._run,
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.QuerySubmitted: self._on_submitted,
             events.QueryAbandoned: self._on_abandoned,
@@ -109,6 +142,7 @@
             events.ZonesDrained: self._on_zones_drained,
             events.HostsChanged: self._on_hosts_changed,
             events.PeerNotice: self._on_peer_notice,
+            events.RecorderReplied: self._on_recorder_replied,
             events.TimeReached: self._on_time_reached,
         }
 
@@ -121,6 +155,7 @@
         """Take one event and return what is to be done, in order."""
         actions: list[events.Action] = []
         self._handlers_by_event[type(event)](event, actions)
+        self._keyed.note_results(actions)
         moment = self._timers.next_wake()
         if moment is not None:
             actions.append(events.WakeAt(moment=moment))
@@ -151,29 +186,56 @@
         self, submitted: events.QuerySubmitted, actions: list[events.Action]
     ) -> None:
         try:
-            running = self._admit(submitted)
+            kind = self._check(submitted)
+            if kind.idempotent:
+                self._run(submitted, actions)
+                return
+            deadline = self._deadline_of(submitted, kind)
         except exceptions.RequestError as error:
             refused = events.RefuseQuery(request_id=submitted.request_id, error=error)
             actions.append(refused)
             return
+        # The claim takes its time out of the caller's, not on top of it.
+        submitted = dataclasses.replace(submitted, deadline=deadline)
+        self._keyed.begin(submitted, deadline=deadline, actions=actions)
+
+    def _run(
+        self, submitted: events.QuerySubmitted, actions: list[events.Action]
+    ) -> None:
+        """Admit a query and begin it; nothing was sent where this raises."""
+        running = self._admit(submitted, self._check(submitted))
         self._execution.begin(running, actions)
 
-    def _admit(self, submitted: events.QuerySubmitted) -> query.Query:
+    def _check(self, submitted: events.QuerySubmitted) -> document.Kind:
         if self._environment is None:
             raise exceptions.NotConfiguredError(
                 "no document is in force yet", retry_after=refusal.RETRY_AFTER_S
             )
-        kind = admission.check(submitted, self._environment)
-        if self._dispatcher.waiting_count >= self._options.max_waiting:
-            raise exceptions.OverloadedError(
-                "too many sub-requests wait", retry_after=refusal.RETRY_AFTER_S
-            )
+        return admission.check(submitted, self._environment)
+
+    def _deadline_of(
+        self, submitted: events.QuerySubmitted, kind: document.Kind
+    ) -> float:
         now = self._clock.monotonic()
         deadline = now + kind.deadline.total_seconds()
         if submitted.deadline is not None:
             deadline = min(deadline, submitted.deadline)
         if deadline <= now:
             raise exceptions.DeadlineExceededError("the deadline has passed")
+        return deadline
+
+    def _admit(
+        self, submitted: events.QuerySubmitted, kind: document.Kind
+    ) -> query.Query:
+        now = self._clock.monotonic()
+        deadline = self._deadline_of(submitted, kind)
+        self._shedding.check(
+            submitted,
+            kind,
+            waiting_count=self._dispatcher.waiting_count,
+            now=now,
+            deadline=deadline,
+        )
         return query.Query(
             submitted=submitted,
             kind=kind,
@@ -198,6 +260,8 @@
     def _on_abandoned(
         self, abandoned: events.QueryAbandoned, actions: list[events.Action]
     ) -> None:
+        if self._keyed.abandon(abandoned.request_id, actions):
+            return
         running = self._execution.queries_by_id.get(abandoned.request_id)
         if running is not None and running.kind.idempotent:
             self._execution.end(running, actions)
@@ -222,6 +286,12 @@
         self, in_force: events.DocumentInForce, actions: list[events.Action]
     ) -> None:
         self._environment = in_force.environment
+        self._ledger.set_shares(
+            {
+                subscriber.id: subscriber.share
+                for subscriber in in_force.environment.subscribers_by_id.values()
+            }
+        )
 
     def _on_zones_drained(
         self, drained: events.ZonesDrained, actions: list[events.Action]
@@ -235,14 +305,44 @@
     ) -> None:
         self._owners.set_hosts(changed.zones_by_host_id)
         self._limits.set_hosts(changed.zones_by_host_id)
+        self._ledger.set_hosts(changed.zones_by_host_id)
+        if not self._reports_usage:
+            self._reports_usage = True
+            self._arm_usage_report()
 
     def _on_peer_notice(
         self, notice: events.PeerNotice, actions: list[events.Action]
     ) -> None:
-        """Take a message of another host's core; none is known yet."""
+        """Take a message of another host's core."""
+        if isinstance(notice.payload, notices.UsageReport):
+            self._ledger.take_report(notice.host_id, notice.payload)
+
+    def _on_recorder_replied(
+        self, replied: events.RecorderReplied, actions: list[events.Action]
+    ) -> None:
+        self._keyed.take_reply(replied, actions)
+
+    def _arm_usage_report(self) -> None:
+        moment = self._clock.monotonic() + usage.REPORT_INTERVAL_S
+        self._timers.add(moment, timers.UsageTimer())
+
+    def _report_usage(self, actions: list[events.Action]) -> None:
+        """Tell the other hosts what subscribers used, unless all is quiet."""
+        self._arm_usage_report()
+        report = self._ledger.make_report()
+        if report.usages or self._last_report.usages:
+            actions.append(events.NotifyPeers(payload=report))
+        self._last_report = report
 
     def _on_time_reached(
         self, reached: events.TimeReached, actions: list[events.Action]
     ) -> None:
         for timer in self._timers.pop_due(self._clock.monotonic()):
-            self._execution.take_timer(timer, actions)
+            if isinstance(timer, timers.UsageTimer):
+                self._report_usage(actions)
+            elif isinstance(timer, timers.ClaimTimer):
+                self._keyed.take_claim_timer(timer.request_id, actions)
+            elif isinstance(timer, timers.ResendTimer):
+                self._keyed.take_resend_timer(actions)
+            else:
+                self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -1,31 +1,30 @@
 """Sends sub-requests: waiting, room at upstreams, choice, attempts in flight."""
 
 import dataclasses
+import itertools
 import typing
 from collections import abc
 
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import (
+    fair_queue,
+    headroom,
     latency,
-    limits,
     plan,
     query,
+    replicas,
     selection,
     upstream_stats,
-    waiting,
+    usage,
 )
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
-_HEALTHY_FAILURES = frozenset(
-    {
-        upstream.FailureReason.CANCELLED,
-        upstream.FailureReason.WRONG_VERSION,
-    }
-)
-
 MayProbe = typing.Callable[[], bool]
 
+_MAX_PASSED_OVER = 8
+"""Sub-requests of one shard that are passed over for a later one that can go."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Attempt:
@@ -34,6 +33,7 @@
     :param latency_class: sub-requests that take alike.
     :param sent_at: monotonic seconds.
     :param usual: what its class usually takes, in seconds.
+    :param charged: upstream time charged for it in advance, in seconds.
     :param extra: whether it is a hedge, a retry or a probe rather than a first
         attempt.
     :param is_probe: whether it was sent to see how its upstream does; it runs
@@ -47,27 +47,21 @@
     latency_class: latency.LatencyClass
     sent_at: float
     usual: float
+    charged: float
     extra: bool
     is_probe: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Choice:
-    """Where a sub-request goes, and which replica is due for a probe."""
-
-    target: selection.Candidate
-    probe: selection.Candidate | None = None
-
-
 class Dispatcher:
     """Attempts of all queries of one host.
 
     :param planner: knows which upstreams can answer a pinned shard.
     :param usable: whether an upstream may get new work now.
-    :param upstream_limits: room of this host at each upstream.
-    :param selector: chooses among replicas.
+    :param candidates: replicas with room and what was seen of them.
     :param latencies: latency of each class of sub-requests.
     :param queue: order of the sub-requests that wait for room.
+    :param ledger: gets charged with what each subscriber uses.
+    :param reserve: keeps subscribers over their share off the last place.
     :param may_probe: takes a probe out of the budget, if there is one.
     """
 
@@ -78,26 +72,25 @@
         directory: directory.DirectoryView,
         planner: plan.Planner,
         usable: plan.Usable,
-        upstream_limits: limits.Limits,
-        selector: selection.Selector,
+        candidates: replicas.Replicas,
         latencies: latency.LatencyBook,
-        queue: waiting.WaitingQueue,
+        queue: fair_queue.WaitingQueue,
+        ledger: usage.UsageLedger,
+        reserve: headroom.Headroom,
         may_probe: MayProbe,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._planner = planner
         self._usable = usable
-        self._limits = upstream_limits
-        self._selector = selector
+        self._replicas = candidates
         self._latencies = latencies
         self._queue = queue
+        self._order = itertools.count()
+        self._ledger = ledger
+        self._reserve = reserve
         self._may_probe = may_probe
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
-        self._stats_by_id: dict[str, upstream_stats.UpstreamStats] = {}
-        self._candidates_by_ids: dict[
-            tuple[str, ...], tuple[selection.Candidate, ...]
-        ] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -112,19 +105,26 @@
     @property
     def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
         """Return what this host has seen of each upstream."""
-        return self._stats_by_id
+        return self._replicas.stats_by_id
 
     def enqueue(self, running: query.Query, shard_ref: upstream.ShardRef) -> None:
         """Let a shard of a query wait for room."""
         self._queue.push(
-            waiting.Waiting(
+            fair_queue.Waiting(
                 request_id=running.request_id,
                 subscriber_id=running.submitted.subscriber_id,
                 shard_ref=shard_ref,
                 standing=running.kind.standing,
+                arrived=running.started,
+                since=self._clock.monotonic(),
+                order=next(self._order),
             )
         )
 
+    def discard(self, running: query.Query) -> None:
+        """Forget what waits of a query that is over."""
+        self._queue.discard(running.request_id)
+
     def holders(
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> tuple[str, ...]:
@@ -144,7 +144,7 @@
     ) -> list[upstream.SubRequest]:
         """Send what waits for these shards, as far as there is room."""
         batch: list[upstream.SubRequest] = []
-        for shard_ref in shard_refs:
+        for shard_ref in self._queue.sort(shard_refs):
             self._send_shard(shard_ref, queries_by_id, batch)
         return batch
 
@@ -152,10 +152,11 @@
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> upstream.SubRequest | None:
         """Send a further attempt at once, where an untried upstream has room."""
-        choice = self._choose(running, shard_ref)
-        if choice is None:
+        prospect = self._replicas.consider(self.holders(running, shard_ref))
+        if not prospect.with_room or self._must_leave(running, shard_ref, prospect):
             return None
-        return self._send(running, shard_ref, choice.target, extra=True)
+        target = self._replicas.choose(prospect)
+        return self._send(running, shard_ref, target, extra=True)
 
     def end(self, outcome: upstream.Outcome) -> Attempt | None:
         """Take an attempt out of flight and learn from its outcome.
@@ -167,34 +168,26 @@
         if attempt is None or attempt.upstream_id != outcome.upstream_id:
             return None
         del self._attempts_by_id[key]
+        self._settle_charge(attempt)
         now = self._clock.monotonic()
         took = now - attempt.sent_at
         if isinstance(outcome, upstream.Replied) and not attempt.extra:
             self._latencies.observe(attempt.latency_class, took, now)
-        stats = self._stats_by_id.get(attempt.upstream_id)
-        if stats is None or stats.incarnation != attempt.incarnation:
-            return attempt
-        stats.outstanding_by_id.pop(key, None)
-        _learn(stats, outcome, took / attempt.usual, now)
+        self._replicas.end(key, attempt.incarnation, outcome, took / attempt.usual)
         return attempt
 
     def shards_beside(self, upstream_id: str) -> list[upstream.ShardRef]:
         """Return the shards that an upstream holds, in a random order."""
-        if not self._queue:
-            return []
         announcement = self._directory.upstreams_by_id.get(upstream_id)
-        if announcement is None:
+        if announcement is None or not self._queue:
             return []
         shard_refs = list({hosted.ref: None for hosted in announcement.shards})
-        self._selector.shuffle(shard_refs)
+        self._replicas.shuffle(shard_refs)
         return shard_refs
 
     def upstreams_changed(self) -> None:
         """Look at the directory anew; drop what is known of departed ones."""
-        self._candidates_by_ids.clear()
-        live = self._directory.upstreams_by_id
-        for upstream_id in [known for known in self._stats_by_id if known not in live]:
-            del self._stats_by_id[upstream_id]
+        self._replicas.upstreams_changed()
 
     def _send_shard(
         self,
@@ -202,22 +195,47 @@
         queries_by_id: abc.Mapping[str, query.Query],
         batch: list[upstream.SubRequest],
     ) -> None:
-        blocked: list[waiting.Waiting] = []
-        while (item := self._queue.pop(shard_ref)) is not None:
+        passed_over: list[fair_queue.Waiting] = []
+        held_back: set[str] = set()
+        while len(passed_over) < _MAX_PASSED_OVER:
+            item = self._queue.pop(shard_ref, held_back)
+            if item is None:
+                break
             running = queries_by_id.get(item.request_id)
             if running is None or not _still_wanted(running, shard_ref):
                 continue
-            choice = self._choose(running, shard_ref)
-            if choice is None:
-                blocked.append(item)
+            prospect = self._replicas.consider(self.holders(running, shard_ref))
+            has_room = bool(prospect.with_room)
+            if has_room and not self._must_leave(running, shard_ref, prospect):
+                self._send_item(item, running, prospect, batch)
+                continue
+            passed_over.append(item)
+            if has_room:
+                held_back.add(item.subscriber_id)
+                continue
+            self._reserve.note_wait(
+                shard_ref, item.subscriber_id, self._clock.monotonic()
+            )
+            if not running.progress_by_shard[shard_ref].tried:
+                # It could go to any upstream of the shard: none has room.
                 break
-            extra = bool(running.progress_by_shard[shard_ref].tried)
-            batch.append(self._send(running, shard_ref, choice.target, extra=extra))
-            if choice.probe is not None:
-                self._probe(running, shard_ref, choice.probe, batch)
-        for item in blocked:
+        for item in passed_over:
             self._queue.push(item)
 
+    def _send_item(
+        self,
+        item: fair_queue.Waiting,
+        running: query.Query,
+        prospect: replicas.Prospect,
+        batch: list[upstream.SubRequest],
+    ) -> None:
+        extra = bool(running.progress_by_shard[item.shard_ref].tried)
+        target = self._replicas.choose(prospect)
+        batch.append(self._send(running, item.shard_ref, target, extra=extra))
+        self._queue.note_sent(item, self._clock.monotonic())
+        if prospect.probe is not None:
+            self._probe(running, item.shard_ref, prospect.probe, batch)
+
     def _probe(
         self,
         running: query.Query,
@@ -230,53 +248,26 @@
         target.stats.probed_at = self._clock.monotonic()
         batch.append(self._send(running, shard_ref, target, extra=True, is_probe=True))
 
-    def _choose(
-        self, running: query.Query, shard_ref: upstream.ShardRef
-    ) -> _Choice | None:
-        candidates = self._candidates(self.holders(running, shard_ref))
-        if not candidates:
-            return None
-        now = self._clock.monotonic()
-        fit = self._selector.fit(candidates, now)
-        with_room = [
-            each
-            for each in fit
-            if self._limits.has_room(each.announcement, each.stats, now)
-        ]
-        if not with_room:
-            return None
-        target = self._selector.choose(with_room, now)
-        probe = None
-        if len(fit) < len(candidates):
-            probe = self._selector.probe_target(candidates, fit, now)
-        return _Choice(target=target, probe=probe)
-
-    def _candidates(
-        self, upstream_ids: tuple[str, ...]
-    ) -> tuple[selection.Candidate, ...]:
-        candidates = self._candidates_by_ids.get(upstream_ids)
-        if candidates is None:
-            candidates = tuple(
-                selection.Candidate(
-                    announcement=announcement, stats=self._stats_of(announcement)
-                )
-                for upstream_id in upstream_ids
-                if (announcement := self._directory.upstreams_by_id.get(upstream_id))
-            )
-            self._candidates_by_ids[upstream_ids] = candidates
-        return candidates
-
-    def _stats_of(
-        self, announcement: upstream.Announcement
-    ) -> upstream_stats.UpstreamStats:
-        stats = self._stats_by_id.get(announcement.id)
-        if stats is None or stats.incarnation != announcement.incarnation:
-            stats = upstream_stats.UpstreamStats(
-                incarnation=announcement.incarnation,
-                known_since=self._clock.monotonic(),
-            )
-            self._stats_by_id[announcement.id] = stats
-        return stats
+    def _must_leave(
+        self,
+        running: query.Query,
+        shard_ref: upstream.ShardRef,
+        prospect: replicas.Prospect,
+    ) -> bool:
+        holders = running.progress_by_shard[shard_ref].target.upstream_ids
+        return self._reserve.must_leave(
+            shard_ref,
+            running.submitted.subscriber_id,
+            free=len(prospect.with_room),
+            busy=self._replicas.busy(holders),
+            now=self._clock.monotonic(),
+        )
+
+    def _settle_charge(self, attempt: Attempt) -> None:
+        """Put the measured upstream time in place of the estimate."""
+        elapsed = self._clock.monotonic() - attempt.sent_at
+        self._ledger.charge(attempt.subscriber_id, elapsed - attempt.charged)
+        self._ledger.learn(attempt.subscriber_id, attempt.latency_class.kind, elapsed)
 
     def _send(
         self,
@@ -294,6 +285,9 @@
         latency_class = latency.LatencyClass(
             service=shard_ref.service, kind=running.submitted.kind
         )
+        subscriber_id = running.submitted.subscriber_id
+        charged = self._ledger.estimate(subscriber_id, running.submitted.kind)
+        self._ledger.charge(subscriber_id, charged)
         usual = self._latencies.usual(latency_class)
         target.stats.outstanding_by_id[key] = upstream_stats.Outstanding(
             sent_at=now, usual=usual
@@ -302,10 +296,11 @@
             upstream_id=announcement.id,
             incarnation=announcement.incarnation,
             shard_ref=shard_ref,
-            subscriber_id=running.submitted.subscriber_id,
+            subscriber_id=subscriber_id,
             latency_class=latency_class,
             sent_at=now,
             usual=usual,
+            charged=charged,
             extra=extra,
             is_probe=is_probe,
         )
@@ -324,24 +319,6 @@
         )
 
 
-def _learn(
-    stats: upstream_stats.UpstreamStats,
-    outcome: upstream.Outcome,
-    slowness: float,
-    now: float,
-) -> None:
-    if isinstance(outcome, upstream.Replied):
-        stats.record_reply(slowness, now)
-        if outcome.load is not None:
-            stats.record_load(outcome.load.in_flight + outcome.load.queued, now)
-        return
-    stats.record_abandoned(slowness, now)
-    if outcome.reason is upstream.FailureReason.TIMEOUT and outcome.not_run:
-        return
-    if outcome.reason not in _HEALTHY_FAILURES:
-        stats.record_failure(now)
-
-
 def _still_wanted(running: query.Query, shard_ref: upstream.ShardRef) -> bool:
     progress = running.progress_by_shard.get(shard_ref)
     if progress is None or progress.settled:
--- a/src/greengagehaven/coordination/limits.py
+++ b/src/greengagehaven/coordination/limits.py
@@ -63,7 +63,7 @@
     ) -> bool:
         """Tell whether one more fits beside what this host has out."""
         in_flight = stats.in_flight
-        if in_flight and stats.slowness is None:
+        if in_flight and stats.is_untried:
             return False
         slots = max(1, announcement.slots)
         window = slots
--- a/src/greengagehaven/coordination/rendezvous.py
+++ b/src/greengagehaven/coordination/rendezvous.py
@@ -24,4 +24,4 @@
 
 
 def _weight(key: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}\0{name}")
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
--- a/src/greengagehaven/coordination/selection.py
+++ b/src/greengagehaven/coordination/selection.py
@@ -22,7 +22,6 @@
 _SLOW_LEAST = 2.0
 _OTHER_ZONE_COST = 1.25
 _FORGIVE_S = 5.0
-_LEARNING_S = 10.0
 _PROBE_INTERVAL_S = 0.25
 
 
@@ -42,7 +41,6 @@
 class Selector:
     """Chooses among candidates by the options of this host.
 
-    :param started: when this host started, in monotonic seconds.
     :param zone: own availability zone, preferred; ``None`` for no preference.
     :param ejection: whether to set aside those that fail or straggle.
     :param owners: who sends to each upstream.
@@ -52,13 +50,11 @@
         self,
         *,
         rng: rng_module.Rng,
-        started: float,
         zone: str | None,
         ejection: bool,
         owners: ownership.Ownership,
     ) -> None:
         self._rng = rng
-        self._learning_ends = started + _LEARNING_S
         self._zone = zone
         self._ejection = ejection
         self._owners = owners
@@ -135,14 +131,12 @@
         slowness = stats.expected_slowness(now)
         if slowness is not None and slowness <= bound:
             return True
-        if slowness is None:
-            # An upstream that came up while this host runs may be cold: its
-            # owner tries it first, the other hosts by probes. What was there
-            # when this host started is taken for warm.
-            if stats.known_since < self._learning_ends:
-                return True
-            if self._owners.is_mine(candidate.announcement):
-                return True
+        if slowness is None and not stats.is_fresh:
+            return True
+        # One that may be cold is tried by its owner first, by the other hosts
+        # with probes.
+        if stats.is_untried and self._owners.is_mine(candidate.announcement):
+            return True
         # Where nothing can be probed, because no kind is idempotent, only time
         # brings an upstream back.
         return not stats.in_flight and now - stats.seen_at > _FORGIVE_S
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -35,6 +35,8 @@
     """Own observations of one incarnation of an upstream.
 
     :param known_since: when this host first knew of the incarnation.
+    :param is_fresh: whether the incarnation came up while this host ran, so that
+        it may be cold; what was there before is taken for warm.
     :param slowness: latency in multiples of the usual, ``None`` while unknown.
     :param outstanding_by_id: attempts in flight, oldest first.
     :param probed_at: when it last got work only to see how it does.
@@ -42,6 +44,7 @@
 
     incarnation: int
     known_since: float
+    is_fresh: bool = False
     slowness: float | None = None
     outstanding_by_id: dict[tuple[str, int], Outstanding] = dataclasses.field(
         default_factory=dict
@@ -55,6 +58,11 @@
     _others_load: int = 0
     _load_at: float = -math.inf
 
+    @property
+    def is_untried(self) -> bool:
+        """Tell whether it may be cold and nothing is known of it yet."""
+        return self.is_fresh and self.slowness is None
+
     @property
     def in_flight(self) -> int:
         """Return how many sub-requests of this host have not ended."""
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -6,10 +6,16 @@
 
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import core, events, options
-from greengagehaven.protocol import upstream
+from greengagehaven.coordination.membership import node, signals
+from greengagehaven.protocol import codec, membership, notices, upstream
+from greengagehaven.replay import owners
 from greengagehaven.replay import schedule as schedule_module
 from greengagehaven.state import directory
 
+TICK_S = 0.1
+
+MembershipMessage = membership.Exchange | membership.SyncRequest
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ending:
@@ -28,8 +34,17 @@
     def cancel_work(self, sub_request: upstream.SubRequest) -> None:
         """Tell an upstream that nobody waits for a sub-request."""
 
-    def broadcast(self, host: "ReplayedHost", notice: events.PeerNotice) -> None:
-        """Carry a notice to the other entry hosts that can be reached."""
+    def call(self, host: "ReplayedHost", call: signals.Call) -> None:
+        """Carry a call of the membership core and its answer back."""
+
+    def reach(
+        self,
+        host: "ReplayedHost",
+        other_id: str,
+        arrive: typing.Callable[["ReplayedHost"], None],
+        lost: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Carry a message to another host; ``lost`` where it is cut off."""
 
     def end(self, request_id: str, ending: Ending) -> None:
         """Note how a request ended."""
@@ -38,25 +53,26 @@
 class ReplayedHost:
     """One entry host.
 
-    :param host_id: its name.
-    :param zone: its availability zone.
+    :param record: its name, zone, address and incarnation.
+    :param seeds: addresses of the other hosts.
     :param seed: seed of its random choices.
     """
 
     def __init__(
         self,
         *,
-        host_id: str,
-        zone: str,
+        record: membership.HostRecord,
+        seeds: tuple[str, ...],
         seed: int,
         clock: clock_module.Clock,
         schedule: schedule_module.Schedule,
         network: Network,
         switches: options.Options,
     ) -> None:
-        self.id = host_id
-        self.zone = zone
+        self.id = record.id
+        self.zone = record.zone
         self.alive = True
+        self._is_stopping = False
         self.directory = directory.Directory()
         self.open_request_ids: set[str] = set()
         self._schedule = schedule
@@ -66,10 +82,48 @@
             clock=clock,
             rng=random.Random(seed),
             directory=self.directory,
-            host_id=host_id,
-            zone=zone,
+            host_id=record.id,
+            zone=record.zone,
             options=switches,
         )
+        self.owner = owners.ReplayedOwner(
+            host_id=record.id,
+            clock=clock,
+            directory_view=self.directory,
+            decisions=self._core,
+            links=_HostLinks(host=self, network=network),
+            switches=switches,
+        )
+        self._membership = node.Membership(
+            own=record,
+            served=self.directory,
+            seeds=seeds,
+            clock=clock,
+            rng=random.Random(seed),
+        )
+
+    @property
+    def takes_callers(self) -> bool:
+        """Tell whether the balancer sends callers and upstreams here."""
+        return self.alive and not self._is_stopping
+
+    def stop(self) -> None:
+        """Take nobody new, finish what is open, then leave."""
+        self._is_stopping = True
+        self._leave_when_done()
+
+    def _leave_when_done(self) -> None:
+        if not self.alive:
+            return
+        if self.open_request_ids:
+            self._schedule.call_later(TICK_S, self._leave_when_done)
+            return
+        self.signal(signals.LeaveRequested())
+        self.alive = False
+
+    def start(self) -> None:
+        """Look for other hosts from now on."""
+        self._tick()
 
     def step(self, event: events.Event) -> None:
         """Hand an event to the core and carry out its actions."""
@@ -79,30 +133,70 @@
             self.open_request_ids.add(event.request_id)
         for action in self._core.step(event):
             self._carry_out(action)
+        if isinstance(event, owners.REFRESHING_EVENTS):
+            self._refresh_owner()
+
+    def announce(self, announcement: upstream.Announcement) -> None:
+        """Take an upstream's announcement or its renewal."""
+        self.signal(signals.UpstreamAnnounced(announcement=announcement))
 
-    def put(self, announcement: upstream.Announcement) -> None:
-        """Take in news of an upstream."""
-        if self.alive and self.directory.put(announcement):
-            changed = frozenset({announcement.id})
-            self.step(events.DirectoryChanged(upstream_ids=changed))
+    def withdraw(self, upstream_id: str, incarnation: int) -> None:
+        """Take an upstream's word that it leaves."""
+        withdrew = signals.UpstreamWithdrew(
+            upstream_id=upstream_id, incarnation=incarnation
+        )
+        self.signal(withdrew)
+
+    def signal(self, signal: signals.Event) -> signals.Reply | None:
+        """Hand a signal to the membership core; return its reply, if any."""
+        reply = None
+        if not self.alive:
+            return None
+        for action in self._membership.step(signal):
+            if isinstance(action, signals.Reply):
+                reply = action
+            elif isinstance(action, signals.Call):
+                self._network.call(self, action)
+            elif isinstance(action, signals.NoticeReceived):
+                payload = codec.decode_msgpack(action.payload, notices.Notice)
+                notice = events.PeerNotice(host_id=action.host_id, payload=payload)
+                self.step(notice)
+            elif not isinstance(action, signals.Noted):
+                self.step(action)
+        return reply
 
-    def withdraw(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Take in that an upstream left."""
-        if self.alive and self.directory.withdraw(upstream_id, version):
-            changed = frozenset({upstream_id})
-            self.step(events.DirectoryChanged(upstream_ids=changed))
+    def answer(self, message: MembershipMessage) -> typing.Any:
+        """Return the reply to another host's message."""
+        if isinstance(message, membership.Exchange):
+            reply = self.signal(signals.ExchangeReceived(exchange=message))
+        else:
+            reply = self.signal(signals.SyncReceived(request=message))
+        return None if reply is None else reply.message
 
     def receive(self, outcome: upstream.Outcome) -> None:
         """Take in the outcome of a sub-request, once."""
         key = (outcome.request_id, outcome.attempt)
+        self.owner.forget(key)
         if self._in_flight.pop(key, None) is not None:
             self.step(events.OutcomeReceived(outcome=outcome))
 
+    def _refresh_owner(self) -> None:
+        for key in self.owner.lost_ids():
+            sub_request = self._in_flight.get(key)
+            if sub_request is not None:
+                self.receive(_fail(sub_request, upstream.FailureReason.RESET))
+        self.owner.refresh()
+
+    def _tick(self) -> None:
+        if self.alive:
+            self.signal(signals.Ticked())
+            self._schedule.call_later(TICK_S, self._tick)
+
     def _carry_out(self, action: events.Action) -> None:
         if isinstance(action, events.Dispatch):
             for sub_request in action.batch:
                 self._in_flight[sub_request.id] = sub_request
-                self._network.send_work(self, sub_request)
+                self.owner.dispatch(sub_request)
         elif isinstance(action, events.Cancel):
             self._cancel(action)
         elif isinstance(action, events.AnswerQuery):
@@ -110,27 +204,74 @@
         elif isinstance(action, events.RefuseQuery):
             self._end(action.request_id, action)
         elif isinstance(action, events.NotifyPeers):
-            notice = events.PeerNotice(host_id=self.id, payload=action.payload)
-            self._network.broadcast(self, notice)
+            payload = codec.encode_msgpack(action.payload)
+            self.signal(signals.NoticePosted(payload=payload))
         elif isinstance(action, events.WakeAt):
-            self._schedule.call_at(
-                action.moment, lambda: self.step(events.TimeReached())
-            )
+            moment = self._schedule.moment_of(action.moment)
+            self._schedule.call_at(moment, lambda: self.step(events.TimeReached()))
 
     def _cancel(self, cancel: events.Cancel) -> None:
         sub_request = self._in_flight.get((cancel.request_id, cancel.attempt))
         if sub_request is None:
             return
-        self._network.cancel_work(sub_request)
-        failed = upstream.Failed(
-            request_id=sub_request.request_id,
-            attempt=sub_request.attempt,
-            upstream_id=sub_request.upstream_id,
-            reason=upstream.FailureReason.CANCELLED,
-            not_run=False,
-        )
+        self.owner.cancel(sub_request)
+        failed = _fail(sub_request, upstream.FailureReason.CANCELLED)
         self._schedule.call_later(0.0, lambda: self.receive(failed))
 
     def _end(self, request_id: str, result: typing.Any) -> None:
         self.open_request_ids.discard(request_id)
         self._network.end(request_id, Ending(at=self._schedule.now, result=result))
+
+
+class _HostLinks:
+    """Ways of one host over the replayed network."""
+
+    def __init__(self, *, host: ReplayedHost, network: Network) -> None:
+        self._host = host
+        self._network = network
+
+    def offer(self, owner_id: str, sub_request: upstream.SubRequest) -> None:
+        """Carry a sub-request to its owner."""
+        self._network.reach(
+            self._host,
+            owner_id,
+            lambda other: other.owner.take_offer(self._host.id, sub_request),
+            lambda: self._host.receive(
+                _fail(sub_request, upstream.FailureReason.RESET)
+            ),
+        )
+
+    def withdraw(self, owner_id: str, sub_request: upstream.SubRequest) -> None:
+        """Tell an owner that nobody waits for a sub-request."""
+        self._network.reach(
+            self._host,
+            owner_id,
+            lambda other: other.owner.take_withdrawal(sub_request),
+        )
+
+    def report(self, origin_id: str, outcome: upstream.Outcome) -> None:
+        """Carry an outcome to the host that asked."""
+        if origin_id == self._host.id:
+            self._host.receive(outcome)
+            return
+        self._network.reach(self._host, origin_id, lambda other: other.receive(outcome))
+
+    def send(self, sub_request: upstream.SubRequest) -> None:
+        """Carry a sub-request to its upstream and the outcome back."""
+        self._network.send_work(self._host, sub_request)
+
+    def stop(self, sub_request: upstream.SubRequest) -> None:
+        """Tell an upstream that nobody waits for a sub-request."""
+        self._network.cancel_work(sub_request)
+
+
+def _fail(
+    sub_request: upstream.SubRequest, reason: upstream.FailureReason
+) -> upstream.Failed:
+    return upstream.Failed(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        reason=reason,
+        not_run=False,
+    )
