--- a/features/steps/recorder_steps.py
+++ b/features/steps/recorder_steps.py
@@ -30,9 +30,6 @@
             raise exceptions.StorageError("no space", path=name)
         self.files_by_name[name] += data
 
-    def truncate(self, name, size):
-        self.files_by_name[name] = self.files_by_name[name][:size]
-
     def replace(self, name, data):
         self.files_by_name[name] = data
 
@@ -53,7 +50,7 @@
             channel=self,
             clock=self.clock,
             folder=self.folders_by_id[recorder_id],
-            is_new_set=self.is_new,
+            may_be_new=self.is_new,
         )
         host.start()
         self.hosts_by_id[recorder_id] = host
@@ -69,10 +66,10 @@
 
     async def claim(self, recorder_id, token, key="k"):
         record = claims.Record(record_id=key, fingerprint="f", token=token, run_ms=1000)
-        body = codec.encode_msgpack(claims.Claim(recorders=SET, record=record))
+        body = codec.encode_msgpack((claims.Claim(recorders=SET, record=record),))
         address = ADDRESSES_BY_ID[recorder_id]
         data = await self.call(address, recorder_host.METHOD, body, timeout=1.0)
-        return codec.decode_msgpack(data, claims.RecorderReply)
+        return codec.decode_msgpack(data, tuple[claims.RecorderReply])[0]
 
 
 @behave.given("three recorder hosts that have granted a key to t-1")
@@ -80,12 +77,14 @@
     async def grant():
         for recorder_id in ADDRESSES_BY_ID:
             context.site.start(recorder_id)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        for recorder_id in ADDRESSES_BY_ID:
             reply = await context.site.claim(recorder_id, "t-1")
             assert reply.verdict is claims.Verdict.GRANTED, reply
 
     context.site = Site()
     asyncio.run(grant())
-    context.site.is_new = False
 
 
 @behave.when("all three are started again from their disks")
