--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from greengagehaven import clock as clock_module
 from greengagehaven import exceptions
@@ -18,16 +19,22 @@
     fair_queue,
     fingerprint,
     headroom,
+    hedging,
     isolation,
     keyed,
+    latency,
     limits,
     options,
+    ownership,
     plan,
     quarantine,
     query,
     refusal,
+    replicas,
+    selection,
     shedding,
     timers,
+    upstream_stats,
     usage,
     wait_times,
 )
@@ -71,7 +78,6 @@
         self._reports_usage = False
         self._last_report = notices.UsageReport(usages=())
         self._planner = plan.Planner(directory=directory)
-        self._limits = limits.SlotLimits()
         self._ledger = usage.UsageLedger(clock=clock)
         self._cases = quarantine.Quarantine(clock=clock, host_id=host_id)
         self._isolation = isolation.Isolation(
@@ -81,13 +87,34 @@
         self._shedding = shedding.Shedding(
             ledger=self._ledger, waits=waits, options=options
         )
+        self._owners = ownership.Ownership(
+            host_id=host_id, zone=zone, enabled=options.shared_limits
+        )
+        self._limits = (
+            limits.SharedLimits() if options.shared_limits else limits.SlotLimits()
+        )
+        latencies = latency.LatencyBook(quantile=options.hedge_quantile)
+        hedges = hedging.HedgePolicy(
+            latencies=latencies,
+            budget_ratio=options.hedge_budget if options.hedging else 0.0,
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
-            rng=rng,
             directory=directory,
             planner=self._planner,
-            usable=self._is_usable,
-            upstream_limits=self._limits,
+            usable=self.is_usable,
+            candidates=replicas.Replicas(
+                clock=clock,
+                directory=directory,
+                upstream_limits=self._limits,
+                selector=selection.Selector(
+                    rng=rng,
+                    zone=zone if options.zone_preference else None,
+                    ejection=options.ejection,
+                    owners=self._owners,
+                ),
+            ),
+            latencies=latencies,
             queue=fair_queue.FairQueue(
                 order=self._ledger,
                 waits=waits,
@@ -97,14 +124,16 @@
             ledger=self._ledger,
             reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
             isolation=self._isolation,
+            may_probe=hedges.budget.spend,
         )
         self._execution = execution.Execution(
             clock=clock,
             planner=self._planner,
-            usable=self._is_usable,
+            usable=self.is_usable,
             sender=self._dispatcher,
             pending=self._timers,
             isolation=self._isolation,
+            hedges=hedges,
             options=options,
         )
         self._keyed = keyed.KeyedRequests(
@@ -143,7 +172,23 @@
             actions.append(events.WakeAt(moment=moment))
         return actions
 
-    def _is_usable(self, announcement: upstream.Announcement) -> bool:
+    @property
+    def attempts_in_flight(self) -> int:
+        """Return how many sub-requests have no outcome yet."""
+        return len(self._dispatcher.attempts_by_id)
+
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._dispatcher.stats_by_id
+
+    @property
+    def owners(self) -> ownership.Ownership:
+        """Return which entry host sends to which upstream."""
+        return self._owners
+
+    def is_usable(self, announcement: upstream.Announcement) -> bool:
+        """Tell whether an upstream may get new work now."""
         if announcement.availability_zone in self._drained_zones:
             return False
         return announcement.state is upstream.UpstreamState.READY
@@ -218,7 +263,7 @@
         submitted: events.QuerySubmitted,
         kind: document.Kind,
     ) -> plan.Plan:
-        pinned = self._planner.pin(submitted.services, usable=self._is_usable)
+        pinned = self._planner.pin(submitted.services, usable=self.is_usable)
         if pinned is None:
             raise exceptions.IncompleteError(
                 "no upstream of a service has ever been seen",
@@ -247,8 +292,8 @@
     def _on_directory_changed(
         self, changed: events.DirectoryChanged, actions: list[events.Action]
     ) -> None:
-        self._planner.invalidate()
-        self._dispatcher.forget_departed()
+        self._planner.invalidate(changed.upstream_ids)
+        self._dispatcher.upstreams_changed()
         self._execution.reconsider_waiting(actions)
 
     def _on_document(
@@ -272,6 +317,7 @@
     def _on_hosts_changed(
         self, changed: events.HostsChanged, actions: list[events.Action]
     ) -> None:
+        self._owners.set_hosts(changed.zones_by_host_id)
         self._limits.set_hosts(changed.zones_by_host_id)
         self._ledger.set_hosts(changed.zones_by_host_id)
         self._cases.set_hosts(changed.zones_by_host_id)
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -104,10 +104,15 @@
 
 
 class FailureReason(enum.StrEnum):
-    """Why a sub-request got no usable reply."""
+    """Why a sub-request got no usable reply.
+
+    ``RESET`` is said only where the connection to the upstream itself broke: it
+    counts against the request. ``OWNER_LOST`` is the loss of the host between.
+    """
 
     CONNECT = "connect"
     RESET = "reset"
+    OWNER_LOST = "owner_lost"
     STALLED = "stalled"
     TIMEOUT = "timeout"
     MISMATCH = "mismatch"
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -97,7 +97,7 @@
                 reason=upstream.FailureReason.STALLED,
                 not_run=False,
             )
-            self._schedule.call_later(STALL_S, lambda: host.receive(failed))
+            self._schedule.call_later(STALL_S, lambda: host.owner.take_outcome(failed))
             return
         search = self.searches_by_id[sub_request.request_id][1]
         work = upstreams.Work(
@@ -109,7 +109,9 @@
         if recorded is not None:
             self._schedule.call_later(
                 recorded.latency_ms / 1000,
-                lambda: host.receive(_recorded_outcome(recorded, sub_request)),
+                lambda: host.owner.take_outcome(
+                    _recorded_outcome(recorded, sub_request)
+                ),
             )
             return
         self._schedule.call_later(delay, lambda: target.receive(work))
@@ -120,6 +122,21 @@
         cancel = functools.partial(target.cancel, *sub_request.id)
         self._schedule.call_later(self._hop_s, cancel)
 
+    def reach(
+        self,
+        host: hosts.ReplayedHost,
+        other_id: str,
+        arrive: typing.Callable[[hosts.ReplayedHost], None],
+        lost: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Carry a message to another host; ``lost`` where it is cut off."""
+        delay = self._path_delay([host.id, other_id])
+        if delay is None:
+            self._schedule.call_later(STALL_S, lost)
+            return
+        other = self._hosts_by_id[other_id]
+        self._schedule.call_later(delay, lambda: other.alive and arrive(other))
+
     def call(self, host: hosts.ReplayedHost, call: signals.Call) -> None:
         """Carry a call of the membership core and its answer back."""
         open_calls = [call]
@@ -341,7 +358,7 @@
     ) -> None:
         delay = self._delay(target.announcement.availability_zone, host.zone)
         if delay is not None:
-            self._schedule.call_later(delay, lambda: host.receive(outcome))
+            self._schedule.call_later(delay, lambda: host.owner.take_outcome(outcome))
             return
         lost = upstream.Failed(
             request_id=outcome.request_id,
@@ -350,7 +367,7 @@
             reason=upstream.FailureReason.STALLED,
             not_run=False,
         )
-        self._schedule.call_later(STALL_S, lambda: host.receive(lost))
+        self._schedule.call_later(STALL_S, lambda: host.owner.take_outcome(lost))
 
     def _check_answer(self, action: events.AnswerQuery) -> None:
         """Hold an answer against what the upstreams really sent."""
