Keep shares and headroom at the owners of upstreams too

Cause: the gate at an upstream's owner sent by arrival; with one sub-request of a heavy subscriber from each of 9 hosts, seven stood before anybody else's. Standing and subscriber travel with the sub-request; the owner tells how long the upstream took, so that waiting at the owner is not charged as use.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -94,3 +94,20 @@
     caller.
 
     Then a state machine over the fair queue finds no difference to a plain list
+
+  Scenario: At the owner of an upstream the same order holds
+    Sub-requests of all hosts meet at the owner of an upstream. By arrival, each
+    host's one sub-request of a heavy subscriber would stand before the others.
+
+    Given an owner of an upstream with 2 slots, and 9 sub-requests of heavy there
+    When a sub-request of light comes to the owner and a run of heavy ends
+    Then the owner sends that of light next
+
+  Scenario: At the owner a slot stays free for those who are within their share
+    A heavy subscriber's costly work fills the slots of an upstream whenever
+    anybody else comes. Once somebody had to wait, one slot is kept free.
+
+    Given an owner of an upstream with 2 slots, and 9 sub-requests of heavy there
+    And light had to wait at the owner once
+    When the runs end and a sub-request of light comes to the owner
+    Then the owner has sent that of light at once beside one of heavy
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -4,13 +4,14 @@
 import itertools
 
 import behave
+import msgspec
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from fakes import core as fake_core
 from fakes import timed_upstreams
 from greengagehaven import exceptions
-from greengagehaven.coordination import events, fair_queue, wait_times
+from greengagehaven.coordination import events, fair_queue, options, wait_times
 from greengagehaven.protocol import notices, upstream
 
 DOCUMENT = f"""
@@ -417,3 +418,91 @@
             deadline=None,
         ),
     )
+
+
+class Owner:
+    """The gates of one owner host, and what it sent."""
+
+    def __init__(self):
+        self.tier = fake_core.FakeTier(
+            document_text=DOCUMENT, switches=options.Options(slow_start=False)
+        )
+        self.tier.put(fake_core.announce("u-0", slots=2))
+        self.gates = self.tier.core.gates
+        self.numbers = itertools.count()
+        self.sent = []
+
+    def offer(self, subscriber_id):
+        number = next(self.numbers)
+        sub_request = upstream.SubRequest(
+            request_id=f"{subscriber_id}-{number}",
+            attempt=1,
+            upstream_id="u-0",
+            incarnation=1,
+            address="127.0.0.1:9",
+            shard_ref=upstream.ShardRef("credits-0", 0),
+            snapshot=41,
+            partitioning=1,
+            deadline=1e9,
+            kind="lookup",
+            query=msgspec.Raw(b"{}"),
+            subscriber_id=subscriber_id,
+        )
+        self.sent.extend(self.gates.offer([sub_request]).to_send)
+
+    def end_oldest(self, seconds=0.1):
+        self.tier.clock.advance(seconds)
+        ended = self.sent.pop(0)
+        outcome = upstream.Replied(
+            request_id=ended.request_id, attempt=1, upstream_id="u-0", rows=()
+        )
+        self.sent.extend(self.gates.end(outcome).to_send)
+
+    def report(self, **seconds_by_id):
+        usages = tuple(
+            notices.SubscriberUsage(each, seconds)
+            for each, seconds in seconds_by_id.items()
+        )
+        report = notices.UsageReport(usages=usages)
+        self.tier.step(events.PeerNotice(host_id="h-2", payload=report))
+        self.tier.clock.advance(0.05)
+
+
+@behave.given("an owner of an upstream with 2 slots, and 9 sub-requests of heavy there")
+def given_owner(context):
+    context.owner = Owner()
+    for _ in range(9):
+        context.owner.offer("heavy")
+    context.owner.report(heavy=0.15, light=0.1)
+
+
+@behave.when("a sub-request of light comes to the owner and a run of heavy ends")
+def when_owner_light(context):
+    context.owner.offer("light")
+    context.owner.end_oldest()
+
+
+@behave.then("the owner sends that of light next")
+def then_owner_light(context):
+    assert context.owner.sent[-1].subscriber_id == "light", context.owner.sent
+
+
+@behave.given("light had to wait at the owner once")
+def given_owner_waited(context):
+    context.owner.report(heavy=2.0, light=0.1)
+    when_owner_light(context)
+
+
+@behave.when("the runs end and a sub-request of light comes to the owner")
+def when_owner_ends(context):
+    for _ in range(2):
+        context.owner.end_oldest(0.01)
+    context.before = [sent.subscriber_id for sent in context.owner.sent]
+    context.owner.offer("light")
+
+
+@behave.then("the owner has sent that of light at once beside one of heavy")
+def then_owner_beside(context):
+    after = [sent.subscriber_id for sent in context.owner.sent]
+    assert context.before == ["heavy"], context.before
+    assert after == ["heavy", "light"], after
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -18,6 +18,7 @@
     execution,
     fair_queue,
     fingerprint,
+    gates,
     headroom,
     hedging,
     isolation,
@@ -98,6 +99,15 @@
             latencies=latencies,
             budget_ratio=options.hedge_budget if options.hedging else 0.0,
         )
+        reserve = headroom.Headroom(ledger=self._ledger, enabled=options.fairness)
+        self._gates = gates.Gates(
+            clock=clock,
+            directory=directory,
+            usable=self.is_usable,
+            order=self._ledger if options.fairness else None,
+            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            slow_start=options.slow_start,
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
             directory=directory,
@@ -116,13 +126,12 @@
             ),
             latencies=latencies,
             queue=fair_queue.FairQueue(
-                order=self._ledger,
+                order=self._ledger if options.fairness else None,
                 waits=waits,
-                fair=options.fairness,
                 standing=options.standing,
             ),
             ledger=self._ledger,
-            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            reserve=reserve,
             isolation=self._isolation,
             may_probe=hedges.budget.spend,
         )
@@ -182,6 +191,11 @@
         """Return what this host has seen of each upstream."""
         return self._dispatcher.stats_by_id
 
+    @property
+    def gates(self) -> gates.Gates:
+        """Return the gates of the upstreams that this host owns."""
+        return self._gates
+
     @property
     def owners(self) -> ownership.Ownership:
         """Return which entry host sends to which upstream."""
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -175,7 +175,7 @@
         if attempt is None or attempt.upstream_id != outcome.upstream_id:
             return None
         del self._attempts_by_id[key]
-        self._settle_charge(attempt)
+        self._settle_charge(attempt, outcome)
         now = self._clock.monotonic()
         took = now - attempt.sent_at
         if isinstance(outcome, upstream.Replied) and not attempt.extra:
@@ -282,9 +282,19 @@
             now=self._clock.monotonic(),
         )
 
-    def _settle_charge(self, attempt: Attempt) -> None:
-        """Put the measured upstream time in place of the estimate."""
+    def _settle_charge(self, attempt: Attempt, outcome: upstream.Outcome) -> None:
+        """Put the measured upstream time in place of the estimate.
+
+        What was never run costs nothing. Where the owner tells how long the
+        upstream took, waiting at the owner is not charged: those who wait
+        longest would seem to use most.
+        """
         elapsed = self._clock.monotonic() - attempt.sent_at
+        if isinstance(outcome, upstream.Replied) and outcome.took is not None:
+            elapsed = outcome.took
+        if isinstance(outcome, upstream.Failed) and outcome.not_run:
+            self._ledger.charge(attempt.subscriber_id, -attempt.charged)
+            return
         self._ledger.charge(attempt.subscriber_id, elapsed - attempt.charged)
         self._ledger.learn(attempt.subscriber_id, attempt.latency_class.kind, elapsed)
 
@@ -337,6 +347,8 @@
             deadline=running.deadline,
             kind=running.submitted.kind,
             query=running.submitted.query,
+            subscriber_id=subscriber_id,
+            standing=running.kind.standing,
         )
 
 
--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -84,9 +84,8 @@
 class _Level:
     """What waits of one standing at one shard."""
 
-    def __init__(self, *, order: usage.UsageOrder, fair: bool) -> None:
+    def __init__(self, *, order: usage.UsageOrder | None) -> None:
         self._order = order
-        self._fair = fair
         self._ranks: list[tuple[float, int, str]] = []
         self._items_by_subscriber: dict[str, list] = {}
         self._count = itertools.count()
@@ -96,7 +95,7 @@
 
     def push(self, waiting: Waiting) -> None:
         """Add a sub-request."""
-        lane = waiting.subscriber_id if self._fair else ""
+        lane = "" if self._order is None else waiting.subscriber_id
         items = self._items_by_subscriber.get(lane)
         if items is None:
             items = self._items_by_subscriber[lane] = []
@@ -153,7 +152,7 @@
         heapq.heappush(self._ranks, (self._rank(lane), next(self._count), lane))
 
     def _rank(self, lane: str) -> float:
-        return self._order.rank(lane) if self._fair else 0.0
+        return 0.0 if self._order is None else self._order.rank(lane)
 
 
 class _ShardQueue:
@@ -182,22 +181,20 @@
     finished query left behind is dropped from the counts at once and from
     memory before it outgrows what really waits.
 
-    :param order: ranks subscribers by usage.
+    :param order: ranks subscribers by usage; ``None``, arrival decides inside a
+        standing.
     :param waits: gets told of all that comes and goes.
-    :param fair: off, arrival decides inside a standing.
     :param standing: off, all kinds stand alike.
     """
 
     def __init__(
         self,
         *,
-        order: usage.UsageOrder,
+        order: usage.UsageOrder | None,
         waits: wait_times.WaitTimes,
-        fair: bool = True,
         standing: bool = True,
     ) -> None:
         self._order = order
-        self._fair = fair
         self._standing = standing
         self._queues_by_shard: dict[upstream.ShardRef, _ShardQueue] = {}
         self._live_by_key: dict[tuple[str, upstream.ShardRef], Waiting] = {}
@@ -300,7 +297,7 @@
         standing = self._level_of(waiting)
         level = queue.levels_by_standing.get(standing)
         if level is None:
-            level = _Level(order=self._order, fair=self._fair)
+            level = _Level(order=self._order)
             queue.levels_by_standing[standing] = level
         level.push(waiting)
 
--- a/src/greengagehaven/coordination/gate.py
+++ b/src/greengagehaven/coordination/gate.py
@@ -7,11 +7,16 @@
 """
 
 import dataclasses
-import heapq
 import itertools
 import typing
 
-from greengagehaven.coordination import service_time
+from greengagehaven.coordination import (
+    fair_queue,
+    headroom,
+    service_time,
+    usage,
+    wait_times,
+)
 from greengagehaven.protocol import upstream
 
 _REPLIES_PER_STEP = 4
@@ -30,11 +35,59 @@
     sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Queued:
+    """A sub-request that waits here; see :class:`fair_queue.Waiting`."""
+
+    sub_request: upstream.SubRequest
+    since: float
+    order: int
+
+    @property
+    def request_id(self) -> str:
+        """Return what it is discarded by: this one sub-request."""
+        return f"{self.sub_request.request_id}/{self.sub_request.attempt}"
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what tells it from every other one that waits."""
+        return (self.request_id, self.shard_ref)
+
+    @property
+    def subscriber_id(self) -> str:
+        """Return whose usage decides its turn."""
+        return self.sub_request.subscriber_id
+
+    @property
+    def shard_ref(self) -> str:
+        """Return the name of its queue: the upstream."""
+        return self.sub_request.upstream_id
+
+    @property
+    def standing(self) -> int:
+        """Return the standing of its kind."""
+        return self.sub_request.standing
+
+    @property
+    def arrived(self) -> float:
+        """Return when it came."""
+        return self.since
+
+    @property
+    def lane(self) -> wait_times.Lane:
+        """Return whose waiting times it shares."""
+        return wait_times.Lane(self.subscriber_id, self.shard_ref, self.standing)
+
+
 class Gate:
     """Limit, runs and waiting sub-requests of one upstream.
 
     :param announcement: what the upstream last said.
     :param reference: usual service time of a kind at other upstreams.
+    :param order: ranks the subscribers of those that wait; ``None``, arrival
+        decides among them.
+    :param reserve: keeps subscribers over their share off the last slot, where
+        there is one.
     :param slow_start: off, a fresh upstream gets all its slots at once.
     """
 
@@ -43,13 +96,16 @@
         *,
         announcement: upstream.Announcement,
         reference: Reference,
+        order: usage.UsageOrder | None = None,
+        reserve: headroom.Headroom | None = None,
         slow_start: bool = True,
     ) -> None:
         self._reference = reference
         self._slow_start = slow_start
         self._order = itertools.count()
-        self._queue: list[tuple[int, int, upstream.SubRequest]] = []
-        self._queued_ids: set[tuple[str, int]] = set()
+        self._reserve = reserve
+        self._queue = fair_queue.FairQueue(order=order, waits=wait_times.WaitTimes())
+        self._queued_by_id: dict[tuple[str, int], _Queued] = {}
         self._runs_by_id: dict[tuple[str, int], _Run] = {}
         self._times_by_kind: dict[str, service_time.ServiceTime] = {}
         self.announcement = announcement
@@ -66,13 +122,13 @@
     def load(self) -> upstream.LoadReport:
         """Return what runs at the upstream and what waits here for it."""
         return upstream.LoadReport(
-            in_flight=len(self._runs_by_id), queued=len(self._queued_ids)
+            in_flight=len(self._runs_by_id), queued=len(self._queued_by_id)
         )
 
     @property
     def is_unused(self) -> bool:
         """Tell whether nothing runs and nothing waits."""
-        return not self._runs_by_id and not self._queued_ids
+        return not self._runs_by_id and not self._queued_by_id
 
     def usual_time(self, kind: str) -> float | None:
         """Return the usual service time of a kind, in seconds, where known."""
@@ -92,50 +148,80 @@
         if not self._slow_start:
             self._limit = self._slots
 
-    def enqueue(self, sub_request: upstream.SubRequest, standing: int) -> None:
-        """Let a sub-request wait; the higher ``standing`` goes first."""
-        entry = (-standing, next(self._order), sub_request)
-        heapq.heappush(self._queue, entry)
-        self._queued_ids.add(sub_request.id)
+    def enqueue(self, sub_request: upstream.SubRequest, now: float) -> None:
+        """Let a sub-request wait for its turn."""
+        queued = _Queued(sub_request=sub_request, since=now, order=next(self._order))
+        self._queue.push(queued)
+        self._queued_by_id[sub_request.id] = queued
+        is_full = len(self._runs_by_id) >= self._allowed(now)
+        if is_full and self._reserve is not None:
+            place = sub_request.upstream_id
+            self._reserve.note_wait(place, sub_request.subscriber_id, now)
 
     def withdraw(self, sub_request_id: tuple[str, int]) -> bool:
         """Forget a sub-request that waits; return whether it did."""
-        if sub_request_id not in self._queued_ids:
+        queued = self._queued_by_id.pop(sub_request_id, None)
+        if queued is None:
             return False
-        self._queued_ids.discard(sub_request_id)
+        self._queue.discard(queued.request_id)
         return True
 
     def withdraw_all(self) -> list[upstream.SubRequest]:
         """Forget and return every sub-request that waits."""
-        left = [entry[2] for entry in self._queue if entry[2].id in self._queued_ids]
-        self._queue.clear()
-        self._queued_ids.clear()
+        left = [queued.sub_request for queued in self._queued_by_id.values()]
+        for sub_request in left:
+            self.withdraw(sub_request.id)
         return left
 
     def next(self, now: float) -> upstream.SubRequest | None:
         """Take the next sub-request that may be sent, or ``None``."""
-        if len(self._runs_by_id) >= self._allowed(now):
+        free = self._allowed(now) - len(self._runs_by_id)
+        if free <= 0:
+            return None
+        held_back: list[_Queued] = []
+        passed_over: set[str] = set()
+        found = None
+        place = self.announcement.id
+        while found is None:
+            queued = self._queue.pop(place, passed_over)
+            if queued is None:
+                break
+            if self._must_leave(queued, free, now):
+                held_back.append(queued)
+                passed_over.add(queued.subscriber_id)
+            else:
+                found = queued
+        for queued in held_back:
+            self._queue.push(queued)
+        if found is None:
             return None
-        while self._queue:
-            sub_request = heapq.heappop(self._queue)[2]
-            if sub_request.id not in self._queued_ids:
-                continue
-            self._queued_ids.discard(sub_request.id)
-            run = _Run(kind=sub_request.kind, sent_at=now)
-            self._runs_by_id[sub_request.id] = run
-            return sub_request
-        return None
-
-    def end(self, outcome: upstream.Outcome, now: float) -> bool:
-        """Take in the end of a run; return whether it was known."""
+        self._queue.note_sent(found, now)
+        del self._queued_by_id[found.sub_request.id]
+        run = _Run(kind=found.sub_request.kind, sent_at=now)
+        self._runs_by_id[found.sub_request.id] = run
+        return found.sub_request
+
+    def _must_leave(self, queued: _Queued, free: int, now: float) -> bool:
+        if self._reserve is None:
+            return False
+        return self._reserve.must_leave(
+            queued.shard_ref,
+            queued.subscriber_id,
+            free=free,
+            busy=len(self._runs_by_id),
+            now=now,
+        )
+
+    def end(self, outcome: upstream.Outcome, now: float) -> float | None:
+        """Take in the end of a run; return its seconds, ``None`` if unknown."""
         run = self._runs_by_id.pop((outcome.request_id, outcome.attempt), None)
         if run is None:
-            return False
+            return None
         if isinstance(outcome, upstream.Replied):
             self._take_reply(run, now - run.sent_at)
         elif outcome.reason in _OVERLOAD_SIGNS:
             self._turn_cold()
-        return True
+        return now - run.sent_at
 
     def _allowed(self, now: float) -> int:
         if not self._slow_start or not self._runs_by_id:
--- a/src/greengagehaven/coordination/gates.py
+++ b/src/greengagehaven/coordination/gates.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from greengagehaven import clock as clock_module
-from greengagehaven.coordination import gate
+from greengagehaven.coordination import gate, headroom, usage
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
@@ -27,8 +27,10 @@
     :param clock: time; only ``monotonic`` is read.
     :param directory: the live upstreams.
     :param usable: whether an upstream may get new work now.
-    :param standing_of: order of a kind of query among those that wait; the
-        higher goes first.
+    :param order: ranks subscribers among those that wait; ``None``, arrival
+        decides among them.
+    :param reserve: keeps subscribers over their share off the last slot, where
+        there is one.
     :param slow_start: see :class:`~greengagehaven.coordination.gate.Gate`.
     """
 
@@ -38,13 +40,15 @@
         clock: clock_module.Clock,
         directory: directory.DirectoryView,
         usable: Usable,
-        standing_of: typing.Callable[[str], int] = lambda kind: 0,
+        order: usage.UsageOrder | None = None,
+        reserve: headroom.Headroom | None = None,
         slow_start: bool = True,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._usable = usable
-        self._standing_of = standing_of
+        self._order = order
+        self._reserve = reserve
         self._slow_start = slow_start
         self._gates_by_id: dict[str, gate.Gate] = {}
         self._upstream_ids_by_sub_request: dict[tuple[str, int], str] = {}
@@ -66,7 +70,7 @@
                 passage.outcomes.append(_refuse(sub_request))
                 continue
             self._upstream_ids_by_sub_request[sub_request.id] = found.announcement.id
-            found.enqueue(sub_request, self._standing_of(sub_request.kind))
+            found.enqueue(sub_request, self._clock.monotonic())
             touched[found.announcement.id] = found
         for found in touched.values():
             self._open(found, passage)
@@ -104,7 +108,7 @@
         if upstream_id is None:
             return passage
         found = self._gates_by_id[upstream_id]
-        found.end(outcome, self._clock.monotonic())
+        took = found.end(outcome, self._clock.monotonic())
         self._open(found, passage)
         if isinstance(outcome, upstream.Replied):
             outcome = upstream.Replied(
@@ -113,6 +117,7 @@
                 upstream_id=outcome.upstream_id,
                 rows=outcome.rows,
                 load=found.load,
+                took=took,
             )
         passage.outcomes.append(outcome)
         return passage
@@ -147,6 +152,8 @@
             found = gate.Gate(
                 announcement=announcement,
                 reference=self._usual_time,
+                order=self._order,
+                reserve=self._reserve,
                 slow_start=self._slow_start,
             )
             self._gates_by_id[upstream_id] = found
--- a/src/greengagehaven/protocol/owner.py
+++ b/src/greengagehaven/protocol/owner.py
@@ -33,6 +33,8 @@
     time_left: float
     query: bytes
     items: tuple[OfferItem, ...]
+    subscriber_id: str = ""
+    standing: int = 0
 
 
 class RepliedItem(msgspec.Struct, frozen=True, array_like=True):
@@ -43,6 +45,7 @@
     upstream_id: str
     rows: tuple[bytes, ...]
     load: upstream.LoadReport | None
+    took: float | None = None
 
 
 class Parcel(msgspec.Struct, frozen=True, array_like=True):
@@ -82,6 +85,8 @@
             time_left=max(0.0, first.deadline - now),
             query=bytes(first.query),
             items=tuple(items_by_query[query]),
+            subscriber_id=first.subscriber_id,
+            standing=first.standing,
         )
         for query, first in firsts_by_query.items()
     )
@@ -106,6 +111,8 @@
             deadline=now + group.time_left,
             kind=group.kind,
             query=query,
+            subscriber_id=group.subscriber_id,
+            standing=group.standing,
         )
         for item in group.items
     ]
@@ -119,6 +126,7 @@
         upstream_id=outcome.upstream_id,
         rows=tuple(bytes(row) for row in outcome.rows),
         load=outcome.load,
+        took=outcome.took,
     )
 
 
@@ -131,6 +139,7 @@
             upstream_id=item.upstream_id,
             rows=tuple(msgspec.Raw(row) for row in item.rows),
             load=item.load,
+            took=item.took,
         )
         for item in parcel.replied
     ]
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -83,6 +83,8 @@
     ``attempt`` is unique within the request, over all its shards.
     ``deadline`` is monotonic seconds on the sender's clock; on the wire it
     travels as the time that is left. ``query`` is the caller's JSON, as it came.
+    ``subscriber_id`` and ``standing`` decide the order in which an owner sends;
+    upstreams never see them.
     """
 
     request_id: str
@@ -96,6 +98,8 @@
     deadline: float
     kind: str
     query: msgspec.Raw
+    subscriber_id: str = ""
+    standing: int = 0
 
     @property
     def id(self) -> tuple[str, int]:
@@ -123,13 +127,17 @@
 
 
 class Replied(msgspec.Struct, frozen=True, kw_only=True):
-    """A reply whose echo matched; ``rows`` are the upstream's, in order."""
+    """A reply whose echo matched; ``rows`` are the upstream's, in order.
+
+    ``took`` is seconds from sending to the reply, measured by the owner host.
+    """
 
     request_id: str
     attempt: int
     upstream_id: str
     rows: tuple[msgspec.Raw, ...]
     load: LoadReport | None = None
+    took: float | None = None
 
 
 class Failed(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -88,11 +88,9 @@
         )
         self.owner = owners.ReplayedOwner(
             host_id=record.id,
-            clock=clock,
             directory_view=self.directory,
             decisions=self._core,
             links=_HostLinks(host=self, network=network),
-            switches=switches,
         )
         self._membership = node.Membership(
             own=record,
--- a/src/greengagehaven/replay/owners.py
+++ b/src/greengagehaven/replay/owners.py
@@ -2,8 +2,7 @@
 
 import typing
 
-from greengagehaven import clock as clock_module
-from greengagehaven.coordination import core, events, gates, options
+from greengagehaven.coordination import core, events, gates
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
@@ -38,22 +37,15 @@
         self,
         *,
         host_id: str,
-        clock: clock_module.Clock,
         directory_view: directory.DirectoryView,
         decisions: core.Core,
         links: Links,
-        switches: options.Options,
     ) -> None:
         self._host_id = host_id
         self._directory = directory_view
         self._decisions = decisions
         self._links = links
-        self._gates = gates.Gates(
-            clock=clock,
-            directory=directory_view,
-            usable=decisions.is_usable,
-            slow_start=switches.slow_start,
-        )
+        self._gates = decisions.gates
         self._owner_ids_by_id: dict[tuple[str, int], str] = {}
         self._origins_by_id: dict[tuple[str, int], str] = {}
         self._sent_by_id: dict[tuple[str, int], upstream.SubRequest] = {}
