Give each service its own budget of retries, and save up little

Cause: one outage emptied the budget of all services, and a quiet hour saved up 100 retries that would hit a service in its first bad second.

--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -58,7 +58,7 @@
         self._options = options
         self._release_at: float | None = None
         self._queries_by_id: dict[str, query.Query] = {}
-        self._retry_budget = retries.Budget(ratio=options.retry_budget)
+        self._retry_budgets = retries.ServiceBudgets(ratio=options.retry_budget)
         self._restart_budget = retries.Budget(ratio=options.retry_budget)
         self._hedges = hedges
 
@@ -201,15 +201,21 @@
         batch = self._dispatcher.send_waiting(shard_refs, self._queries_by_id)
         if not batch:
             return
-        firsts = sum(
-            not self._dispatcher.attempts_by_id[sub_request.id].extra
-            for sub_request in batch
-        )
-        self._hedges.budget.earn(firsts)
-        self._retry_budget.earn(firsts)
+        self._earn(batch)
         actions.append(events.Dispatch(batch=tuple(batch)))
         self._arm_hedges(batch)
 
+    def _earn(self, batch: list[upstream.SubRequest]) -> None:
+        """Fill the budgets by first attempts only.
+
+        Were extra attempts to earn as well, each retry would pay for a part of
+        the next, and the load could not be told from the budget.
+        """
+        for sub_request in batch:
+            if not self._dispatcher.attempts_by_id[sub_request.id].extra:
+                self._hedges.budget.earn()
+                self._retry_budgets.earn(sub_request.shard_ref.service)
+
     def _arm_hedges(self, batch: list[upstream.SubRequest]) -> None:
         attempts_by_timer: dict[tuple[str, float], list] = {}
         for sub_request in batch:
@@ -265,7 +271,7 @@
         shard_ref = progress.target.ref
         allowed = failed.not_run or running.kind.idempotent
         if allowed and self._dispatcher.holders(running, shard_ref):
-            if self._retry_budget.spend():
+            if self._retry_budgets.spend(shard_ref.service):
                 self._dispatcher.enqueue(running, shard_ref)
                 self._send_waiting([shard_ref], actions)
                 return
--- a/src/greengagehaven/coordination/retries.py
+++ b/src/greengagehaven/coordination/retries.py
@@ -1,12 +1,17 @@
-"""Budget of extra attempts, so that faults never multiply the load.
+"""Budgets of extra attempts, so that faults never multiply the load.
 
 A token bucket filled by first attempts: each adds a fraction of a token, each
 extra attempt takes one. Under a full outage the extra load stays at that
-fraction, while a single failure on a quiet host can still be retried.
+fraction, while a single failure on a quiet host can still be retried. What is
+saved up is bounded, or the first seconds of an outage after a quiet hour would
+bring a storm.
 """
 
-_INITIAL_TOKENS = 10.0
-_MAX_TOKENS = 100.0
+import collections
+
+INITIAL_TOKENS = 10.0
+MAX_TOKENS = 20.0
+MAX_SERVICES = 10_000
 
 
 class Budget:
@@ -17,11 +22,11 @@
 
     def __init__(self, *, ratio: float) -> None:
         self._ratio = ratio
-        self._tokens = _INITIAL_TOKENS if ratio > 0 else 0.0
+        self._tokens = INITIAL_TOKENS if ratio > 0 else 0.0
 
     def earn(self, first_attempts: int = 1) -> None:
         """Count first attempts."""
-        self._tokens = min(_MAX_TOKENS, self._tokens + self._ratio * first_attempts)
+        self._tokens = min(MAX_TOKENS, self._tokens + self._ratio * first_attempts)
 
     def spend(self) -> bool:
         """Take a token for one extra attempt; return whether there was one."""
@@ -33,3 +38,32 @@
     def refund(self) -> None:
         """Give back a token whose attempt was not sent."""
         self._tokens += 1.0
+
+
+class ServiceBudgets:
+    """A budget for each service, so that one outage uses up only its own.
+
+    :param ratio: extra attempts allowed for each first attempt.
+    """
+
+    def __init__(self, *, ratio: float) -> None:
+        self._ratio = ratio
+        self._budgets_by_service: collections.OrderedDict[str, Budget] = (
+            collections.OrderedDict()
+        )
+
+    def earn(self, service: str, first_attempts: int = 1) -> None:
+        """Count first attempts at a service."""
+        self._of(service).earn(first_attempts)
+
+    def spend(self, service: str) -> bool:
+        """Take a token of a service; return whether there was one."""
+        return self._of(service).spend()
+
+    def _of(self, service: str) -> Budget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = self._budgets_by_service[service] = Budget(ratio=self._ratio)
+            if len(self._budgets_by_service) > MAX_SERVICES:
+                self._budgets_by_service.popitem(last=False)
+        return budget
