Confine work over its share to the slots that the others leave

Cause: one free place per shard on each host did not protect the others: nine hosts saw different queues, and the window of one sub-request per upstream was taken by the heavy subscriber. Now the slots that those within their share keep busy are measured at the owner; by the square-root staffing rule the rest is open to those over it, in an order of upstreams that all hosts agree on; the others' windows do not count them.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -105,9 +105,9 @@
 
   Scenario: At the owner a slot stays free for those who are within their share
     A heavy subscriber's costly work fills the slots of an upstream whenever
-    anybody else comes. Once somebody had to wait, one slot is kept free.
+    anybody else comes. Sub-requests over their share take only the slots that
+    the others leave, whichever hosts they come from.
 
-    Given an owner of an upstream with 2 slots, and 9 sub-requests of heavy there
-    And light had to wait at the owner once
-    When the runs end and a sub-request of light comes to the owner
+    Given an owner of an upstream with 2 slots, and 9 of heavy over its share there
+    When a sub-request of light comes to the owner
     Then the owner has sent that of light at once beside one of heavy
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -86,7 +86,9 @@
 
 @behave.given("the fairness tier with {count:d} upstream of {slots:d} slots")
 def given_tier(context, count, slots):
-    context.tier = fake_core.FakeTier(document_text=DOCUMENT)
+    context.tier = fake_core.FakeTier(
+        document_text=DOCUMENT, switches=options.Options(slow_start=False)
+    )
     context.tier.put(
         *(fake_core.announce(f"u-{number}", slots=slots) for number in range(count))
     )
@@ -178,7 +180,7 @@
 
 @behave.then("the place goes to light")
 def then_light_next(context):
-    requests = [sent.request_id for sent in context.tier.sent]
+    requests = [started.request_id for started in context.load.upstreams.started]
     assert requests[4].startswith("light"), requests
 
 
@@ -209,10 +211,11 @@
 def when_light_regular(context):
     context.at_once = []
     for _ in range(6):
-        before = len(context.tier.sent)
+        before = len(context.load.upstreams.started)
         request_id = context.load.submit("light")
-        sent = {sub_request.request_id for sub_request in context.tier.sent[before:]}
-        context.at_once.append(request_id in sent)
+        context.load.upstreams.run(0.0)
+        started = context.load.upstreams.started[before:]
+        context.at_once.append(request_id in {each.request_id for each in started})
         context.load.upstreams.run(0.7)
 
 
@@ -260,7 +263,7 @@
 
 @behave.then("of 16 sub-requests 15 were sweeps and 1 was a name check")
 def then_order(context):
-    kinds = [sent.kind for sent in context.tier.sent[16:336]]
+    kinds = [started.kind for started in context.load.upstreams.started[16:336]]
     for start in range(0, 320, 16):
         counts = collections.Counter(kinds[start : start + 16])
         assert counts == {"sweep": 15, "check": 1}, (start, counts)
@@ -432,7 +435,7 @@
         self.numbers = itertools.count()
         self.sent = []
 
-    def offer(self, subscriber_id):
+    def offer(self, subscriber_id, over_share_slots=0):
         number = next(self.numbers)
         sub_request = upstream.SubRequest(
             request_id=f"{subscriber_id}-{number}",
@@ -447,6 +450,7 @@
             kind="lookup",
             query=msgspec.Raw(b"{}"),
             subscriber_id=subscriber_id,
+            over_share_slots=over_share_slots,
         )
         self.sent.extend(self.gates.offer([sub_request]).to_send)
 
@@ -487,17 +491,18 @@
     assert context.owner.sent[-1].subscriber_id == "light", context.owner.sent
 
 
-@behave.given("light had to wait at the owner once")
-def given_owner_waited(context):
-    context.owner.report(heavy=2.0, light=0.1)
-    when_owner_light(context)
+@behave.given(
+    "an owner of an upstream with 2 slots, and 9 of heavy over its share there"
+)
+def given_owner_over_share(context):
+    context.owner = Owner()
+    for _ in range(9):
+        context.owner.offer("heavy", over_share_slots=1)
+    context.before = [sent.subscriber_id for sent in context.owner.sent]
 
 
-@behave.when("the runs end and a sub-request of light comes to the owner")
-def when_owner_ends(context):
-    for _ in range(2):
-        context.owner.end_oldest(0.01)
-    context.before = [sent.subscriber_id for sent in context.owner.sent]
+@behave.when("a sub-request of light comes to the owner")
+def when_owner_light_comes(context):
     context.owner.offer("light")
 
 
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -105,7 +105,6 @@
             directory=directory,
             usable=self.is_usable,
             order=self._ledger if options.fairness else None,
-            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
             slow_start=options.slow_start,
         )
         self._dispatcher = dispatcher.Dispatcher(
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -39,6 +39,7 @@
         attempt.
     :param is_probe: whether it was sent to see how its upstream does; it runs
         to its end although another one answers.
+    :param is_over_share: whether it may wait at the owner behind all others.
     """
 
     upstream_id: str
@@ -52,6 +53,7 @@
     charged: float
     extra: bool
     is_probe: bool = False
+    is_over_share: bool = False
 
 
 class Dispatcher:
@@ -159,8 +161,9 @@
         """Send a further attempt at once, where an untried upstream has room."""
         if self._isolation.is_suspect(running):
             return None
-        prospect = self._replicas.consider(self.holders(running, shard_ref))
-        if not prospect.with_room or self._must_leave(running, shard_ref, prospect):
+        holders = self.holders(running, shard_ref)
+        prospect = self._consider(running, shard_ref, holders)
+        if not prospect.with_room or prospect.over_share_slots_by_id:
             return None
         target = self._replicas.choose(prospect)
         return self._send(running, shard_ref, target, extra=True)
@@ -178,7 +181,8 @@
         self._settle_charge(attempt, outcome)
         now = self._clock.monotonic()
         took = now - attempt.sent_at
-        if isinstance(outcome, upstream.Replied) and not attempt.extra:
+        is_plain = not attempt.extra and not attempt.is_over_share
+        if isinstance(outcome, upstream.Replied) and is_plain:
             self._latencies.observe(attempt.latency_class, took, now)
         self._replicas.end(key, attempt.incarnation, outcome, took / attempt.usual)
         return attempt
@@ -221,19 +225,14 @@
                     self._isolation.park(running, shard_ref)
                     continue
                 holders = apart
-            prospect = self._replicas.consider(holders)
-            has_room = bool(prospect.with_room)
-            if has_room and not self._must_leave(running, shard_ref, prospect):
+            prospect = self._consider(running, shard_ref, holders)
+            if prospect.with_room:
                 self._send_item(item, running, prospect, batch)
                 continue
             passed_over.append(item)
-            if has_room:
+            if prospect.over_share_slots_by_id:
                 held_back.add(item.subscriber_id)
-                continue
-            self._reserve.note_wait(
-                shard_ref, item.subscriber_id, self._clock.monotonic()
-            )
-            if not running.progress_by_shard[shard_ref].tried:
+            elif not running.progress_by_shard[shard_ref].tried:
                 # It could go to any upstream of the shard: none has room.
                 break
         for item in passed_over:
@@ -248,7 +247,11 @@
     ) -> None:
         extra = bool(running.progress_by_shard[item.shard_ref].tried)
         target = self._replicas.choose(prospect)
-        batch.append(self._send(running, item.shard_ref, target, extra=extra))
+        slots = prospect.over_share_slots_by_id.get(target.id, 0)
+        sub_request = self._send(
+            running, item.shard_ref, target, extra=extra, over_share_slots=slots
+        )
+        batch.append(sub_request)
         self._queue.note_sent(item, self._clock.monotonic())
         if prospect.probe is not None:
             self._probe(running, item.shard_ref, prospect.probe, batch)
@@ -267,20 +270,23 @@
         target.stats.probed_at = self._clock.monotonic()
         batch.append(self._send(running, shard_ref, target, extra=True, is_probe=True))
 
-    def _must_leave(
+    def _consider(
         self,
         running: query.Query,
         shard_ref: upstream.ShardRef,
-        prospect: replicas.Prospect,
-    ) -> bool:
-        holders = running.progress_by_shard[shard_ref].target.upstream_ids
-        return self._reserve.must_leave(
+        holders: tuple[str, ...],
+    ) -> replicas.Prospect:
+        subscriber_id = running.submitted.subscriber_id
+        if not self._reserve.is_over_share(subscriber_id):
+            return self._replicas.consider(holders)
+        target = running.progress_by_shard[shard_ref].target
+        slots_by_id = self._reserve.allot(
             shard_ref,
-            running.submitted.subscriber_id,
-            free=len(prospect.with_room),
-            busy=self._replicas.busy(holders),
-            now=self._clock.monotonic(),
+            subscriber_id,
+            self._replicas.alive(target.upstream_ids),
+            self._clock.monotonic(),
         )
+        return self._replicas.consider_over_share(holders, slots_by_id)
 
     def _settle_charge(self, attempt: Attempt, outcome: upstream.Outcome) -> None:
         """Put the measured upstream time in place of the estimate.
@@ -306,6 +312,7 @@
         *,
         extra: bool,
         is_probe: bool = False,
+        over_share_slots: int = 0,
     ) -> upstream.SubRequest:
         announcement = target.announcement
         number = running.begin_attempt(shard_ref, announcement.id, is_probe=is_probe)
@@ -318,9 +325,13 @@
         charged = self._ledger.estimate(subscriber_id, running.submitted.kind)
         self._ledger.charge(subscriber_id, charged)
         usual = self._latencies.usual(latency_class)
-        target.stats.outstanding_by_id[key] = upstream_stats.Outstanding(
-            sent_at=now, usual=usual
-        )
+        if over_share_slots:
+            target.stats.over_share_ids.add(key)
+        else:
+            target.stats.outstanding_by_id[key] = upstream_stats.Outstanding(
+                sent_at=now, usual=usual
+            )
+            target.stats.note_in_flight(now)
         self._attempts_by_id[key] = Attempt(
             upstream_id=announcement.id,
             incarnation=announcement.incarnation,
@@ -333,6 +344,7 @@
             charged=charged,
             extra=extra,
             is_probe=is_probe,
+            is_over_share=over_share_slots > 0,
         )
         self._isolation.note_sent(running, number, announcement.id)
         return upstream.SubRequest(
@@ -349,6 +361,7 @@
             query=running.submitted.query,
             subscriber_id=subscriber_id,
             standing=running.kind.standing,
+            over_share_slots=over_share_slots,
         )
 
 
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -221,7 +221,9 @@
         for sub_request in batch:
             attempt = self._dispatcher.attempts_by_id[sub_request.id]
             running = self._queries_by_id[sub_request.request_id]
-            if attempt.is_probe or not running.kind.idempotent:
+            if attempt.is_probe or attempt.is_over_share:
+                continue
+            if not running.kind.idempotent:
                 continue
             delay = self._hedges.delay(attempt.latency_class)
             if delay is None:
--- a/src/greengagehaven/coordination/gate.py
+++ b/src/greengagehaven/coordination/gate.py
@@ -12,8 +12,8 @@
 
 from greengagehaven.coordination import (
     fair_queue,
-    headroom,
     service_time,
+    time_average,
     usage,
     wait_times,
 )
@@ -23,6 +23,7 @@
 _UNKNOWN_REPLIES_PER_STEP = 10
 _SLOW_REPLIES_PER_STEP = 60
 _AGE_RATIO = 3.0
+_SHARES_DECAY_S = 4.0
 
 Reference = typing.Callable[[str], float | None]
 
@@ -33,6 +34,7 @@
 
     kind: str
     sent_at: float
+    is_over_share: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,8 +88,6 @@
     :param reference: usual service time of a kind at other upstreams.
     :param order: ranks the subscribers of those that wait; ``None``, arrival
         decides among them.
-    :param reserve: keeps subscribers over their share off the last slot, where
-        there is one.
     :param slow_start: off, a fresh upstream gets all its slots at once.
     """
 
@@ -97,13 +97,15 @@
         announcement: upstream.Announcement,
         reference: Reference,
         order: usage.UsageOrder | None = None,
-        reserve: headroom.Headroom | None = None,
         slow_start: bool = True,
     ) -> None:
         self._reference = reference
         self._slow_start = slow_start
         self._order = itertools.count()
-        self._reserve = reserve
+        self._within_share = time_average.TimeAverage(decay=_SHARES_DECAY_S)
+        self._over_share = time_average.TimeAverage(decay=_SHARES_DECAY_S)
+        self._queued_within_share = 0
+        self._over_share_runs = 0
         self._queue = fair_queue.FairQueue(order=order, waits=wait_times.WaitTimes())
         self._queued_by_id: dict[tuple[str, int], _Queued] = {}
         self._runs_by_id: dict[tuple[str, int], _Run] = {}
@@ -120,9 +122,12 @@
 
     @property
     def load(self) -> upstream.LoadReport:
-        """Return what runs at the upstream and what waits here for it."""
+        """Return what runs at the upstream and what waits here for it.
+
+        What waits over its share is not counted: whoever asks goes before it.
+        """
         return upstream.LoadReport(
-            in_flight=len(self._runs_by_id), queued=len(self._queued_by_id)
+            in_flight=len(self._runs_by_id), queued=self._queued_within_share
         )
 
     @property
@@ -153,16 +158,14 @@
         queued = _Queued(sub_request=sub_request, since=now, order=next(self._order))
         self._queue.push(queued)
         self._queued_by_id[sub_request.id] = queued
-        is_full = len(self._runs_by_id) >= self._allowed(now)
-        if is_full and self._reserve is not None:
-            place = sub_request.upstream_id
-            self._reserve.note_wait(place, sub_request.subscriber_id, now)
+        self._queued_within_share += sub_request.over_share_slots == 0
 
     def withdraw(self, sub_request_id: tuple[str, int]) -> bool:
         """Forget a sub-request that waits; return whether it did."""
         queued = self._queued_by_id.pop(sub_request_id, None)
         if queued is None:
             return False
+        self._queued_within_share -= queued.sub_request.over_share_slots == 0
         self._queue.discard(queued.request_id)
         return True
 
@@ -181,12 +184,11 @@
         held_back: list[_Queued] = []
         passed_over: set[str] = set()
         found = None
-        place = self.announcement.id
         while found is None:
-            queued = self._queue.pop(place, passed_over)
+            queued = self._queue.pop(self.announcement.id, passed_over)
             if queued is None:
                 break
-            if self._must_leave(queued, free, now):
+            if self._is_held_back(queued.sub_request):
                 held_back.append(queued)
                 passed_over.add(queued.subscriber_id)
             else:
@@ -196,27 +198,42 @@
         if found is None:
             return None
         self._queue.note_sent(found, now)
-        del self._queued_by_id[found.sub_request.id]
-        run = _Run(kind=found.sub_request.kind, sent_at=now)
-        self._runs_by_id[found.sub_request.id] = run
+        self._begin_run(found.sub_request, now)
         return found.sub_request
 
-    def _must_leave(self, queued: _Queued, free: int, now: float) -> bool:
-        if self._reserve is None:
-            return False
-        return self._reserve.must_leave(
-            queued.shard_ref,
-            queued.subscriber_id,
-            free=free,
-            busy=len(self._runs_by_id),
-            now=now,
-        )
+    def within_share(self, now: float) -> float:
+        """Return the slots kept busy on average by those within their share."""
+        return self._within_share.at(now)
+
+    def over_share(self, now: float) -> float:
+        """Return the slots kept busy on average by those over their share."""
+        return self._over_share.at(now)
+
+    def _begin_run(self, sub_request: upstream.SubRequest, now: float) -> None:
+        del self._queued_by_id[sub_request.id]
+        is_over_share = sub_request.over_share_slots > 0
+        self._queued_within_share -= not is_over_share
+        run = _Run(kind=sub_request.kind, sent_at=now, is_over_share=is_over_share)
+        self._runs_by_id[sub_request.id] = run
+        self._over_share_runs += is_over_share
+        self._note_shares(now)
+
+    def _is_held_back(self, sub_request: upstream.SubRequest) -> bool:
+        slots = sub_request.over_share_slots
+        return bool(slots) and self._over_share_runs >= slots
+
+    def _note_shares(self, now: float) -> None:
+        within = len(self._runs_by_id) - self._over_share_runs
+        self._within_share.set(within, now)
+        self._over_share.set(self._over_share_runs, now)
 
     def end(self, outcome: upstream.Outcome, now: float) -> float | None:
         """Take in the end of a run; return its seconds, ``None`` if unknown."""
         run = self._runs_by_id.pop((outcome.request_id, outcome.attempt), None)
         if run is None:
             return None
+        self._over_share_runs -= run.is_over_share
+        self._note_shares(now)
         if isinstance(outcome, upstream.Replied):
             self._take_reply(run, now - run.sent_at)
         elif outcome.reason in _OVERLOAD_SIGNS:
--- a/src/greengagehaven/coordination/gates.py
+++ b/src/greengagehaven/coordination/gates.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from greengagehaven import clock as clock_module
-from greengagehaven.coordination import gate, headroom, usage
+from greengagehaven.coordination import gate, usage
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
@@ -29,8 +29,6 @@
     :param usable: whether an upstream may get new work now.
     :param order: ranks subscribers among those that wait; ``None``, arrival
         decides among them.
-    :param reserve: keeps subscribers over their share off the last slot, where
-        there is one.
     :param slow_start: see :class:`~greengagehaven.coordination.gate.Gate`.
     """
 
@@ -41,14 +39,12 @@
         directory: directory.DirectoryView,
         usable: Usable,
         order: usage.UsageOrder | None = None,
-        reserve: headroom.Headroom | None = None,
         slow_start: bool = True,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._usable = usable
         self._order = order
-        self._reserve = reserve
         self._slow_start = slow_start
         self._gates_by_id: dict[str, gate.Gate] = {}
         self._upstream_ids_by_sub_request: dict[tuple[str, int], str] = {}
@@ -108,7 +104,8 @@
         if upstream_id is None:
             return passage
         found = self._gates_by_id[upstream_id]
-        took = found.end(outcome, self._clock.monotonic())
+        now = self._clock.monotonic()
+        took = found.end(outcome, now)
         self._open(found, passage)
         if isinstance(outcome, upstream.Replied):
             outcome = upstream.Replied(
@@ -118,6 +115,8 @@
                 rows=outcome.rows,
                 load=found.load,
                 took=took,
+                within_share=found.within_share(now),
+                over_share=found.over_share(now),
             )
         passage.outcomes.append(outcome)
         return passage
@@ -153,7 +152,6 @@
                 announcement=announcement,
                 reference=self._usual_time,
                 order=self._order,
-                reserve=self._reserve,
                 slow_start=self._slow_start,
             )
             self._gates_by_id[upstream_id] = found
--- a/src/greengagehaven/coordination/headroom.py
+++ b/src/greengagehaven/coordination/headroom.py
@@ -1,65 +1,76 @@
-"""Keeps subscribers over their share off the last free place of a shard.
+"""Slots of a shard that are open to subscribers over their share.
 
 Order alone does not protect the others: a sub-request can't be interrupted, so
-whoever finds every place taken by costly work of a heavy subscriber waits for
-the rest of it, however far ahead in the queue. Where that has lately happened,
-a subscriber over its share leaves one place free. Where nobody had to wait, or
-where there is only one place, it may take all, so idle capacity is not lost.
+whoever finds every slot taken by work of a heavy subscriber waits for the rest
+of it, however far ahead in the queue. How many slots the others need so that
+they hardly ever wait follows from how many they keep busy on average, by the
+square-root staffing rule (Halfin and Whitt 1981); the rest is open to those
+over their share, at least their share of all and at least one. They are
+confined to as few upstreams as hold so many slots, in an order that all hosts
+agree on, so that the others find whole upstreams free.
 """
 
-from greengagehaven.coordination import usage
-from greengagehaven.protocol import upstream
+import math
+from collections import abc
+
+import xxhash
 
-HOLD_S = 5.0
-"""How long a place is kept free after somebody had to wait for one."""
+from greengagehaven.coordination import selection, usage
+from greengagehaven.protocol import upstream
 
-_PRUNE_AT = 4096
+SAFETY = 3.0
+"""Slots kept free above the average, in square roots of it. At 3 about one in
+a hundred finds none."""
 
 
 class Headroom:
-    """Shards at which a place is kept free.
+    """Divides the slots of a shard between those within and over their share.
 
     :param ledger: knows who is over its share.
-    :param enabled: off, nobody is held back.
+    :param enabled: off, nobody counts as over its share.
     """
 
     def __init__(self, *, ledger: usage.UsageLedger, enabled: bool) -> None:
         self._ledger = ledger
         self._enabled = enabled
-        self._kept_until_by_shard: dict[upstream.ShardRef, float] = {}
-
-    def note_wait(
-        self, shard_ref: upstream.ShardRef, subscriber_id: str, now: float
-    ) -> None:
-        """Take in that a subscriber found no free place at a shard."""
-        if not self._enabled or self._ledger.is_over_share(subscriber_id):
-            return
-        if len(self._kept_until_by_shard) >= _PRUNE_AT:
-            self._prune(now)
-        self._kept_until_by_shard[shard_ref] = now + HOLD_S
-
-    def must_leave(
+
+    def is_over_share(self, subscriber_id: str) -> bool:
+        """Tell whether a subscriber gets only the slots that others leave."""
+        return self._enabled and self._ledger.is_over_share(subscriber_id)
+
+    def allot(
         self,
         shard_ref: upstream.ShardRef,
         subscriber_id: str,
-        *,
-        free: int,
-        busy: int,
+        candidates: abc.Sequence[selection.Candidate],
         now: float,
-    ) -> bool:
-        """Tell whether a subscriber may not take one of the free places.
+    ) -> dict[str, int]:
+        """Return slots by upstream that are open to a subscriber over its share.
 
-        :param free: upstreams of the shard that have room.
-        :param busy: sub-requests of this host in flight at the shard's
-            upstreams.
+        :param candidates: the upstreams of the shard.
+        :param now: monotonic seconds.
         """
-        if not self._enabled or free > 1 or busy == 0:
-            return False
-        if self._kept_until_by_shard.get(shard_ref, now) <= now:
-            return False
-        return self._ledger.is_over_share(subscriber_id)
-
-    def _prune(self, now: float) -> None:
-        over = [ref for ref, end in self._kept_until_by_shard.items() if end <= now]
-        for shard_ref in over:
-            del self._kept_until_by_shard[shard_ref]
+        slots = sum(max(1, each.announcement.slots) for each in candidates)
+        busy = sum(each.stats.within_share(now) for each in candidates)
+        needed = math.ceil(busy + SAFETY * math.sqrt(busy))
+        share = self._ledger.share_of_all(subscriber_id)
+        left = max(1, int(share * slots), slots - needed)
+        allotted: dict[str, int] = {}
+        for each in _in_agreed_order(shard_ref, candidates):
+            taken = min(left, max(1, each.announcement.slots))
+            if taken <= 0:
+                break
+            allotted[each.id] = taken
+            left -= taken
+        return allotted
+
+
+def _in_agreed_order(
+    shard_ref: upstream.ShardRef, candidates: abc.Sequence[selection.Candidate]
+) -> list[selection.Candidate]:
+    prefix = f"{shard_ref.service}/{shard_ref.shard}/"
+
+    def weigh(candidate: selection.Candidate) -> int:
+        return xxhash.xxh3_64_intdigest((prefix + candidate.id).encode())
+
+    return sorted(candidates, key=weigh)
--- a/src/greengagehaven/coordination/limits.py
+++ b/src/greengagehaven/coordination/limits.py
@@ -11,6 +11,8 @@
 from greengagehaven.coordination import upstream_stats
 from greengagehaven.protocol import upstream
 
+_OVER_SHARE_SEEN = 0.05
+
 
 class Limits(typing.Protocol):
     """Decides whether an upstream may get one more sub-request from here."""
@@ -37,7 +39,8 @@
         now: float,
     ) -> bool:
         """Tell whether one more fits beside what this host has out."""
-        return stats.in_flight < max(1, announcement.slots)
+        in_flight = stats.in_flight + len(stats.over_share_ids)
+        return in_flight < max(1, announcement.slots)
 
     def set_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts; this limit does not depend on them."""
@@ -69,6 +72,10 @@
         window = slots
         if self._host_count > 1:
             window = -(-(slots + 1) // self._host_count)
+        if stats.over_share_ids or stats.over_share(now) > _OVER_SHARE_SEEN:
+            # Work of subscribers over their share waits at the gate. It would
+            # take the next free slot unless one of the others waits there too.
+            window += 1
         return in_flight < window or stats.load(now) < slots
 
     def set_hosts(self, zones_by_host_id: dict[str, str]) -> None:
--- a/src/greengagehaven/coordination/replicas.py
+++ b/src/greengagehaven/coordination/replicas.py
@@ -24,10 +24,15 @@
 
     :param with_room: fit replicas with room, empty where it has to wait.
     :param probe: a replica that was set aside and is due for a probe.
+    :param over_share_slots_by_id: where only those slots are open to it, since
+        its subscriber is over its share; empty where all are.
     """
 
     with_room: list[selection.Candidate]
     probe: selection.Candidate | None = None
+    over_share_slots_by_id: abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Replicas:
@@ -78,15 +83,35 @@
             probe = self._selector.probe_target(candidates, fit, now)
         return Prospect(with_room=with_room, probe=probe)
 
+    def alive(self, upstream_ids: tuple[str, ...]) -> list[selection.Candidate]:
+        """Return those of some replicas that do not fail.
+
+        Those that straggle stay in: hosts see stragglers differently, and an
+        order over these replicas has to be the same on all hosts.
+        """
+        now = self._clock.monotonic()
+        candidates = self._candidates(upstream_ids)
+        alive = [each for each in candidates if not each.stats.is_failing(now)]
+        return alive or list(candidates)
+
+    def consider_over_share(
+        self, upstream_ids: tuple[str, ...], slots_by_id: abc.Mapping[str, int]
+    ) -> Prospect:
+        """Return where a sub-request over its subscriber's share may go now.
+
+        :param slots_by_id: slots of the shard that are open to it.
+        """
+        with_room = [
+            each
+            for each in self._candidates(upstream_ids)
+            if len(each.stats.over_share_ids) < slots_by_id.get(each.id, 0)
+        ]
+        return Prospect(with_room=with_room, over_share_slots_by_id=slots_by_id)
+
     def choose(self, prospect: Prospect) -> selection.Candidate:
         """Return the replica to send to; there is one with room."""
         return self._selector.choose(prospect.with_room, self._clock.monotonic())
 
-    def busy(self, upstream_ids: abc.Iterable[str]) -> int:
-        """Return what this host has in flight at upstreams, all together."""
-        stats = (self._stats_by_id.get(upstream_id) for upstream_id in upstream_ids)
-        return sum(known.in_flight for known in stats if known is not None)
-
     def end(
         self,
         attempt_id: tuple[str, int],
@@ -101,8 +126,19 @@
         stats = self._stats_by_id.get(outcome.upstream_id)
         if stats is None or stats.incarnation != incarnation:
             return
+        now = self._clock.monotonic()
+        if isinstance(outcome, upstream.Replied) and outcome.within_share is not None:
+            over_share = outcome.over_share or 0.0
+            stats.record_shares(outcome.within_share, over_share, now)
+        if attempt_id in stats.over_share_ids:
+            # It may have waited long at the owner, behind all others: its
+            # latency says nothing of the upstream.
+            stats.over_share_ids.discard(attempt_id)
+            if isinstance(outcome, upstream.Replied):
+                return
         stats.outstanding_by_id.pop(attempt_id, None)
-        _learn(stats, outcome, slowness, self._clock.monotonic())
+        stats.note_in_flight(now)
+        _learn(stats, outcome, slowness, now)
 
     def shuffle(self, items: list) -> None:
         """Bring a list into a random order."""
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -11,6 +11,8 @@
 import dataclasses
 import math
 
+from greengagehaven.coordination import time_average
+
 _DECAY_S = 1.0
 _FAILURE_DECAY_S = 2.0
 _FAILURES_TO_EJECT = 2.0
@@ -20,6 +22,8 @@
 _MOST_EJECTIONS = 8
 _FAILURE_WEIGHT = 4.0
 _LOAD_HINT_S = 0.2
+_WITHIN_DECAY_S = 1.0
+_SHARES_HINT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,7 +42,10 @@
     :param is_fresh: whether the incarnation came up while this host ran, so that
         it may be cold; what was there before is taken for warm.
     :param slowness: latency in multiples of the usual, ``None`` while unknown.
-    :param outstanding_by_id: attempts in flight, oldest first.
+    :param outstanding_by_id: attempts in flight, oldest first; not those of
+        subscribers over their share, which may wait long at the owner and tell
+        nothing of the upstream.
+    :param over_share_ids: the attempts of those subscribers.
     :param probed_at: when it last got work only to see how it does.
     """
 
@@ -49,6 +56,7 @@
     outstanding_by_id: dict[tuple[str, int], Outstanding] = dataclasses.field(
         default_factory=dict
     )
+    over_share_ids: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     probed_at: float = -math.inf
     _seen_at: float = -math.inf
     _failures: float = 0.0
@@ -57,6 +65,12 @@
     _ejected_until: float = -math.inf
     _others_load: int = 0
     _load_at: float = -math.inf
+    _own_within: time_average.TimeAverage = dataclasses.field(
+        default_factory=lambda: time_average.TimeAverage(decay=_WITHIN_DECAY_S)
+    )
+    _told_within: float = 0.0
+    _told_over: float = 0.0
+    _told_shares_at: float = -math.inf
 
     @property
     def is_untried(self) -> bool:
@@ -119,6 +133,35 @@
         self._others_load = max(0, load - self.in_flight)
         self._load_at = now
 
+    def record_shares(self, within: float, over: float, now: float) -> None:
+        """Take in the owner's :meth:`within_share` and :meth:`over_share`."""
+        self._told_within = within
+        self._told_over = over
+        self._told_shares_at = now
+
+    def note_in_flight(self, now: float) -> None:
+        """Take in that ``outstanding_by_id`` has changed."""
+        self._own_within.set(len(self.outstanding_by_id), now)
+
+    def within_share(self, now: float) -> float:
+        """Return how many slots subscribers within their share keep busy.
+
+        It is an average over about a second, of all hosts where the owner has
+        lately told it, else of this host.
+        """
+        if now - self._told_shares_at < _SHARES_HINT_S:
+            return self._told_within
+        return self._own_within.at(now)
+
+    def over_share(self, now: float) -> float:
+        """Return how many slots subscribers over their share keep busy.
+
+        It is an average over about a second, as the owner has lately told it.
+        """
+        if now - self._told_shares_at < _SHARES_HINT_S:
+            return self._told_over
+        return 0.0
+
     def expected_slowness(self, now: float) -> float | None:
         """Return what a reply takes by the signs of now; ``None`` if unknown."""
         if not self.outstanding_by_id:
@@ -129,9 +172,10 @@
 
     def load(self, now: float) -> int:
         """Return the work that the upstream has, as far as it is known."""
+        others = 0
         if now - self._load_at < _LOAD_HINT_S:
-            return self.in_flight + self._others_load
-        return self.in_flight
+            others = self._others_load
+        return self.in_flight + max(others, round(self.over_share(now)))
 
     def cost(self, now: float, slots: int) -> float:
         """Return the expected wait for one more, in multiples of the usual."""
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -139,6 +139,15 @@
         bound = self._allowed_level(subscriber_id)
         return bound > 0.0 and self._level(subscriber_id) > bound
 
+    def share_of_all(self, subscriber_id: str) -> float:
+        """Return a subscriber's part of the shares of all that were active."""
+        self._sum_up()
+        own = self._share(subscriber_id)
+        shares = self._active_shares
+        if subscriber_id not in self._active_seconds_by_id:
+            shares += own
+        return own / shares
+
     def seconds_until_fair(self, subscriber_id: str) -> float:
         """Return after how long of rest a subscriber is back at its share."""
         level = self._level(subscriber_id)
--- a/src/greengagehaven/protocol/owner.py
+++ b/src/greengagehaven/protocol/owner.py
@@ -19,6 +19,7 @@
     service: str
     shard: int
     partitioning: int
+    over_share_slots: int = 0
 
 
 class OfferGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -46,6 +47,8 @@
     rows: tuple[bytes, ...]
     load: upstream.LoadReport | None
     took: float | None = None
+    within_share: float | None = None
+    over_share: float | None = None
 
 
 class Parcel(msgspec.Struct, frozen=True, array_like=True):
@@ -108,6 +111,7 @@
             shard_ref=upstream.ShardRef(item.service, item.shard),
             snapshot=group.snapshot,
             partitioning=item.partitioning,
+            over_share_slots=item.over_share_slots,
             deadline=now + group.time_left,
             kind=group.kind,
             query=query,
@@ -127,6 +131,8 @@
         rows=tuple(bytes(row) for row in outcome.rows),
         load=outcome.load,
         took=outcome.took,
+        within_share=outcome.within_share,
+        over_share=outcome.over_share,
     )
 
 
@@ -140,6 +146,8 @@
             rows=tuple(msgspec.Raw(row) for row in item.rows),
             load=item.load,
             took=item.took,
+            within_share=item.within_share,
+            over_share=item.over_share,
         )
         for item in parcel.replied
     ]
@@ -155,4 +163,5 @@
         service=sub_request.shard_ref.service,
         shard=sub_request.shard_ref.shard,
         partitioning=sub_request.partitioning,
+        over_share_slots=sub_request.over_share_slots,
     )
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -83,8 +83,9 @@
     ``attempt`` is unique within the request, over all its shards.
     ``deadline`` is monotonic seconds on the sender's clock; on the wire it
     travels as the time that is left. ``query`` is the caller's JSON, as it came.
-    ``subscriber_id`` and ``standing`` decide the order in which an owner sends;
-    upstreams never see them.
+    ``subscriber_id`` and ``standing`` decide the order in which an owner sends.
+    ``over_share_slots``, where it is not 0, lets it run only while fewer of its
+    kind run: its subscriber is over its share. Upstreams see none of them.
     """
 
     request_id: str
@@ -100,6 +101,7 @@
     query: msgspec.Raw
     subscriber_id: str = ""
     standing: int = 0
+    over_share_slots: int = 0
 
     @property
     def id(self) -> tuple[str, int]:
@@ -129,7 +131,9 @@
 class Replied(msgspec.Struct, frozen=True, kw_only=True):
     """A reply whose echo matched; ``rows`` are the upstream's, in order.
 
-    ``took`` is seconds from sending to the reply, measured by the owner host.
+    The owner host adds ``took``, seconds from sending to the reply, and
+    ``within_share`` and ``over_share``, the slots that subscribers within and
+    over their share keep busy on average.
     """
 
     request_id: str
@@ -138,6 +142,8 @@
     rows: tuple[msgspec.Raw, ...]
     load: LoadReport | None = None
     took: float | None = None
+    within_share: float | None = None
+    over_share: float | None = None
 
 
 class Failed(msgspec.Struct, frozen=True, kw_only=True):
