--- a/features/steps/query_machine_steps.py
+++ b/features/steps/query_machine_steps.py
@@ -20,6 +20,8 @@
         deadline=None,
         max_examples=150,
         stateful_step_count=60,
+        # Without shrinking: what it would cost on a failure is minutes.
+        phases=(hypothesis.Phase.generate,),
         suppress_health_check=list(hypothesis.HealthCheck),
     )
     stateful.run_state_machine_as_test(context.machine, settings=settings)
--- a/src/greengagehaven/coordination/connections.py
+++ b/src/greengagehaven/coordination/connections.py
@@ -2,12 +2,15 @@
 
 The connections of all hosts must stay within the upstream's cap, also while
 hosts join, leave and disagree on who is live. Only the owner of an upstream
-connects to it. While ownership moves, old and new owner each keep to an equal
-share of the cap among all hosts: the old one gives that up after half of a
-hold-down, the new one grows only after the whole of it, which is longer than
-the old one needs to hear of the change and to shrink. A host that fell silent
-may live on behind a partition with its connections open, so it counts among
-the hosts for a stated time longer.
+connects to it. While ownership moves, old and new owner each keep to a small
+equal share: the old one gives that up after half of a hold-down, the new one
+grows only after the whole of it, which is longer than the old one needs to hear
+of the change and to shrink. A host that fell silent may live on behind a
+partition with its connections open, so it counts for a stated time longer.
+
+A quarter of the cap is for the owner and a quarter for the equal shares of all
+that may become owner. So the cap holds even where a partition separates hosts,
+but not the upstream, and leaves an owner on each side for as long as it lasts.
 """
 
 import dataclasses
@@ -57,9 +60,10 @@
         self._hold_down = hold_down.total_seconds()
         self._absence = absence.total_seconds()
         self._last_heard_by_host_id: dict[str, float] = {}
+        self._zones_by_host_id: dict[str, str] = {}
         self._tenures_by_id: dict[str, _Tenure] = {}
 
-    def set_hosts(self, host_ids: abc.Collection[str]) -> None:
+    def set_hosts(self, zones_by_host_id: abc.Mapping[str, str]) -> None:
         """Take in the live entry hosts; the owners must know them already."""
         now = self._clock.monotonic()
         for host_id, last_heard in list(self._last_heard_by_host_id.items()):
@@ -67,8 +71,10 @@
                 self._last_heard_by_host_id[host_id] = now
             elif last_heard < now - self._absence:
                 del self._last_heard_by_host_id[host_id]
-        for host_id in host_ids:
+                del self._zones_by_host_id[host_id]
+        for host_id, zone in zones_by_host_id.items():
             self._last_heard_by_host_id[host_id] = math.inf
+            self._zones_by_host_id[host_id] = zone
 
     def limit(self, announcement: upstream.Announcement) -> int:
         """Return how many connections this host may hold to an upstream now."""
@@ -102,16 +108,23 @@
         return tenure
 
     def _whole_limit(self, announcement: upstream.Announcement) -> int:
-        # At most half of the cap: a partition that separates hosts but not the
-        # upstream leaves an owner on each side for as long as it lasts.
         useful = announcement.slots + SPARE_CONNECTIONS
-        return max(1, min(useful, announcement.max_connections // 2))
+        return max(1, min(useful, announcement.max_connections // 4))
 
     def _equal_share(self, announcement: upstream.Announcement, now: float) -> int:
-        share = announcement.max_connections // self._count_hosts(now)
+        candidates = self._count_candidates(announcement, now)
+        share = announcement.max_connections // 4 // candidates
         return max(1, min(share, self._whole_limit(announcement)))
 
-    def _count_hosts(self, now: float) -> int:
+    def _count_candidates(self, announcement: upstream.Announcement, now: float) -> int:
+        """Return how many hosts may own an upstream, silent ones included."""
+        zone = announcement.availability_zone
+        live_zones = self._owners.zones_by_host_id.values()
         heard_since = now - self._absence
-        moments = self._last_heard_by_host_id.values()
-        return max(1, sum(1 for last_heard in moments if last_heard > heard_since))
+        counted = [
+            host_id
+            for host_id, last_heard in self._last_heard_by_host_id.items()
+            if last_heard > heard_since
+            and (zone not in live_zones or self._zones_by_host_id[host_id] == zone)
+        ]
+        return max(1, len(counted))
--- a/src/greengagehaven/coordination/ownership.py
+++ b/src/greengagehaven/coordination/ownership.py
@@ -32,6 +32,11 @@
     @property
     def host_ids(self) -> abc.Collection[str]:
         """Return the live entry hosts, this one included."""
+        return self._zones_by_host_id.keys()
+
+    @property
+    def zones_by_host_id(self) -> abc.Mapping[str, str]:
+        """Return the live entry hosts and their availability zones."""
         return self._zones_by_host_id
 
     def set_hosts(self, zones_by_host_id: abc.Mapping[str, str]) -> None:
