--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -17,14 +17,18 @@
     events,
     execution,
     fair_queue,
+    fingerprint,
+    gates,
     headroom,
     hedging,
+    isolation,
     keyed,
     latency,
     limits,
     options,
     ownership,
     plan,
+    quarantine,
     query,
     refusal,
     replicas,
@@ -76,6 +80,10 @@
         self._last_report = notices.UsageReport(usages=())
         self._planner = plan.Planner(directory=directory)
         self._ledger = usage.UsageLedger(clock=clock)
+        self._cases = quarantine.Quarantine(clock=clock, host_id=host_id)
+        self._isolation = isolation.Isolation(
+            cases=self._cases, enabled=options.quarantine
+        )
         waits = wait_times.WaitTimes()
         self._shedding = shedding.Shedding(
             ledger=self._ledger, waits=waits, options=options
@@ -91,6 +99,15 @@
             latencies=latencies,
             budget_ratio=options.hedge_budget if options.hedging else 0.0,
         )
+        reserve = headroom.Headroom(ledger=self._ledger, enabled=options.fairness)
+        self._gates = gates.Gates(
+            clock=clock,
+            directory=directory,
+            usable=self.is_usable,
+            order=self._ledger if options.fairness else None,
+            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            slow_start=options.slow_start,
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
             directory=directory,
@@ -109,13 +126,13 @@
             ),
             latencies=latencies,
             queue=fair_queue.FairQueue(
-                order=self._ledger,
+                order=self._ledger if options.fairness else None,
                 waits=waits,
-                fair=options.fairness,
                 standing=options.standing,
             ),
             ledger=self._ledger,
-            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            reserve=reserve,
+            isolation=self._isolation,
             may_probe=hedges.budget.spend,
         )
         self._execution = execution.Execution(
@@ -124,6 +141,7 @@
             usable=self.is_usable,
             sender=self._dispatcher,
             pending=self._timers,
+            isolation=self._isolation,
             hedges=hedges,
             options=options,
         )
@@ -156,6 +174,8 @@
         actions: list[events.Action] = []
         self._handlers_by_event[type(event)](event, actions)
         self._keyed.note_results(actions)
+        for notice in self._cases.take_notices():
+            actions.append(events.NotifyPeers(payload=notice))
         moment = self._timers.next_wake()
         if moment is not None:
             actions.append(events.WakeAt(moment=moment))
@@ -171,6 +191,11 @@
         """Return what this host has seen of each upstream."""
         return self._dispatcher.stats_by_id
 
+    @property
+    def gates(self) -> gates.Gates:
+        """Return the gates of the upstreams that this host owns."""
+        return self._gates
+
     @property
     def owners(self) -> ownership.Ownership:
         """Return which entry host sends to which upstream."""
@@ -234,6 +259,8 @@
     def _admit(
         self, submitted: events.QuerySubmitted, kind: document.Kind
     ) -> query.Query:
+        name = fingerprint.of_query(submitted.kind, submitted.query)
+        self._isolation.check(name)
         now = self._clock.monotonic()
         deadline = self._deadline_of(submitted, kind)
         self._shedding.check(
@@ -249,6 +276,7 @@
             pinned=self._pin(submitted, kind),
             started=now,
             deadline=deadline,
+            fingerprint=name,
         )
 
     def _pin(
@@ -313,6 +341,7 @@
         self._owners.set_hosts(changed.zones_by_host_id)
         self._limits.set_hosts(changed.zones_by_host_id)
         self._ledger.set_hosts(changed.zones_by_host_id)
+        self._cases.set_hosts(changed.zones_by_host_id)
         if not self._reports_usage:
             self._reports_usage = True
             self._arm_usage_report()
@@ -321,8 +350,24 @@
         self, notice: events.PeerNotice, actions: list[events.Action]
     ) -> None:
         """Take a message of another host's core."""
-        if isinstance(notice.payload, notices.UsageReport):
-            self._ledger.take_report(notice.host_id, notice.payload)
+        payload = notice.payload
+        if isinstance(payload, notices.UsageReport):
+            self._ledger.take_report(notice.host_id, payload)
+            return
+        if not self._options.quarantine:
+            return
+        if isinstance(payload, notices.InFlightReport):
+            self._cases.take_in_flight(payload)
+        elif isinstance(payload, notices.LossCleared):
+            self._cases.take_cleared(payload)
+        elif isinstance(payload, notices.QuarantineReport):
+            self._cases.take_ban(payload)
+            self._execution.stop_convicted(payload.fingerprint, actions)
+        elif isinstance(payload, notices.LossReport):
+            is_here = bool(self._isolation.request_ids(payload.fingerprint))
+            if self._cases.take_loss(payload, in_flight=is_here):
+                self._execution.stop_convicted(payload.fingerprint, actions)
+        self._execution.release_parked(actions)
 
     def _on_recorder_replied(
         self, replied: events.RecorderReplied, actions: list[events.Action]
@@ -351,5 +396,7 @@
                 self._keyed.take_claim_timer(timer.request_id, actions)
             elif isinstance(timer, timers.ResendTimer):
                 self._keyed.take_resend_timer(actions)
+            elif isinstance(timer, timers.ReleaseTimer):
+                self._execution.release_parked(actions)
             else:
                 self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -9,6 +9,7 @@
 from greengagehaven.coordination import (
     fair_queue,
     headroom,
+    isolation,
     latency,
     plan,
     query,
@@ -44,6 +45,7 @@
     incarnation: int
     shard_ref: upstream.ShardRef
     subscriber_id: str
+    fingerprint: str
     latency_class: latency.LatencyClass
     sent_at: float
     usual: float
@@ -61,6 +63,7 @@
     :param latencies: latency of each class of sub-requests.
     :param queue: order of the sub-requests that wait for room.
     :param ledger: gets charged with what each subscriber uses.
+    :param isolation: keeps suspected requests apart.
     :param reserve: keeps subscribers over their share off the last place.
     :param may_probe: takes a probe out of the budget, if there is one.
     """
@@ -77,6 +80,7 @@
         queue: fair_queue.WaitingQueue,
         ledger: usage.UsageLedger,
         reserve: headroom.Headroom,
+        isolation: isolation.Isolation,
         may_probe: MayProbe,
     ) -> None:
         self._clock = clock
@@ -89,13 +93,14 @@
         self._order = itertools.count()
         self._ledger = ledger
         self._reserve = reserve
+        self._isolation = isolation
         self._may_probe = may_probe
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
 
     @property
     def waiting_count(self) -> int:
         """Return how many sub-requests wait for room."""
-        return len(self._queue)
+        return len(self._queue) + self._isolation.parked_count
 
     @property
     def attempts_by_id(self) -> abc.Mapping[tuple[str, int], Attempt]:
@@ -152,6 +157,8 @@
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> upstream.SubRequest | None:
         """Send a further attempt at once, where an untried upstream has room."""
+        if self._isolation.is_suspect(running):
+            return None
         prospect = self._replicas.consider(self.holders(running, shard_ref))
         if not prospect.with_room or self._must_leave(running, shard_ref, prospect):
             return None
@@ -168,7 +175,7 @@
         if attempt is None or attempt.upstream_id != outcome.upstream_id:
             return None
         del self._attempts_by_id[key]
-        self._settle_charge(attempt)
+        self._settle_charge(attempt, outcome)
         now = self._clock.monotonic()
         took = now - attempt.sent_at
         if isinstance(outcome, upstream.Replied) and not attempt.extra:
@@ -204,7 +211,17 @@
             running = queries_by_id.get(item.request_id)
             if running is None or not _still_wanted(running, shard_ref):
                 continue
-            prospect = self._replicas.consider(self.holders(running, shard_ref))
+            if not self._isolation.may_go(running, shard_ref):
+                continue
+            holders = self.holders(running, shard_ref)
+            crowded = self._isolation.crowded(running)
+            if crowded:
+                apart = tuple(held for held in holders if held not in crowded)
+                if holders and not apart:
+                    self._isolation.park(running, shard_ref)
+                    continue
+                holders = apart
+            prospect = self._replicas.consider(holders)
             has_room = bool(prospect.with_room)
             if has_room and not self._must_leave(running, shard_ref, prospect):
                 self._send_item(item, running, prospect, batch)
@@ -243,7 +260,9 @@
         target: selection.Candidate,
         batch: list[upstream.SubRequest],
     ) -> None:
-        if not running.kind.idempotent or not self._may_probe():
+        if not running.kind.idempotent or self._isolation.is_suspect(running):
+            return
+        if not self._may_probe():
             return
         target.stats.probed_at = self._clock.monotonic()
         batch.append(self._send(running, shard_ref, target, extra=True, is_probe=True))
@@ -263,9 +282,19 @@
             now=self._clock.monotonic(),
         )
 
-    def _settle_charge(self, attempt: Attempt) -> None:
-        """Put the measured upstream time in place of the estimate."""
+    def _settle_charge(self, attempt: Attempt, outcome: upstream.Outcome) -> None:
+        """Put the measured upstream time in place of the estimate.
+
+        What was never run costs nothing. Where the owner tells how long the
+        upstream took, waiting at the owner is not charged: those who wait
+        longest would seem to use most.
+        """
         elapsed = self._clock.monotonic() - attempt.sent_at
+        if isinstance(outcome, upstream.Replied) and outcome.took is not None:
+            elapsed = outcome.took
+        if isinstance(outcome, upstream.Failed) and outcome.not_run:
+            self._ledger.charge(attempt.subscriber_id, -attempt.charged)
+            return
         self._ledger.charge(attempt.subscriber_id, elapsed - attempt.charged)
         self._ledger.learn(attempt.subscriber_id, attempt.latency_class.kind, elapsed)
 
@@ -297,6 +326,7 @@
             incarnation=announcement.incarnation,
             shard_ref=shard_ref,
             subscriber_id=subscriber_id,
+            fingerprint=running.fingerprint,
             latency_class=latency_class,
             sent_at=now,
             usual=usual,
@@ -304,6 +334,7 @@
             extra=extra,
             is_probe=is_probe,
         )
+        self._isolation.note_sent(running, number, announcement.id)
         return upstream.SubRequest(
             request_id=running.request_id,
             attempt=number,
@@ -316,6 +347,8 @@
             deadline=running.deadline,
             kind=running.submitted.kind,
             query=running.submitted.query,
+            subscriber_id=subscriber_id,
+            standing=running.kind.standing,
         )
 
 
--- a/src/greengagehaven/coordination/query.py
+++ b/src/greengagehaven/coordination/query.py
@@ -45,6 +45,7 @@
     :param kind: its kind in the document in force.
     :param pinned: its plan.
     :param deadline: monotonic seconds.
+    :param fingerprint: the same for every resend, whatever its services.
     """
 
     def __init__(
@@ -55,11 +56,13 @@
         pinned: plan.Plan,
         started: float,
         deadline: float,
+        fingerprint: str = "",
     ) -> None:
         self.submitted = submitted
         self.kind = kind
         self.started = started
         self.deadline = deadline
+        self.fingerprint = fingerprint
         self.excluded: frozenset[plan.Version] = frozenset()
         self.restarts = 0
         self.is_overdue = False
--- a/src/greengagehaven/coordination/replicas.py
+++ b/src/greengagehaven/coordination/replicas.py
@@ -12,6 +12,7 @@
 _HEALTHY_FAILURES = frozenset(
     {
         upstream.FailureReason.CANCELLED,
+        upstream.FailureReason.OWNER_LOST,
         upstream.FailureReason.WRONG_VERSION,
     }
 )
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -88,11 +88,9 @@
         )
         self.owner = owners.ReplayedOwner(
             host_id=record.id,
-            clock=clock,
             directory_view=self.directory,
             decisions=self._core,
             links=_HostLinks(host=self, network=network),
-            switches=switches,
         )
         self._membership = node.Membership(
             own=record,
@@ -187,7 +185,7 @@
         for key in self.owner.lost_ids():
             sub_request = self._in_flight.get(key)
             if sub_request is not None:
-                self.receive(_fail(sub_request, upstream.FailureReason.RESET))
+                self.receive(_fail(sub_request, upstream.FailureReason.OWNER_LOST))
         self.owner.refresh()
 
     def _tick(self) -> None:
@@ -240,7 +238,7 @@
             owner_id,
             lambda other: other.owner.take_offer(self._host.id, sub_request),
             lambda: self._host.receive(
-                _fail(sub_request, upstream.FailureReason.RESET)
+                _fail(sub_request, upstream.FailureReason.OWNER_LOST)
             ),
         )
 
--- a/src/greengagehaven/transport/owner_channel.py
+++ b/src/greengagehaven/transport/owner_channel.py
@@ -121,7 +121,7 @@
         live = set(self._owners.host_ids)
         for (request_id, attempt), pending in list(self._pending_by_id.items()):
             if pending.owner_id not in live:
-                reason = upstream.FailureReason.RESET
+                reason = upstream.FailureReason.OWNER_LOST
                 self._fail(request_id, attempt, reason, detail="its owner left")
         for host_id, box in list(self._outboxes_by_host_id.items()):
             if host_id not in live and box.is_idle:
@@ -259,7 +259,7 @@
             self._fail(
                 sub_request.request_id,
                 sub_request.attempt,
-                upstream.FailureReason.RESET,
+                upstream.FailureReason.OWNER_LOST,
                 detail=detail,
             )
 
