--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -201,13 +201,6 @@
         """Return which entry host sends to which upstream."""
         return self._owners
 
-    def standing_of(self, kind_id: str) -> int:
-        """Return the standing of a kind of query; 0 where it is not known."""
-        if self._environment is None or not self._options.standing:
-            return 0
-        kind = self._environment.kinds_by_id.get(kind_id)
-        return 0 if kind is None else kind.standing
-
     def is_usable(self, announcement: upstream.Announcement) -> bool:
         """Tell whether an upstream may get new work now."""
         if announcement.availability_zone in self._drained_zones:
--- a/src/greengagehaven/daemons/upstream_path.py
+++ b/src/greengagehaven/daemons/upstream_path.py
@@ -4,7 +4,7 @@
 import typing
 
 from greengagehaven import clock as clocks
-from greengagehaven.coordination import connections, core, events, gates, peers
+from greengagehaven.coordination import connections, core, events, peers
 from greengagehaven.coordination import options as options_module
 from greengagehaven.state import directory
 from greengagehaven.transport import owner_channel, upstream_channel
@@ -58,13 +58,7 @@
             clock=clock,
             directory_view=directory_view,
             owners=decisions.owners,
-            upstream_gates=gates.Gates(
-                clock=clock,
-                directory=directory_view,
-                usable=decisions.is_usable,
-                standing_of=decisions.standing_of,
-                slow_start=options.slow_start,
-            ),
+            upstream_gates=decisions.gates,
             direct=self._direct,
             peer_channel=peer_channel,
             address_of=address_of,
