--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -43,6 +43,28 @@
 from greengagehaven.state import directory, document
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Protection:
+    """Counts for operators.
+
+    :param waiting: sub-requests that wait for room, ``parked`` ones included.
+    :param parked: sub-requests of suspected queries that are held.
+    :param suspects: queries that were in flight when an upstream was lost.
+    :param quarantined: queries that are refused, or on trial after it.
+    :param over_share: subscribers over their share.
+    :param claims_waiting: requests that wait for their idempotency key.
+    :param claims_unconfirmed: outcomes that a recorder has not confirmed.
+    """
+
+    waiting: int
+    parked: int
+    suspects: int
+    quarantined: int
+    over_share: int
+    claims_waiting: int
+    claims_unconfirmed: int
+
+
 class Core:
     """Query path of one entry host.
 
@@ -190,6 +212,19 @@
         """Return what this host has seen of each upstream."""
         return self._dispatcher.stats_by_id
 
+    @property
+    def protection(self) -> Protection:
+        """Return what protects the upstreams and subscribers now."""
+        return Protection(
+            waiting=self._dispatcher.waiting_count,
+            parked=self._isolation.parked_count,
+            suspects=self._cases.suspect_count,
+            quarantined=self._cases.ban_count,
+            over_share=self._ledger.count_over_share(),
+            claims_waiting=self._keyed.waiting_count,
+            claims_unconfirmed=self._keyed.unconfirmed_count,
+        )
+
     @property
     def gates(self) -> gates.Gates:
         """Return the gates of the upstreams that this host owns."""
--- a/src/greengagehaven/coordination/keyed.py
+++ b/src/greengagehaven/coordination/keyed.py
@@ -56,6 +56,11 @@
         """Return how many requests wait for their key to be granted."""
         return len(self._submitted_by_id)
 
+    @property
+    def unconfirmed_count(self) -> int:
+        """Return how many outcomes a recorder has not confirmed."""
+        return self._claimant.unconfirmed
+
     def begin(
         self,
         submitted: events.QuerySubmitted,
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -139,6 +139,10 @@
         bound = self._allowed_level(subscriber_id)
         return bound > 0.0 and self._level(subscriber_id) > bound
 
+    def count_over_share(self) -> int:
+        """Return how many subscribers are over their share."""
+        return sum(map(self.is_over_share, list(self._usage_by_id)))
+
     def share_of_all(self, subscriber_id: str) -> float:
         """Return a subscriber's part of the shares of all that were active."""
         self._sum_up()
--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -10,7 +10,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import events
 from greengagehaven.daemons import metrics as metrics_module
-from greengagehaven.protocol import search, upstream
+from greengagehaven.protocol import notices, search, upstream
 from greengagehaven.state import directory
 
 Notify = typing.Callable[[msgspec.Struct], None]
@@ -122,6 +122,8 @@
                 future.set_exception(error)
 
     def _step(self, event: events.Event) -> None:
+        if isinstance(event, events.PeerNotice):
+            _log_quarantine(event.payload)
         try:
             for action in self._core.step(event):
                 self._handlers[type(action)](action)
@@ -197,6 +199,7 @@
         self._channel.retire_connections(action.upstream_id)
 
     def _notify_peers(self, action: events.NotifyPeers) -> None:
+        _log_quarantine(action.payload)
         self._notify(action.payload)
 
     def _wake_at(self, action: events.WakeAt) -> None:
@@ -210,3 +213,13 @@
 
     def _wake(self) -> None:
         self.submit(events.TimeReached())
+
+
+def _log_quarantine(notice: msgspec.Struct) -> None:
+    if isinstance(notice, notices.QuarantineReport):
+        log.warning(
+            "query_quarantined",
+            fingerprint=notice.fingerprint,
+            times=notice.bans,
+            upstreams=",".join(notice.upstream_ids),
+        )
