--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -46,6 +46,9 @@
     ) -> None:
         """Carry a message to another host; ``lost`` where it is cut off."""
 
+    def ask_recorder(self, host: "ReplayedHost", ask: events.AskRecorder) -> None:
+        """Carry a question to a recorder of idempotency keys and its reply back."""
+
     def end(self, request_id: str, ending: Ending) -> None:
         """Note how a request ended."""
 
@@ -56,6 +59,7 @@
     :param record: its name, zone, address and incarnation.
     :param seeds: addresses of the other hosts.
     :param seed: seed of its random choices.
+    :param recorder_ids: who remembers idempotency keys.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         schedule: schedule_module.Schedule,
         network: Network,
         switches: options.Options,
+        recorder_ids: frozenset[str],
     ) -> None:
         self.id = record.id
         self.zone = record.zone
@@ -85,6 +90,7 @@
             host_id=record.id,
             zone=record.zone,
             options=switches,
+            recorder_ids=recorder_ids,
         )
         self.owner = owners.ReplayedOwner(
             host_id=record.id,
@@ -207,6 +213,8 @@
         elif isinstance(action, events.NotifyPeers):
             payload = codec.encode_msgpack(action.payload)
             self.signal(signals.NoticePosted(payload=payload))
+        elif isinstance(action, events.AskRecorder):
+            self._network.ask_recorder(self, action)
         elif isinstance(action, events.WakeAt):
             moment = self._schedule.moment_of(action.moment)
             self._schedule.call_at(moment, lambda: self.step(events.TimeReached()))
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -12,8 +12,8 @@
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import events, options
 from greengagehaven.coordination.membership import signals
-from greengagehaven.protocol import membership, trace, upstream
-from greengagehaven.replay import hosts, reader, schedule, upstreams
+from greengagehaven.protocol import claims, membership, trace, upstream
+from greengagehaven.replay import hosts, reader, recorders, schedule, upstreams
 from greengagehaven.state import document
 
 RENEW_S = 1.0
@@ -56,6 +56,12 @@
         self.searches_by_id: dict[str, tuple[float, trace.Search]] = {}
         self.lost_request_ids: set[str] = set()
         self.violations: list[str] = []
+        self._recorders = recorders.ReplayedRecorders(
+            lines=recorded.header.entry_hosts,
+            clock=self._clock,
+            schedule=self._schedule,
+            delay_of=self._delay,
+        )
         self._hosts_by_id = {
             line.id: self._build_host(line) for line in recorded.header.entry_hosts
         }
@@ -164,6 +170,17 @@
 
         self._schedule.call_later(there, arrive)
 
+    def ask_recorder(self, host: hosts.ReplayedHost, ask: events.AskRecorder) -> None:
+        """Carry a question to a recorder of idempotency keys and its reply back."""
+
+        def take(reply: claims.RecorderReply | None) -> None:
+            replied = events.RecorderReplied(
+                recorder_id=ask.recorder_id, request=ask.request, reply=reply
+            )
+            host.step(replied)
+
+        self._recorders.ask(host.zone, ask.recorder_id, ask.request, take)
+
     def end(self, request_id: str, ending: hosts.Ending) -> None:
         """Note how a request ended; a second ending is a violation."""
         if request_id in self.endings_by_id:
@@ -332,6 +349,7 @@
             schedule=self._schedule,
             network=self,
             switches=self._switches,
+            recorder_ids=self._recorders.ids,
         )
 
     def _parse(self, revision: int, text: str) -> events.DocumentInForce:
@@ -379,7 +397,8 @@
         places = {(stamp.service, stamp.shard) for stamp in stamps}
         if len(places) != len(stamps):
             self.violations.append(f"{answer.request_id} holds a row twice")
-        if any(stamp.request != answer.request_id for stamp in stamps):
+        own_ids = self._ids_of_same_request(answer.request_id)
+        if any(stamp.request not in own_ids for stamp in stamps):
             self.violations.append(f"{answer.request_id} holds another's row")
         if any(stamp.snapshot != answer.snapshot for stamp in stamps):
             self.violations.append(f"{answer.request_id} mixes snapshots")
@@ -389,6 +408,22 @@
         if coverage.complete != (coverage.answered == coverage.total):
             self.violations.append(f"{answer.request_id} is not as complete as it says")
 
+    def _ids_of_same_request(self, request_id: str) -> frozenset[str]:
+        """Return a request's id and those of its resends with the same key.
+
+        The answer to a resend is that of the one request that ran.
+        """
+        line = self.searches_by_id[request_id][1]
+        if line.idempotency_key is None:
+            return frozenset({request_id})
+        return frozenset(
+            other_id
+            for other_id, (_, other) in self.searches_by_id.items()
+            if other.idempotency_key == line.idempotency_key
+            and other.subscriber == line.subscriber
+            and other.query == line.query
+        )
+
     def _index_outcomes(self) -> dict[tuple[str, str, int, str], trace.Outcome]:
         lines = [numbered.line for numbered in self._trace.events]
         return {
