Let the fair queue come to an end on a real clock

Cause: the rank of a subscriber without usage follows the clock, so popping ranked it anew for ever; a host hung at its first query. Conclusion: each lane is ranked anew at most once in a pop.

--- a/features/query.feature
+++ b/features/query.feature
@@ -57,3 +57,12 @@
     Given a tier with shards 0 and 1 of credits-0 on snapshot 41
     When a sweep loses snapshot 41 half way and 42 is announced everywhere
     Then the answer has 2 rows of snapshot 42 and complete coverage
+
+  Scenario: The clock moves while a query is taken in
+    On a real host time passes between any two steps. An order that is computed
+    anew until it stands still would never come to an end, and the host would
+    hang at its first query.
+
+    Given a tier whose clock moves on with every reading
+    When a sweep is submitted and every upstream replies
+    Then the answer has 1 rows of snapshot 41 and complete coverage
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -3,10 +3,23 @@
 import behave
 
 from fakes import core as fake_core
-from greengagehaven import exceptions
+from greengagehaven import clock, exceptions
 from greengagehaven.protocol import upstream
 
 LATENCY_SAMPLES = 60
+MOST_READINGS = 10_000
+
+
+class MovingClock(clock.ManualClock):
+    """Clock on which a microsecond passes with every reading."""
+
+    readings = 0
+
+    def monotonic(self):
+        self.readings += 1
+        assert self.readings < MOST_READINGS, "it never comes to an end"
+        self.advance(1e-6)
+        return super().monotonic()
 
 
 @behave.given("a tier with shards 0 and 1 of credits-0 on snapshot 41")
@@ -18,6 +31,12 @@
     )
 
 
+@behave.given("a tier whose clock moves on with every reading")
+def given_moving_clock(context):
+    context.tier = fake_core.FakeTier(shared_clock=MovingClock())
+    context.tier.put(fake_core.announce("u-0"))
+
+
 @behave.given("shard 0 of credits-0 also has snapshot 42")
 def given_newer_snapshot(context):
     context.tier.put(
--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -107,14 +107,18 @@
     ) -> Waiting | None:
         """Take the next one whose subscriber is not passed over."""
         aside: list[tuple[float, int, str]] = []
+        ranked_anew: set[str] = set()
         found = None
         while found is None and self._ranks:
             rank, count, lane = heapq.heappop(self._ranks)
             if not self._prune(lane, is_live):
                 continue
             current = self._rank(lane)
-            if current > rank:
-                # Charged since it entered: another may be due before it.
+            if current > rank and lane not in ranked_anew:
+                # Charged since it entered: another may be due before it. Once is
+                # enough: the rank of a subscriber without usage follows the
+                # clock, and looking again would find it behind for ever.
+                ranked_anew.add(lane)
                 heapq.heappush(self._ranks, (current, count, lane))
             elif lane in passed_over:
                 aside.append((rank, count, lane))
