--- a/src/greengagehaven/coordination/membership/intake.py
+++ b/src/greengagehaven/coordination/membership/intake.py
@@ -95,6 +95,10 @@
         now = self._outbox.now
         if not self._known.upstreams.is_news(record):
             return
+        if not record.is_gone and not membership.is_readable(record):
+            # Kept, it would fail again with every query that comes across it.
+            self._outbox.note("record_unreadable", upstream=record.id)
+            return
         refutation = self._leases.refute(record, now)
         if refutation is not None:
             self._outbox.note("upstream_news_refuted", upstream=record.id)
--- a/src/greengagehaven/coordination/membership/leases.py
+++ b/src/greengagehaven/coordination/membership/leases.py
@@ -60,14 +60,8 @@
         incarnation = self._effective_incarnation(announcement, known, now)
         if incarnation is None:
             return None
-        record = membership.UpstreamRecord(
-            id=announcement.id,
-            incarnation=incarnation,
-            sequence=announcement.sequence,
-            announced_incarnation=announcement.incarnation,
-            zone=self._choose_zone(announcement, known, now),
-            body=membership.pack(announcement),
-        )
+        zone = self._choose_zone(announcement, known, now)
+        record = membership.record_of(announcement, incarnation=incarnation, zone=zone)
         if known is None:
             return Accepted(record=record, is_change=True)
         order = (record.incarnation, record.sequence)
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -179,7 +179,10 @@
         unknown = self._take(exchange, push=True)
         fields = self._outbox.records_for(exchange)
         message = self._outbox.compose(
-            exchange.sender.id, wanted_upstreams=unknown, **fields
+            exchange.sender.id,
+            marked=bool(exchange.marks),
+            wanted_upstreams=unknown,
+            **fields,
         )
         self._outbox.add(signals.Reply(message=message))
 
@@ -199,7 +202,8 @@
             handler(purpose, answer)
         if is_exchange:
             self._answer_wants(answer)
-            self._is_joined = self._syncing.consider(answer) or self._is_joined
+            if answer.marks:
+                self._is_joined |= self._syncing.consider(answer)
 
     def _on_failed(self, event: signals.CallFailed) -> None:
         purpose = self._outbox.end_call(event.call_id)
--- a/src/greengagehaven/coordination/membership/outbox.py
+++ b/src/greengagehaven/coordination/membership/outbox.py
@@ -72,8 +72,10 @@
         """Tell whether a call for just this purpose is under way."""
         return self._calls.is_under_way(purpose)
 
-    def compose(self, target_id: str, **fields: typing.Any) -> membership.Exchange:
-        """Return an exchange with marks, rumors and ``fields``.
+    def compose(
+        self, target_id: str, *, marked: bool = True, **fields: typing.Any
+    ) -> membership.Exchange:
+        """Return an exchange with rumors, ``fields`` and, by default, marks.
 
         A target that is held for suspect or dead is told so; only then can it
         refute.
@@ -84,14 +86,20 @@
             hosts = (target, *hosts)
         fields["hosts"] = (*fields.get("hosts", ()), *hosts)
         fields["upstreams"] = (*fields.get("upstreams", ()), *upstreams)
-        return self.plain(target_id, **fields)
+        return self.plain(target_id, marked=marked, **fields)
 
-    def plain(self, target_id: str, **fields: typing.Any) -> membership.Exchange:
-        """Return an exchange with marks and ``fields`` only."""
+    def plain(
+        self, target_id: str, *, marked: bool = False, **fields: typing.Any
+    ) -> membership.Exchange:
+        """Return an exchange with ``fields`` only.
+
+        Marks take more bytes than most news; they go with probes and contacts,
+        which are frequent enough to find differences.
+        """
         return membership.Exchange(
             sender=self._known.hosts.own,
             target_id=target_id,
-            marks=self._known.marks(self.now),
+            marks=self._known.marks(self.now) if marked else (),
             **fields,
         )
 
--- a/src/greengagehaven/coordination/membership/renewing.py
+++ b/src/greengagehaven/coordination/membership/renewing.py
@@ -117,7 +117,7 @@
             return
         is_relayed = tried_ids is None
         message = self._outbox.compose(
-            home_id, renewals=renewals, is_relayed=is_relayed
+            home_id, marked=False, renewals=renewals, is_relayed=is_relayed
         )
         purpose = calls.Forward(home_id=home_id, renewals=renewals, tried_ids=tried_ids)
         self._outbox.call(purpose, home, message)
--- a/src/greengagehaven/coordination/membership/rumors.py
+++ b/src/greengagehaven/coordination/membership/rumors.py
@@ -5,7 +5,7 @@
 
 from greengagehaven.protocol import membership
 
-TRANSMISSIONS = 4
+TRANSMISSIONS = 3
 # Beyond this many, news is left to anti-entropy: a burst that is pushed whole
 # would crowd out everything else.
 MAX_RUMORS = 512
--- a/src/greengagehaven/coordination/membership/syncing.py
+++ b/src/greengagehaven/coordination/membership/syncing.py
@@ -60,7 +60,7 @@
         """Send the next part, or end the comparison."""
         if not sync.is_over:
             fields = antientropy.next_exchange(self._known, sync)
-            message = self._outbox.plain(sync.peer.id, **fields)
+            message = self._outbox.plain(sync.peer.id, marked=True, **fields)
             self._outbox.call(calls.Transfer(sync=sync), sync.peer, message)
             return
         self._current = None
--- a/src/greengagehaven/coordination/membership/upstreams.py
+++ b/src/greengagehaven/coordination/membership/upstreams.py
@@ -94,6 +94,7 @@
         :param now: monotonic seconds.
         """
         known = self._records_by_id.get(record.id)
+        record = membership.compact(record)
         if known is not None and not known.is_gone:
             self._unindex(known)
         self._gone_at_by_id.pop(record.id, None)
@@ -117,7 +118,7 @@
     def serve(self, upstream_id: str) -> None:
         """Let the query path use an upstream, as its record says."""
         record = self._records_by_id[upstream_id]
-        if self._served.put(membership.unpack(record)):
+        if self._served.put_record(record):
             self._changed_ids.add(upstream_id)
 
     def withhold(self, upstream_id: str) -> None:
--- a/src/greengagehaven/protocol/membership.py
+++ b/src/greengagehaven/protocol/membership.py
@@ -27,7 +27,7 @@
     LEFT = 3
 
 
-class HostRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+class HostRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True, gc=False):
     """What is known of a host, ordered by (incarnation, status)."""
 
     id: str
@@ -57,7 +57,9 @@
         )
 
 
-class UpstreamRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+class UpstreamRecord(
+    msgspec.Struct, frozen=True, array_like=True, kw_only=True, gc=False
+):
     """What is known of an upstream; it replaces records of lower ``version``.
 
     :param incarnation: the announced one, raised where the upstream's clock
@@ -224,6 +226,48 @@
     )
 
 
+def record_of(
+    announcement: upstream.Announcement,
+    *,
+    incarnation: int | None = None,
+    zone: str | None = None,
+) -> UpstreamRecord:
+    """Return the live record of an announcement.
+
+    :param incarnation: a raised one; by default as it is announced.
+    :param zone: the zone that keeps the lease; by default the upstream's own.
+    """
+    if incarnation is None:
+        incarnation = announcement.incarnation
+    return UpstreamRecord(
+        id=announcement.id,
+        incarnation=incarnation,
+        sequence=announcement.sequence,
+        announced_incarnation=announcement.incarnation,
+        zone=zone or announcement.availability_zone,
+        body=pack(announcement),
+    )
+
+
+def compact(record: UpstreamRecord) -> UpstreamRecord:
+    """Return the same record with values shared that a decoder made twice."""
+    announced = record.announced_incarnation
+    if announced == record.incarnation:
+        announced = record.incarnation
+    return msgspec.structs.replace(
+        record, announced_incarnation=announced, zone=sys.intern(record.zone)
+    )
+
+
+def is_readable(record: UpstreamRecord) -> bool:
+    """Tell whether a live record's body can be unpacked."""
+    try:
+        _BODY_DECODER.decode(record.body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
+
+
 def unpack(record: UpstreamRecord) -> upstream.Announcement:
     """Return the announcement that a live record holds.
 
--- a/src/greengagehaven/state/directory.py
+++ b/src/greengagehaven/state/directory.py
@@ -4,7 +4,8 @@
 import typing
 from collections import abc
 
-from greengagehaven.protocol import upstream
+from greengagehaven.protocol import membership, upstream
+from greengagehaven.state import announcements
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,7 +38,10 @@
     """
 
     def __init__(self) -> None:
-        self._upstreams_by_id: dict[str, upstream.Announcement] = {}
+        self._records_by_id: dict[str, membership.UpstreamRecord] = {}
+        self._announcements = announcements.Announcements(
+            records_by_id=self._records_by_id
+        )
         self._withdrawals_by_id: dict[str, Withdrawal] = {}
         self._upstream_ids_by_shard: dict[upstream.ShardRef, set[str]] = {}
         self._shards_by_service: dict[str, set[upstream.ShardRef]] = {}
@@ -45,7 +49,7 @@
     @property
     def upstreams_by_id(self) -> abc.Mapping[str, upstream.Announcement]:
         """Return the live upstreams, draining ones included."""
-        return self._upstreams_by_id
+        return self._announcements
 
     def hosts_of(self, shard_ref: upstream.ShardRef) -> abc.Collection[str]:
         """Return ids of live upstreams that hold a shard, any version of it."""
@@ -60,15 +64,22 @@
 
         :param announcement: what the upstream said, from it or from a peer.
         """
-        known = self._known_version(announcement.id)
-        if known is not None and announcement.version <= known:
+        return self.put_record(membership.record_of(announcement))
+
+    def put_record(self, record: membership.UpstreamRecord) -> bool:
+        """Take a live record, which is held as it is; return whether it is news.
+
+        :param record: what an upstream said, packed.
+        """
+        known = self._known_version(record.id)
+        if known is not None and (record.incarnation, record.sequence) <= known:
             return False
-        self._remove(announcement.id)
-        self._withdrawals_by_id.pop(announcement.id, None)
-        self._upstreams_by_id[announcement.id] = announcement
-        for hosted in announcement.shards:
+        self._remove(record.id)
+        self._withdrawals_by_id.pop(record.id, None)
+        self._records_by_id[record.id] = record
+        for hosted in membership.unpack(record).shards:
             holders = self._upstream_ids_by_shard.setdefault(hosted.ref, set())
-            holders.add(announcement.id)
+            holders.add(record.id)
             self._shards_by_service.setdefault(hosted.service, set()).add(hosted.ref)
         return True
 
@@ -96,17 +107,18 @@
         return self._remove(upstream_id)
 
     def _known_version(self, upstream_id: str) -> tuple[int, int] | None:
-        live = self._upstreams_by_id.get(upstream_id)
+        live = self._records_by_id.get(upstream_id)
         if live is not None:
-            return live.version
+            return (live.incarnation, live.sequence)
         withdrawn = self._withdrawals_by_id.get(upstream_id)
         return None if withdrawn is None else withdrawn.version
 
     def _remove(self, upstream_id: str) -> bool:
-        announcement = self._upstreams_by_id.pop(upstream_id, None)
-        if announcement is None:
+        record = self._records_by_id.pop(upstream_id, None)
+        if record is None:
             return False
-        for hosted in announcement.shards:
+        self._announcements.forget(upstream_id)
+        for hosted in membership.unpack(record).shards:
             self._unindex(hosted.ref, upstream_id)
         return True
 
--- a/src/greengagehaven/transport/peers.py
+++ b/src/greengagehaven/transport/peers.py
@@ -259,6 +259,7 @@
             collections.OrderedDict()
         )
         self._closing: set[asyncio.Task[None]] = set()
+        self.calls = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -274,6 +275,7 @@
         kept = self._channel_of(address)
         started = self._clock.monotonic()
         multicallable = kept.channel.unary_unary(f"/{method}")
+        self.calls += 1
         self.bytes_sent += len(body)
         try:
             answer = await multicallable(body, timeout=timeout, metadata=self._metadata)
