--- a/features/membership.feature
+++ b/features/membership.feature
@@ -69,3 +69,11 @@
     And membership host "c3" posts the notices "q1 q2 q3"
     And 3 s pass for membership
     Then every other membership host got the notices "q1 q2 q3" once
+
+  Scenario: Most hosts die at once
+    A rack goes and takes two of three hosts in every zone. The survivors must
+    find each other and agree on who is gone; with every neighbour silent, each
+    might take itself for the one that is cut off and wait for ever.
+
+    When membership hosts "a1 a2 b1 b3 c2 c3" die
+    Then after 10 s every membership host counts 3 hosts
--- a/src/greengagehaven/coordination/membership/calls.py
+++ b/src/greengagehaven/coordination/membership/calls.py
@@ -24,10 +24,12 @@
 class Contact:
     """An exchange with another zone, a seed or a host that went silent.
 
-    :param slot: what there is at most one contact of at a time.
+    :param slot: why; there is at most one contact with a host for a reason.
+    :param host_id: the host, or its address where the id is not known.
     """
 
     slot: str
+    host_id: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/coordination/membership/detector.py
+++ b/src/greengagehaven/coordination/membership/detector.py
@@ -115,10 +115,10 @@
     def suspect(self, target_id: str) -> membership.HostRecord | None:
         """Return the suspicion against a host whose probe has failed for good."""
         self._probes_by_target.pop(target_id, None)
-        self._health_score = min(_MAX_HEALTH_SCORE, self._health_score + 1)
         record = self._table.get(target_id)
         if record is None or record.status is not membership.HostStatus.ALIVE:
             return None
+        self._health_score = min(_MAX_HEALTH_SCORE, self._health_score + 1)
         return record.with_status(membership.HostStatus.SUSPECT)
 
     def watch(self, record: membership.HostRecord, now: float) -> None:
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -119,6 +119,7 @@
         self._failures_by_purpose: dict[type, typing.Callable] = {
             calls.Probe: self._probing.on_probe_failed,
             calls.RelayedProbe: self._probing.on_relay_failed,
+            calls.Contact: self._probing.on_contact_failed,
             calls.Forward: self._renewing.on_failed,
             calls.Tell: self._telling.on_failed,
             calls.Compare: self._syncing.on_failed,
--- a/src/greengagehaven/coordination/membership/probing.py
+++ b/src/greengagehaven/coordination/membership/probing.py
@@ -13,6 +13,7 @@
 CONTACT_PERIOD_S = 1.0
 # Contacts a second from one whole zone to each other zone.
 ZONE_CONTACTS = 3
+AVOID_FAILED_S = 10.0
 
 
 class Probing:
@@ -38,6 +39,7 @@
         self._seeds = seeds
         self._rng = rng
         self._contact_at = 0.0
+        self._failed_at_by_id: dict[str, float] = {}
 
     def tick(self) -> None:
         """Make the calls that are due."""
@@ -88,6 +90,10 @@
         """Suspect a target that no relay reached either."""
         self._suspect(self._detector.note_relay_failed(purpose.target_id))
 
+    def on_contact_failed(self, purpose: calls.Contact) -> None:
+        """Turn to other hosts of a zone for a while."""
+        self._failed_at_by_id[purpose.host_id] = self._outbox.now
+
     def _suspect(self, suspicion: membership.HostRecord | None) -> None:
         if suspicion is not None:
             self._intake.take_host(suspicion, push=True, is_own=True)
@@ -98,9 +104,25 @@
             if zone == self._known.own_zone:
                 continue
             if self._rng.random() < ZONE_CONTACTS / near:
-                others = self._known.hosts.others(zone)
+                others = self._promising(self._known.hosts.others(zone))
                 self._contact(f"zone {zone}", self._rng.choice(others))
 
+    def _promising(
+        self, hosts: list[membership.HostRecord]
+    ) -> list[membership.HostRecord]:
+        """Return the hosts that did not fail lately, or all if all did.
+
+        A zone's dead hosts stay listed elsewhere until a live one of it says
+        so; to come upon the live one by chance could take too long.
+        """
+        since = self._outbox.now - AVOID_FAILED_S
+        self._failed_at_by_id = {
+            host_id: failed_at
+            for host_id, failed_at in self._failed_at_by_id.items()
+            if failed_at >= since
+        }
+        return [host for host in hosts if host.id not in self._failed_at_by_id] or hosts
+
     def _contact_silent(self) -> None:
         silent = self._known.hosts.silent()
         if silent:
@@ -119,6 +141,7 @@
             self._contact("seed", self._rng.choice(missing))
 
     def _contact(self, slot: str, host: membership.HostRecord | str) -> None:
-        purpose = calls.Contact(slot=slot)
+        host_id = host.id if isinstance(host, membership.HostRecord) else host
+        purpose = calls.Contact(slot=slot, host_id=host_id)
         if not self._outbox.is_under_way(purpose):
             self._outbox.call(purpose, host)
