--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from greengagehaven import clock as clock_module
 from greengagehaven import exceptions
@@ -16,15 +17,25 @@
     events,
     execution,
     fair_queue,
+    fingerprint,
+    gates,
     headroom,
+    hedging,
+    isolation,
     keyed,
+    latency,
     limits,
     options,
+    ownership,
     plan,
+    quarantine,
     query,
     refusal,
+    replicas,
+    selection,
     shedding,
     timers,
+    upstream_stats,
     usage,
     wait_times,
 )
@@ -32,6 +43,28 @@
 from greengagehaven.state import directory, document
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Protection:
+    """Counts for operators.
+
+    :param waiting: sub-requests that wait for room, ``parked`` ones included.
+    :param parked: sub-requests of suspected queries that are held.
+    :param suspects: queries that were in flight when an upstream was lost.
+    :param quarantined: queries that are refused, or on trial after it.
+    :param over_share: subscribers over their share.
+    :param claims_waiting: requests that wait for their idempotency key.
+    :param claims_unconfirmed: outcomes that a recorder has not confirmed.
+    """
+
+    waiting: int
+    parked: int
+    suspects: int
+    quarantined: int
+    over_share: int
+    claims_waiting: int
+    claims_unconfirmed: int
+
+
 class Core:
     """Query path of one entry host.
 
@@ -68,34 +101,69 @@
         self._reports_usage = False
         self._last_report = notices.UsageReport(usages=())
         self._planner = plan.Planner(directory=directory)
-        self._limits = limits.SlotLimits()
         self._ledger = usage.UsageLedger(clock=clock)
+        self._cases = quarantine.Quarantine(clock=clock, host_id=host_id)
+        self._isolation = isolation.Isolation(
+            cases=self._cases, enabled=options.quarantine
+        )
         waits = wait_times.WaitTimes()
         self._shedding = shedding.Shedding(
             ledger=self._ledger, waits=waits, options=options
         )
+        self._owners = ownership.Ownership(
+            host_id=host_id, zone=zone, enabled=options.shared_limits
+        )
+        self._limits = (
+            limits.SharedLimits() if options.shared_limits else limits.SlotLimits()
+        )
+        latencies = latency.LatencyBook(quantile=options.hedge_quantile)
+        hedges = hedging.HedgePolicy(
+            latencies=latencies,
+            budget_ratio=options.hedge_budget if options.hedging else 0.0,
+        )
+        reserve = headroom.Headroom(ledger=self._ledger, enabled=options.fairness)
+        self._gates = gates.Gates(
+            clock=clock,
+            directory=directory,
+            usable=self.is_usable,
+            order=self._ledger if options.fairness else None,
+            slow_start=options.slow_start,
+        )
         self._dispatcher = dispatcher.Dispatcher(
             clock=clock,
-            rng=rng,
             directory=directory,
             planner=self._planner,
-            usable=self._is_usable,
-            upstream_limits=self._limits,
+            usable=self.is_usable,
+            candidates=replicas.Replicas(
+                clock=clock,
+                directory=directory,
+                upstream_limits=self._limits,
+                selector=selection.Selector(
+                    rng=rng,
+                    zone=zone if options.zone_preference else None,
+                    ejection=options.ejection,
+                    owners=self._owners,
+                ),
+            ),
+            latencies=latencies,
             queue=fair_queue.FairQueue(
-                order=self._ledger,
+                order=self._ledger if options.fairness else None,
                 waits=waits,
-                fair=options.fairness,
                 standing=options.standing,
             ),
             ledger=self._ledger,
-            reserve=headroom.Headroom(ledger=self._ledger, enabled=options.fairness),
+            reserve=reserve,
+            isolation=self._isolation,
+            may_probe=hedges.budget.spend,
         )
         self._execution = execution.Execution(
             clock=clock,
             planner=self._planner,
-            usable=self._is_usable,
+            usable=self.is_usable,
             sender=self._dispatcher,
             pending=self._timers,
+            isolation=self._isolation,
+            hedges=hedges,
             options=options,
         )
         self._keyed = keyed.KeyedRequests(
@@ -127,12 +195,48 @@
         actions: list[events.Action] = []
         self._handlers_by_event[type(event)](event, actions)
         self._keyed.note_results(actions)
+        for notice in self._cases.take_notices():
+            actions.append(events.NotifyPeers(payload=notice))
         moment = self._timers.next_wake()
         if moment is not None:
             actions.append(events.WakeAt(moment=moment))
         return actions
 
-    def _is_usable(self, announcement: upstream.Announcement) -> bool:
+    @property
+    def attempts_in_flight(self) -> int:
+        """Return how many sub-requests have no outcome yet."""
+        return len(self._dispatcher.attempts_by_id)
+
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._dispatcher.stats_by_id
+
+    @property
+    def protection(self) -> Protection:
+        """Return what protects the upstreams and subscribers now."""
+        return Protection(
+            waiting=self._dispatcher.waiting_count,
+            parked=self._isolation.parked_count,
+            suspects=self._cases.suspect_count,
+            quarantined=self._cases.ban_count,
+            over_share=self._ledger.count_over_share(),
+            claims_waiting=self._keyed.waiting_count,
+            claims_unconfirmed=self._keyed.unconfirmed_count,
+        )
+
+    @property
+    def gates(self) -> gates.Gates:
+        """Return the gates of the upstreams that this host owns."""
+        return self._gates
+
+    @property
+    def owners(self) -> ownership.Ownership:
+        """Return which entry host sends to which upstream."""
+        return self._owners
+
+    def is_usable(self, announcement: upstream.Announcement) -> bool:
+        """Tell whether an upstream may get new work now."""
         if announcement.availability_zone in self._drained_zones:
             return False
         return announcement.state is upstream.UpstreamState.READY
@@ -182,6 +286,8 @@
     def _admit(
         self, submitted: events.QuerySubmitted, kind: document.Kind
     ) -> query.Query:
+        name = fingerprint.of_query(submitted.kind, submitted.query)
+        self._isolation.check(name)
         now = self._clock.monotonic()
         deadline = self._deadline_of(submitted, kind)
         self._shedding.check(
@@ -197,6 +303,7 @@
             pinned=self._pin(submitted, kind),
             started=now,
             deadline=deadline,
+            fingerprint=name,
         )
 
     def _pin(
@@ -204,7 +311,7 @@
         submitted: events.QuerySubmitted,
         kind: document.Kind,
     ) -> plan.Plan:
-        pinned = self._planner.pin(submitted.services, usable=self._is_usable)
+        pinned = self._planner.pin(submitted.services, usable=self.is_usable)
         if pinned is None:
             raise exceptions.IncompleteError(
                 "no upstream of a service has ever been seen",
@@ -233,8 +340,8 @@
     def _on_directory_changed(
         self, changed: events.DirectoryChanged, actions: list[events.Action]
     ) -> None:
-        self._planner.invalidate()
-        self._dispatcher.forget_departed()
+        self._planner.invalidate(changed.upstream_ids)
+        self._dispatcher.upstreams_changed()
         self._execution.reconsider_waiting(actions)
 
     def _on_document(
@@ -258,8 +365,10 @@
     def _on_hosts_changed(
         self, changed: events.HostsChanged, actions: list[events.Action]
     ) -> None:
+        self._owners.set_hosts(changed.zones_by_host_id)
         self._limits.set_hosts(changed.zones_by_host_id)
         self._ledger.set_hosts(changed.zones_by_host_id)
+        self._cases.set_hosts(changed.zones_by_host_id)
         if not self._reports_usage:
             self._reports_usage = True
             self._arm_usage_report()
@@ -268,8 +377,24 @@
         self, notice: events.PeerNotice, actions: list[events.Action]
     ) -> None:
         """Take a message of another host's core."""
-        if isinstance(notice.payload, notices.UsageReport):
-            self._ledger.take_report(notice.host_id, notice.payload)
+        payload = notice.payload
+        if isinstance(payload, notices.UsageReport):
+            self._ledger.take_report(notice.host_id, payload)
+            return
+        if not self._options.quarantine:
+            return
+        if isinstance(payload, notices.InFlightReport):
+            self._cases.take_in_flight(payload)
+        elif isinstance(payload, notices.LossCleared):
+            self._cases.take_cleared(payload)
+        elif isinstance(payload, notices.QuarantineReport):
+            self._cases.take_ban(payload)
+            self._execution.stop_convicted(payload.fingerprint, actions)
+        elif isinstance(payload, notices.LossReport):
+            is_here = bool(self._isolation.request_ids(payload.fingerprint))
+            if self._cases.take_loss(payload, in_flight=is_here):
+                self._execution.stop_convicted(payload.fingerprint, actions)
+        self._execution.release_parked(actions)
 
     def _on_recorder_replied(
         self, replied: events.RecorderReplied, actions: list[events.Action]
@@ -298,5 +423,7 @@
                 self._keyed.take_claim_timer(timer.request_id, actions)
             elif isinstance(timer, timers.ResendTimer):
                 self._keyed.take_resend_timer(actions)
+            elif isinstance(timer, timers.ReleaseTimer):
+                self._execution.release_parked(actions)
             else:
                 self._execution.take_timer(timer, actions)
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -2,16 +2,18 @@
 
 import dataclasses
 import itertools
+import typing
 from collections import abc
 
 from greengagehaven import clock as clock_module
-from greengagehaven import rng as rng_module
 from greengagehaven.coordination import (
     fair_queue,
     headroom,
-    limits,
+    isolation,
+    latency,
     plan,
     query,
+    replicas,
     selection,
     upstream_stats,
     usage,
@@ -19,6 +21,8 @@
 from greengagehaven.protocol import upstream
 from greengagehaven.state import directory
 
+MayProbe = typing.Callable[[], bool]
+
 _MAX_PASSED_OVER = 8
 """Sub-requests of one shard that are passed over for a later one that can go."""
 
@@ -27,19 +31,29 @@
 class Attempt:
     """A sub-request in flight.
 
+    :param latency_class: sub-requests that take alike.
     :param sent_at: monotonic seconds.
+    :param usual: what its class usually takes, in seconds.
     :param charged: upstream time charged for it in advance, in seconds.
-    :param extra: whether it is a hedge or a retry rather than a first attempt.
+    :param extra: whether it is a hedge, a retry or a probe rather than a first
+        attempt.
+    :param is_probe: whether it was sent to see how its upstream does; it runs
+        to its end although another one answers.
+    :param is_over_share: whether it may wait at the owner behind all others.
     """
 
     upstream_id: str
     incarnation: int
     shard_ref: upstream.ShardRef
     subscriber_id: str
-    kind: str
+    fingerprint: str
+    latency_class: latency.LatencyClass
     sent_at: float
+    usual: float
     charged: float
     extra: bool
+    is_probe: bool = False
+    is_over_share: bool = False
 
 
 class Dispatcher:
@@ -47,41 +61,58 @@
 
     :param planner: knows which upstreams can answer a pinned shard.
     :param usable: whether an upstream may get new work now.
+    :param candidates: replicas with room and what was seen of them.
+    :param latencies: latency of each class of sub-requests.
     :param queue: order of the sub-requests that wait for room.
     :param ledger: gets charged with what each subscriber uses.
+    :param isolation: keeps suspected requests apart.
     :param reserve: keeps subscribers over their share off the last place.
+    :param may_probe: takes a probe out of the budget, if there is one.
     """
 
     def __init__(
         self,
         *,
         clock: clock_module.Clock,
-        rng: rng_module.Rng,
         directory: directory.DirectoryView,
         planner: plan.Planner,
         usable: plan.Usable,
-        upstream_limits: limits.Limits,
+        candidates: replicas.Replicas,
+        latencies: latency.LatencyBook,
         queue: fair_queue.WaitingQueue,
         ledger: usage.UsageLedger,
         reserve: headroom.Headroom,
+        isolation: isolation.Isolation,
+        may_probe: MayProbe,
     ) -> None:
         self._clock = clock
-        self._rng = rng
         self._directory = directory
         self._planner = planner
         self._usable = usable
-        self._limits = upstream_limits
+        self._replicas = candidates
+        self._latencies = latencies
         self._queue = queue
         self._order = itertools.count()
         self._ledger = ledger
         self._reserve = reserve
+        self._isolation = isolation
+        self._may_probe = may_probe
         self._attempts_by_id: dict[tuple[str, int], Attempt] = {}
-        self._stats_by_id: dict[str, upstream_stats.UpstreamStats] = {}
 
     @property
     def waiting_count(self) -> int:
         """Return how many sub-requests wait for room."""
-        return len(self._queue)
+        return len(self._queue) + self._isolation.parked_count
+
+    @property
+    def attempts_by_id(self) -> abc.Mapping[tuple[str, int], Attempt]:
+        """Return the attempts in flight by (request id, attempt)."""
+        return self._attempts_by_id
+
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._replicas.stats_by_id
 
     def enqueue(self, running: query.Query, shard_ref: upstream.ShardRef) -> None:
         """Let a shard of a query wait for room."""
@@ -109,6 +140,8 @@
         holders = self._planner.holders(
             progress.target, running.plan.snapshot, usable=self._usable
         )
+        if not progress.tried:
+            return holders
         return tuple(held for held in holders if held not in progress.tried)
 
     def send_waiting(
@@ -126,10 +159,14 @@
         self, running: query.Query, shard_ref: upstream.ShardRef
     ) -> upstream.SubRequest | None:
         """Send a further attempt at once, where an untried upstream has room."""
-        with_room = self._with_room(self.holders(running, shard_ref))
-        if not with_room or self._must_leave(running, shard_ref, with_room):
+        if self._isolation.is_suspect(running):
+            return None
+        holders = self.holders(running, shard_ref)
+        prospect = self._consider(running, shard_ref, holders)
+        if not prospect.with_room or prospect.over_share_slots_by_id:
             return None
-        return self._send(running, shard_ref, self._choose(with_room), extra=True)
+        target = self._replicas.choose(prospect)
+        return self._send(running, shard_ref, target, extra=True)
 
     def end(self, outcome: upstream.Outcome) -> Attempt | None:
         """Take an attempt out of flight and learn from its outcome.
@@ -137,34 +174,31 @@
         :return: the attempt, ``None`` where its outcome had come before.
         """
         key = (outcome.request_id, outcome.attempt)
-        attempt = self._attempts_by_id.pop(key, None)
-        if attempt is None:
+        attempt = self._attempts_by_id.get(key)
+        if attempt is None or attempt.upstream_id != outcome.upstream_id:
             return None
-        self._settle_charge(attempt)
-        stats = self._stats_by_id.get(attempt.upstream_id)
-        if stats is None or stats.incarnation != attempt.incarnation:
-            return attempt
-        stats.in_flight -= 1
-        if isinstance(outcome, upstream.Replied):
-            stats.record_reply(self._clock.monotonic() - attempt.sent_at)
-        elif outcome.reason is not upstream.FailureReason.CANCELLED:
-            stats.record_failure()
+        del self._attempts_by_id[key]
+        self._settle_charge(attempt, outcome)
+        now = self._clock.monotonic()
+        took = now - attempt.sent_at
+        is_plain = not attempt.extra and not attempt.is_over_share
+        if isinstance(outcome, upstream.Replied) and is_plain:
+            self._latencies.observe(attempt.latency_class, took, now)
+        self._replicas.end(key, attempt.incarnation, outcome, took / attempt.usual)
         return attempt
 
     def shards_beside(self, upstream_id: str) -> list[upstream.ShardRef]:
         """Return the shards that an upstream holds, in a random order."""
         announcement = self._directory.upstreams_by_id.get(upstream_id)
-        if announcement is None:
+        if announcement is None or not self._queue:
             return []
         shard_refs = list({hosted.ref: None for hosted in announcement.shards})
-        self._rng.shuffle(shard_refs)
+        self._replicas.shuffle(shard_refs)
         return shard_refs
 
-    def forget_departed(self) -> None:
-        """Drop observations of upstreams that left the directory."""
-        live = self._directory.upstreams_by_id
-        for upstream_id in [known for known in self._stats_by_id if known not in live]:
-            del self._stats_by_id[upstream_id]
+    def upstreams_changed(self) -> None:
+        """Look at the directory anew; drop what is known of departed ones."""
+        self._replicas.upstreams_changed()
 
     def _send_shard(
         self,
@@ -181,18 +215,24 @@
             running = queries_by_id.get(item.request_id)
             if running is None or not _still_wanted(running, shard_ref):
                 continue
-            with_room = self._with_room(self.holders(running, shard_ref))
-            if with_room and not self._must_leave(running, shard_ref, with_room):
-                self._send_item(item, running, with_room, batch)
+            if not self._isolation.may_go(running, shard_ref):
+                continue
+            holders = self.holders(running, shard_ref)
+            crowded = self._isolation.crowded(running)
+            if crowded:
+                apart = tuple(held for held in holders if held not in crowded)
+                if holders and not apart:
+                    self._isolation.park(running, shard_ref)
+                    continue
+                holders = apart
+            prospect = self._consider(running, shard_ref, holders)
+            if prospect.with_room:
+                self._send_item(item, running, prospect, batch)
                 continue
             passed_over.append(item)
-            if with_room:
+            if prospect.over_share_slots_by_id:
                 held_back.add(item.subscriber_id)
-                continue
-            self._reserve.note_wait(
-                shard_ref, item.subscriber_id, self._clock.monotonic()
-            )
-            if not running.progress_by_shard[shard_ref].tried:
+            elif not running.progress_by_shard[shard_ref].tried:
                 # It could go to any upstream of the shard: none has room.
                 break
         for item in passed_over:
@@ -202,85 +242,115 @@
         self,
         item: fair_queue.Waiting,
         running: query.Query,
-        with_room: abc.Sequence[str],
+        prospect: replicas.Prospect,
         batch: list[upstream.SubRequest],
     ) -> None:
         extra = bool(running.progress_by_shard[item.shard_ref].tried)
-        upstream_id = self._choose(with_room)
-        batch.append(self._send(running, item.shard_ref, upstream_id, extra=extra))
+        target = self._replicas.choose(prospect)
+        slots = prospect.over_share_slots_by_id.get(target.id, 0)
+        sub_request = self._send(
+            running, item.shard_ref, target, extra=extra, over_share_slots=slots
+        )
+        batch.append(sub_request)
         self._queue.note_sent(item, self._clock.monotonic())
+        if prospect.probe is not None:
+            self._probe(running, item.shard_ref, prospect.probe, batch)
+
+    def _probe(
+        self,
+        running: query.Query,
+        shard_ref: upstream.ShardRef,
+        target: selection.Candidate,
+        batch: list[upstream.SubRequest],
+    ) -> None:
+        if not running.kind.idempotent or self._isolation.is_suspect(running):
+            return
+        if not self._may_probe():
+            return
+        target.stats.probed_at = self._clock.monotonic()
+        batch.append(self._send(running, shard_ref, target, extra=True, is_probe=True))
 
-    def _must_leave(
+    def _consider(
         self,
         running: query.Query,
         shard_ref: upstream.ShardRef,
-        with_room: abc.Sequence[str],
-    ) -> bool:
-        holders = running.progress_by_shard[shard_ref].target.upstream_ids
-        stats = (self._stats_by_id.get(upstream_id) for upstream_id in holders)
-        return self._reserve.must_leave(
+        holders: tuple[str, ...],
+    ) -> replicas.Prospect:
+        subscriber_id = running.submitted.subscriber_id
+        if not self._reserve.is_over_share(subscriber_id):
+            return self._replicas.consider(holders)
+        target = running.progress_by_shard[shard_ref].target
+        slots_by_id = self._reserve.allot(
             shard_ref,
-            running.submitted.subscriber_id,
-            free=len(with_room),
-            busy=sum(known.in_flight for known in stats if known is not None),
-            now=self._clock.monotonic(),
+            subscriber_id,
+            self._replicas.alive(target.upstream_ids),
+            self._clock.monotonic(),
         )
+        return self._replicas.consider_over_share(holders, slots_by_id)
 
-    def _with_room(self, upstream_ids: abc.Sequence[str]) -> list[str]:
-        with_room = []
-        for upstream_id in upstream_ids:
-            announcement = self._directory.upstreams_by_id[upstream_id]
-            stats = self._stats_of(announcement)
-            if self._limits.has_room(announcement, stats.in_flight):
-                with_room.append(upstream_id)
-        return with_room
-
-    def _choose(self, with_room: abc.Sequence[str]) -> str:
-        return selection.choose(with_room, stats_by_id=self._stats_by_id, rng=self._rng)
+    def _settle_charge(self, attempt: Attempt, outcome: upstream.Outcome) -> None:
+        """Put the measured upstream time in place of the estimate.
 
-    def _settle_charge(self, attempt: Attempt) -> None:
-        """Put the measured upstream time in place of the estimate."""
+        What was never run costs nothing. Where the owner tells how long the
+        upstream took, waiting at the owner is not charged: those who wait
+        longest would seem to use most.
+        """
         elapsed = self._clock.monotonic() - attempt.sent_at
+        if isinstance(outcome, upstream.Replied) and outcome.took is not None:
+            elapsed = outcome.took
+        if isinstance(outcome, upstream.Failed) and outcome.not_run:
+            self._ledger.charge(attempt.subscriber_id, -attempt.charged)
+            return
         self._ledger.charge(attempt.subscriber_id, elapsed - attempt.charged)
-        self._ledger.learn(attempt.subscriber_id, attempt.kind, elapsed)
-
-    def _stats_of(
-        self, announcement: upstream.Announcement
-    ) -> upstream_stats.UpstreamStats:
-        stats = self._stats_by_id.get(announcement.id)
-        if stats is None or stats.incarnation != announcement.incarnation:
-            stats = upstream_stats.UpstreamStats(incarnation=announcement.incarnation)
-            self._stats_by_id[announcement.id] = stats
-        return stats
+        self._ledger.learn(attempt.subscriber_id, attempt.latency_class.kind, elapsed)
 
     def _send(
         self,
         running: query.Query,
         shard_ref: upstream.ShardRef,
-        upstream_id: str,
+        target: selection.Candidate,
         *,
         extra: bool,
+        is_probe: bool = False,
+        over_share_slots: int = 0,
     ) -> upstream.SubRequest:
-        announcement = self._directory.upstreams_by_id[upstream_id]
-        number = running.begin_attempt(shard_ref, upstream_id)
-        self._stats_of(announcement).in_flight += 1
+        announcement = target.announcement
+        number = running.begin_attempt(shard_ref, announcement.id, is_probe=is_probe)
+        now = self._clock.monotonic()
+        key = (running.request_id, number)
+        latency_class = latency.LatencyClass(
+            service=shard_ref.service, kind=running.submitted.kind
+        )
         subscriber_id = running.submitted.subscriber_id
         charged = self._ledger.estimate(subscriber_id, running.submitted.kind)
         self._ledger.charge(subscriber_id, charged)
-        self._attempts_by_id[(running.request_id, number)] = Attempt(
-            upstream_id=upstream_id,
+        usual = self._latencies.usual(latency_class)
+        if over_share_slots:
+            target.stats.over_share_ids.add(key)
+        else:
+            target.stats.outstanding_by_id[key] = upstream_stats.Outstanding(
+                sent_at=now, usual=usual
+            )
+            target.stats.note_in_flight(now)
+        self._attempts_by_id[key] = Attempt(
+            upstream_id=announcement.id,
             incarnation=announcement.incarnation,
             shard_ref=shard_ref,
             subscriber_id=subscriber_id,
-            kind=running.submitted.kind,
-            sent_at=self._clock.monotonic(),
+            fingerprint=running.fingerprint,
+            latency_class=latency_class,
+            sent_at=now,
+            usual=usual,
             charged=charged,
             extra=extra,
+            is_probe=is_probe,
+            is_over_share=over_share_slots > 0,
         )
+        self._isolation.note_sent(running, number, announcement.id)
         return upstream.SubRequest(
             request_id=running.request_id,
             attempt=number,
-            upstream_id=upstream_id,
+            upstream_id=announcement.id,
             incarnation=announcement.incarnation,
             address=announcement.address,
             shard_ref=shard_ref,
@@ -289,6 +359,9 @@
             deadline=running.deadline,
             kind=running.submitted.kind,
             query=running.submitted.query,
+            subscriber_id=subscriber_id,
+            standing=running.kind.standing,
+            over_share_slots=over_share_slots,
         )
 
 
--- /dev/null
+++ b/src/greengagehaven/coordination/replicas.py
@@ -0,0 +1,199 @@
+"""The replicas of a shard that may get a sub-request now, and what was seen."""
+
+import dataclasses
+from collections import abc
+
+from greengagehaven import clock as clock_module
+from greengagehaven.coordination import limits, selection, upstream_stats
+from greengagehaven.protocol import upstream
+from greengagehaven.state import directory
+
+_LEARNING_S = 10.0
+_HEALTHY_FAILURES = frozenset(
+    {
+        upstream.FailureReason.CANCELLED,
+        upstream.FailureReason.OWNER_LOST,
+        upstream.FailureReason.WRONG_VERSION,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Prospect:
+    """Where a sub-request may go now.
+
+    :param with_room: fit replicas with room, empty where it has to wait.
+    :param probe: a replica that was set aside and is due for a probe.
+    :param over_share_slots_by_id: where only those slots are open to it, since
+        its subscriber is over its share; empty where all are.
+    """
+
+    with_room: list[selection.Candidate]
+    probe: selection.Candidate | None = None
+    over_share_slots_by_id: abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Replicas:
+    """What this host has seen of each upstream, and the choice by it.
+
+    :param directory: the live upstreams.
+    :param upstream_limits: room of this host at each upstream.
+    :param selector: sets unfit replicas aside and chooses among the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_module.Clock,
+        directory: directory.DirectoryView,
+        upstream_limits: limits.Limits,
+        selector: selection.Selector,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._limits = upstream_limits
+        self._selector = selector
+        self._learning_ends = clock.monotonic() + _LEARNING_S
+        self._stats_by_id: dict[str, upstream_stats.UpstreamStats] = {}
+        self._candidates_by_ids: dict[
+            tuple[str, ...], tuple[selection.Candidate, ...]
+        ] = {}
+
+    @property
+    def stats_by_id(self) -> abc.Mapping[str, upstream_stats.UpstreamStats]:
+        """Return what this host has seen of each upstream."""
+        return self._stats_by_id
+
+    def consider(self, upstream_ids: tuple[str, ...]) -> Prospect:
+        """Return where a sub-request that these can answer may go now."""
+        candidates = self._candidates(upstream_ids)
+        if not candidates:
+            return Prospect(with_room=[])
+        now = self._clock.monotonic()
+        fit = self._selector.fit(candidates, now)
+        with_room = [
+            each
+            for each in fit
+            if self._limits.has_room(each.announcement, each.stats, now)
+        ]
+        probe = None
+        if with_room and len(fit) < len(candidates):
+            probe = self._selector.probe_target(candidates, fit, now)
+        return Prospect(with_room=with_room, probe=probe)
+
+    def alive(self, upstream_ids: tuple[str, ...]) -> list[selection.Candidate]:
+        """Return those of some replicas that do not fail.
+
+        Those that straggle stay in: hosts see stragglers differently, and an
+        order over these replicas has to be the same on all hosts.
+        """
+        now = self._clock.monotonic()
+        candidates = self._candidates(upstream_ids)
+        alive = [each for each in candidates if not each.stats.is_failing(now)]
+        return alive or list(candidates)
+
+    def consider_over_share(
+        self, upstream_ids: tuple[str, ...], slots_by_id: abc.Mapping[str, int]
+    ) -> Prospect:
+        """Return where a sub-request over its subscriber's share may go now.
+
+        :param slots_by_id: slots of the shard that are open to it.
+        """
+        with_room = [
+            each
+            for each in self._candidates(upstream_ids)
+            if len(each.stats.over_share_ids) < slots_by_id.get(each.id, 0)
+        ]
+        return Prospect(with_room=with_room, over_share_slots_by_id=slots_by_id)
+
+    def choose(self, prospect: Prospect) -> selection.Candidate:
+        """Return the replica to send to; there is one with room."""
+        return self._selector.choose(prospect.with_room, self._clock.monotonic())
+
+    def end(
+        self,
+        attempt_id: tuple[str, int],
+        incarnation: int,
+        outcome: upstream.Outcome,
+        slowness: float,
+    ) -> None:
+        """Take an attempt out of flight and learn from its outcome.
+
+        :param slowness: how long it took, in multiples of the usual.
+        """
+        stats = self._stats_by_id.get(outcome.upstream_id)
+        if stats is None or stats.incarnation != incarnation:
+            return
+        now = self._clock.monotonic()
+        if isinstance(outcome, upstream.Replied) and outcome.within_share is not None:
+            over_share = outcome.over_share or 0.0
+            stats.record_shares(outcome.within_share, over_share, now)
+        if attempt_id in stats.over_share_ids:
+            # It may have waited long at the owner, behind all others: its
+            # latency says nothing of the upstream.
+            stats.over_share_ids.discard(attempt_id)
+            if isinstance(outcome, upstream.Replied):
+                return
+        stats.outstanding_by_id.pop(attempt_id, None)
+        stats.note_in_flight(now)
+        _learn(stats, outcome, slowness, now)
+
+    def shuffle(self, items: list) -> None:
+        """Bring a list into a random order."""
+        self._selector.shuffle(items)
+
+    def upstreams_changed(self) -> None:
+        """Look at the directory anew; drop what is known of departed ones."""
+        self._candidates_by_ids.clear()
+        live = self._directory.upstreams_by_id
+        for upstream_id in [known for known in self._stats_by_id if known not in live]:
+            del self._stats_by_id[upstream_id]
+
+    def _candidates(
+        self, upstream_ids: tuple[str, ...]
+    ) -> tuple[selection.Candidate, ...]:
+        candidates = self._candidates_by_ids.get(upstream_ids)
+        if candidates is None:
+            candidates = tuple(
+                selection.Candidate(
+                    announcement=announcement, stats=self._stats_of(announcement)
+                )
+                for upstream_id in upstream_ids
+                if (announcement := self._directory.upstreams_by_id.get(upstream_id))
+            )
+            self._candidates_by_ids[upstream_ids] = candidates
+        return candidates
+
+    def _stats_of(
+        self, announcement: upstream.Announcement
+    ) -> upstream_stats.UpstreamStats:
+        stats = self._stats_by_id.get(announcement.id)
+        if stats is None or stats.incarnation != announcement.incarnation:
+            now = self._clock.monotonic()
+            stats = upstream_stats.UpstreamStats(
+                incarnation=announcement.incarnation,
+                known_since=now,
+                is_fresh=stats is not None or now > self._learning_ends,
+            )
+            self._stats_by_id[announcement.id] = stats
+        return stats
+
+
+def _learn(
+    stats: upstream_stats.UpstreamStats,
+    outcome: upstream.Outcome,
+    slowness: float,
+    now: float,
+) -> None:
+    if isinstance(outcome, upstream.Replied):
+        stats.record_reply(slowness, now)
+        if outcome.load is not None:
+            stats.record_load(outcome.load.in_flight + outcome.load.queued, now)
+        return
+    stats.record_abandoned(slowness, now)
+    if outcome.reason is upstream.FailureReason.TIMEOUT and outcome.not_run:
+        return
+    if outcome.reason not in _HEALTHY_FAILURES:
+        stats.record_failure(now)
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -83,6 +83,9 @@
     ``attempt`` is unique within the request, over all its shards.
     ``deadline`` is monotonic seconds on the sender's clock; on the wire it
     travels as the time that is left. ``query`` is the caller's JSON, as it came.
+    ``subscriber_id`` and ``standing`` decide the order in which an owner sends.
+    ``over_share_slots``, where it is not 0, lets it run only while fewer of its
+    kind run: its subscriber is over its share. Upstreams see none of them.
     """
 
     request_id: str
@@ -96,6 +99,9 @@
     deadline: float
     kind: str
     query: msgspec.Raw
+    subscriber_id: str = ""
+    standing: int = 0
+    over_share_slots: int = 0
 
     @property
     def id(self) -> tuple[str, int]:
@@ -104,10 +110,15 @@
 
 
 class FailureReason(enum.StrEnum):
-    """Why a sub-request got no usable reply."""
+    """Why a sub-request got no usable reply.
+
+    ``RESET`` is said only where the connection to the upstream itself broke: it
+    counts against the request. ``OWNER_LOST`` is the loss of the host between.
+    """
 
     CONNECT = "connect"
     RESET = "reset"
+    OWNER_LOST = "owner_lost"
     STALLED = "stalled"
     TIMEOUT = "timeout"
     MISMATCH = "mismatch"
@@ -118,13 +129,21 @@
 
 
 class Replied(msgspec.Struct, frozen=True, kw_only=True):
-    """A reply whose echo matched; ``rows`` are the upstream's, in order."""
+    """A reply whose echo matched; ``rows`` are the upstream's, in order.
+
+    The owner host adds ``took``, seconds from sending to the reply, and
+    ``within_share`` and ``over_share``, the slots that subscribers within and
+    over their share keep busy on average.
+    """
 
     request_id: str
     attempt: int
     upstream_id: str
     rows: tuple[msgspec.Raw, ...]
     load: LoadReport | None = None
+    took: float | None = None
+    within_share: float | None = None
+    over_share: float | None = None
 
 
 class Failed(msgspec.Struct, frozen=True, kw_only=True):
