--- a/features/control.feature
+++ b/features/control.feature
@@ -80,6 +80,16 @@
     When document 2 is applied at control host c1
     Then every entry host has it in force within 4 seconds
 
+  Scenario: The leader loses the lead with an operator's change in its hands
+    The control host that the operator calls hands the change to the leader, which
+    is deposed before the change is decided. The operator should not wait for a
+    host that cannot decide any more while another one can.
+
+    Given an environment of 3 control hosts and entry hosts in a and b
+    And document 1 is in force everywhere
+    When the leader is deposed while it decides a change that came through c2
+    Then the change is accepted within 2 seconds all the same
+
   Scenario: A control host that lost its disk starts while it is cut off
     Its service file tells it to begin a log, as on the first day. Would it do so
     whenever nobody answers, two logs would take changes side by side.
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -9,7 +9,7 @@
 from fakes import control as control_fakes
 from fakes import environment as environments
 from fakes import environment_walk
-from greengagehaven import clock
+from greengagehaven import clock, exceptions
 from greengagehaven.coordination import following
 from greengagehaven.daemons import recovery
 from greengagehaven.state import configuration
@@ -277,6 +277,35 @@
     )
 
 
+@behave.when("the leader is deposed while it decides a change that came through {name}")
+def when_deposed(context, name):
+    environment = context.environment
+    deposed = environment.leader()
+    context.deposed = deposed.settings.host_id
+    assert context.deposed != name
+
+    async def lose_the_lead(change):
+        del deposed.decide
+        deposed.raft.follow(deposed.raft.term + 1, None)
+        # Another one is to be elected, or the host could decide it after all.
+        deposed.raft._candidacy.election_at += 60.0
+        raise exceptions.NotLeaderError(leader=None)
+
+    deposed.decide = lose_the_lead
+    context.began = environment.loop.time()
+    context.answer = environment.apply(
+        environments.document_with(2), "in hand", via=name
+    )
+
+
+@behave.then("the change is accepted within {seconds:d} seconds all the same")
+def then_accepted_soon(context, seconds):
+    status, result = context.answer
+    assert status == 200, result
+    elapsed = context.environment.loop.time() - context.began
+    assert elapsed < seconds, elapsed
+
+
 @behave.when(
     "control host {name} is cut off, loses its disk and starts with --bootstrap"
 )
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -10,7 +10,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
-from greengagehaven.commands import client
+from greengagehaven.commands import client, daemons
 from greengagehaven.daemons import control as control_host
 from greengagehaven.daemons import control_daemon, recovery
 from greengagehaven.protocol import operator
@@ -57,7 +57,9 @@
     "give the same set to all control and entry hosts.",
 )
 @click.option("--learner", is_flag=True, help="Only follow, do not count.")
-@click.option("--peer-token", help="Secret that the hosts share.")
+@click.option(
+    "--peer-token", help="Secret that the hosts share; needed beyond loopback."
+)
 @click.option(
     "--operator",
     "operators",
@@ -75,7 +77,7 @@
     multiple=True,
     help="PEM whose proofs are demanded (production); may be given several times.",
 )
-@click.option("--log-level", default="info", show_default=True)
+@daemons.log_level_option
 def control(
     host_id: str,
     data_folder: str,
@@ -102,8 +104,15 @@
             value="none",
             expected=f"NAME=TOKEN, since {operator_address} is not loopback",
         )
-    for address in peer_addresses:
-        settings.parse_address("peer", address)
+    for address in (peer_address, *peer_addresses):
+        peer_host, _ = settings.parse_reachable("peer address", address)
+        if peer_token is None and not settings.is_loopback(peer_host):
+            # Whoever reaches the port could vote and replace the log.
+            raise exceptions.SettingError(
+                place="peer token",
+                value="none",
+                expected=f"a secret, since {address} is not loopback",
+            )
     chosen = control_host.ControlSettings(
         host_id=host_id,
         data_folder=data_folder,
--- a/src/greengagehaven/settings.py
+++ b/src/greengagehaven/settings.py
@@ -34,6 +34,20 @@
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
+def parse_reachable(name: str, value: str) -> tuple[str, int]:
+    """Return (IP number, port) of an address that other hosts are told.
+
+    :raises SettingError: it is none, or one that stands for every interface:
+        each host that is told it would call itself.
+    """
+    host, port = parse_address(name, value)
+    if ipaddress.ip_address(host).is_unspecified:
+        raise exceptions.SettingError(
+            place=name, value=value, expected="an address that other hosts can call"
+        )
+    return host, port
+
+
 def is_loopback(host: str) -> bool:
     """Tell whether an IP number is reached only from this machine."""
     return ipaddress.ip_address(host).is_loopback
