Follow the control hosts, join the other hosts, record keys

Cause: entry hosts shared their knowledge in process only. Conclusion: dev runs control hosts, recorders and membership over loopback.

--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -92,7 +92,35 @@
     help="IP:PORT for callers, and for upstreams unless --announce-listen is set.",
 )
 @click.option("--announce-listen", help="IP:PORT for upstreams only.")
-@click.option("--document", type=_FILE, help="Document to start with.")
+@click.option(
+    "--peer-listen",
+    default="127.0.0.1:7301",
+    show_default=True,
+    help="IP:PORT for other hosts of the system.",
+)
+@click.option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    metavar="IP:PORT",
+    help="Peer address of another entry host; may be given several times.",
+)
+@click.option(
+    "--control",
+    "controls",
+    multiple=True,
+    metavar="IP:PORT",
+    help="Peer address of a control host; may be given several times.",
+)
+@click.option(
+    "--recorder",
+    "recorders",
+    multiple=True,
+    metavar="HOST-ID=IP:PORT",
+    help="A recorder of idempotency keys, all of them on every entry host.",
+)
+@click.option("--peer-token", help="Secret that the hosts share.")
+@click.option("--document", type=_FILE, help="Document until a control host has one.")
 @click.option("--metrics-token", help="Bearer token that /metrics asks for.")
 @click.option(
     "--balancer-wait-ms",
@@ -120,6 +148,11 @@
     zone: str,
     listen: str,
     announce_listen: str | None,
+    peer_listen: str,
+    seeds: tuple[str, ...],
+    controls: tuple[str, ...],
+    recorders: tuple[str, ...],
+    peer_token: str | None,
     document: pathlib.Path | None,
     metrics_token: str | None,
     balancer_wait_ms: int,
@@ -137,6 +170,13 @@
         zone=zone,
         listen=listen,
         announce_listen=announce_listen,
+        peer_listen=peer_listen,
+        seeds=seeds,
+        control_addresses=controls,
+        recorder_addresses_by_id=settings.parse_named_addresses(
+            "--recorder", recorders
+        ),
+        peer_token=peer_token,
         balancer_wait=datetime.timedelta(milliseconds=balancer_wait_ms),
         drain_bound=datetime.timedelta(milliseconds=drain_ms),
         metrics_token=metrics_token,
@@ -153,8 +193,8 @@
 
 
 async def _run_entry(host: entry_module.EntryHost, document: bytes | None) -> int:
-    await host.start()
     if document is not None:
         host.take_document(document)
+    await host.start()
     log.info("ready", entry=host.address, announce=host.announce_address)
     return await lifecycle.run(host)
--- a/src/greengagehaven/daemons/announce_api.py
+++ b/src/greengagehaven/daemons/announce_api.py
@@ -25,8 +25,8 @@
     def announce(self, announcement: upstream.Announcement) -> None:
         """Take an announcement or renewal."""
 
-    def withdraw(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Take an upstream out up to (incarnation, sequence)."""
+    def withdraw(self, upstream_id: str, incarnation: int) -> None:
+        """Take back what an upstream announced in one incarnation."""
 
 
 class AnnounceApi:
@@ -74,9 +74,7 @@
                 value=text[:80],
                 expected="the incarnation that was announced",
             )
-        # A withdrawal holds for the whole incarnation, however late its last
-        # renewals arrive.
-        self._leases.withdraw(upstream_id, (int(text), sys.maxsize))
+        self._leases.withdraw(upstream_id, int(text))
 
 
 def check(announcement: upstream.Announcement) -> None:
--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -14,6 +14,7 @@
 from greengagehaven.state import directory
 
 Notify = typing.Callable[[msgspec.Struct], None]
+AskRecorder = typing.Callable[[events.AskRecorder], None]
 
 
 class CoreLoop:
@@ -23,6 +24,7 @@
     :param channel: the way to upstreams.
     :param directory_view: tells the zone of an upstream, for the metrics.
     :param notify: takes messages for the cores of the other live hosts.
+    :param ask_recorder: sends a request to a recorder of idempotency keys.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         directory_view: directory.DirectoryView,
         metrics: metrics_module.Metrics,
         notify: Notify = lambda payload: None,
+        ask_recorder: AskRecorder = lambda action: None,
     ) -> None:
         self._core = core
         self._channel = channel
@@ -41,6 +44,7 @@
         self._directory = directory_view
         self._metrics = metrics
         self._notify = notify
+        self._ask_recorder = ask_recorder
         self._events: collections.deque[events.Event] = collections.deque()
         self._is_stepping = False
         self._futures_by_request_id: dict[str, asyncio.Future] = {}
@@ -55,6 +59,7 @@
             events.RefuseQuery: self._refuse,
             events.RetireConnections: self._retire,
             events.NotifyPeers: self._notify_peers,
+            events.AskRecorder: self._ask_recorder,
             events.WakeAt: self._wake_at,
         }
 
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -6,13 +6,15 @@
 import hashlib
 import importlib.resources
 import random
+import socket
+import tempfile
 import typing
+import uuid
 
-import msgspec
-
+from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import options as options_module
-from greengagehaven.daemons import entry, lifecycle
+from greengagehaven.daemons import control, control_daemon, entry, lifecycle
 from greengagehaven.protocol import upstream
 from greengagehaven.standin import upstream as standin
 from greengagehaven.state import configuration, document
@@ -25,6 +27,7 @@
 PARTITIONING = 3
 HOST = "127.0.0.1"
 POLL_S = 0.02
+DECIDE_PATIENCE_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,30 +49,6 @@
     upstream_options: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
-class InProcessNeighbours:
-    """Entry hosts of one process, told directly."""
-
-    def __init__(self, *, host: entry.EntryHost, others: list[entry.EntryHost]) -> None:
-        self._host = host
-        self._others = others
-
-    def spread_announcement(self, announcement: upstream.Announcement) -> None:
-        """Tell the others of an announcement that this host got."""
-        for other in self._others:
-            other.take_announcement(announcement)
-
-    def spread_withdrawal(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Tell the others of an upstream that left."""
-        for other in self._others:
-            other.take_withdrawal(upstream_id, version)
-
-    def notify(self, payload: msgspec.Struct) -> None:
-        """Send a message of this host's core to the others' cores."""
-        loop = asyncio.get_running_loop()
-        for other in self._others:
-            loop.call_soon(other.take_notice, self._host.settings.host_id, payload)
-
-
 class Dev:
     """A whole environment on the running loop.
 
@@ -93,8 +72,9 @@
         self._options = options
         self._cancellation = cancellation
         self._rng = rng or random.Random()
-        self._revision = 0
-        self.operator_address = ""
+        self.controls: list[control_daemon.ControlDaemon] = []
+        self._data_folder = tempfile.TemporaryDirectory(prefix="greengagehaven-dev-")
+        self._clock = clocks.SystemClock()
 
     async def start(self) -> None:
         """Start everything and bring the document into force.
@@ -104,18 +84,52 @@
         """
         data = self.settings.document or example_document(self.settings.key)
         check_key(data, self.settings.key)
+        await self._start_controls()
         await self._start_entries()
-        self.apply(data)
+        await self.apply(data)
+        await asyncio.gather(*(host.wait_in_force() for host in self.entries))
         await self._start_upstreams()
 
-    def apply(self, data: bytes, drained_zones: tuple[str, ...] = ()) -> None:
-        """Bring a document and drained zones into force on every entry host."""
-        self._revision += 1
-        state = configuration.ConfigurationState(
-            revision=self._revision, document=data, drained_zones=drained_zones
+    @property
+    def operator_address(self) -> str:
+        """Return the operators' ``IP:PORT`` of the first control host."""
+        return self.controls[0].operator_address
+
+    async def apply(self, data: bytes) -> configuration.ChangeResult:
+        """Have the control hosts accept a document.
+
+        :raises ControlError: they did not.
+        """
+        return await self._decide(
+            configuration.DocumentChange(
+                change_id=uuid.uuid4().hex,
+                author="dev",
+                document=data,
+                expected_revision=None,
+            )
         )
-        for host in self.entries:
-            host.take_configuration(state)
+
+    async def set_zone(self, zone: str, *, drained: bool) -> configuration.ChangeResult:
+        """Drain an availability zone or restore it.
+
+        :raises ControlError: the control hosts did not accept it.
+        """
+        return await self._decide(
+            configuration.ZoneChange(
+                change_id=uuid.uuid4().hex, author="dev", zone=zone, drained=drained
+            )
+        )
+
+    async def _decide(self, change: configuration.Change) -> configuration.ChangeResult:
+        end = self._clock.monotonic() + DECIDE_PATIENCE_S
+        while True:
+            for daemon in self.controls:
+                try:
+                    return await daemon.host.propose(change)
+                except (exceptions.NotLeaderError, exceptions.QuorumLostError):
+                    if self._clock.monotonic() >= end:
+                        raise
+            await asyncio.sleep(POLL_S)
 
     @property
     def in_flight(self) -> int:
@@ -125,7 +139,8 @@
     @property
     def services(self) -> tuple[str, ...]:
         """Return the services of the document in force."""
-        environment = document.parse(self.entries[0].configuration.document)
+        data = self.settings.document or example_document(self.settings.key)
+        environment = document.parse(data)
         return tuple(environment.services_by_id)
 
     async def wait_for_upstreams(self) -> None:
@@ -140,17 +155,40 @@
     async def drain(self) -> int:
         """Stop in order; return requests that were cut off."""
         lefts = await asyncio.gather(*(host.drain() for host in self.entries))
-        await self._stop_upstreams()
+        await self._stop_rest()
         return sum(lefts)
 
     async def close(self) -> None:
         """Stop at once."""
         await asyncio.gather(*(host.close() for host in self.entries))
-        await self._stop_upstreams()
+        await self._stop_rest()
 
-    async def _stop_upstreams(self) -> None:
+    async def _stop_rest(self) -> None:
         upstreams = self.upstreams_by_id.values()
         await asyncio.gather(*(stand_in.stop() for stand_in in upstreams))
+        await asyncio.gather(*(daemon.close() for daemon in self.controls))
+        self._data_folder.cleanup()
+
+    async def _start_controls(self) -> None:
+        addresses_by_id = {f"control-{zone}": _free_address() for zone in ZONES}
+        for host_id, address in addresses_by_id.items():
+            port = 0 if self.controls else self.settings.operator_port
+            others = [each for each in addresses_by_id.values() if each != address]
+            daemon = control_daemon.ControlDaemon(
+                settings=control.ControlSettings(
+                    host_id=host_id,
+                    data_folder=f"{self._data_folder.name}/{host_id}",
+                    peer_address=address,
+                    peer_addresses=tuple(others),
+                    bootstrap=True,
+                    recorder_addresses_by_id=addresses_by_id,
+                ),
+                operator_address=f"{HOST}:{port}",
+                clock=self._clock,
+                rng=random.Random(self._rng.random()),
+            )
+            self.controls.append(daemon)
+            await daemon.start()
 
     async def _start_entries(self) -> None:
         names = [
@@ -165,6 +203,14 @@
                     host_id=f"entry-{zone}{number}",
                     zone=zone,
                     listen=f"{HOST}:{port}",
+                    seeds=tuple(host.peer_address for host in self.entries),
+                    control_addresses=tuple(
+                        each.peer_address for each in self.controls
+                    ),
+                    recorder_addresses_by_id={
+                        f"control-{zone}": daemon.peer_address
+                        for zone, daemon in zip(ZONES, self.controls, strict=True)
+                    },
                     balancer_wait=datetime.timedelta(),
                 ),
                 options=self._options,
@@ -173,13 +219,6 @@
             )
             await host.start()
             self.entries.append(host)
-        zones_by_host_id = {
-            host.settings.host_id: host.settings.zone for host in self.entries
-        }
-        for host in self.entries:
-            others = [other for other in self.entries if other is not host]
-            host.neighbours = InProcessNeighbours(host=host, others=others)
-            host.take_hosts(zones_by_host_id)
 
     async def _start_upstreams(self) -> None:
         for service in self.settings.services:
@@ -213,6 +252,13 @@
         return stand_in
 
 
+def _free_address() -> str:
+    # Recorders have to know each other's address before they start.
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
 def example_document(key: str = DEMO_KEY) -> bytes:
     """Return the example document with the digest of the demo key."""
     resource = importlib.resources.files("greengagehaven.daemons") / "dev.toml"
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -15,26 +15,20 @@
 from greengagehaven.coordination import core as core_module
 from greengagehaven.coordination import events
 from greengagehaven.coordination import options as options_module
-from greengagehaven.daemons import announce_api, caller_api, core_loop
+from greengagehaven.daemons import (
+    announce_api,
+    caller_api,
+    claim_calls,
+    core_loop,
+    follower,
+    membership_loop,
+)
 from greengagehaven.daemons import metrics as metrics_module
-from greengagehaven.protocol import search, upstream
-from greengagehaven.state import configuration, directory, document
-from greengagehaven.transport import http, http_server, upstream_channel
+from greengagehaven.protocol import notices, upstream
+from greengagehaven.state import directory, document
+from greengagehaven.transport import http, http_server, peers, upstream_channel
 
-DRAIN_POLL_S = 0.02
-
-
-class Neighbours(typing.Protocol):
-    """The other entry hosts, as far as the wiring needs them."""
-
-    def spread_announcement(self, announcement: upstream.Announcement) -> None:
-        """Tell the others of an announcement that this host got."""
-
-    def spread_withdrawal(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Tell the others of an upstream that left."""
-
-    def notify(self, payload: msgspec.Struct) -> None:
-        """Send a message of this host's core to the others' cores."""
+PEER_STOP_GRACE = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,6 +38,12 @@
     :param listen: ``IP:PORT`` for callers.
     :param announce_listen: ``IP:PORT`` for upstreams; ``None`` serves them on
         ``listen`` too.
+    :param peer_listen: ``IP:PORT`` for the other hosts, port 0 for any.
+    :param seeds: peer addresses of other entry hosts to start from.
+    :param control_addresses: peer addresses of control hosts.
+    :param recorder_addresses_by_id: peer addresses of the recorders of
+        idempotency keys, the same on every entry host.
+    :param peer_token: secret that the hosts of the environment share.
     :param balancer_wait: between not ready and no longer accepting.
     :param drain_bound: longest wait for requests in flight.
     :param metrics_token: needed for ``/metrics``; ``None`` leaves it open.
@@ -53,6 +53,11 @@
     zone: str
     listen: str = "127.0.0.1:8080"
     announce_listen: str | None = None
+    peer_listen: str = "127.0.0.1:0"
+    seeds: tuple[str, ...] = ()
+    control_addresses: tuple[str, ...] = ()
+    recorder_addresses_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    peer_token: str | None = None
     balancer_wait: datetime.timedelta = datetime.timedelta(seconds=2)
     drain_bound: datetime.timedelta = datetime.timedelta(seconds=20)
     metrics_token: str | None = None
@@ -65,6 +70,7 @@
     :param cancellation: how running sub-requests are given up.
     :param tls: context for the listeners; ``None`` for plain TCP.
     :param upstream_tls: context towards upstreams; ``None`` for plain TCP.
+    :param peer_tls: certificates between hosts; ``None`` for plain TCP.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         ),
         tls: ssl.SSLContext | None = None,
         upstream_tls: ssl.SSLContext | None = None,
+        peer_tls: peers.Tls | None = None,
     ) -> None:
         self.settings = entry_settings
         self.clock = clock or clocks.SystemClock()
@@ -86,19 +93,26 @@
         self.metrics = metrics_module.Metrics()
         self.address = ""
         self.announce_address = ""
-        self.configuration = configuration.ConfigurationState()
-        self.neighbours: Neighbours | None = None
+        self.peer_address = ""
+        self._rng = rng or random.Random()
+        self._peer_tls = peer_tls
         self._is_draining = False
+        self._has_document = False
         self._zones_by_host_id = {entry_settings.host_id: entry_settings.zone}
-        self._lease_ends_by_upstream_id: dict[str, float] = {}
-        self._lease_sweeper: asyncio.Task | None = None
+        self._peer_client = peers.PeerClient(
+            token=entry_settings.peer_token, clock=self.clock, tls=peer_tls
+        )
+        self._peer_server: peers.PeerServer | None = None
+        self._membership: membership_loop.MembershipLoop | None = None
+        self._follower: follower.ConfigurationFollower | None = None
         self.core = core_module.Core(
             clock=self.clock,
-            rng=rng or random.Random(),
+            rng=self._rng,
             directory=self.directory,
             host_id=entry_settings.host_id,
             zone=entry_settings.zone,
             options=options,
+            recorder_ids=frozenset(entry_settings.recorder_addresses_by_id),
         )
         self.channel = upstream_channel.DirectChannel(
             clock=self.clock,
@@ -113,6 +127,12 @@
             directory_view=self.directory,
             metrics=self.metrics,
             notify=self._notify,
+            ask_recorder=self._ask_recorder,
+        )
+        self._claim_calls = claim_calls.ClaimCalls(
+            channel=self._peer_client,
+            addresses_by_id=entry_settings.recorder_addresses_by_id,
+            submit=self.loop.submit,
         )
         self._caller_api = caller_api.CallerApi(
             loop=self.loop,
@@ -120,7 +140,7 @@
             metrics=self.metrics,
             is_ready=lambda: self.is_ready,
             is_draining=lambda: self._server.draining,
-            status_of=self._status_of,
+            status_of=self._claim_calls.status_of,
             metrics_token=entry_settings.metrics_token,
         )
         self._announce_api = announce_api.AnnounceApi(leases=self)
@@ -136,7 +156,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        return not self._is_draining and self.configuration.revision > 0
+        return not self._is_draining and self._has_document
 
     @property
     def in_flight(self) -> int:
@@ -160,12 +180,61 @@
             text = typing.cast(str, self.settings.announce_listen)
             host, port = settings.parse_address("announce-listen", text)
             self.announce_address = await self._announce_server.start(host, port)
-        loop = asyncio.get_running_loop()
-        self._lease_sweeper = loop.create_task(self._end_leases_forever())
         self.loop.submit(events.HostsChanged(zones_by_host_id=self._zones_by_host_id))
+        await self._start_peers()
         log.info("entry_started", host=self.settings.host_id, address=self.address)
         return self.address
 
+    async def _start_peers(self) -> None:
+        handlers_by_method: dict[str, typing.Any] = {}
+        self._peer_server = peers.PeerServer(
+            handlers_by_method=handlers_by_method,
+            token=self.settings.peer_token,
+            clock=self.clock,
+            tls=self._peer_tls,
+        )
+        host, port = settings.parse_address("peer-listen", self.settings.peer_listen)
+        # The address is part of what this host tells the others, so the server
+        # is bound first and gets its handlers as soon as they exist.
+        self.peer_address = await self._peer_server.start(host, port)
+        self._membership = membership_loop.MembershipLoop(
+            host_id=self.settings.host_id,
+            zone=self.settings.zone,
+            address=self.peer_address,
+            seeds=self.settings.seeds,
+            served=self.directory,
+            channel=self._peer_client,
+            listener=self,
+            clock=self.clock,
+            rng=self._rng,
+            notice_type=notices.Notice,
+            lease=announce_api.LEASE,
+        )
+        handlers_by_method.update(self._membership.handlers_by_method())
+        self._membership.start()
+        await self._membership.wait_joined()
+        self._start_following(handlers_by_method)
+
+    def _start_following(self, handlers_by_method: dict[str, typing.Any]) -> None:
+        self._follower = follower.ConfigurationFollower(
+            channel=self._peer_client,
+            host_id=self.settings.host_id,
+            availability_zone=self.settings.zone,
+            control_addresses=self.settings.control_addresses,
+            peer_addresses=self._other_peer_addresses,
+            on_event=self._take_configuration_event,
+            clock=self.clock,
+            rng=self._rng,
+            registry=self.metrics.registry,
+        )
+        handlers_by_method.update(self._follower.handlers_by_method)
+        self._follower.start()
+
+    async def wait_in_force(self) -> None:
+        """Wait until a document of a control host or peer is in force."""
+        assert self._follower is not None
+        await self._follower.wait_in_force()
+
     async def drain(self) -> int:
         """Leave service in order; return requests that were cut off.
 
@@ -179,54 +248,48 @@
         left = self.in_flight
         if left:
             log.warning("drain_cut_off", host=self.settings.host_id, requests=left)
+        if self._membership is not None:
+            await self._membership.leave()
         await self.close()
         return left
 
     async def close(self) -> None:
         """Stop at once."""
-        if self._lease_sweeper is not None:
-            self._lease_sweeper.cancel()
-            self._lease_sweeper = None
         self.loop.close()
         await self._server.close()
         if self._announce_server is not None:
             await self._announce_server.close()
         self.channel.close()
+        await self._claim_calls.close()
+        await self._close_peers()
         log.info("entry_stopped", host=self.settings.host_id)
 
-    def take_configuration(self, state: configuration.ConfigurationState) -> bool:
-        """Bring a newer configuration into force; older ones change nothing.
+    async def _close_peers(self) -> None:
+        if self._follower is not None:
+            await self._follower.close()
+        if self._membership is not None:
+            await self._membership.close()
+        if self._peer_server is not None:
+            await self._peer_server.stop(PEER_STOP_GRACE)
+        await self._peer_client.close()
 
-        :return: whether it was newer.
-        :raises DocumentError: the document is wrong; the old one stays.
-        """
-        if state.revision <= self.configuration.revision:
-            return False
-        environment = document.parse(state.document)
-        self.configuration = state
-        self._caller_api.set_environment(environment)
-        self.loop.submit(
-            events.DocumentInForce(revision=state.revision, environment=environment)
-        )
-        zones = frozenset(state.drained_zones)
-        self.loop.submit(events.ZonesDrained(zones=zones))
-        log.info(
-            "configuration_in_force",
-            host=self.settings.host_id,
-            revision=state.revision,
-            digest=environment.digest,
-        )
-        return True
-
-    def take_document(self, data: bytes) -> bool:
-        """Bring a document into force as the first revision.
+    def take_document(self, data: bytes) -> None:
+        """Bring a document into force that no control host gave.
 
-        It is what the host starts with; any revision of a control host is newer.
+        Any revision of a control host replaces it.
 
         :raises DocumentError: the document is wrong.
         """
-        state = configuration.ConfigurationState(revision=1, document=data)
-        return self.take_configuration(state)
+        environment = document.parse(data)
+        self._take_configuration_event(
+            events.DocumentInForce(revision=0, environment=environment)
+        )
+
+    def _take_configuration_event(self, event: events.Event) -> None:
+        if isinstance(event, events.DocumentInForce):
+            self._caller_api.set_environment(event.environment)
+            self._has_document = True
+        self.loop.submit(event)
 
     def take_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts, this one included."""
@@ -238,39 +301,32 @@
         """Take a message of another host's core."""
         self.loop.submit(events.PeerNotice(host_id=host_id, payload=payload))
 
+    def take_directory_change(self, upstream_ids: frozenset[str]) -> None:
+        """Take in that these upstreams came, went or changed."""
+        self.loop.submit(events.DirectoryChanged(upstream_ids=upstream_ids))
+
     def announce(self, announcement: upstream.Announcement) -> None:
-        """Take an announcement or renewal from an upstream."""
-        self.take_announcement(announcement)
-        if self.neighbours is not None:
-            self.neighbours.spread_announcement(announcement)
+        """Take an announcement or renewal from an upstream.
 
-    def withdraw(self, upstream_id: str, version: tuple[int, int]) -> None:
+        :raises UpstreamConflictError: another upstream holds its id.
+        """
+        self._need_membership().announce(announcement)
+
+    def withdraw(self, upstream_id: str, incarnation: int) -> None:
         """Take an upstream out because it said so."""
-        self.take_withdrawal(upstream_id, version)
-        if self.neighbours is not None:
-            self.neighbours.spread_withdrawal(upstream_id, version)
-
-    def take_announcement(self, announcement: upstream.Announcement) -> None:
-        """Take an announcement, from the upstream or from another host."""
-        known = self.directory.upstreams_by_id.get(announcement.id)
-        if not self.directory.put(announcement):
-            return
-        lease = announce_api.LEASE.total_seconds()
-        self._lease_ends_by_upstream_id[announcement.id] = (
-            self.clock.monotonic() + lease
-        )
-        if known is None or _is_news(known, announcement):
-            self._directory_changed(announcement.id)
-
-    def take_withdrawal(self, upstream_id: str, version: tuple[int, int]) -> None:
-        """Take an upstream out, on its own word or another host's."""
-        if self.directory.withdraw(upstream_id, version):
-            self._lease_ends_by_upstream_id.pop(upstream_id, None)
-            self._directory_changed(upstream_id)
-
-    def _directory_changed(self, upstream_id: str) -> None:
-        self.loop.submit(
-            events.DirectoryChanged(upstream_ids=frozenset((upstream_id,)))
+        self._need_membership().withdraw(upstream_id, incarnation)
+
+    def _need_membership(self) -> membership_loop.MembershipLoop:
+        if self._membership is None:
+            raise exceptions.NotConfiguredError("starting", retry_after=1.0)
+        return self._membership
+
+    def _other_peer_addresses(self) -> tuple[str, ...]:
+        records = self._need_membership().core.knowledge.hosts.records_by_id.values()
+        return tuple(
+            record.address
+            for record in records
+            if record.is_live and record.id != self.settings.host_id
         )
 
     def _connection_limit(self, upstream_id: str) -> int:
@@ -281,11 +337,11 @@
         return max(1, announcement.max_connections // hosts)
 
     def _notify(self, payload: msgspec.Struct) -> None:
-        if self.neighbours is not None:
-            self.neighbours.notify(payload)
+        if self._membership is not None:
+            self._membership.notify(payload)
 
-    async def _status_of(self, subscriber_id: str, key: str) -> search.RequestStatus:
-        raise exceptions.NotFoundError("no request with this key is known here")
+    def _ask_recorder(self, action: events.AskRecorder) -> None:
+        self._claim_calls.ask(action)
 
     async def _handle(self, request: http.Request) -> http.Response:
         if self._announce_server is None and self._announce_api.serves(request.path):
@@ -296,28 +352,3 @@
         if not self._announce_api.serves(request.path):
             raise exceptions.NotFoundError(request.path[:100])
         return await self._announce_api.handle(request)
-
-    async def _end_leases_forever(self) -> None:
-        while True:
-            await asyncio.sleep(announce_api.LEASE.total_seconds() / 10)
-            now = self.clock.monotonic()
-            late = [
-                upstream_id
-                for upstream_id, end in self._lease_ends_by_upstream_id.items()
-                if end <= now
-            ]
-            for upstream_id in late:
-                self._end_lease(upstream_id)
-
-    def _end_lease(self, upstream_id: str) -> None:
-        del self._lease_ends_by_upstream_id[upstream_id]
-        announcement = self.directory.upstreams_by_id.get(upstream_id)
-        if announcement is not None:
-            log.info("lease_ended", upstream=upstream_id)
-            self.directory.withdraw(upstream_id, announcement.version)
-            self._directory_changed(upstream_id)
-
-
-def _is_news(known: upstream.Announcement, latest: upstream.Announcement) -> bool:
-    renewed = msgspec.structs.replace(known, sequence=latest.sequence, load=latest.load)
-    return renewed != latest
