--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -22,10 +22,11 @@
     core_loop,
     follower,
     membership_loop,
+    upstream_path,
 )
 from greengagehaven.daemons import metrics as metrics_module
 from greengagehaven.protocol import notices, upstream
-from greengagehaven.state import directory, document
+from greengagehaven.state import configuration, directory, document
 from greengagehaven.transport import http, http_server, peers, upstream_channel
 
 PEER_STOP_GRACE = datetime.timedelta(seconds=1)
@@ -97,7 +98,8 @@
         self._rng = rng or random.Random()
         self._peer_tls = peer_tls
         self._is_draining = False
-        self._has_document = False
+        self._digest = ""
+        self._drained_zones: frozenset[str] = frozenset()
         self._zones_by_host_id = {entry_settings.host_id: entry_settings.zone}
         self._peer_client = peers.PeerClient(
             token=entry_settings.peer_token, clock=self.clock, tls=peer_tls
@@ -114,15 +116,20 @@
             options=options,
             recorder_ids=frozenset(entry_settings.recorder_addresses_by_id),
         )
-        self.channel = upstream_channel.DirectChannel(
+        self._path = upstream_path.UpstreamPath(
+            host_id=entry_settings.host_id,
             clock=self.clock,
-            limit_of=self._connection_limit,
+            directory_view=self.directory,
+            decisions=self.core,
+            peer_channel=self._peer_client,
+            address_of=self._peer_address_of,
+            options=options,
             cancellation=cancellation,
             tls=upstream_tls,
         )
         self.loop = core_loop.CoreLoop(
             core=self.core,
-            channel=self.channel,
+            channel=self._path.channel,
             clock=self.clock,
             directory_view=self.directory,
             metrics=self.metrics,
@@ -156,7 +163,10 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        return not self._is_draining and self._has_document
+        if self._is_draining or not self._digest or self._membership is None:
+            return False
+        is_served = self.settings.zone not in self._drained_zones
+        return is_served and self._membership.core.is_joined
 
     @property
     def in_flight(self) -> int:
@@ -211,6 +221,7 @@
             lease=announce_api.LEASE,
         )
         handlers_by_method.update(self._membership.handlers_by_method())
+        handlers_by_method.update(self._path.handlers_by_method)
         self._membership.start()
         await self._membership.wait_joined()
         self._start_following(handlers_by_method)
@@ -222,7 +233,7 @@
             availability_zone=self.settings.zone,
             control_addresses=self.settings.control_addresses,
             peer_addresses=self._other_peer_addresses,
-            on_event=self._take_configuration_event,
+            on_state=self.take_configuration,
             clock=self.clock,
             rng=self._rng,
             registry=self.metrics.registry,
@@ -259,7 +270,7 @@
         await self._server.close()
         if self._announce_server is not None:
             await self._announce_server.close()
-        self.channel.close()
+        self._path.close()
         await self._claim_calls.close()
         await self._close_peers()
         log.info("entry_stopped", host=self.settings.host_id)
@@ -280,22 +291,40 @@
 
         :raises DocumentError: the document is wrong.
         """
-        environment = document.parse(data)
-        self._take_configuration_event(
-            events.DocumentInForce(revision=0, environment=environment)
+        self.take_configuration(
+            configuration.ConfigurationState(
+                document=data, digest=document.digest_of(data)
+            )
+        )
+
+    def take_configuration(self, state: configuration.ConfigurationState) -> None:
+        """Bring a newer configuration into force.
+
+        :raises DocumentError: this version cannot read the document; the old
+            one and the old zones stay.
+        """
+        environment = None
+        if state.document and state.digest != self._digest:
+            environment = document.parse(state.document)
+        self._drained_zones = frozenset(state.drained_zones)
+        self._submit(events.ZonesDrained(zones=self._drained_zones))
+        if environment is None:
+            return
+        self._digest = state.digest
+        self._caller_api.set_environment(environment)
+        self._submit(
+            events.DocumentInForce(revision=state.revision, environment=environment)
         )
 
-    def _take_configuration_event(self, event: events.Event) -> None:
-        if isinstance(event, events.DocumentInForce):
-            self._caller_api.set_environment(event.environment)
-            self._has_document = True
+    def _submit(self, event: events.Event) -> None:
         self.loop.submit(event)
+        self._path.take_event(event)
 
     def take_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts, this one included."""
         self._zones_by_host_id = dict(zones_by_host_id)
         self.loop.submit(events.HostsChanged(zones_by_host_id=self._zones_by_host_id))
-        self.channel.limits_changed()
+        self._path.take_hosts()
 
     def take_notice(self, host_id: str, payload: msgspec.Struct) -> None:
         """Take a message of another host's core."""
@@ -303,7 +332,7 @@
 
     def take_directory_change(self, upstream_ids: frozenset[str]) -> None:
         """Take in that these upstreams came, went or changed."""
-        self.loop.submit(events.DirectoryChanged(upstream_ids=upstream_ids))
+        self._submit(events.DirectoryChanged(upstream_ids=upstream_ids))
 
     def announce(self, announcement: upstream.Announcement) -> None:
         """Take an announcement or renewal from an upstream.
@@ -329,12 +358,9 @@
             if record.is_live and record.id != self.settings.host_id
         )
 
-    def _connection_limit(self, upstream_id: str) -> int:
-        announcement = self.directory.upstreams_by_id.get(upstream_id)
-        if announcement is None:
-            return 0
-        hosts = len(self._zones_by_host_id)
-        return max(1, announcement.max_connections // hosts)
+    def _peer_address_of(self, host_id: str) -> str | None:
+        record = self._need_membership().core.knowledge.hosts.get(host_id)
+        return None if record is None else record.address
 
     def _notify(self, payload: msgspec.Struct) -> None:
         if self._membership is not None:
