Leave those within their share more free slots

Cause: hosts learn the load of an upstream late, so three square roots above the average are not enough.

--- a/src/greengagehaven/coordination/headroom.py
+++ b/src/greengagehaven/coordination/headroom.py
@@ -18,9 +18,9 @@
 from greengagehaven.coordination import selection, usage
 from greengagehaven.protocol import upstream
 
-SAFETY = 3.0
-"""Slots kept free above the average, in square roots of it. At 3 about one in
-a hundred finds none."""
+SAFETY = 6.0
+"""Slots kept free above the average, in square roots of it. About 3 would do if
+each host knew the load of every upstream at every moment; they learn it late."""
 
 
 class Headroom:
