Rank subscribers without usage alike, whatever the time

Cause: their rank followed the clock, so each pop ranked all of them anew (and had looped for ever on a real clock, mended on query).

--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -116,8 +116,7 @@
             current = self._rank(lane)
             if current > rank and lane not in ranked_anew:
                 # Charged since it entered: another may be due before it. Once is
-                # enough: the rank of a subscriber without usage follows the
-                # clock, and looking again would find it behind for ever.
+                # enough: a rank that grew with each look would never be found.
                 ranked_anew.add(lane)
                 heapq.heappush(self._ranks, (current, count, lane))
             elif lane in passed_over:
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -122,12 +122,12 @@
         All usage decays by the same factor, so the order of two subscribers
         only changes with a charge. Time is added to the logarithm in place of
         the decay, which keeps ranks comparable that were taken at different
-        times.
+        times. Without usage it is the same for all, whatever the time.
         """
         usage = self._usage_by_id.get(subscriber_id)
-        if usage is None:
-            return self._clock.monotonic() / DECAY_S + math.log(_FLOOR_S)
-        level = max(usage.total, _FLOOR_S) / self._share(subscriber_id)
+        if usage is None or usage.total < _FLOOR_S:
+            return -math.inf
+        level = usage.total / self._share(subscriber_id)
         return usage.moment / DECAY_S + math.log(level)
 
     def is_over_share(self, subscriber_id: str) -> bool:
