--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -71,6 +71,13 @@
     When the billed query is refused unrun through h-1 and sent again through h-2
     Then the billing upstream got it twice, the second time to run it
 
+  Scenario: A host that is alone remembers keys itself
+    Without recorders, as in an embedded tier, the one host keeps the records.
+
+    Given an entry host that is alone
+    When it answers a billed query and gets it again
+    Then it ran once, the resend has the recorded answer, and its status is told
+
   Scenario: A recorder is full
     Far more keys come than a recorder may keep. Dropping a record for a new one
     would let the dropped request run again, so the new one is turned away.
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -10,9 +10,9 @@
 
 from fakes import core as fake_core
 from fakes import hosts
-from greengagehaven import clock
+from greengagehaven import clock, exceptions
 from greengagehaven.coordination.idempotency import claimant, recorder
-from greengagehaven.protocol import claims, upstream
+from greengagehaven.protocol import claims, search, upstream
 
 KEY = "bill-1"
 
@@ -161,6 +161,38 @@
     assert rows == [{"row": 1}], rows
 
 
+@behave.given("an entry host that is alone")
+def given_alone(context):
+    context.tier = fake_core.FakeTier()
+    context.tier.put(fake_core.announce("u-1"), fake_core.announce("u-2"))
+
+
+@behave.when("it answers a billed query and gets it again")
+def when_alone_resent(context):
+    for request_id in ("first", "resend"):
+        context.tier.submit(request_id, kind="retire", idempotency_key=KEY)
+        for sub_request in list(context.tier.in_flight.values()):
+            context.tier.reply(sub_request, b'{"row": 1}')
+
+
+@behave.then("it ran once, the resend has the recorded answer, and its status is told")
+def then_alone(context):
+    assert len(context.tier.sent) == 1, context.tier.sent
+    answers = [context.tier.answers_by_id[each] for each in ("first", "resend")]
+    rows = [
+        [msgspec.json.decode(row.row) for row in answer.results] for answer in answers
+    ]
+    assert rows == [[{"row": 1}], [{"row": 1}]], rows
+    told = context.tier.core.look_up("demo", KEY)
+    assert told.state is search.RequestState.ANSWERED, told
+    try:
+        context.tier.core.look_up("other", KEY)
+    except exceptions.NotFoundError:
+        pass
+    else:
+        raise AssertionError("another subscriber's key was told")
+
+
 def make_record(name, **fields):
     return claims.Record(
         record_id=name, fingerprint="f", token=f"t-{name}", run_ms=1000, **fields
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -39,7 +39,7 @@
     usage,
     wait_times,
 )
-from greengagehaven.protocol import notices, upstream
+from greengagehaven.protocol import notices, search, upstream
 from greengagehaven.state import directory, document
 
 
@@ -225,6 +225,13 @@
             claims_unconfirmed=self._keyed.unconfirmed_count,
         )
 
+    def look_up(self, subscriber_id: str, key: str) -> search.RequestStatus:
+        """Return what became of an idempotency key, on a host that is alone.
+
+        :raises NotFoundError: no request with this key is known here.
+        """
+        return self._keyed.look_up(subscriber_id, key)
+
     @property
     def gates(self) -> gates.Gates:
         """Return the gates of the upstreams that this host owns."""
--- a/src/greengagehaven/coordination/keyed.py
+++ b/src/greengagehaven/coordination/keyed.py
@@ -7,8 +7,8 @@
 from greengagehaven import clock as clock_module
 from greengagehaven import exceptions
 from greengagehaven.coordination import events, fingerprint, timers
-from greengagehaven.coordination.idempotency import claimant, recorder
-from greengagehaven.protocol import codec, search
+from greengagehaven.coordination.idempotency import claimant, recorder, status
+from greengagehaven.protocol import claims, codec, search
 
 Run = typing.Callable[[events.QuerySubmitted, list[events.Action]], None]
 
@@ -61,6 +61,21 @@
         """Return how many outcomes a recorder has not confirmed."""
         return self._claimant.unconfirmed
 
+    def look_up(self, subscriber_id: str, key: str) -> search.RequestStatus:
+        """Return what became of a key, on a host that is alone.
+
+        :raises NotFoundError: no request with this key is known here.
+        """
+        if self._local is None:
+            return search.RequestStatus(
+                idempotency_key=key, state=search.RequestState.UNKNOWN
+            )
+        request = claims.Lookup(
+            recorders=_LOCAL_RECORDER, record_id=claimant.record_id(subscriber_id, key)
+        )
+        reply, _ = self._local.handle(request)
+        return status.describe(key, [reply], recorder_count=1)
+
     def begin(
         self,
         submitted: events.QuerySubmitted,
--- a/src/greengagehaven/daemons/claim_calls.py
+++ b/src/greengagehaven/daemons/claim_calls.py
@@ -15,6 +15,8 @@
 MAX_CALLS = 4
 MAX_BATCH = 256
 
+LookUp = typing.Callable[[str, str], search.RequestStatus]
+
 _OnReply = typing.Callable[[claims.RecorderReply | None], None]
 
 
@@ -27,6 +29,8 @@
     :param channel: calls to other hosts.
     :param addresses_by_id: peer address of each recorder of the fixed set.
     :param submit: hands an event to the core.
+    :param look_up: tells of a key where there are no recorders, because the
+        host is alone.
     """
 
     def __init__(
@@ -35,12 +39,14 @@
         channel: peers.PeerChannel,
         addresses_by_id: abc.Mapping[str, str],
         submit: typing.Callable[[events.Event], None],
+        look_up: LookUp | None = None,
     ) -> None:
         self._lines_by_id = {
             recorder_id: _Line(channel=channel, address=address)
             for recorder_id, address in addresses_by_id.items()
         }
         self._submit = submit
+        self._look_up = look_up
 
     @property
     def recorder_ids(self) -> frozenset[str]:
@@ -63,6 +69,8 @@
 
         :raises NotFoundError: no request with this key is known.
         """
+        if not self._lines_by_id and self._look_up is not None:
+            return self._look_up(subscriber_id, key)
         request = claims.Lookup(
             recorders=recorder.recorder_set(self.recorder_ids),
             record_id=claimant.record_id(subscriber_id, key),
