--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,7 +3,7 @@
 import click
 
 from greengagehaven import exceptions
-from greengagehaven.commands import control, daemons, document, replay, zone
+from greengagehaven.commands import control, daemons, document, measure, replay, zone
 
 EXIT_FAILED = 1
 
@@ -28,6 +28,7 @@
 for _command in (
     daemons.dev,
     daemons.entry,
+    measure.measure,
     control.control,
     control.status,
     control.history,
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -82,7 +82,7 @@
         :raises SettingError: a port is taken or the key is not in the document.
         :raises DocumentError: the document has mistakes.
         """
-        data = self.settings.document or example_document(self.settings.key)
+        data = self.document
         check_key(data, self.settings.key)
         await self._start_controls()
         await self._start_entries()
@@ -136,11 +136,15 @@
         """Return requests that are not finished."""
         return sum(host.in_flight for host in self.entries)
 
+    @property
+    def document(self) -> bytes:
+        """Return the document that the environment starts with."""
+        return self.settings.document or example_document(self.settings.key)
+
     @property
     def services(self) -> tuple[str, ...]:
         """Return the services of the document in force."""
-        data = self.settings.document or example_document(self.settings.key)
-        environment = document.parse(data)
+        environment = document.parse(self.document)
         return tuple(environment.services_by_id)
 
     async def wait_for_upstreams(self) -> None:
--- /dev/null
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -0,0 +1,70 @@
+"""What can happen to an environment during a run, by name."""
+
+import asyncio
+import fnmatch
+
+import msgspec
+
+from greengagehaven.daemons import dev
+from greengagehaven.standin import upstream as standin
+
+
+def _matching(environment: dev.Dev, name: str) -> list[standin.StandinUpstream]:
+    upstreams_by_id = environment.upstreams_by_id
+    return [upstreams_by_id[key] for key in fnmatch.filter(upstreams_by_id, name)]
+
+
+async def slow(environment: dev.Dev, name: str, factor: float) -> None:
+    """Make upstreams slower by a factor."""
+    for stand_in in _matching(environment, name):
+        stand_in.speed_factor = factor
+
+
+async def chill(environment: dev.Dev, name: str) -> None:
+    """Turn warm upstreams cold without a word."""
+    for stand_in in _matching(environment, name):
+        stand_in.chill()
+
+
+async def stop(environment: dev.Dev, name: str) -> None:
+    """Let upstreams vanish."""
+    await asyncio.gather(*(each.stop() for each in _matching(environment, name)))
+
+
+async def restart(environment: dev.Dev, name: str) -> None:
+    """Start upstreams anew, cold, with the same names."""
+    for stand_in in _matching(environment, name):
+        service, number = stand_in.options.shards[0].service, stand_in.options.id[-1]
+        await environment.start_upstream(service, int(number), starts_cold=True)
+
+
+async def silence(environment: dev.Dev, fraction: float) -> None:
+    """Let a part of the open connections to each upstream go silent."""
+    for stand_in in environment.upstreams_by_id.values():
+        stand_in.go_silent(fraction)
+
+
+async def repartition(environment: dev.Dev, zone: str) -> None:
+    """Give a zone's upstreams the next snapshot and partitioning too."""
+    for stand_in in environment.upstreams_by_id.values():
+        if stand_in.options.availability_zone != zone:
+            continue
+        latest = stand_in.shards[-1]
+        following = msgspec.structs.replace(
+            latest, partitioning=latest.partitioning + 1
+        )
+        stand_in.change(
+            snapshots=(*stand_in.snapshots, stand_in.snapshots[-1] + 1),
+            shards=(*stand_in.shards, following),
+        )
+
+
+async def set_zone(environment: dev.Dev, zone: str, drained: bool) -> None:
+    """Drain an availability zone or restore it, as an operator."""
+    await environment.set_zone(zone, drained=drained)
+
+
+async def burst(environment: dev.Dev, count: int) -> None:
+    """Apply many changed documents one after the other."""
+    for number in range(count):
+        await environment.apply(environment.document + b"\n# change %d\n" % number)
--- /dev/null
+++ b/src/greengagehaven/daemons/measure/runner.py
@@ -0,0 +1,158 @@
+"""Runs a scenario twice and compares the figures."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import typing
+
+from greengagehaven.coordination import options as options_module
+from greengagehaven.daemons import dev
+from greengagehaven.daemons.measure import caller, faults, scenarios
+
+WARM_UP_S = 0.5
+SETTLE_S = 0.3
+SECOND_SUBSCRIBER = """
+[subscribers.abuser]
+share = 1.0
+key_sha256 = ["{digest}"]
+"""
+
+
+class Figures(typing.TypedDict):
+    """What one run showed; the times are the callers'."""
+
+    queries: int
+    p50_ms: float | None
+    p99_ms: float | None
+    complete_share: float
+    coverage_mean: float
+    extra_load: float
+    refused: int
+    failed: int
+    wrong: int
+    doubled: int
+    violations: int
+
+
+async def compare(name: str, *, seed: int, seconds: float) -> dict[str, typing.Any]:
+    """Run a scenario without and with its mechanism.
+
+    :param seconds: length of each of the two loads.
+    :return: the JSON object that ``measure`` prints.
+    """
+    scenario = scenarios.SCENARIOS[name]
+    without = dict.fromkeys(scenario.off, False)
+    off = dataclasses.replace(options_module.DEFAULT, **without)
+    baseline = await run(scenario, off, seed=seed, seconds=seconds)
+    with_it = await run(scenario, options_module.DEFAULT, seed=seed, seconds=seconds)
+    return {
+        "scenario": name,
+        "seed": seed,
+        "baseline": baseline,
+        "run": with_it,
+        "ratios": _ratios(baseline, with_it),
+    }
+
+
+async def run(
+    scenario: scenarios.Scenario,
+    options: options_module.Options,
+    *,
+    seed: int,
+    seconds: float,
+) -> Figures:
+    """Run a scenario once in an environment of its own."""
+    rng = random.Random(seed)
+    environment = dev.Dev(
+        dev_settings=dev.DevSettings(
+            entry_port=0,
+            operator_port=0,
+            services=scenarios.ALL,
+            document=_document(),
+            **scenario.environment,
+        ),
+        options=options,
+        rng=random.Random(rng.random()),
+    )
+    await environment.start()
+    try:
+        await environment.wait_for_upstreams()
+        await _warm_up(environment, rng)
+        return await _load(environment, scenario, rng, seconds)
+    finally:
+        await environment.close()
+
+
+async def _warm_up(environment: dev.Dev, rng: random.Random) -> None:
+    warm = caller.Caller(environment=environment, rng=rng, seconds=WARM_UP_S)
+    await warm.send(scenarios.Load(rate=40.0))
+    warm.close()
+    environment.tally.reset()
+
+
+async def _load(
+    environment: dev.Dev,
+    scenario: scenarios.Scenario,
+    rng: random.Random,
+    seconds: float,
+) -> Figures:
+    callers = caller.Caller(environment=environment, rng=rng, seconds=seconds)
+    happening = [
+        asyncio.create_task(_happen(environment, fault, seconds))
+        for fault in scenario.faults
+    ]
+    await asyncio.gather(*(callers.send(load) for load in scenario.loads))
+    await asyncio.gather(*happening)
+    await asyncio.sleep(SETTLE_S)
+    callers.close()
+    return _figures(environment, callers, scenario)
+
+
+async def _happen(environment: dev.Dev, fault: scenarios.Fault, seconds: float) -> None:
+    await asyncio.sleep(fault.at * seconds)
+    await getattr(faults, fault.action)(environment, **fault.arguments)
+
+
+def _figures(
+    environment: dev.Dev, callers: caller.Caller, scenario: scenarios.Scenario
+) -> Figures:
+    tally = environment.tally
+    ends = callers.counts_by_end
+    latencies = sorted(callers.latencies)
+    needed = max(1, callers.answered_shards)
+    excess_crashes = max(0, tally.crashes - scenario.max_crashes)
+    return Figures(
+        queries=ends.total(),
+        p50_ms=_quantile_ms(latencies, 0.5),
+        p99_ms=_quantile_ms(latencies, 0.99),
+        complete_share=round(callers.complete / max(1, ends.total()), 4),
+        coverage_mean=round(sum(callers.coverages) / max(1, len(callers.coverages)), 4),
+        extra_load=round(tally.runs / needed - 1, 4),
+        refused=ends["refused"],
+        failed=ends["failed"],
+        wrong=callers.wrong,
+        doubled=tally.doubled,
+        violations=tally.violations_by_name.total() + excess_crashes,
+    )
+
+
+def _quantile_ms(latencies: list[float], quantile: float) -> float | None:
+    if not latencies:
+        return None
+    index = min(len(latencies) - 1, int(len(latencies) * quantile))
+    return round(latencies[index] * 1000, 2)
+
+
+def _ratios(baseline: Figures, with_it: Figures) -> dict[str, float | None]:
+    return {
+        name: round(with_it[name] / baseline[name], 3) if baseline[name] else None
+        for name in ("p50_ms", "p99_ms", "complete_share", "coverage_mean")
+        if with_it[name] is not None
+    }
+
+
+def _document() -> bytes:
+    digest = hashlib.sha256(scenarios.ABUSER_KEY.encode()).hexdigest()
+    second = SECOND_SUBSCRIBER.format(digest=digest)
+    return dev.example_document() + second.encode()
--- /dev/null
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -0,0 +1,167 @@
+"""The scenarios: a few lines of data each."""
+
+import dataclasses
+import typing
+
+from greengagehaven.daemons import dev
+
+ALL = ("credits-0", "credits-1", "credits-2")
+EVERY_SWITCH = (
+    "hedging",
+    "slow_start",
+    "ejection",
+    "zone_preference",
+    "fairness",
+    "standing",
+    "quarantine",
+    "connection_checks",
+)
+ABUSER_KEY = "abuser-key"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """Queries of one subscriber, at random moments.
+
+    :param rate: queries a second.
+    :param begin: part of the run after which it begins, 0 to 1; ``end`` likewise.
+    :param entry: number of the entry host; ``None`` for all in turn.
+    :param is_judged: whether its queries are in the figures.
+    :param resends: how often a query is sent again with the same key, each time
+        through the next host, without waiting for the answer.
+    :param poison: whether its queries crash upstreams.
+    """
+
+    rate: float = 25.0
+    kind: str = "sweep"
+    services: tuple[str, ...] = ALL
+    key: str = dev.DEMO_KEY
+    begin: float = 0.0
+    end: float = 1.0
+    entry: int | None = None
+    is_judged: bool = True
+    resends: int = 0
+    poison: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """Something that happens during the run.
+
+    :param at: part of the run after which it happens, 0 to 1.
+    :param action: name of a function in ``faults.py``.
+    :param arguments: what it is called with.
+    """
+
+    at: float
+    action: str
+    arguments: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Scenario:
+    """One comparison.
+
+    :param off: switches that the baseline turns off.
+    :param environment: changes to ``dev.DevSettings``.
+    :param max_crashes: upstreams that may be lost to poison; each one more
+        counts as a violation.
+    """
+
+    about: str
+    off: tuple[str, ...]
+    loads: tuple[Load, ...] = (Load(),)
+    faults: tuple[Fault, ...] = ()
+    environment: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    max_crashes: int = 2
+
+
+_LOOKUPS = Load(kind="lookup", rate=15.0)
+_ONE_SLOW = Fault(
+    at=0.2, action="slow", arguments={"name": "credits-?-a0", "factor": 15}
+)
+
+SCENARIOS: dict[str, Scenario] = {
+    "baseline": Scenario(
+        about="ordinary load, every mechanism off and on",
+        off=EVERY_SWITCH,
+        loads=(Load(), _LOOKUPS, Load(kind="retire", rate=5.0, services=ALL[:1])),
+    ),
+    "straggler": Scenario(
+        about="one replica of each service becomes slow",
+        off=("hedging", "ejection"),
+        faults=(_ONE_SLOW,),
+    ),
+    "lost-replica": Scenario(
+        about="a replica of each service vanishes without a word",
+        off=("hedging", "ejection", "connection_checks"),
+        faults=(Fault(at=0.3, action="stop", arguments={"name": "credits-?-b1"}),),
+    ),
+    "cold-start": Scenario(
+        about="every replica turns cold at once",
+        off=("slow_start",),
+        faults=(Fault(at=0.3, action="chill", arguments={"name": "*"}),),
+    ),
+    "repartition": Scenario(
+        about="a new snapshot and partitioning arrive upstream by upstream",
+        off=("hedging",),
+        faults=tuple(
+            Fault(at=0.3 + 0.1 * step, action="repartition", arguments={"zone": zone})
+            for step, zone in enumerate(dev.ZONES)
+        ),
+    ),
+    "abuser": Scenario(
+        about="one subscriber sends ten times its share through all hosts",
+        off=("fairness",),
+        loads=(
+            Load(rate=10.0),
+            Load(rate=100.0, key=ABUSER_KEY, begin=0.2, end=0.8, is_judged=False),
+        ),
+        environment={"upstream_options": {"service_time": 0.03}},
+    ),
+    "resend": Scenario(
+        about="billed requests are sent again through other hosts",
+        off=("hedging",),
+        loads=(Load(kind="retire", rate=8.0, services=ALL[:1], resends=2),),
+    ),
+    "poison": Scenario(
+        about="a request that crashes upstreams is sent every 100 ms",
+        off=("quarantine",),
+        loads=(
+            Load(rate=15.0),
+            Load(rate=10.0, begin=0.2, end=0.7, poison=True, is_judged=False),
+        ),
+    ),
+    "silent-connections": Scenario(
+        about="a third of the connections to upstreams goes silent for good",
+        off=("connection_checks",),
+        faults=(Fault(at=0.3, action="silence", arguments={"fraction": 0.34}),),
+    ),
+    "zone-outage": Scenario(
+        about="a zone's upstreams vanish and come back cold",
+        off=("hedging", "slow_start", "ejection", "connection_checks"),
+        faults=(
+            Fault(at=0.3, action="stop", arguments={"name": "*-b1"}),
+            Fault(at=0.6, action="restart", arguments={"name": "*-b1"}),
+        ),
+    ),
+    "zone-drain": Scenario(
+        about="operators take a zone out of service and bring it back",
+        off=("zone_preference",),
+        faults=(
+            Fault(at=0.3, action="set_zone", arguments={"zone": "b", "drained": True}),
+            Fault(at=0.6, action="set_zone", arguments={"zone": "b", "drained": False}),
+        ),
+    ),
+    "nine-hosts": Scenario(
+        about="nine entry hosts share the upstreams' slots and connections",
+        off=("shared_limits",),
+        loads=(Load(rate=40.0),),
+        environment={"hosts_per_zone": 3},
+    ),
+    "config-burst": Scenario(
+        about="operators change the document many times during the load",
+        off=("hedging",),
+        faults=(Fault(at=0.3, action="burst", arguments={"count": 30}),),
+    ),
+}
--- a/src/greengagehaven/daemons/upstream_path.py
+++ b/src/greengagehaven/daemons/upstream_path.py
@@ -51,6 +51,7 @@
             clock=clock,
             limit_of=self._limit_of,
             cancellation=cancellation,
+            checks_stalls=options.connection_checks,
             tls=tls,
         )
         self.channel = owner_channel.OwnerChannel(
--- a/src/greengagehaven/standin/upstream.py
+++ b/src/greengagehaven/standin/upstream.py
@@ -47,6 +47,11 @@
     )
     billed: collections.Counter = dataclasses.field(default_factory=collections.Counter)
 
+    def reset(self) -> None:
+        """Begin to count anew; billed orders are remembered."""
+        self.runs = self.doubled = self.crashes = 0
+        self.violations_by_name.clear()
+
     def bill(self, order: tuple[str, str, str]) -> None:
         """Count a billed run of (order, service, shard)."""
         self.billed[order] += 1
@@ -272,6 +277,8 @@
     ) -> http.Response:
         deadline = int(request.headers.get("deadline-ms", "1000")) / 1000
         end = self._clock.monotonic() + deadline
+        if self._running + len(self._queue) >= self.options.slots:
+            self.violate("work_over_slots")
         if self._falls_over():
             self.violate("cold_overrun")
             self.crash()
--- a/src/greengagehaven/transport/upstream_channel.py
+++ b/src/greengagehaven/transport/upstream_channel.py
@@ -41,6 +41,7 @@
     :param cancellation: what is done about a running sub-request that nobody
         waits for any more.
     :param stall_range: least and greatest stall bound.
+    :param checks_stalls: whether stalled exchanges are found at all.
     """
 
     def __init__(
@@ -53,12 +54,14 @@
             LEAST_STALL,
             GREATEST_STALL,
         ),
+        checks_stalls: bool = True,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self._clock = clock or clocks.SystemClock()
         self._limit_of = limit_of
         self._cancellation = cancellation
         self._stall_range = tuple(bound.total_seconds() for bound in stall_range)
+        self._checks_stalls = checks_stalls
         self._tls = tls
         self._pools_by_upstream_id: dict[str, upstream_pool.UpstreamPool] = {}
         self._exchanges_by_id: dict[tuple[str, int], upstream_pool.Exchange] = {}
@@ -263,6 +266,7 @@
         connection = exchange.connection
         waits = exchange.on_outcome is not None
         holds = connection is not None and connection.exchange is exchange
+        holds = holds and self._checks_stalls
         if not waits and not holds:
             return
         deadline = exchange.sub_request.deadline
