Give back a connection only to the request that holds it

Cause: a caller that resumed after its reply aborted the request that had taken the connection over; a wake a clock tick early was never asked for again.

--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -13,6 +13,8 @@
 from greengagehaven.protocol import notices, search, upstream
 from greengagehaven.state import directory
 
+MAX_OLD_TIMERS = 64
+
 Notify = typing.Callable[[msgspec.Struct], None]
 AskRecorder = typing.Callable[[events.AskRecorder], None]
 
@@ -208,15 +210,24 @@
         self._notify(action.payload)
 
     def _wake_at(self, action: events.WakeAt) -> None:
-        delay = max(0.0, action.moment - self._clock.monotonic())
+        self._arm(action.moment)
+
+    def _arm(self, moment: float) -> None:
+        delay = max(0.0, moment - self._clock.monotonic())
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(delay, self._wake)
+        timer = loop.call_later(delay, self._wake, moment)
         self._timers.add(timer)
-        if len(self._timers) > 64:
+        if len(self._timers) > MAX_OLD_TIMERS:
             now = loop.time()
             self._timers = {timer for timer in self._timers if timer.when() > now}
 
-    def _wake(self) -> None:
+    def _wake(self, moment: float) -> None:
+        # The loop fires timers up to its clock's resolution early. The core
+        # would find nothing due and, since it asked already, never ask again:
+        # every later deadline of the host would be missed.
+        if self._clock.monotonic() < moment:
+            self._arm(moment)
+            return
         self.submit(events.TimeReached())
 
 
--- a/src/greengagehaven/daemons/measure/caller.py
+++ b/src/greengagehaven/daemons/measure/caller.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from greengagehaven import exceptions
+from greengagehaven import exceptions, log
 from greengagehaven.daemons import dev
 from greengagehaven.daemons.measure import scenarios
 from greengagehaven.protocol import codec, search
@@ -72,7 +72,8 @@
             reply = await self._clients[entry % len(self._clients)].request(
                 "POST", "/v1/search", body=codec.encode_json(body), headers=headers
             )
-        except exceptions.UpstreamError:
+        except exceptions.UpstreamError as error:
+            log.warning("caller_failed", kind=load.kind, detail=error.detail)
             self._end(load, "failed", started)
             return
         if reply.status != 200:
--- a/src/greengagehaven/transport/http_client.py
+++ b/src/greengagehaven/transport/http_client.py
@@ -66,7 +66,8 @@
                 f"no reply from {self.address} within {timeout}"
             ) from error
         finally:
-            if connection.exchange is not None:
+            # The connection may carry another request by now.
+            if connection.exchange is future:
                 connection.exchange = None
                 connection.abort("given up")
 
