--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -291,10 +291,15 @@
         reachable = [
             host
             for host in self._hosts_by_id.values()
-            if host.takes_callers and self._delay(zone, host.zone) is not None
+            if host.takes_callers and self._connects(zone, host.zone)
         ]
         return self._rng.choice(reachable) if reachable else None
 
+    def _connects(self, source: str, target: str) -> bool:
+        """Tell whether a connection between zones opens: it needs both ways."""
+        there, back = self._delay(source, target), self._delay(target, source)
+        return there is not None and back is not None
+
     def _path_delay(self, host_ids: list[str]) -> float | None:
         """Return seconds along a path of hosts, ``None`` where it is cut."""
         total = 0.0
