Record traces on entry hosts

The file is bounded at 50 MB.

Found on the way: a stated outcome for request r-1 matched r-10 to r-19 as well; an id that exists is now matched alone.

--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -122,6 +122,11 @@
 @click.option("--peer-token", help="Secret that the hosts share.")
 @click.option("--document", type=_FILE, help="Document until a control host has one.")
 @click.option("--metrics-token", help="Bearer token that /metrics asks for.")
+@click.option(
+    "--record",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help="Write a trace to this file, 50 MB at most; keys and queries are hashed.",
+)
 @click.option(
     "--balancer-wait-ms",
     type=click.IntRange(0, 600_000),
@@ -155,6 +160,7 @@
     peer_token: str | None,
     document: pathlib.Path | None,
     metrics_token: str | None,
+    record: pathlib.Path | None,
     balancer_wait_ms: int,
     drain_ms: int,
     tls_certificate: pathlib.Path | None,
@@ -180,6 +186,7 @@
         balancer_wait=datetime.timedelta(milliseconds=balancer_wait_ms),
         drain_bound=datetime.timedelta(milliseconds=drain_ms),
         metrics_token=metrics_token,
+        record=record,
     )
     host = entry_module.EntryHost(
         entry_settings=entry_settings,
--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -11,6 +11,7 @@
 from greengagehaven.coordination import events
 from greengagehaven.daemons import metrics as metrics_module
 from greengagehaven.protocol import notices, search, upstream
+from greengagehaven.replay import recording
 from greengagehaven.state import directory
 
 MAX_OLD_TIMERS = 64
@@ -40,6 +41,7 @@
         notify: Notify = lambda payload: None,
         ask_recorder: AskRecorder = lambda action: None,
     ) -> None:
+        self.recorder: recording.TraceRecorder | None = None
         self._core = core
         self._channel = channel
         self._clock = clock
@@ -132,7 +134,10 @@
         if isinstance(event, events.PeerNotice):
             _log_quarantine(event.payload)
         try:
-            for action in self._core.step(event):
+            actions = self._core.step(event)
+            if self.recorder is not None:
+                self.recorder.observe(event, actions)
+            for action in actions:
                 self._handlers[type(action)](action)
         except Exception as error:
             # A fault in one decision must not stop the loop for all queries;
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
+import pathlib
 import random
 import ssl
 import typing
@@ -25,7 +26,8 @@
     upstream_path,
 )
 from greengagehaven.daemons import metrics as metrics_module
-from greengagehaven.protocol import notices, upstream
+from greengagehaven.protocol import notices, trace, upstream
+from greengagehaven.replay import recording
 from greengagehaven.state import configuration, directory, document
 from greengagehaven.transport import http, http_server, peers, upstream_channel
 
@@ -48,6 +50,7 @@
     :param balancer_wait: between not ready and no longer accepting.
     :param drain_bound: longest wait for requests in flight.
     :param metrics_token: needed for ``/metrics``; ``None`` leaves it open.
+    :param record: file for a trace that can be replayed; ``None`` for none.
     """
 
     host_id: str
@@ -62,6 +65,7 @@
     balancer_wait: datetime.timedelta = datetime.timedelta(seconds=2)
     drain_bound: datetime.timedelta = datetime.timedelta(seconds=20)
     metrics_token: str | None = None
+    record: pathlib.Path | None = None
 
 
 class EntryHost:
@@ -89,6 +93,7 @@
         peer_tls: peers.Tls | None = None,
     ) -> None:
         self.settings = entry_settings
+        self._record_file = self._open_record()
         self.clock = clock or clocks.SystemClock()
         self.directory = directory.Directory()
         self.metrics = metrics_module.Metrics()
@@ -273,6 +278,8 @@
         self._path.close()
         await self._claim_calls.close()
         await self._close_peers()
+        if self._record_file is not None:
+            self._record_file.close()
         log.info("entry_stopped", host=self.settings.host_id)
 
     async def _close_peers(self) -> None:
@@ -311,11 +318,36 @@
         if environment is None:
             return
         self._digest = state.digest
+        self._record_document(state)
         self._caller_api.set_environment(environment)
         self._submit(
             events.DocumentInForce(revision=state.revision, environment=environment)
         )
 
+    def _record_document(self, state: configuration.ConfigurationState) -> None:
+        text = state.document.decode()
+        if self.loop.recorder is not None:
+            self.loop.recorder.take_document(state.revision, text)
+        elif self._record_file is not None:
+            self.loop.recorder = recording.TraceRecorder(
+                host=trace.HostLine(id=self.settings.host_id, zone=self.settings.zone),
+                document=text,
+                view=self.directory,
+                clock=self.clock,
+                sink=self._record_file.write,
+            )
+
+    def _open_record(self) -> typing.BinaryIO | None:
+        path = self.settings.record
+        if path is None:
+            return None
+        try:
+            return path.open("wb")
+        except OSError as error:
+            raise exceptions.SettingError(
+                place="record", value=str(path), expected=f"a file ({error.strerror})"
+            ) from error
+
     def _submit(self, event: events.Event) -> None:
         self.loop.submit(event)
         self._path.take_event(event)
--- a/src/greengagehaven/protocol/trace.py
+++ b/src/greengagehaven/protocol/trace.py
@@ -9,6 +9,7 @@
 from greengagehaven.protocol import upstream
 
 VERSION = 1
+REPLIED = "replied"
 
 
 class HostLine(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -159,7 +160,7 @@
 
 
 class ExpectAnswer(Line, frozen=True, kw_only=True, tag="expect_answer"):
-    """Requests whose id starts with ``request`` are answered by ``at``."""
+    """The request, or those whose id starts so, are answered by ``at``."""
 
     request: str
     complete: bool | None = None
@@ -171,7 +172,7 @@
 
 
 class ExpectRefusal(Line, frozen=True, kw_only=True, tag="expect_refusal"):
-    """Requests whose id starts with ``request`` are refused by ``at``."""
+    """The request, or those whose id starts so, are refused by ``at``."""
 
     request: str
     code: str
--- a/src/greengagehaven/replay/outcomes.py
+++ b/src/greengagehaven/replay/outcomes.py
@@ -164,6 +164,9 @@
 
 
 def _endings(prefix: str, played: player.Player) -> dict[str, hosts.Ending | None]:
+    """Return the endings of the request with this id, else of this prefix."""
+    if prefix in played.searches_by_id:
+        return {prefix: played.endings_by_id.get(prefix)}
     return {
         request_id: played.endings_by_id.get(request_id)
         for request_id in played.searches_by_id
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -450,7 +450,7 @@
 def _recorded_outcome(
     line: trace.Outcome, sub_request: upstream.SubRequest
 ) -> upstream.Outcome:
-    if line.result == "replied":
+    if line.result == trace.REPLIED:
         return upstream.Replied(
             request_id=sub_request.request_id,
             attempt=sub_request.attempt,
