--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -154,7 +154,7 @@
             ledger=self._ledger,
             reserve=reserve,
             isolation=self._isolation,
-            may_probe=hedges.budget.spend,
+            may_probe=hedges.may_probe,
         )
         self._execution = execution.Execution(
             clock=clock,
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -21,6 +21,7 @@
 from greengagehaven.protocol import search, upstream
 
 _MAX_RESTARTS = 2
+_MAX_HEDGES = 2
 _HEDGE_AGAIN_RATIO = 0.5
 
 
@@ -213,7 +214,7 @@
         """
         for sub_request in batch:
             if not self._dispatcher.attempts_by_id[sub_request.id].extra:
-                self._hedges.budget.earn()
+                self._hedges.earn()
                 self._retry_budgets.earn(sub_request.shard_ref.service)
 
     def _arm_hedges(self, batch: list[upstream.SubRequest]) -> None:
@@ -345,16 +346,18 @@
             progress = running.progress_by_shard.get(shard_ref)
             if progress is None or attempt not in progress.attempts_by_id:
                 continue
-            if progress.hedged:
+            if progress.hedges >= _MAX_HEDGES:
                 continue
             sub_request = self._send_hedge(running, shard_ref)
             if sub_request is None:
                 unserved.append((shard_ref, attempt))
                 continue
-            progress.hedged = True
+            progress.hedges += 1
             batch.append(sub_request)
         if batch:
             actions.append(events.Dispatch(batch=tuple(batch)))
+            # The second one may straggle too.
+            self._arm_hedges(batch)
         if unserved:
             # Room or budget may come before the straggler's reply does.
             again = dataclasses.replace(timer, attempts=tuple(unserved))
--- a/src/greengagehaven/coordination/latency.py
+++ b/src/greengagehaven/coordination/latency.py
@@ -13,7 +13,9 @@
 _REFRESH_EVERY = 25
 _USUAL_WEIGHT = 0.05
 _USUAL_CAP = 3.0
+_STRAGGLING_RATIO = 1.5
 _UNKNOWN_S = 0.02
+_TAIL_QUANTILE = 0.99
 _LEAST_USUAL_S = 0.0005
 
 
@@ -37,6 +39,7 @@
         self._previous: ddsketch.DDSketch | None = None
         self._rotates_at: float | None = None
         self.value: float | None = None
+        self.tail: float | None = None
         self.usual: float | None = None
 
     def observe(self, seconds: float, now: float) -> None:
@@ -67,12 +70,16 @@
             merged.merge(self._previous)
         if merged.count >= _MIN_SAMPLES:
             self.value = merged.get_quantile_value(self._quantile)
+            tail = merged.get_quantile_value(_TAIL_QUANTILE)
+            # Above the sketch's error: where all take the same, all would
+            # straggle.
+            self.tail = tail * (1.0 + 2 * _RELATIVE_ACCURACY)
 
 
 class LatencyBook:
     """Latency of every class, and of all together for those without samples.
 
-    :param quantile: quantile that :meth:`quantile_of` returns.
+    :param quantile: quantile for :meth:`straggling_after`.
     """
 
     def __init__(self, *, quantile: float) -> None:
@@ -92,11 +99,19 @@
                 return max(_LEAST_USUAL_S, window.usual)
         return _UNKNOWN_S
 
-    def quantile_of(self, key: LatencyClass) -> float | None:
-        """Return the quantile of a class, ``None`` before enough samples."""
+    def straggling_after(self, key: LatencyClass) -> float | None:
+        """Return seconds after which a class straggles, ``None`` if unknown.
+
+        It is the quantile. Where latencies lie close together, the slowest
+        twentieth is hardly slower than the rest: to count it as straggling
+        gains nothing and eats the budget that a real straggler needs. Then it
+        is some multiple of the usual or the 99th percentile, if that is less.
+        """
         for window in self._windows_of(key):
-            if window is not None and window.value is not None:
-                return window.value
+            if window is None or window.value is None or window.tail is None:
+                continue
+            least = _STRAGGLING_RATIO * self.usual(key)
+            return max(window.value, min(window.tail, least))
         return None
 
     def _windows_of(self, key: LatencyClass) -> tuple[LatencyWindow | None, ...]:
--- a/src/greengagehaven/coordination/query.py
+++ b/src/greengagehaven/coordination/query.py
@@ -21,7 +21,7 @@
     :param tried: upstreams that got an attempt of this shard.
     :param rows: the rows of the one reply that was taken.
     :param missing: why there will be no rows, once that is certain.
-    :param hedged: whether a second attempt was sent beside a straggling one.
+    :param hedges: attempts that were sent beside straggling ones.
     """
 
     target: plan.ShardTarget
@@ -30,7 +30,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     rows: tuple[msgspec.Raw, ...] | None = None
     missing: search.MissingReason | None = None
-    hedged: bool = False
+    hedges: int = 0
 
     @property
     def settled(self) -> bool:
--- a/src/greengagehaven/coordination/selection.py
+++ b/src/greengagehaven/coordination/selection.py
@@ -18,9 +18,10 @@
 from greengagehaven.protocol import upstream
 
 _CHOICES = 2
-_SLOW_RATIO = 2.5
+_SLOW_RATIO = 2.0
 _SLOW_LEAST = 2.0
 _OTHER_ZONE_COST = 1.25
+_NEAR_RATIO = 1.5
 _FORGIVE_S = 5.0
 _PROBE_INTERVAL_S = 0.25
 
@@ -85,8 +86,7 @@
         """Return one of ``candidates`` (not empty)."""
         if len(candidates) == 1:
             return candidates[0]
-        nearby = [each for each in candidates if self._is_near_and_free(each, now)]
-        pool = nearby or candidates
+        pool = self._nearby(candidates, now) or candidates
         if len(pool) <= _CHOICES:
             sampled = list(pool)
             self._rng.shuffle(sampled)
@@ -111,6 +111,16 @@
                 return each
         return None
 
+    def _nearby(
+        self, candidates: abc.Sequence[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return those of the own zone that cost hardly more than any other."""
+        nearby = [each for each in candidates if self._is_near_and_free(each, now)]
+        if not nearby or len(nearby) == len(candidates):
+            return nearby
+        least = min(self._cost(each, now) for each in candidates)
+        return [each for each in nearby if self._cost(each, now) <= _NEAR_RATIO * least]
+
     def _is_near_and_free(self, candidate: Candidate, now: float) -> bool:
         announcement = candidate.announcement
         if announcement.availability_zone != self._zone:
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -21,6 +21,7 @@
 _LONGEST_EJECTION_S = 30.0
 _MOST_EJECTIONS = 8
 _FAILURE_WEIGHT = 4.0
+_STRAGGLING_AGE = 1.5
 _LOAD_HINT_S = 0.2
 _WITHIN_DECAY_S = 1.0
 _SHARES_HINT_S = 2.0
@@ -104,7 +105,13 @@
             self._ejections = 0
 
     def record_abandoned(self, age: float, now: float) -> None:
-        """Take in that an attempt had no reply for ``age`` times the usual."""
+        """Take in that an attempt had no reply for ``age`` times the usual.
+
+        Its reply would have taken longer still. Where it had straggled already,
+        twice as long is assumed.
+        """
+        if age > _STRAGGLING_AGE:
+            age *= 2.0
         if self.slowness is None or age > self.slowness:
             self.slowness = age
             self._seen_at = now
