--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -182,7 +182,9 @@
         others = 0
         if now - self._load_at < _LOAD_HINT_S:
             others = self._others_load
-        return self.in_flight + max(others, round(self.over_share(now)))
+        own_over_share = len(self.over_share_ids)
+        over_share = max(own_over_share, round(self.over_share(now)))
+        return self.in_flight + max(others, over_share)
 
     def cost(self, now: float, slots: int) -> float:
         """Return the expected wait for one more, in multiples of the usual."""
