Give callers a client and hold their interface to its word

Cause: the public face was missing, and nothing tested refusals end to end. Conclusion: mistakes are named, nothing of them runs, a resend runs once.

--- /dev/null
+++ b/features/caller.feature
@@ -0,0 +1,44 @@
+Feature: Callers of an environment in one process
+
+  Scenario: The public client gets a whole answer
+    Given a development environment on loopback
+    When the client searches credits-0 and credits-1 by sweep
+    Then the answer is complete, of one snapshot, with rows of both services
+
+  Scenario Outline: A request that breaks the interface is refused in words
+    A caller mistypes a key, a service or a header. A user notices a fault here
+    as an answer that leaves open what was wrong or whether something ran.
+
+    Given a development environment on loopback
+    When a search is sent with <mistake>
+    Then it is refused with status <status>, code <code> and ran no
+    And the environment still answers
+
+    Examples:
+      | mistake               | status | code            |
+      | a wrong key           | 401    | unauthorized    |
+      | no key                | 401    | unauthorized    |
+      | bad JSON              | 400    | invalid_request |
+      | an unknown field      | 400    | invalid_request |
+      | an unknown service    | 404    | unknown_service |
+      | an unknown kind       | 404    | unknown_kind    |
+      | no service            | 400    | invalid_request |
+      | a zero deadline       | 400    | invalid_request |
+      | a missing idempotency | 400    | invalid_request |
+
+  Scenario: A billed request that is sent again is not run again
+    The reply to a billed request is lost and the caller sends it again, through
+    another host. A user notices a second run as a second bill.
+
+    Given a development environment on loopback
+    When the same billed request is sent through every entry host
+    Then the answers are the same and the upstreams ran it once
+
+  Scenario: Announcements that cannot be true are refused
+    Something that is no upstream posts to the announce port. Without checks one
+    message could fill the directory or send queries to nowhere.
+
+    Given a development environment on loopback
+    When arbitrary announcements are posted many times
+    Then each gets a coded error or a lease
+    And the environment still answers
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,178 @@
+"""Steps about callers; the daemons' objects in this process, on loopback."""
+
+import asyncio
+import json
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+import greengagehaven
+from greengagehaven import exceptions, log
+from greengagehaven.daemons import dev
+from greengagehaven.transport import http_client
+
+SERVICES = ("credits-0", "credits-1")
+BODY = {"services": list(SERVICES), "kind": "sweep"}
+RETIRE = {"services": ["credits-0"], "kind": "retire", "query": {"key": "credits-0:1"}}
+KEY = {"Authorization": f"Bearer {dev.DEMO_KEY}"}
+REQUESTS = {
+    "a wrong key": (BODY, {"Authorization": "Bearer wrong"}),
+    "no key": (BODY, {}),
+    "bad JSON": (b'{"services": [', KEY),
+    "an unknown field": ({**BODY, "snapshot": 3}, KEY),
+    "an unknown service": ({**BODY, "services": ["nowhere"]}, KEY),
+    "an unknown kind": ({**BODY, "kind": "guess"}, KEY),
+    "no service": ({**BODY, "services": []}, KEY),
+    "a zero deadline": (BODY, {**KEY, "Request-Timeout-Ms": "0"}),
+    "a missing idempotency": (RETIRE, KEY),
+}
+
+
+@behave.given("a development environment on loopback")
+def given_environment(context):
+    log.configure(level="CRITICAL")
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    settings = dev.DevSettings(entry_port=0, operator_port=0, services=SERVICES)
+    context.dev = dev.Dev(dev_settings=settings)
+    context.add_cleanup(lambda: context.runner.run(context.dev.close()))
+    context.runner.run(_start(context.dev))
+
+
+async def _start(environment):
+    await environment.start()
+    await environment.wait_for_upstreams()
+
+
+async def _request(environment, method, path, body, headers):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    client = http_client.HttpClient(address=environment.entries[0].address)
+    try:
+        return await client.request(method, path, body=data, headers=headers)
+    finally:
+        client.close()
+
+
+def _search(context, **options):
+    url = f"http://{context.dev.entries[0].address}"
+    search = greengagehaven.search(url, SERVICES, "sweep", key=dev.DEMO_KEY, **options)
+    return context.runner.run(search)
+
+
+@behave.when("the client searches credits-0 and credits-1 by sweep")
+def when_client_searches(context):
+    context.answer = _search(context)
+
+
+@behave.then("the answer is complete, of one snapshot, with rows of both services")
+def then_answer_whole(context):
+    answer = context.answer
+    assert answer.coverage.complete and answer.coverage.total == len(SERVICES)
+    assert {result.service for result in answer.results} == set(SERVICES)
+    assert {result.row["snapshot"] for result in answer.results} == {answer.snapshot}
+
+
+@behave.when("a search is sent with {mistake}")
+def when_search_with_mistake(context, mistake):
+    body, headers = REQUESTS[mistake]
+    request = _request(context.dev, "POST", "/v1/search", body, headers)
+    context.reply = context.runner.run(request)
+
+
+@behave.then("it is refused with status {status:d}, code {code} and ran no")
+def then_refused_so(context, status, code):
+    problem = json.loads(context.reply.body)
+    got = (context.reply.status, problem["code"], problem["ran"])
+    assert got == (status, code, "no"), context.reply
+    assert context.reply.headers["content-type"] == "application/problem+json"
+    assert context.dev.tally.runs == 0
+
+
+@behave.then("the environment still answers")
+def then_still_answers(context):
+    assert _search(context).coverage.complete
+
+
+@behave.when("the same billed request is sent through every entry host")
+def when_billed_everywhere(context):
+    async def send(host, delay):
+        await asyncio.sleep(delay)
+        async with greengagehaven.Session(
+            f"http://{host.address}", key=dev.DEMO_KEY
+        ) as session:
+            try:
+                return await session.search(
+                    RETIRE["services"],
+                    RETIRE["kind"],
+                    RETIRE["query"],
+                    idempotency_key="order-1",
+                )
+            except exceptions.RequestError as error:
+                return error
+
+    async def send_all():
+        first = await send(context.dev.entries[0], 0)
+        rest = [send(host, 0) for host in context.dev.entries]
+        return [first, *await asyncio.gather(*rest)]
+
+    context.answers = context.runner.run(send_all())
+
+
+@behave.then("the answers are the same and the upstreams ran it once")
+def then_ran_once(context):
+    first = context.answers[0]
+    assert first.coverage.complete
+    for answer in context.answers:
+        assert answer.results == first.results, answer
+    assert context.dev.tally.runs == 1
+    assert context.dev.tally.doubled == 0
+
+
+@behave.when("arbitrary announcements are posted many times")
+def when_arbitrary_announcements(context):
+    context.replies = []
+    valid = {
+        "id": "u-1",
+        "incarnation": 1,
+        "sequence": 1,
+        "address": "127.0.0.1:9",
+        "availability_zone": "a",
+        "state": "starting",
+        "slots": 2,
+        "max_connections": 25,
+        "snapshots": [41],
+        "shards": [
+            {"service": "other", "shard": 0, "shard_count": 1, "partitioning": 3}
+        ],
+    }
+    values = (
+        strategies.none()
+        | strategies.integers()
+        | strategies.text(max_size=20)
+        | strategies.lists(strategies.integers(), max_size=3)
+    )
+    changes = strategies.dictionaries(
+        strategies.sampled_from(sorted(valid)), values, min_size=1, max_size=2
+    )
+    bodies = changes.map(lambda change: json.dumps({**valid, **change}).encode())
+
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=100, deadline=None
+    )
+    @hypothesis.given(bodies | strategies.binary(max_size=100))
+    def post(body):
+        request = _request(context.dev, "POST", "/v1/announce", body, {})
+        context.replies.append(context.runner.run(request))
+
+    post()
+
+
+@behave.then("each gets a coded error or a lease")
+def then_coded_or_lease(context):
+    assert len(context.replies) >= 100
+    for reply in context.replies:
+        body = json.loads(reply.body)
+        is_lease = reply.status == 200 and body["lease_ms"] > 0
+        is_coded = 400 <= reply.status < 500 and body["code"]
+        assert is_lease or is_coded, reply
--- /dev/null
+++ b/src/greengagehaven/client.py
@@ -0,0 +1,245 @@
+"""Client for callers: one function for one search, a session for many.
+
+>>> import greengagehaven
+>>> answer = await greengagehaven.search(
+...     "http://127.0.0.1:8080", ["credits-0"], "sweep", key="demo-key"
+... )
+>>> answer.coverage.complete
+True
+"""
+
+import datetime
+import ssl
+import types
+import typing
+import urllib.parse
+
+import msgspec
+
+from greengagehaven import exceptions, settings
+from greengagehaven.protocol import codec
+from greengagehaven.protocol import search as messages
+from greengagehaven.transport import client_connection, http_client
+
+DEFAULT_TIMEOUT = datetime.timedelta(seconds=10)
+PATIENCE = datetime.timedelta(seconds=1)
+SEARCH_PATH = "/v1/search"
+REQUESTS_PATH = "/v1/requests/"
+HTTP_OK = 200
+_PORTS_BY_SCHEME = {"http": 80, "https": 443}
+
+Query = typing.Mapping[str, typing.Any]
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """One row of an answer and the shard that it came from."""
+
+    service: str
+    shard: int
+    row: typing.Any
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a search: rows of one snapshot, and what they cover."""
+
+    request_id: str
+    snapshot: int
+    results: tuple[Row, ...]
+    coverage: messages.Coverage
+
+
+class Session:
+    """Searches over connections that are kept alive.
+
+    >>> async with Session("http://127.0.0.1:8080", key="demo-key") as session:
+    ...     answer = await session.search(["credits-0"], "sweep")
+    ...     for result in answer.results:
+    ...         print(result.service, result.row)
+
+    :param url: an entry host or the balancer before them, by IP number.
+    :param key: the subscriber's key.
+    :param timeout: default for every search.
+    :param tls: context for ``https``; the system's authorities by default.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        key: str = "",
+        timeout: datetime.timedelta = DEFAULT_TIMEOUT,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.timeout = timeout
+        self._headers = {"Authorization": f"Bearer {key}"} if key else {}
+        address, is_secure = _read_url(url)
+        if is_secure and tls is None:
+            tls = ssl.create_default_context()
+        self._client = http_client.HttpClient(
+            address=address, tls=tls if is_secure else None
+        )
+
+    async def __aenter__(self) -> "Session":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Close every connection; searches under way fail."""
+        self._client.close()
+
+    async def search(
+        self,
+        services: typing.Sequence[str],
+        kind: str,
+        query: Query | None = None,
+        *,
+        idempotency_key: str | None = None,
+        require_complete: bool | None = None,
+        timeout: datetime.timedelta | None = None,
+    ) -> Answer:
+        """Search services and return the answer.
+
+        :param query: what the upstreams are asked; none by default.
+        :param idempotency_key: needed for kinds that may run only once; a
+            resend with the same key never runs the request again.
+        :param require_complete: ``True`` to get an error instead of a partial
+            answer, ``None`` for the policy of the kind.
+        :param timeout: for the whole search.
+        :raises RequestError: the error that the tier answered; ``ran`` tells
+            whether a part may have run, ``retry_after`` when to resend.
+        :raises UpstreamError: there was no answer; see ``ConnectError``, where
+            nothing was sent, and ``ConnectionLostError``.
+        """
+        body: dict[str, typing.Any] = {"services": list(services), "kind": kind}
+        if query is not None:
+            body["query"] = query
+        if require_complete is not None:
+            body["require_complete"] = require_complete
+        bound = timeout or self.timeout
+        milliseconds = max(1, int(bound.total_seconds() * 1000))
+        headers = {"Request-Timeout-Ms": str(milliseconds)}
+        if idempotency_key is not None:
+            headers["Idempotency-Key"] = idempotency_key
+        # The host's own error comes at the deadline and says more than a
+        # timeout of the connection would, so the connection waits longer.
+        reply = await self._request(
+            "POST", SEARCH_PATH, body, headers=headers, timeout=bound + PATIENCE
+        )
+        return _read(reply, Answer, body)
+
+    async def request_status(self, idempotency_key: str) -> messages.RequestStatus:
+        """Return what became of a request that may run only once.
+
+        :raises NotFoundError: no request with this key is known.
+        """
+        path = REQUESTS_PATH + urllib.parse.quote(idempotency_key, safe="")
+        reply = await self._request("GET", path, None, timeout=self.timeout)
+        return _read(reply, messages.RequestStatus, idempotency_key)
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any,
+        *,
+        headers: dict[str, str] | None = None,
+        timeout: datetime.timedelta,
+    ) -> client_connection.Reply:
+        try:
+            return await self._client.request(
+                method,
+                path,
+                body=b"" if body is None else codec.encode_json(body),
+                headers={**self._headers, **(headers or {})},
+                timeout=timeout,
+            )
+        except exceptions.UpstreamError as error:
+            error.request = body
+            raise
+
+
+async def run_search(
+    url: str,
+    services: typing.Sequence[str],
+    kind: str,
+    query: Query | None = None,
+    *,
+    key: str = "",
+    tls: ssl.SSLContext | None = None,
+    **options: typing.Any,
+) -> Answer:
+    """Search once; takes what :meth:`Session.search` takes.
+
+    >>> await greengagehaven.search(
+    ...     "http://127.0.0.1:8080", ["credits-0"], "lookup",
+    ...     {"key": "credits-0:7"}, key="demo-key",
+    ... )
+
+    :param url: an entry host or the balancer before them, by IP number.
+    :param key: the subscriber's key.
+    """
+    async with Session(url, key=key, tls=tls) as session:
+        return await session.search(services, kind, query, **options)
+
+
+def _read_url(url: str) -> tuple[str, bool]:
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme not in _PORTS_BY_SCHEME or not parts.hostname:
+        raise exceptions.SettingError(
+            place="url", value=url, expected="http://IP:PORT or https://IP:PORT"
+        )
+    port = parts.port or _PORTS_BY_SCHEME[parts.scheme]
+    address = settings.format_address(parts.hostname, port)
+    settings.parse_address("url", address)
+    return address, parts.scheme == "https"
+
+
+def _read(
+    reply: client_connection.Reply, message_type: type, request: typing.Any
+) -> typing.Any:
+    if reply.status == HTTP_OK:
+        return codec.decode_json(reply.body, message_type, place="answer")
+    problem = _read_problem(reply)
+    error = _error_of(problem)
+    error.request = request
+    error.response = reply
+    raise error
+
+
+def _read_problem(reply: client_connection.Reply) -> messages.Problem:
+    try:
+        return msgspec.json.decode(reply.body, type=messages.Problem)
+    except msgspec.DecodeError:
+        # Something between the two answered, so nothing is known of the run.
+        return messages.Problem(
+            code=exceptions.RequestError.code,
+            title="an answer that is no problem document",
+            status=reply.status,
+            ran=str(exceptions.Ran.UNKNOWN),
+        )
+
+
+def _error_of(problem: messages.Problem) -> exceptions.RequestError:
+    types_by_code = _types_by_code(exceptions.RequestError)
+    error_type = types_by_code.get(problem.code, exceptions.RequestError)
+    error = error_type.__new__(error_type)
+    ran = exceptions.Ran(problem.ran or exceptions.Ran.UNKNOWN)
+    exceptions.RequestError.__init__(
+        error, problem.detail, ran=ran, retry_after=problem.retry_after
+    )
+    error.code = problem.code
+    return error
+
+
+def _types_by_code(base: type) -> dict[str, type]:
+    found = {base.code: base}
+    for kind in base.__subclasses__():
+        found.update(_types_by_code(kind))
+    return found
--- a/src/greengagehaven/protocol/search.py
+++ b/src/greengagehaven/protocol/search.py
@@ -1,6 +1,7 @@
 """Messages between callers and the system (docs/PROTOCOL.md)."""
 
 import enum
+import typing
 
 import msgspec
 
@@ -86,4 +87,4 @@
     idempotency_key: str
     state: RequestState
     request_id: str | None = None
-    answer: msgspec.Raw | None = None
+    answer: typing.Any = None
