--- a/features/caller.feature
+++ b/features/caller.feature
@@ -41,4 +41,5 @@
     Given a development environment on loopback
     When arbitrary announcements are posted many times
     Then each gets a coded error or a lease
+    And every upstream in the directory can be true
     And the environment still answers
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -1,6 +1,7 @@
 """Steps about callers; the daemons' objects in this process, on loopback."""
 
 import asyncio
+import itertools
 import json
 
 import behave
@@ -147,7 +148,8 @@
         ],
     }
     values = (
-        strategies.none()
+        strategies.sampled_from([0, -1, "127.0.0.1", "host:80", "127.0.0.1:0", ""])
+        | strategies.none()
         | strategies.integers()
         | strategies.text(max_size=20)
         | strategies.lists(strategies.integers(), max_size=3)
@@ -155,10 +157,16 @@
     changes = strategies.dictionaries(
         strategies.sampled_from(sorted(valid)), values, min_size=1, max_size=2
     )
-    bodies = changes.map(lambda change: json.dumps({**valid, **change}).encode())
+    # Each has its own id: news of one that is known could be refused for that.
+    numbers = itertools.count(2)
+    bodies = changes.map(
+        lambda change: json.dumps(
+            {**valid, "id": f"u-{next(numbers)}", **change}
+        ).encode()
+    )
 
     @hypothesis.settings(
-        database=None, derandomize=True, max_examples=100, deadline=None
+        database=None, derandomize=True, max_examples=200, deadline=None
     )
     @hypothesis.given(bodies | strategies.binary(max_size=100))
     def post(body):
@@ -176,3 +184,12 @@
         is_lease = reply.status == 200 and body["lease_ms"] > 0
         is_coded = 400 <= reply.status < 500 and body["code"]
         assert is_lease or is_coded, reply
+
+
+@behave.then("every upstream in the directory can be true")
+def then_directory_true(context):
+    for host in context.dev.entries:
+        for announcement in host.directory.upstreams_by_id.values():
+            _, _, port = announcement.address.rpartition(":")
+            assert int(port) > 0 and announcement.slots > 0, announcement
+            assert announcement.id, announcement
--- a/src/greengagehaven/daemons/measure/runner.py
+++ b/src/greengagehaven/daemons/measure/runner.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from greengagehaven import log
 from greengagehaven.coordination import options as options_module
 from greengagehaven.daemons import dev
 from greengagehaven.daemons.measure import caller, faults, scenarios
@@ -121,6 +122,8 @@
     ends = callers.counts_by_end
     latencies = sorted(callers.latencies)
     needed = max(1, callers.answered_shards)
+    if tally.violations_by_name:
+        log.warning("violations", **tally.violations_by_name)
     excess_crashes = max(0, tally.crashes - scenario.max_crashes)
     return Figures(
         queries=ends.total(),
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -152,7 +152,9 @@
             self._sweeper.cancel()
             tasks.append(self._sweeper)
             self._sweeper = None
-        waited = [task for task in tasks if task is not None]
+        # A handler that stops its own server cannot wait for itself.
+        own = asyncio.current_task()
+        waited = [task for task in tasks if task is not None and task is not own]
         await asyncio.gather(*waited, return_exceptions=True)
 
     def cut(self, fraction: float = 1.0) -> int:
