Bound what news may cost; keep to few partners

Cause: a hundred hosts in one process never settled: hosts that answered late were suspected, refuted, and each of these was pushed on by all that heard it, which made the hosts later still (a metastable failure); every timeout opened a new connection, too. Changes: pushes cost credit (6 calls a second, 40 at once), suspicions travel with probes only, a silent channel is replaced at most every 5 s, each host keeps to four partners in another zone, renewals go every 250 ms and one call at a time to a home, and a host that misses its ticks is slower to accuse. Proof: 'A new index version reaches all upstreams within seconds' is red with the credit unlimited. Conclusion: what control may send is bounded by itself, not by the news.

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -83,6 +83,50 @@
     context.wire.run(5)
 
 
+@behave.given("{count:d} further directory upstreams in each zone")
+def given_further_upstreams(context, count):
+    for zone in ("a", "b", "c"):
+        hosts = tuple(sorted(hosts_of(context, zone)))
+        for number in range(100, 100 + count):
+            each = wire.Upstream(context.wire, f"u-{zone}{number}", zone, hosts=hosts)
+            context.upstreams_by_id[each.id] = each
+    context.wire.run(5)
+
+
+@behave.when("all directory upstreams load snapshot {snapshot:d} within {seconds:d} s")
+def when_snapshot_loaded(context, snapshot, seconds):
+    context.wire.calls_by_host.clear()
+    context.calls_since = context.wire.clock.monotonic()
+    count = len(context.upstreams_by_id)
+    for each in context.upstreams_by_id.values():
+        each.snapshots = (*each.snapshots, snapshot)
+        each.announce()
+        context.wire.run(seconds / count)
+
+
+@behave.then(
+    "after {seconds:d} s every host knows snapshot {snapshot:d} "
+    "of all directory upstreams"
+)
+def then_snapshot_known(context, seconds, snapshot):
+    context.wire.run(seconds)
+    for host_id, host in context.wire.hosts_by_id.items():
+        late = [
+            known.id
+            for known in host.directory.upstreams_by_id.values()
+            if snapshot not in known.snapshots
+        ]
+        assert not late, f"{host_id} has old news of {late}"
+        assert len(host.directory.upstreams_by_id) == len(context.upstreams_by_id)
+
+
+@behave.then("meanwhile no host made more than {limit:d} membership calls a second")
+def then_few_calls(context, limit):
+    elapsed = context.wire.clock.monotonic() - context.calls_since
+    for host_id, count in context.wire.calls_by_host.items():
+        assert count / elapsed <= limit, f"{host_id} made {count} in {elapsed} s"
+
+
 @behave.when("{seconds:g} s pass for membership")
 def when_time_passes(context, seconds):
     context.wire.run(seconds)
--- a/features/upstream_directory.feature
+++ b/features/upstream_directory.feature
@@ -11,6 +11,16 @@
 
     Then over 20 s no upstream record travels between hosts
 
+  Scenario: A new index version reaches all upstreams within seconds
+    Hundreds of upstreams load the next snapshot one after another. Were each
+    change pushed by itself, hosts would be busy with calls, answer probes late,
+    be suspected for it, and get still more calls about that.
+
+    Given 100 further directory upstreams in each zone
+    When all directory upstreams load snapshot 43 within 3 s
+    Then after 3 s every host knows snapshot 43 of all directory upstreams
+    And meanwhile no host made more than 20 membership calls a second
+
   Scenario: An upstream that leaves by word
     An upstream says goodbye to one host. Any other host that went on sending
     it work would have its sub-requests cut off.
--- a/src/greengagehaven/coordination/membership/detector.py
+++ b/src/greengagehaven/coordination/membership/detector.py
@@ -121,6 +121,10 @@
         self._health_score = min(_MAX_HEALTH_SCORE, self._health_score + 1)
         return record.with_status(membership.HostStatus.SUSPECT)
 
+    def note_slow(self) -> None:
+        """Take in that this host itself did not keep up with its ticks."""
+        self._health_score = min(_MAX_HEALTH_SCORE, self._health_score + 1)
+
     def watch(self, record: membership.HostRecord, now: float) -> None:
         """Start or end the term of a suspicion, whoever raised it."""
         if record.zone != self._zone:
--- a/src/greengagehaven/coordination/membership/hosts.py
+++ b/src/greengagehaven/coordination/membership/hosts.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from greengagehaven.coordination.membership import digests
+from greengagehaven.coordination.membership import digests, rings
 from greengagehaven.protocol import membership
 
 # A record of a host that is gone has to outlive every copy of the older news
@@ -51,6 +51,14 @@
         ids = sorted(self.live_ids(zone) - {self._own_id})
         return [self._records_by_id[host_id] for host_id in ids]
 
+    def partner_ids(self, zone: str) -> list[str]:
+        """Return the live hosts of a zone that this one keeps in touch with."""
+        live = self.live_ids(zone)
+        own = self._records_by_id[self._own_id]
+        if zone == own.zone:
+            return rings.targets_of(self._own_id, live)
+        return rings.partners_of(self._own_id, live)
+
     @property
     def zones(self) -> list[str]:
         """Return zones that have a live host, in a fixed order."""
--- a/src/greengagehaven/coordination/membership/intake.py
+++ b/src/greengagehaven/coordination/membership/intake.py
@@ -76,7 +76,10 @@
         if record.zone == self._known.own_zone:
             self._leases.adopt_all(now)
         if push:
-            self._rumors.add(record, is_own=is_own)
+            # A suspicion is in no hurry: whoever calls the suspect tells it.
+            # Pushed, suspicions of slow hosts would make them slower.
+            is_suspicion = record.status is membership.HostStatus.SUSPECT
+            self._rumors.add(record, is_own=is_own, push=not is_suspicion)
         if known is None or known.status is not record.status:
             self._outbox.note(
                 _EVENTS_BY_STATUS[record.status],
@@ -124,5 +127,5 @@
             self._outbox.note("host_id_conflict", host=own.id, other=record.address)
         revived = own.revived(record.incarnation + 1)
         self._known.put_host(revived, self._outbox.now)
-        self._rumors.add(revived, is_own=True)
+        self._rumors.add(revived, is_own=False)
         self._outbox.note("refuted", host=own.id, incarnation=revived.incarnation)
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -28,9 +28,16 @@
 PUSH_FAN_OUT = 3
 PUSH_FAR = 2
 PUSH_BYTES = 32_768
+# News is pushed at once while it is little; when it comes thick it waits and
+# travels together. Hosts that are slow would else be suspected, refute, and get
+# more calls about that, the slower they answer.
+PUSH_CALLS_PER_S = 6.0
+PUSH_CALLS_AT_ONCE = 40.0
 # A host that finds no peer for this long serves by itself.
 JOIN_PATIENCE_S = 3.0
 SLOW_CHECK_S = 1.0
+# Ticks come every tenth of a second.
+SLOW_S = 0.3
 STALL_S = 1.0
 DEFAULT_RETENTION = upstreams.Retention()
 
@@ -96,6 +103,8 @@
         self._started_at = clock.monotonic()
         self._stepped_at = self._started_at
         self._push_at = 0.0
+        self._push_credit = PUSH_CALLS_AT_ONCE
+        self._push_credit_at = self._started_at
         self._slow_check_at = 0.0
         self._is_joined = not seeds
         self._reported: tuple[int, dict[str, str]] = (-1, {})
@@ -114,6 +123,7 @@
             calls.Probe: self._probing.on_answered,
             calls.RelayedProbe: self._probing.on_answered,
             calls.Compare: self._syncing.on_compared,
+            calls.Forward: self._renewing.on_answered,
             calls.Transfer: self._on_transferred,
         }
         self._failures_by_purpose: dict[type, typing.Callable] = {
@@ -264,6 +274,8 @@
         now = self._outbox.now
         gap = now - self._stepped_at
         self._stepped_at = now
+        if gap > SLOW_S:
+            self._detector.note_slow()
         if gap > STALL_S:
             # The process stood still. What it knows may have outlived the
             # tombstones of what left meanwhile, and must not be spread.
@@ -291,6 +303,13 @@
         now = self._outbox.now
         if now < self._push_at or not self._rumors.has_unpushed or self.has_left:
             return
+        elapsed = now - self._push_credit_at
+        self._push_credit_at = now
+        self._push_credit = min(
+            PUSH_CALLS_AT_ONCE, self._push_credit + elapsed * PUSH_CALLS_PER_S
+        )
+        if self._push_credit <= 0:
+            return
         self._push_at = now + PUSH_INTERVAL_S
         records, own_records = self._rumors.take_unpushed(PUSH_BYTES)
         self._push_to(self._near_targets(), records)
@@ -302,20 +321,25 @@
     ) -> None:
         hosts, upstreams = rumors.split(records)
         message = self._outbox.plain("", hosts=hosts, upstreams=upstreams)
+        self._push_credit -= len(targets)
         for target in targets:
             self._outbox.call(calls.Push(), target, message)
 
     def _near_targets(self) -> list[membership.HostRecord]:
-        near = self._known.hosts.others(self._known.own_zone)
-        return self._rng.sample(near, min(PUSH_FAN_OUT, len(near)))
+        return self._some_of(self._known.own_zone, PUSH_FAN_OUT)
 
     def _far_targets(self) -> list[membership.HostRecord]:
-        targets = []
-        for zone in self._known.hosts.zones:
-            if zone != self._known.own_zone:
-                far = self._known.hosts.others(zone)
-                targets += self._rng.sample(far, min(PUSH_FAR, len(far)))
-        return targets
+        return [
+            target
+            for zone in self._known.hosts.zones
+            if zone != self._known.own_zone
+            for target in self._some_of(zone, PUSH_FAR)
+        ]
+
+    def _some_of(self, zone: str, count: int) -> list[membership.HostRecord]:
+        partner_ids = self._known.hosts.partner_ids(zone)
+        chosen = self._rng.sample(partner_ids, min(count, len(partner_ids)))
+        return [self._known.hosts.records_by_id[host_id] for host_id in chosen]
 
     def _report(self) -> None:
         self._refresh_zones()
--- a/src/greengagehaven/coordination/membership/probing.py
+++ b/src/greengagehaven/coordination/membership/probing.py
@@ -96,7 +96,8 @@
 
     def _suspect(self, suspicion: membership.HostRecord | None) -> None:
         if suspicion is not None:
-            self._intake.take_host(suspicion, push=True, is_own=True)
+            # Other zones need not hear of it: it is refuted or confirmed here.
+            self._intake.take_host(suspicion, push=True)
 
     def _contact_zones(self) -> None:
         near = len(self._known.hosts.live_ids(self._known.own_zone))
@@ -104,13 +105,10 @@
             if zone == self._known.own_zone:
                 continue
             if self._rng.random() < ZONE_CONTACTS / near:
-                others = self._promising(self._known.hosts.others(zone))
-                self._contact(f"zone {zone}", self._rng.choice(others))
+                self._contact(f"zone {zone}", self._rng.choice(self._promising(zone)))
 
-    def _promising(
-        self, hosts: list[membership.HostRecord]
-    ) -> list[membership.HostRecord]:
-        """Return the hosts that did not fail lately, or all if all did.
+    def _promising(self, zone: str) -> list[membership.HostRecord]:
+        """Return partners in a zone that did not fail lately, else any hosts.
 
         A zone's dead hosts stay listed elsewhere until a live one of it says
         so; to come upon the live one by chance could take too long.
@@ -121,7 +119,10 @@
             for host_id, failed_at in self._failed_at_by_id.items()
             if failed_at >= since
         }
-        return [host for host in hosts if host.id not in self._failed_at_by_id] or hosts
+        hosts = self._known.hosts.others(zone)
+        partner_ids = self._known.hosts.partner_ids(zone)
+        untried = [each for each in hosts if each.id not in self._failed_at_by_id]
+        return [each for each in untried if each.id in partner_ids] or untried or hosts
 
     def _contact_silent(self) -> None:
         silent = self._known.hosts.silent()
--- a/src/greengagehaven/coordination/membership/renewing.py
+++ b/src/greengagehaven/coordination/membership/renewing.py
@@ -9,7 +9,7 @@
 )
 from greengagehaven.protocol import membership
 
-FLUSH_INTERVAL_S = 0.1
+FLUSH_INTERVAL_S = 0.25
 MAX_TRIES = 3
 
 
@@ -30,6 +30,7 @@
         self._leases = leases
         self._outbox = outbox
         self._renewals_by_home: dict[str, dict[str, membership.Renewal]] = {}
+        self._busy_home_ids: set[str] = set()
         self._flush_at = 0.0
 
     def add(self, renewal: membership.Renewal) -> None:
@@ -68,9 +69,18 @@
         if self._outbox.now < self._flush_at:
             return
         self._flush_at = self._outbox.now + FLUSH_INTERVAL_S
-        waiting, self._renewals_by_home = self._renewals_by_home, {}
-        for home_id, renewals_by_id in waiting.items():
-            self._forward(home_id, tuple(renewals_by_id.values()), tried_ids=())
+        for home_id in [*self._renewals_by_home]:
+            # One call at a time to each: a home that is slow gets fewer and
+            # larger calls, not more of them.
+            if home_id not in self._busy_home_ids:
+                renewals_by_id = self._renewals_by_home.pop(home_id)
+                self._busy_home_ids.add(home_id)
+                self._forward(home_id, tuple(renewals_by_id.values()), tried_ids=())
+
+    def on_answered(self, purpose: calls.Forward, answer: membership.Exchange) -> None:
+        """Let the next renewals go to a home host."""
+        if purpose.tried_ids == ():
+            self._busy_home_ids.discard(purpose.home_id)
 
     def on_failed(self, purpose: calls.Forward) -> None:
         """Send renewals to the hosts that would be next to keep the leases.
@@ -80,6 +90,8 @@
         """
         if purpose.tried_ids is None:
             return
+        if not purpose.tried_ids:
+            self._busy_home_ids.discard(purpose.home_id)
         tried_ids = (*purpose.tried_ids, purpose.home_id)
         if len(tried_ids) >= MAX_TRIES:
             return
@@ -114,6 +126,7 @@
     ) -> None:
         home = self._known.hosts.get(home_id)
         if home is None:
+            self._busy_home_ids.discard(home_id)
             return
         is_relayed = tried_ids is None
         message = self._outbox.compose(
--- a/src/greengagehaven/coordination/membership/rumors.py
+++ b/src/greengagehaven/coordination/membership/rumors.py
@@ -32,9 +32,10 @@
     def __init__(self) -> None:
         self._rumors_by_key: dict[tuple[type, str], _Rumor] = {}
 
-    def add(self, record: Record, *, is_own: bool) -> None:
+    def add(self, record: Record, *, is_own: bool, push: bool = True) -> None:
         """Pass a record on, in place of an older one of the same id.
 
+        :param push: whether to send it at once, besides with probes.
         :param is_own: whether this host is the first to say so; then it sees
             to it that other zones hear it at once.
         """
@@ -43,7 +44,7 @@
         if len(self._rumors_by_key) >= MAX_RUMORS:
             del self._rumors_by_key[next(iter(self._rumors_by_key))]
         self._rumors_by_key[key] = _Rumor(
-            record=record, left=TRANSMISSIONS, is_own=is_own
+            record=record, left=TRANSMISSIONS, is_own=is_own, is_pushed=not push
         )
 
     @property
--- a/src/greengagehaven/transport/peers.py
+++ b/src/greengagehaven/transport/peers.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import hmac
+import math
 from collections import abc
 
 import grpc
@@ -23,6 +24,7 @@
 MAX_CHANNELS = 256
 MAX_CONCURRENT_CALLS = 1000
 CLOSE_GRACE_S = 5.0
+REPLACE_INTERVAL_S = 5.0
 TOKEN_KEY = "greengagehaven-token-bin"
 
 _KEEPALIVE_OPTIONS = (
@@ -258,6 +260,7 @@
         self._channels_by_address: collections.OrderedDict[str, _Channel] = (
             collections.OrderedDict()
         )
+        self._replace_at_by_address: dict[str, float] = {}
         self._closing: set[asyncio.Task[None]] = set()
         self.calls = 0
         self.bytes_sent = 0
@@ -309,7 +312,8 @@
             kept = _Channel(channel=channel, heard_at=self._clock.monotonic())
             self._channels_by_address[address] = kept
             if len(self._channels_by_address) > MAX_CHANNELS:
-                _, unused = self._channels_by_address.popitem(last=False)
+                unused_address, unused = self._channels_by_address.popitem(last=False)
+                self._replace_at_by_address.pop(unused_address, None)
                 self._close_later(unused)
         self._channels_by_address.move_to_end(address)
         return kept
@@ -334,7 +338,14 @@
                 kept.heard_at = self._clock.monotonic()
             return
         is_current = self._channels_by_address.get(address) is kept
-        if is_current and kept.heard_at <= started:
+        if not is_current or kept.heard_at > started:
+            return
+        # Not again and again: a host that is slow, or this one, would get a new
+        # connection to set up with every call that comes too late, and grow
+        # slower still.
+        now = self._clock.monotonic()
+        if now >= self._replace_at_by_address.get(address, -math.inf):
+            self._replace_at_by_address[address] = now + REPLACE_INTERVAL_S
             log.debug("peer_channel_replaced", address=address)
             self.forget(address)
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -5,8 +5,8 @@
 
 Prints one JSON object. Hosts run the daemons' own membership loops over gRPC on
 loopback in this process; processor time is the process's own, bytes are bodies
-of messages (``wire_bytes_per_call`` says what gRPC adds to each), memory is what
-Python's allocator handed out.
+of messages (``wire_bytes_per_call`` says what gRPC adds to each), memory of a host
+is resident memory, of an entry what Python's allocator handed out.
 """
 
 import argparse
@@ -15,6 +15,7 @@
 import json
 import pathlib
 import random
+import resource
 import sys
 import time
 import tracemalloc
@@ -121,12 +122,10 @@
 
 async def measure_hosts(count: int) -> dict[str, float]:
     """Cost of control for a host among ``count`` that have nothing to say."""
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
+    before = resident_bytes()
     hosts = await start_hosts(count)
     await asyncio.sleep(SETTLE_S)
-    after, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
+    after = resident_bytes()
     idle = await measure_span(hosts, SPAN_S)
     seconds = await restart_some(hosts)
     await asyncio.gather(*(host.stop() for host in hosts))
@@ -135,7 +134,7 @@
         "cpu_share": round(idle["cpu_share"], 5),
         "body_bytes_per_s": round(idle["bytes_per_s"], 1),
         "calls_per_s": round(idle["calls_per_s"], 2),
-        "python_bytes_per_host": round((after - before) / count),
+        "resident_bytes_per_host": round((after - before) / count),
         "restart_known_everywhere_s": round(seconds, 2),
     }
 
@@ -207,6 +206,12 @@
     return tier.bytes - before
 
 
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
 async def measure_span(hosts: list[Host], seconds: float) -> dict[str, float]:
     """Return processor time, bytes and calls of one host in a second."""
     calls = sum(host.client.calls for host in hosts)
