--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -4,13 +4,14 @@
 import itertools
 
 import behave
+import msgspec
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from fakes import core as fake_core
 from fakes import timed_upstreams
 from greengagehaven import exceptions
-from greengagehaven.coordination import events, fair_queue, wait_times
+from greengagehaven.coordination import events, fair_queue, options, wait_times
 from greengagehaven.protocol import notices, upstream
 
 DOCUMENT = f"""
@@ -85,7 +86,9 @@
 
 @behave.given("the fairness tier with {count:d} upstream of {slots:d} slots")
 def given_tier(context, count, slots):
-    context.tier = fake_core.FakeTier(document_text=DOCUMENT)
+    context.tier = fake_core.FakeTier(
+        document_text=DOCUMENT, switches=options.Options(slow_start=False)
+    )
     context.tier.put(
         *(fake_core.announce(f"u-{number}", slots=slots) for number in range(count))
     )
@@ -177,7 +180,7 @@
 
 @behave.then("the place goes to light")
 def then_light_next(context):
-    requests = [sent.request_id for sent in context.tier.sent]
+    requests = [started.request_id for started in context.load.upstreams.started]
     assert requests[4].startswith("light"), requests
 
 
@@ -208,10 +211,11 @@
 def when_light_regular(context):
     context.at_once = []
     for _ in range(6):
-        before = len(context.tier.sent)
+        before = len(context.load.upstreams.started)
         request_id = context.load.submit("light")
-        sent = {sub_request.request_id for sub_request in context.tier.sent[before:]}
-        context.at_once.append(request_id in sent)
+        context.load.upstreams.run(0.0)
+        started = context.load.upstreams.started[before:]
+        context.at_once.append(request_id in {each.request_id for each in started})
         context.load.upstreams.run(0.7)
 
 
@@ -259,7 +263,7 @@
 
 @behave.then("of 16 sub-requests 15 were sweeps and 1 was a name check")
 def then_order(context):
-    kinds = [sent.kind for sent in context.tier.sent[16:336]]
+    kinds = [started.kind for started in context.load.upstreams.started[16:336]]
     for start in range(0, 320, 16):
         counts = collections.Counter(kinds[start : start + 16])
         assert counts == {"sweep": 15, "check": 1}, (start, counts)
@@ -417,3 +421,93 @@
             deadline=None,
         ),
     )
+
+
+class Owner:
+    """The gates of one owner host, and what it sent."""
+
+    def __init__(self):
+        self.tier = fake_core.FakeTier(
+            document_text=DOCUMENT, switches=options.Options(slow_start=False)
+        )
+        self.tier.put(fake_core.announce("u-0", slots=2))
+        self.gates = self.tier.core.gates
+        self.numbers = itertools.count()
+        self.sent = []
+
+    def offer(self, subscriber_id, over_share_slots=0):
+        number = next(self.numbers)
+        sub_request = upstream.SubRequest(
+            request_id=f"{subscriber_id}-{number}",
+            attempt=1,
+            upstream_id="u-0",
+            incarnation=1,
+            address="127.0.0.1:9",
+            shard_ref=upstream.ShardRef("credits-0", 0),
+            snapshot=41,
+            partitioning=1,
+            deadline=1e9,
+            kind="lookup",
+            query=msgspec.Raw(b"{}"),
+            subscriber_id=subscriber_id,
+            over_share_slots=over_share_slots,
+        )
+        self.sent.extend(self.gates.offer([sub_request]).to_send)
+
+    def end_oldest(self, seconds=0.1):
+        self.tier.clock.advance(seconds)
+        ended = self.sent.pop(0)
+        outcome = upstream.Replied(
+            request_id=ended.request_id, attempt=1, upstream_id="u-0", rows=()
+        )
+        self.sent.extend(self.gates.end(outcome).to_send)
+
+    def report(self, **seconds_by_id):
+        usages = tuple(
+            notices.SubscriberUsage(each, seconds)
+            for each, seconds in seconds_by_id.items()
+        )
+        report = notices.UsageReport(usages=usages)
+        self.tier.step(events.PeerNotice(host_id="h-2", payload=report))
+        self.tier.clock.advance(0.05)
+
+
+@behave.given("an owner of an upstream with 2 slots, and 9 sub-requests of heavy there")
+def given_owner(context):
+    context.owner = Owner()
+    for _ in range(9):
+        context.owner.offer("heavy")
+    context.owner.report(heavy=0.15, light=0.1)
+
+
+@behave.when("a sub-request of light comes to the owner and a run of heavy ends")
+def when_owner_light(context):
+    context.owner.offer("light")
+    context.owner.end_oldest()
+
+
+@behave.then("the owner sends that of light next")
+def then_owner_light(context):
+    assert context.owner.sent[-1].subscriber_id == "light", context.owner.sent
+
+
+@behave.given(
+    "an owner of an upstream with 2 slots, and 9 of heavy over its share there"
+)
+def given_owner_over_share(context):
+    context.owner = Owner()
+    for _ in range(9):
+        context.owner.offer("heavy", over_share_slots=1)
+    context.before = [sent.subscriber_id for sent in context.owner.sent]
+
+
+@behave.when("a sub-request of light comes to the owner")
+def when_owner_light_comes(context):
+    context.owner.offer("light")
+
+
+@behave.then("the owner has sent that of light at once beside one of heavy")
+def then_owner_beside(context):
+    after = [sent.subscriber_id for sent in context.owner.sent]
+    assert context.before == ["heavy"], context.before
+    assert after == ["heavy", "light"], after
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -122,12 +122,12 @@
         All usage decays by the same factor, so the order of two subscribers
         only changes with a charge. Time is added to the logarithm in place of
         the decay, which keeps ranks comparable that were taken at different
-        times.
+        times. Without usage it is the same for all, whatever the time.
         """
         usage = self._usage_by_id.get(subscriber_id)
-        if usage is None:
-            return self._clock.monotonic() / DECAY_S + math.log(_FLOOR_S)
-        level = max(usage.total, _FLOOR_S) / self._share(subscriber_id)
+        if usage is None or usage.total < _FLOOR_S:
+            return -math.inf
+        level = usage.total / self._share(subscriber_id)
         return usage.moment / DECAY_S + math.log(level)
 
     def is_over_share(self, subscriber_id: str) -> bool:
@@ -139,6 +139,19 @@
         bound = self._allowed_level(subscriber_id)
         return bound > 0.0 and self._level(subscriber_id) > bound
 
+    def count_over_share(self) -> int:
+        """Return how many subscribers are over their share."""
+        return sum(map(self.is_over_share, list(self._usage_by_id)))
+
+    def share_of_all(self, subscriber_id: str) -> float:
+        """Return a subscriber's part of the shares of all that were active."""
+        self._sum_up()
+        own = self._share(subscriber_id)
+        shares = self._active_shares
+        if subscriber_id not in self._active_seconds_by_id:
+            shares += own
+        return own / shares
+
     def seconds_until_fair(self, subscriber_id: str) -> float:
         """Return after how long of rest a subscriber is back at its share."""
         level = self._level(subscriber_id)
--- a/src/greengagehaven/daemons/control_status.py
+++ b/src/greengagehaven/daemons/control_status.py
@@ -17,11 +17,11 @@
 
     :param has_quorum: whether this host leads and a quorum has just answered.
     """
-    replies = await host.collect_members()
+    replies = await host.reports.collect_members()
     raft = host.raft
     state = host.machine.state
     members = () if raft is None else _member_lines(host, replies)
-    reports = await host.collect_reports()
+    reports = await host.reports.collect()
     return operator.Status(
         quorum="ok" if has_quorum else "lost",
         detail=_detail(host, members, has_quorum),
@@ -46,7 +46,10 @@
     raft = host.raft
     assert raft is not None
     lines = []
-    for member in raft.log.membership.members:
+    # A change of membership that is not committed may still be undone. Shown as
+    # done, it would have an operator take the next host out too early.
+    membership = raft.log.membership_at(raft.commit_index)
+    for member in membership.members:
         reply = replies.get(member.id)
         missing = None if reply is None else raft.commit_index - reply.applied_index
         lines.append(
--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -10,10 +10,13 @@
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import events
 from greengagehaven.daemons import metrics as metrics_module
-from greengagehaven.protocol import search, upstream
+from greengagehaven.protocol import notices, search, upstream
 from greengagehaven.state import directory
 
+MAX_OLD_TIMERS = 64
+
 Notify = typing.Callable[[msgspec.Struct], None]
+AskRecorder = typing.Callable[[events.AskRecorder], None]
 
 
 class CoreLoop:
@@ -23,6 +26,7 @@
     :param channel: the way to upstreams.
     :param directory_view: tells the zone of an upstream, for the metrics.
     :param notify: takes messages for the cores of the other live hosts.
+    :param ask_recorder: sends a request to a recorder of idempotency keys.
     """
 
     def __init__(
@@ -34,6 +38,7 @@
         directory_view: directory.DirectoryView,
         metrics: metrics_module.Metrics,
         notify: Notify = lambda payload: None,
+        ask_recorder: AskRecorder = lambda action: None,
     ) -> None:
         self._core = core
         self._channel = channel
@@ -41,6 +46,7 @@
         self._directory = directory_view
         self._metrics = metrics
         self._notify = notify
+        self._ask_recorder = ask_recorder
         self._events: collections.deque[events.Event] = collections.deque()
         self._is_stepping = False
         self._futures_by_request_id: dict[str, asyncio.Future] = {}
@@ -55,6 +61,7 @@
             events.RefuseQuery: self._refuse,
             events.RetireConnections: self._retire,
             events.NotifyPeers: self._notify_peers,
+            events.AskRecorder: self._ask_recorder,
             events.WakeAt: self._wake_at,
         }
 
@@ -122,6 +129,8 @@
                 future.set_exception(error)
 
     def _step(self, event: events.Event) -> None:
+        if isinstance(event, events.PeerNotice):
+            _log_quarantine(event.payload)
         try:
             for action in self._core.step(event):
                 self._handlers[type(action)](action)
@@ -197,16 +206,36 @@
         self._channel.retire_connections(action.upstream_id)
 
     def _notify_peers(self, action: events.NotifyPeers) -> None:
+        _log_quarantine(action.payload)
         self._notify(action.payload)
 
     def _wake_at(self, action: events.WakeAt) -> None:
-        delay = max(0.0, action.moment - self._clock.monotonic())
+        self._arm(action.moment)
+
+    def _arm(self, moment: float) -> None:
+        delay = max(0.0, moment - self._clock.monotonic())
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(delay, self._wake)
+        timer = loop.call_later(delay, self._wake, moment)
         self._timers.add(timer)
-        if len(self._timers) > 64:
+        if len(self._timers) > MAX_OLD_TIMERS:
             now = loop.time()
             self._timers = {timer for timer in self._timers if timer.when() > now}
 
-    def _wake(self) -> None:
+    def _wake(self, moment: float) -> None:
+        # The loop fires timers up to its clock's resolution early. The core
+        # would find nothing due and, since it asked already, never ask again:
+        # every later deadline of the host would be missed.
+        if self._clock.monotonic() < moment:
+            self._arm(moment)
+            return
         self.submit(events.TimeReached())
+
+
+def _log_quarantine(notice: msgspec.Struct) -> None:
+    if isinstance(notice, notices.QuarantineReport):
+        log.warning(
+            "query_quarantined",
+            fingerprint=notice.fingerprint,
+            times=notice.bans,
+            upstreams=",".join(notice.upstream_ids),
+        )
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -8,6 +8,7 @@
 from greengagehaven.coordination import core, events, options
 from greengagehaven.coordination.membership import node, signals
 from greengagehaven.protocol import codec, membership, notices, upstream
+from greengagehaven.replay import owners
 from greengagehaven.replay import schedule as schedule_module
 from greengagehaven.state import directory
 
@@ -36,6 +37,18 @@
     def call(self, host: "ReplayedHost", call: signals.Call) -> None:
         """Carry a call of the membership core and its answer back."""
 
+    def reach(
+        self,
+        host: "ReplayedHost",
+        other_id: str,
+        arrive: typing.Callable[["ReplayedHost"], None],
+        lost: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Carry a message to another host; ``lost`` where it is cut off."""
+
+    def ask_recorder(self, host: "ReplayedHost", ask: events.AskRecorder) -> None:
+        """Carry a question to a recorder of idempotency keys and its reply back."""
+
     def end(self, request_id: str, ending: Ending) -> None:
         """Note how a request ended."""
 
@@ -46,6 +59,7 @@
     :param record: its name, zone, address and incarnation.
     :param seeds: addresses of the other hosts.
     :param seed: seed of its random choices.
+    :param recorder_ids: who remembers idempotency keys.
     """
 
     def __init__(
@@ -58,6 +72,7 @@
         schedule: schedule_module.Schedule,
         network: Network,
         switches: options.Options,
+        recorder_ids: frozenset[str],
     ) -> None:
         self.id = record.id
         self.zone = record.zone
@@ -75,6 +90,13 @@
             host_id=record.id,
             zone=record.zone,
             options=switches,
+            recorder_ids=recorder_ids,
+        )
+        self.owner = owners.ReplayedOwner(
+            host_id=record.id,
+            directory_view=self.directory,
+            decisions=self._core,
+            links=_HostLinks(host=self, network=network),
         )
         self._membership = node.Membership(
             own=record,
@@ -118,6 +140,8 @@
             self.open_request_ids.add(event.request_id)
         for action in self._core.step(event):
             self._carry_out(action)
+        if isinstance(event, owners.REFRESHING_EVENTS):
+            self._refresh_owner()
 
     def announce(self, announcement: upstream.Announcement) -> None:
         """Take an upstream's announcement or its renewal."""
@@ -159,9 +183,17 @@
     def receive(self, outcome: upstream.Outcome) -> None:
         """Take in the outcome of a sub-request, once."""
         key = (outcome.request_id, outcome.attempt)
+        self.owner.forget(key)
         if self._in_flight.pop(key, None) is not None:
             self.step(events.OutcomeReceived(outcome=outcome))
 
+    def _refresh_owner(self) -> None:
+        for key in self.owner.lost_ids():
+            sub_request = self._in_flight.get(key)
+            if sub_request is not None:
+                self.receive(_fail(sub_request, upstream.FailureReason.OWNER_LOST))
+        self.owner.refresh()
+
     def _tick(self) -> None:
         if self.alive:
             self.signal(signals.Ticked())
@@ -171,7 +203,7 @@
         if isinstance(action, events.Dispatch):
             for sub_request in action.batch:
                 self._in_flight[sub_request.id] = sub_request
-                self._network.send_work(self, sub_request)
+                self.owner.dispatch(sub_request)
         elif isinstance(action, events.Cancel):
             self._cancel(action)
         elif isinstance(action, events.AnswerQuery):
@@ -181,6 +213,8 @@
         elif isinstance(action, events.NotifyPeers):
             payload = codec.encode_msgpack(action.payload)
             self.signal(signals.NoticePosted(payload=payload))
+        elif isinstance(action, events.AskRecorder):
+            self._network.ask_recorder(self, action)
         elif isinstance(action, events.WakeAt):
             moment = self._schedule.moment_of(action.moment)
             self._schedule.call_at(moment, lambda: self.step(events.TimeReached()))
@@ -189,16 +223,64 @@
         sub_request = self._in_flight.get((cancel.request_id, cancel.attempt))
         if sub_request is None:
             return
-        self._network.cancel_work(sub_request)
-        failed = upstream.Failed(
-            request_id=sub_request.request_id,
-            attempt=sub_request.attempt,
-            upstream_id=sub_request.upstream_id,
-            reason=upstream.FailureReason.CANCELLED,
-            not_run=False,
-        )
+        self.owner.cancel(sub_request)
+        failed = _fail(sub_request, upstream.FailureReason.CANCELLED)
         self._schedule.call_later(0.0, lambda: self.receive(failed))
 
     def _end(self, request_id: str, result: typing.Any) -> None:
         self.open_request_ids.discard(request_id)
         self._network.end(request_id, Ending(at=self._schedule.now, result=result))
+
+
+class _HostLinks:
+    """Ways of one host over the replayed network."""
+
+    def __init__(self, *, host: ReplayedHost, network: Network) -> None:
+        self._host = host
+        self._network = network
+
+    def offer(self, owner_id: str, sub_request: upstream.SubRequest) -> None:
+        """Carry a sub-request to its owner."""
+        self._network.reach(
+            self._host,
+            owner_id,
+            lambda other: other.owner.take_offer(self._host.id, sub_request),
+            lambda: self._host.receive(
+                _fail(sub_request, upstream.FailureReason.OWNER_LOST)
+            ),
+        )
+
+    def withdraw(self, owner_id: str, sub_request: upstream.SubRequest) -> None:
+        """Tell an owner that nobody waits for a sub-request."""
+        self._network.reach(
+            self._host,
+            owner_id,
+            lambda other: other.owner.take_withdrawal(sub_request),
+        )
+
+    def report(self, origin_id: str, outcome: upstream.Outcome) -> None:
+        """Carry an outcome to the host that asked."""
+        if origin_id == self._host.id:
+            self._host.receive(outcome)
+            return
+        self._network.reach(self._host, origin_id, lambda other: other.receive(outcome))
+
+    def send(self, sub_request: upstream.SubRequest) -> None:
+        """Carry a sub-request to its upstream and the outcome back."""
+        self._network.send_work(self._host, sub_request)
+
+    def stop(self, sub_request: upstream.SubRequest) -> None:
+        """Tell an upstream that nobody waits for a sub-request."""
+        self._network.cancel_work(sub_request)
+
+
+def _fail(
+    sub_request: upstream.SubRequest, reason: upstream.FailureReason
+) -> upstream.Failed:
+    return upstream.Failed(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        reason=reason,
+        not_run=False,
+    )
