--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -22,6 +22,11 @@
 PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_S = 600
 SHOWN_OUTPUT = 4000
+DOCUMENT_CHECKS = (
+    ("documents", "tools/check_docs.py"),
+    ("settings in the documents", "tools/write_settings.py", "--check"),
+    ("capacity in the documents", "tools/capacity.py", "--check"),
+)
 # The order of a set of strings would differ from run to run.
 ENVIRONMENT = {**os.environ, "PYTHONHASHSEED": "0"}
 
@@ -50,11 +55,8 @@
             output=f"{len(known_red)} lines, at most {MAX_KNOWN_RED}",
         )
     )
-    if (ROOT / "tools/check_docs.py").exists():
-        checks.append(run_command("docs", [sys.executable, "tools/check_docs.py"]))
-    if (ROOT / "tools/capacity.py").exists():
-        command = [sys.executable, "tools/capacity.py", "--check"]
-        checks.append(run_command("capacity", command))
+    for name, *arguments in DOCUMENT_CHECKS:
+        checks.append(run_command(name, [sys.executable, *arguments]))
     checks.extend(run_replays())
     checks.extend(run_features())
     return report(checks, known_red)
