--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -28,6 +28,7 @@
 for _command in (
     daemons.dev,
     daemons.entry,
+    daemons.standin,
     measure.measure,
     control.control,
     control.status,
--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -11,6 +11,7 @@
 from greengagehaven.daemons import dev as dev_module
 from greengagehaven.daemons import entry as entry_module
 from greengagehaven.daemons import lifecycle
+from greengagehaven.standin import upstream as standin_module
 from greengagehaven.transport import tls as tls_module
 
 UPSTREAMS = ("demo", "none")
@@ -198,3 +199,61 @@
     await host.start()
     log.info("ready", entry=host.address, announce=host.announce_address)
     return await lifecycle.run(host)
+
+
+@click.command()
+@click.option("--id", "upstream_id", required=True, help="Name, unique.")
+@click.option("--zone", required=True, help="Availability zone.")
+@click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    required=True,
+    metavar="IP:PORT",
+    help="Entry host to announce to; may be given several times.",
+)
+@click.option("--service", "services", multiple=True, required=True)
+@click.option("--listen", default="127.0.0.1:0", show_default=True)
+@click.option("--slots", type=click.IntRange(1, 1000), default=2, show_default=True)
+@click.option(
+    "--max-connections", type=click.IntRange(1, 10_000), default=25, show_default=True
+)
+@click.option("--cold", is_flag=True, help="Bear little work at first.")
+@click.option(
+    "--drain-ms", type=click.IntRange(0, 600_000), default=10_000, show_default=True
+)
+@log_level_option
+def standin(
+    upstream_id: str,
+    zone: str,
+    entries: tuple[str, ...],
+    services: tuple[str, ...],
+    listen: str,
+    slots: int,
+    max_connections: int,
+    cold: bool,
+    drain_ms: int,
+    log_level: str,
+) -> None:
+    """Run a stand-in upstream with rows of a made-up register."""
+    log.configure(level=log_level)
+    for address in entries:
+        settings.parse_address("--entry", address)
+    shards = tuple(dev_module.whole_service(service) for service in services)
+    options = standin_module.Options(
+        id=upstream_id,
+        availability_zone=zone,
+        shards=shards,
+        slots=slots,
+        max_connections=max_connections,
+        starts_cold=cold,
+        drain_bound=drain_ms / 1000,
+    )
+    stand_in = standin_module.StandinUpstream(options=options, entries=entries)
+    sys.exit(asyncio.run(_run_standin(stand_in, listen)))
+
+
+async def _run_standin(stand_in: standin_module.StandinUpstream, listen: str) -> int:
+    address = await stand_in.start(*settings.parse_address("--listen", listen))
+    log.info("ready", upstream=stand_in.options.id, address=address)
+    return await lifecycle.run(stand_in)
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -234,13 +234,10 @@
     ) -> standin.StandinUpstream:
         """Start a stand-in of a service; its zone follows from its number."""
         zone = ZONES[number % len(ZONES)]
-        hosted = upstream.HostedShard(
-            service=service, shard=0, shard_count=1, partitioning=PARTITIONING
-        )
         upstream_options = standin.Options(
             id=f"{service}-{zone}{number}",
             availability_zone=zone,
-            shards=(hosted,),
+            shards=(whole_service(service),),
             **{**self.settings.upstream_options, **options},
         )
         in_zone = [host for host in self.entries if host.settings.zone == zone]
@@ -271,6 +268,13 @@
     return data.replace(old, hashlib.sha256(key.encode()).hexdigest().encode())
 
 
+def whole_service(service: str) -> upstream.HostedShard:
+    """Return the one shard of a service that is not split."""
+    return upstream.HostedShard(
+        service=service, shard=0, shard_count=1, partitioning=PARTITIONING
+    )
+
+
 def check_key(data: bytes, key: str) -> None:
     """Refuse a demo key that the document doesn't know.
 
--- a/src/greengagehaven/standin/upstream.py
+++ b/src/greengagehaven/standin/upstream.py
@@ -19,7 +19,6 @@
 from greengagehaven.transport import http, http_client, http_server, upstream_wire
 
 BILLED_KINDS = frozenset({"retire"})
-DRAIN_GRACE_S = 3.0
 RESTART_S = 1.0
 COLD_SLOWDOWN = 3.0
 WARM_RUNS_PER_STEP = 8
@@ -79,6 +78,8 @@
     service_time: float = 0.004
     starts_cold: bool = False
     cold_tolerance: int = 1
+    drain_bound: float = 10.0
+    drain_grace: float = 3.0
 
 
 class _CountingServer(http_server.HttpServer):
@@ -164,22 +165,30 @@
             await self._server.close()
             self._server = None
 
-    async def drain(self, bound: float = 10.0) -> int:
+    @property
+    def in_flight(self) -> int:
+        """Return sub-requests that run or wait."""
+        return self._running + len(self._queue)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self.stop()
+
+    async def drain(self) -> int:
         """Say ``draining``, finish what runs, take back the announcement.
 
-        :param bound: longest wait in seconds.
         :return: sub-requests that were cut off.
         """
+        bound = self.options.drain_bound
         self.change(state=upstream.UpstreamState.DRAINING)
         self._draining_since = self._clock.monotonic()
         end = self._draining_since + bound
-        settle = self._draining_since + min(DRAIN_GRACE_S, bound)
+        settle = self._draining_since + min(self.options.drain_grace, bound)
         while self._clock.monotonic() < end:
-            busy = self._running or self._queue
-            if not busy and self._clock.monotonic() >= settle:
+            if not self.in_flight and self._clock.monotonic() >= settle:
                 break
             await asyncio.sleep(0.02)
-        left = self._running + len(self._queue)
+        left = self.in_flight
         await self._withdraw()
         await self.stop()
         return left
@@ -270,14 +279,14 @@
     def _is_over_drain(self) -> bool:
         if self._draining_since is None:
             return False
-        return self._clock.monotonic() > self._draining_since + DRAIN_GRACE_S
+        return self._clock.monotonic() > self._draining_since + self.options.drain_grace
 
     async def _work(
         self, request: http.Request, echo: tuple[tuple[str, str], ...]
     ) -> http.Response:
         deadline = int(request.headers.get("deadline-ms", "1000")) / 1000
         end = self._clock.monotonic() + deadline
-        if self._running + len(self._queue) >= self.options.slots:
+        if self.in_flight >= self.options.slots:
             self.violate("work_over_slots")
         if self._falls_over():
             self.violate("cold_overrun")
@@ -296,7 +305,7 @@
         if bears > self.options.slots * 2:
             self._warm_runs = None
             return False
-        concurrency = self._running + len(self._queue) + 1
+        concurrency = self.in_flight + 1
         return concurrency > bears + self.options.cold_tolerance
 
     async def _take_slot(self, work_id: tuple[str, str], timeout: float) -> bool:
