--- a/features/membership_loop.feature
+++ b/features/membership_loop.feature
@@ -8,6 +8,7 @@
     Given 3 membership loops on loopback in the zones "a b c"
     When an upstream of zone "a" announces itself to the loop of "b"
     Then every membership loop comes to know 3 hosts and that upstream
+    And the metrics of the loop of "c" show 3 live hosts and 1 served upstream
     When the loop of "c" notifies the others of a usage report
     Then the loops of "a" and "b" come to hold that report
     When the loop of "a" leaves
--- a/features/steps/membership_loop_steps.py
+++ b/features/steps/membership_loop_steps.py
@@ -5,6 +5,7 @@
 import random
 
 import behave
+import prometheus_client
 
 from greengagehaven import clock
 from greengagehaven.daemons import membership_loop
@@ -26,6 +27,7 @@
         self.directory = directory.Directory()
         self.hosts: dict[str, str] = {}
         self.notices: list = []
+        self.registry = prometheus_client.CollectorRegistry()
         self._clock = clock.SystemClock()
         self._handlers: dict = {}
         self._server = peers.PeerServer(
@@ -46,6 +48,7 @@
             clock=self._clock,
             rng=random.Random(self.zone),
             notice_type=notices.Notice,
+            registry=self.registry,
         )
         self._handlers.update(self.loop.handlers_by_method())
         self.loop.start()
@@ -124,6 +127,24 @@
     run(context, announce())
 
 
+@behave.then(
+    'the metrics of the loop of "{zone}" show {hosts:d} live hosts '
+    "and {served:d} served upstream"
+)
+def then_metrics(context, zone, hosts, served):
+    registry = context.hosts_by_zone[zone].registry
+    alive = [
+        registry.get_sample_value(
+            "greengagehaven_membership_hosts", {"zone": each, "status": "alive"}
+        )
+        for each in ("a", "b", "c")
+    ]
+    upstreams = registry.get_sample_value(
+        "greengagehaven_directory_upstreams", {"state": "served"}
+    )
+    assert (sum(alive), upstreams) == (hosts, served), (alive, upstreams)
+
+
 @behave.when('the loop of "{zone}" notifies the others of a usage report')
 def when_notified(context, zone):
     async def notify():
--- a/src/greengagehaven/coordination/membership/upstreams.py
+++ b/src/greengagehaven/coordination/membership/upstreams.py
@@ -83,6 +83,11 @@
         """Return the number of tombstones."""
         return len(self._gone_at_by_id)
 
+    @property
+    def served_count(self) -> int:
+        """Return the number of upstreams that the query path may use."""
+        return len(self._served.upstreams_by_id)
+
     def is_news(self, record: membership.UpstreamRecord) -> bool:
         """Tell whether a record is newer than what is known."""
         known = self._records_by_id.get(record.id)
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -14,7 +14,13 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import options as options_module
-from greengagehaven.daemons import control, control_daemon, entry, lifecycle
+from greengagehaven.daemons import (
+    control,
+    control_daemon,
+    entry,
+    lifecycle,
+    links,
+)
 from greengagehaven.protocol import upstream
 from greengagehaven.standin import upstream as standin
 from greengagehaven.state import configuration, document
@@ -75,6 +81,7 @@
         self.controls: list[control_daemon.ControlDaemon] = []
         self._data_folder = tempfile.TemporaryDirectory(prefix="greengagehaven-dev-")
         self._clock = clocks.SystemClock()
+        self.links = links.Links()
 
     async def start(self) -> None:
         """Start everything and bring the document into force.
@@ -192,6 +199,7 @@
                 rng=random.Random(self._rng.random()),
             )
             self.controls.append(daemon)
+            self.links.place(address, host_id.removeprefix("control-"))
             await daemon.start()
 
     async def _start_entries(self) -> None:
@@ -220,8 +228,12 @@
                 options=self._options,
                 cancellation=self._cancellation,
                 rng=random.Random(self._rng.random()),
+                peer_client=links.LinkedClient(
+                    links=self.links, zone=zone, token=None, clock=self._clock
+                ),
             )
             await host.start()
+            self.links.place(host.peer_address, zone)
             self.entries.append(host)
 
     async def _start_upstreams(self) -> None:
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -72,6 +72,7 @@
     :param tls: context for the listeners; ``None`` for plain TCP.
     :param upstream_tls: context towards upstreams; ``None`` for plain TCP.
     :param peer_tls: certificates between hosts; ``None`` for plain TCP.
+    :param peer_client: the way to other hosts, by default one of its own.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         tls: ssl.SSLContext | None = None,
         upstream_tls: ssl.SSLContext | None = None,
         peer_tls: peers.Tls | None = None,
+        peer_client: peers.PeerClient | None = None,
     ) -> None:
         self.settings = entry_settings
         self.clock = clock or clocks.SystemClock()
@@ -101,7 +103,7 @@
         self._digest = ""
         self._drained_zones: frozenset[str] = frozenset()
         self._zones_by_host_id = {entry_settings.host_id: entry_settings.zone}
-        self._peer_client = peers.PeerClient(
+        self._peer_client = peer_client or peers.PeerClient(
             token=entry_settings.peer_token, clock=self.clock, tls=peer_tls
         )
         self._peer_server: peers.PeerServer | None = None
@@ -219,6 +221,7 @@
             rng=self._rng,
             notice_type=notices.Notice,
             lease=announce_api.LEASE,
+            registry=self.metrics.registry,
         )
         handlers_by_method.update(self._membership.handlers_by_method())
         handlers_by_method.update(self._path.handlers_by_method)
--- /dev/null
+++ b/src/greengagehaven/daemons/links.py
@@ -0,0 +1,75 @@
+"""Links between the zones of a ``dev`` environment, which may be cut.
+
+What is cut looks as it does on a network: no error comes back, a call just
+goes unanswered until its timeout.
+"""
+
+import asyncio
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions
+from greengagehaven.transport import peers
+
+
+class Links:
+    """Which zones reach which, and where each host is."""
+
+    def __init__(self) -> None:
+        self._zones_by_address: dict[str, str] = {}
+        self._cut: set[tuple[str, str]] = set()
+
+    def place(self, address: str, zone: str) -> None:
+        """Take in the zone of a host's peer address."""
+        self._zones_by_address[address] = zone
+
+    def cut(self, source: str, target: str) -> None:
+        """Lose every message from one zone to another."""
+        self._cut.add((source, target))
+
+    def heal(self) -> None:
+        """Join all zones again."""
+        self._cut.clear()
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Tell whether messages from one zone to another are lost."""
+        return (source, target) in self._cut
+
+    def zone_of(self, address: str) -> str:
+        """Return the zone of a peer address, empty where it is not placed."""
+        return self._zones_by_address.get(address, "")
+
+
+class LinkedClient(peers.PeerClient):
+    """Calls to other hosts over links that may be cut.
+
+    :param zone: the caller's availability zone.
+    """
+
+    def __init__(
+        self, *, links: Links, zone: str, token: str | None, clock: clocks.Clock
+    ) -> None:
+        super().__init__(token=token, clock=clock)
+        self._links = links
+        self._zone = zone
+
+    async def call(
+        self, address: str, method: str, body: bytes, *, timeout: float
+    ) -> bytes:
+        """Call a host, unless the message or its answer is lost.
+
+        :param timeout: seconds to wait.
+        :raises PeerError: no answer came in time.
+        """
+        target = self._links.zone_of(address)
+        end = asyncio.get_running_loop().time() + timeout
+        if self._links.is_cut(self._zone, target):
+            return await _lose(address, end)
+        answer = await super().call(address, method, body, timeout=timeout)
+        if self._links.is_cut(target, self._zone):
+            return await _lose(address, end)
+        return answer
+
+
+async def _lose(address: str, end: float) -> bytes:
+    await asyncio.sleep(end - asyncio.get_running_loop().time())
+    raise exceptions.PeerError(f"{address}: nothing came back")
--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -68,3 +68,16 @@
     """Apply many changed documents one after the other."""
     for number in range(count):
         await environment.apply(environment.document + b"\n# change %d\n" % number)
+
+
+async def cut_zone(environment: dev.Dev, zone: str) -> None:
+    """Lose every message between the hosts of a zone and those of the others."""
+    for other in dev.ZONES:
+        if other != zone:
+            environment.links.cut(zone, other)
+            environment.links.cut(other, zone)
+
+
+async def heal(environment: dev.Dev) -> None:
+    """Join all zones again."""
+    environment.links.heal()
--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -153,6 +153,15 @@
             Fault(at=0.6, action="set_zone", arguments={"zone": "b", "drained": False}),
         ),
     ),
+    "partition": Scenario(
+        about="a zone is cut off from the others, both ways, and joined again",
+        off=("hedging", "zone_preference"),
+        faults=(
+            Fault(at=0.25, action="cut_zone", arguments={"zone": "a"}),
+            Fault(at=0.75, action="heal"),
+        ),
+        environment={"hosts_per_zone": 2},
+    ),
     "nine-hosts": Scenario(
         about="nine entry hosts share the upstreams' slots and connections",
         off=("shared_limits",),
--- a/src/greengagehaven/daemons/membership_loop.py
+++ b/src/greengagehaven/daemons/membership_loop.py
@@ -5,12 +5,14 @@
 import typing
 
 import msgspec
+import prometheus_client
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import events, peers
 from greengagehaven.coordination.membership import leases, node, signals
+from greengagehaven.daemons import membership_metrics
 from greengagehaven.protocol import codec, membership, upstream
 from greengagehaven.state import directory
 
@@ -45,6 +47,7 @@
     :param listener: who is told of changes.
     :param notice_type: type, or tagged union, of the query path's notices.
     :param lease: how long an upstream's announcement holds.
+    :param registry: where metrics are registered, ``None`` for nowhere.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         rng: rngs.Rng,
         notice_type: typing.Any = typing.Any,
         lease: datetime.timedelta = datetime.timedelta(seconds=leases.LEASE_S),
+        registry: prometheus_client.CollectorRegistry | None = None,
     ) -> None:
         own = membership.HostRecord(
             id=host_id,
@@ -76,6 +80,9 @@
             rng=rng,
             lease=lease.total_seconds(),
         )
+        self._metrics = membership_metrics.MembershipMetrics(
+            core=self._core, clock=clock, prometheus=registry
+        )
         self._channel = channel
         self._listener = listener
         self._notice_type = notice_type
@@ -171,10 +178,13 @@
             self._listener.take_directory_change(action.upstream_ids)
         elif isinstance(action, signals.NoticeReceived):
             self._take_notice(action)
-        elif action.event in _WARNINGS:
-            log.warning(action.event, **action.fields)
         else:
-            log.info(action.event, **action.fields)
+            self._note(action)
+
+    def _note(self, action: signals.Noted) -> None:
+        self._metrics.count(action.event)
+        write = log.warning if action.event in _WARNINGS else log.info
+        write(action.event, **action.fields)
 
     def _take_notice(self, action: signals.NoticeReceived) -> None:
         try:
--- /dev/null
+++ b/src/greengagehaven/daemons/membership_metrics.py
@@ -0,0 +1,93 @@
+"""Metrics of membership and the directory, read when they are scraped."""
+
+import collections
+from collections import abc
+
+import prometheus_client
+from prometheus_client import metrics_core, registry
+
+from greengagehaven import clock as clocks
+from greengagehaven.coordination.membership import node
+from greengagehaven.protocol import membership
+
+_PREFIX = "greengagehaven"
+
+
+class MembershipMetrics(registry.Collector):
+    """Hosts, zones, upstreams and events as one host knows them.
+
+    :param core: what is read.
+    :param prometheus: where this registers itself, ``None`` for nowhere.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: node.Membership,
+        clock: clocks.Clock,
+        prometheus: prometheus_client.CollectorRegistry | None = None,
+    ) -> None:
+        self._core = core
+        self._clock = clock
+        self._counts_by_event: collections.Counter[str] = collections.Counter()
+        if prometheus is not None:
+            prometheus.register(self)
+
+    def count(self, event: str) -> None:
+        """Count an event that the core noted."""
+        self._counts_by_event[event] += 1
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Return the metrics as of now."""
+        yield self._hosts()
+        yield self._zone_ages()
+        yield self._upstreams()
+        events = metrics_core.CounterMetricFamily(
+            f"{_PREFIX}_membership_events",
+            "Events of membership, as in the log.",
+            labels=("event",),
+        )
+        for event, count in sorted(self._counts_by_event.items()):
+            events.add_metric((event,), count)
+        yield events
+
+    def _hosts(self) -> metrics_core.Metric:
+        family = metrics_core.GaugeMetricFamily(
+            f"{_PREFIX}_membership_hosts",
+            "Entry hosts by zone and status, as this host knows them.",
+            labels=("zone", "status"),
+        )
+        records = self._core.knowledge.hosts.records_by_id.values()
+        counts = collections.Counter((each.zone, each.status) for each in records)
+        for zone in sorted({zone for zone, _ in counts}):
+            for status in membership.HostStatus:
+                labels = (zone, status.name.lower())
+                family.add_metric(labels, counts[zone, status])
+        return family
+
+    def _zone_ages(self) -> metrics_core.Metric:
+        family = metrics_core.GaugeMetricFamily(
+            f"{_PREFIX}_zone_age_seconds",
+            "Time since a zone vouched for what this host knows of it.",
+            labels=("zone",),
+        )
+        known = self._core.knowledge
+        now = self._clock.monotonic()
+        for zone in known.digests.zones:
+            hosts = len(known.hosts.live_ids(zone))
+            family.add_metric((zone,), known.ages.age(zone, now, hosts=hosts))
+        return family
+
+    def _upstreams(self) -> metrics_core.Metric:
+        family = metrics_core.GaugeMetricFamily(
+            f"{_PREFIX}_directory_upstreams",
+            "Upstreams that get work from here, are withheld, or are gone.",
+            labels=("state",),
+        )
+        table = self._core.knowledge.upstreams
+        gone = table.tombstone_count
+        served = table.served_count
+        family.add_metric(("served",), served)
+        family.add_metric(("withheld",), len(table.records_by_id) - gone - served)
+        family.add_metric(("gone",), gone)
+        return family
