Wake again when a timer fires early; count work above the slots in measure

Cause: a loop that wakes the core a little before the moment left the moment marked as asked for; queries stayed open beyond their deadline. measure could not tell work above the slots, throughput against the slots, or the calm part of a run from the faulty one; its straggler was one slow replica for the whole run. Conclusion: every wake-up frees the mark.

--- a/features/query.feature
+++ b/features/query.feature
@@ -66,3 +66,12 @@
     Given a tier whose clock moves on with every reading
     When a sweep is submitted and every upstream replies
     Then the answer has 1 rows of snapshot 41 and complete coverage
+
+  Scenario: The wake-up for a deadline comes a moment too early
+    Timers of an event loop fire within their resolution, also before their
+    moment. If the core then took its wake-up for done, the query would never
+    end and its caller would wait for ever.
+
+    Given a tier with shards 0 and 1 of credits-0 on snapshot 41
+    When a sweep gets no reply and its wake-up comes 0.1 ms early
+    Then the core asks to be woken again and the query ends at its deadline
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -4,6 +4,7 @@
 
 from fakes import core as fake_core
 from greengagehaven import clock, exceptions
+from greengagehaven.coordination import events
 from greengagehaven.protocol import upstream
 
 LATENCY_SAMPLES = 60
@@ -148,3 +149,24 @@
     error = context.tier.refusals_by_id["r-1"]
     assert isinstance(error, exceptions.OutcomeUnknownError), error
     assert error.ran is exceptions.Ran.UNKNOWN, error.ran
+
+
+@behave.when("a sweep gets no reply and its wake-up comes 0.1 ms early")
+def when_early(context):
+    tier = context.tier
+    tier.submit("r-1")
+    moment = tier.wakes[-1]
+    tier.clock.advance(moment - tier.clock.monotonic() - 0.0001)
+    context.asked = [
+        action
+        for action in tier.step(events.TimeReached())
+        if isinstance(action, events.WakeAt)
+    ]
+    tier.advance(0.001)
+
+
+@behave.then("the core asks to be woken again and the query ends at its deadline")
+def then_ends(context):
+    assert context.asked, "nobody wakes the core again"
+    error = context.tier.refusals_by_id["r-1"]
+    assert isinstance(error, exceptions.DeadlineExceededError), error
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -72,8 +72,10 @@
         due = []
         while self._heap and self._heap[0][0] <= now:
             due.append(heapq.heappop(self._heap)[2])
-        if self._armed is not None and self._armed <= now:
-            self._armed = None
+        # A loop may wake its callers a little early. Were the moment still taken
+        # for asked for, nobody would wake for it again, and queries would stay
+        # open beyond their deadline.
+        self._armed = None
         return due
 
     def next_wake(self) -> float | None:
--- a/src/greengagehaven/daemons/measure/caller.py
+++ b/src/greengagehaven/daemons/measure/caller.py
@@ -28,6 +28,9 @@
         self, *, environment: dev.Dev, rng: random.Random, seconds: float
     ) -> None:
         self.latencies: list[float] = []
+        self.latencies_since_fault: list[float] = []
+        self.latencies_in_calm: list[float] = []
+        self.has_fault = False
         self.coverages: list[float] = []
         self.complete = 0
         self.wrong = 0
@@ -68,19 +71,21 @@
         if load.kind == "retire":
             headers["Idempotency-Key"] = f"order-{number}"
         started = time.monotonic()
+        began_in_calm = not self.has_fault
         try:
             reply = await self._clients[entry % len(self._clients)].request(
                 "POST", "/v1/search", body=codec.encode_json(body), headers=headers
             )
         except exceptions.UpstreamError:
-            self._end(load, "failed", started)
+            self._end(load, "failed", started, began_in_calm)
             return
         if reply.status != 200:
             problem = codec.decode_json(reply.body, search.Problem)
-            self._end(load, "refused" if problem.ran == "no" else "failed", started)
+            end = "refused" if problem.ran == "no" else "failed"
+            self._end(load, end, started, began_in_calm)
             return
         self._take_answer(load, body, codec.decode_json(reply.body, search.Answer))
-        self._end(load, "answered", started)
+        self._end(load, "answered", started, began_in_calm)
 
     def _body(self, load: scenarios.Load, number: int) -> dict:
         query: dict = {"reference": f"q-{number}"}
@@ -94,12 +99,20 @@
             query = {"poison": True}
         return {"services": load.services, "kind": load.kind, "query": query}
 
-    def _end(self, load: scenarios.Load, end: str, started: float) -> None:
+    def _end(
+        self, load: scenarios.Load, end: str, started: float, began_in_calm: bool
+    ) -> None:
         if not load.is_judged:
             return
         self.counts_by_end[end] += 1
-        if end != "refused":
-            self.latencies.append(time.monotonic() - started)
+        if end == "refused":
+            return
+        latency = time.monotonic() - started
+        self.latencies.append(latency)
+        if began_in_calm and not self.has_fault:
+            self.latencies_in_calm.append(latency)
+        elif not began_in_calm:
+            self.latencies_since_fault.append(latency)
 
     def _take_answer(
         self, load: scenarios.Load, body: dict, answer: search.Answer
--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fnmatch
+import random
 
 import msgspec
 
@@ -20,6 +21,14 @@
         stand_in.speed_factor = factor
 
 
+async def straggle(environment: dev.Dev, seed: int, factor: float) -> None:
+    """Make one upstream in ten slower, and all others as fast as before."""
+    stand_ins = list(environment.upstreams_by_id.values())
+    chosen = random.Random(seed).sample(stand_ins, max(1, len(stand_ins) // 10))
+    for stand_in in stand_ins:
+        stand_in.speed_factor = factor if stand_in in chosen else 1.0
+
+
 async def chill(environment: dev.Dev, name: str) -> None:
     """Turn warm upstreams cold without a word."""
     for stand_in in _matching(environment, name):
--- a/src/greengagehaven/daemons/measure/runner.py
+++ b/src/greengagehaven/daemons/measure/runner.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import random
+import time
 import typing
 
 from greengagehaven.coordination import options as options_module
@@ -25,9 +26,13 @@
     queries: int
     p50_ms: float | None
     p99_ms: float | None
+    calm_p99_ms: float | None
+    fault_p99_ms: float | None
     complete_share: float
     coverage_mean: float
     extra_load: float
+    over_slots: float
+    slot_share: float
     refused: int
     failed: int
     wrong: int
@@ -68,9 +73,11 @@
         dev_settings=dev.DevSettings(
             entry_port=0,
             operator_port=0,
-            services=scenarios.ALL,
-            document=_document(),
-            **scenario.environment,
+            **{
+                "services": scenarios.ALL,
+                "document": _document(),
+                **scenario.environment,
+            },
         ),
         options=options,
         rng=random.Random(rng.random()),
@@ -99,23 +106,34 @@
 ) -> Figures:
     callers = caller.Caller(environment=environment, rng=rng, seconds=seconds)
     happening = [
-        asyncio.create_task(_happen(environment, fault, seconds))
+        asyncio.create_task(_happen(environment, callers, fault, seconds))
         for fault in scenario.faults
     ]
+    started = time.monotonic()
     await asyncio.gather(*(callers.send(load) for load in scenario.loads))
+    elapsed = time.monotonic() - started
     await asyncio.gather(*happening)
     await asyncio.sleep(SETTLE_S)
     callers.close()
-    return _figures(environment, callers, scenario)
+    return _figures(environment, callers, scenario, elapsed)
 
 
-async def _happen(environment: dev.Dev, fault: scenarios.Fault, seconds: float) -> None:
+async def _happen(
+    environment: dev.Dev,
+    callers: caller.Caller,
+    fault: scenarios.Fault,
+    seconds: float,
+) -> None:
     await asyncio.sleep(fault.at * seconds)
+    callers.has_fault = True
     await getattr(faults, fault.action)(environment, **fault.arguments)
 
 
 def _figures(
-    environment: dev.Dev, callers: caller.Caller, scenario: scenarios.Scenario
+    environment: dev.Dev,
+    callers: caller.Caller,
+    scenario: scenarios.Scenario,
+    elapsed: float,
 ) -> Figures:
     tally = environment.tally
     ends = callers.counts_by_end
@@ -126,9 +144,13 @@
         queries=ends.total(),
         p50_ms=_quantile_ms(latencies, 0.5),
         p99_ms=_quantile_ms(latencies, 0.99),
+        calm_p99_ms=_quantile_ms(sorted(callers.latencies_in_calm), 0.99),
+        fault_p99_ms=_quantile_ms(sorted(callers.latencies_since_fault), 0.99),
         complete_share=round(callers.complete / max(1, ends.total()), 4),
         coverage_mean=round(sum(callers.coverages) / max(1, len(callers.coverages)), 4),
         extra_load=round(tally.runs / needed - 1, 4),
+        over_slots=round(tally.over_slots / max(1, tally.arrived), 4),
+        slot_share=round(needed / elapsed / _slots_allow(environment), 4),
         refused=ends["refused"],
         failed=ends["failed"],
         wrong=callers.wrong,
@@ -137,6 +159,14 @@
     )
 
 
+def _slots_allow(environment: dev.Dev) -> float:
+    """Return the sub-requests a second that all slots together can run."""
+    return sum(
+        stand_in.options.slots / stand_in.options.service_time
+        for stand_in in environment.upstreams_by_id.values()
+    )
+
+
 def _quantile_ms(latencies: list[float], quantile: float) -> float | None:
     if not latencies:
         return None
--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -76,9 +76,15 @@
     max_crashes: int = 2
 
 
+_TEN = dev.SERVICES
+_FOUR_WIDE = tuple(
+    Load(rate=24.0, services=tuple((_TEN + _TEN)[first : first + 4]))
+    for first in (0, 3, 6, 9)
+)
 _LOOKUPS = Load(kind="lookup", rate=15.0)
-_ONE_SLOW = Fault(
-    at=0.2, action="slow", arguments={"name": "credits-?-a0", "factor": 15}
+_STRAGGLERS = tuple(
+    Fault(at=at, action="straggle", arguments={"seed": step, "factor": 10})
+    for step, at in enumerate((0.3, 0.48, 0.66, 0.84))
 )
 
 SCENARIOS: dict[str, Scenario] = {
@@ -88,9 +94,11 @@
         loads=(Load(), _LOOKUPS, Load(kind="retire", rate=5.0, services=ALL[:1])),
     ),
     "straggler": Scenario(
-        about="one replica of each service becomes slow",
-        off=("hedging", "ejection"),
-        faults=(_ONE_SLOW,),
+        about="one upstream in ten is ten times slower, others every few seconds",
+        off=("hedging",),
+        loads=_FOUR_WIDE,
+        faults=_STRAGGLERS,
+        environment={"services": _TEN, "upstream_options": {"service_time": 0.02}},
     ),
     "lost-replica": Scenario(
         about="a replica of each service vanishes without a word",
@@ -156,8 +164,12 @@
     "nine-hosts": Scenario(
         about="nine entry hosts share the upstreams' slots and connections",
         off=("shared_limits",),
-        loads=(Load(rate=40.0),),
-        environment={"hosts_per_zone": 3},
+        loads=(Load(rate=105.0, services=ALL[:2]),),
+        environment={
+            "hosts_per_zone": 3,
+            "services": ALL[:2],
+            "upstream_options": {"service_time": 0.05},
+        },
     ),
     "config-burst": Scenario(
         about="operators change the document many times during the load",
--- a/src/greengagehaven/standin/upstream.py
+++ b/src/greengagehaven/standin/upstream.py
@@ -34,12 +34,16 @@
     """What a set of stand-ins saw, independently of the tier.
 
     :param runs: sub-requests that began to run.
+    :param arrived: sub-requests that asked for a slot.
+    :param over_slots: those that found every slot taken.
     :param doubled: billed orders that ran more than once on a shard.
     :param violations_by_name: work or connections that were not allowed.
     :param crashes: upstreams lost to a poisoned query.
     """
 
     runs: int = 0
+    arrived: int = 0
+    over_slots: int = 0
     doubled: int = 0
     crashes: int = 0
     violations_by_name: collections.Counter = dataclasses.field(
@@ -50,6 +54,7 @@
     def reset(self) -> None:
         """Begin to count anew; billed orders are remembered."""
         self.runs = self.doubled = self.crashes = 0
+        self.arrived = self.over_slots = 0
         self.violations_by_name.clear()
 
     def bill(self, order: tuple[str, str, str]) -> None:
@@ -300,9 +305,11 @@
         return concurrency > bears + self.options.cold_tolerance
 
     async def _take_slot(self, work_id: tuple[str, str], timeout: float) -> bool:
+        self.tally.arrived += 1
         if self._running < self.options.slots:
             self._running += 1
             return True
+        self.tally.over_slots += 1
         place = asyncio.get_running_loop().create_future()
         self._queue.append(place)
         try:
