Replay control hosts, operators' changes and what follows them

A trace may name control hosts: then the replicated log of the daemons decides the changes on disks in memory, and entry hosts follow it by the daemons' decisions. Five traces: racing and resending operators with a lost leader, a control host silently cut off, a second loss just after a repair, every process restarted after 300 changes, a zone drained while another one is cut off. An entry host that goes back to an older revision breaks an invariant of every replay.

--- a/src/greengagehaven/protocol/trace.py
+++ b/src/greengagehaven/protocol/trace.py
@@ -27,6 +27,8 @@
     :param entry_hosts: the entry hosts.
     :param hop_ms: one way between availability zones, in milliseconds.
     :param document: the environment document in force at the start, as TOML.
+    :param control_hosts: voters of the replicated log; with them the document
+        and the operators' changes reach entry hosts through it.
     """
 
     version: int
@@ -35,6 +37,7 @@
     entry_hosts: tuple[HostLine, ...]
     document: str
     hop_ms: float = 0.5
+    control_hosts: tuple[HostLine, ...] = ()
 
 
 class Line(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -109,6 +112,41 @@
     document: str
 
 
+class Change(Line, frozen=True, kw_only=True, tag="change"):
+    """An operator sends a change to a control host and waits for its result.
+
+    :param change_id: the operator's id; a second line with it is a resend.
+    :param document: the new document, or ``zone`` with ``drained``.
+    :param via: control host that is asked; any without it.
+    """
+
+    change_id: str
+    author: str
+    document: str | None = None
+    expected_revision: int | None = None
+    zone: str | None = None
+    drained: bool = True
+    via: str | None = None
+
+
+class LoseControlHost(Line, frozen=True, kw_only=True, tag="lose_control_host"):
+    """A control host stops without a word; its disk stays."""
+
+    host: str
+
+
+class RestartControlHost(Line, frozen=True, kw_only=True, tag="restart_control_host"):
+    """A control host starts on what its disk holds."""
+
+    host: str
+
+
+class CutHosts(Line, frozen=True, kw_only=True, tag="cut_hosts"):
+    """Only these hosts are silently cut off from all others; none heals."""
+
+    hosts: tuple[str, ...]
+
+
 class LoseHost(Line, frozen=True, kw_only=True, tag="lose_host"):
     """An entry host stops without a word."""
 
@@ -230,6 +268,25 @@
     at_most: int
 
 
+class ExpectChanges(Line, frozen=True, kw_only=True, tag="expect_changes"):
+    """Of these changes so many are accepted, each with one result by ``at``.
+
+    :param results: how often each was answered; a resend gets the first result.
+    """
+
+    change_ids: tuple[str, ...]
+    accepted: int
+    results: int = 1
+    refused_code: str | None = None
+
+
+class ExpectRevision(Line, frozen=True, kw_only=True, tag="expect_revision"):
+    """Live entry hosts whose id matches have at least this revision at ``at``."""
+
+    revision: int
+    hosts: tuple[str, ...] = ("*",)
+
+
 EventLine = (
     Announce
     | Withdraw
@@ -237,6 +294,10 @@
     | Search
     | Drain
     | Document
+    | Change
+    | LoseControlHost
+    | RestartControlHost
+    | CutHosts
     | LoseHost
     | StopHost
     | RestartHost
@@ -254,5 +315,7 @@
     | ExpectRuns
     | ExpectExtraLoad
     | ExpectCrashes
+    | ExpectChanges
+    | ExpectRevision
 )
 AnyLine = EventLine | ExpectationLine
--- /dev/null
+++ b/src/greengagehaven/replay/control.py
@@ -0,0 +1,272 @@
+"""Control hosts of a replay: the daemons' replicated log on disks in memory."""
+
+import functools
+import itertools
+import random
+import typing
+
+from greengagehaven import clock as clocks
+from greengagehaven.coordination import proposals
+from greengagehaven.coordination.raft import core, events, replica, timing
+from greengagehaven.protocol import trace
+from greengagehaven.replay import schedule as schedule_module
+from greengagehaven.state import audit, changes, configuration, records, storage
+
+GROUP_ID = "replay"
+RETRY_S = 0.2
+BUSY_S = 0.005
+PATIENCE_S = 30.0
+INITIAL_CHANGE_ID = "initial"
+
+Delay = typing.Callable[[str, str], float | None]
+
+
+class MemoryFolder:
+    """A data folder in memory; what is written is synced."""
+
+    def __init__(self) -> None:
+        self._files_by_name: dict[str, bytes] = {}
+
+    def path_of(self, name: str) -> str:
+        """Return the full name of a file, for messages."""
+        return f"memory/{name}"
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(self._files_by_name)
+
+    def read(self, name: str) -> bytes | None:
+        """Return the bytes of a file, ``None`` where there is none."""
+        return self._files_by_name.get(name)
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write bytes at the end of a file."""
+        self._files_by_name[name] = self._files_by_name.get(name, b"") + data
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes."""
+        self._files_by_name[name] = self._files_by_name[name][:size]
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place whole."""
+        self._files_by_name[name] = data
+
+    def remove(self, name: str) -> None:
+        """Remove a file where it exists."""
+        self._files_by_name.pop(name, None)
+
+
+class ReplayedControlHost:
+    """One control host: its disk outlives its process."""
+
+    def __init__(self, *, line: trace.HostLine, seed: int) -> None:
+        self.id = line.id
+        self.zone = line.zone
+        self.folder = MemoryFolder()
+        self.replica: replica.Replica | None = None
+        self.machine = changes.ChangeMachine()
+        self._rng = random.Random(seed)
+
+    def open(self, *, clock: clocks.Clock) -> None:
+        """Start the process on what the disk holds."""
+        disk = storage.Storage(folder=self.folder)
+        identity = disk.identity()
+        assert identity is not None
+        self.machine = changes.ChangeMachine()
+        self.replica = replica.Replica(
+            raft=core.Raft(
+                identity=identity,
+                stored=disk.load(),
+                clock=clock,
+                rng=self._rng,
+                timing=timing.Timing(),
+            ),
+            storage=disk,
+            machine=self.machine,
+        )
+
+    def initialise(self, members: tuple[records.Member, ...]) -> None:
+        """Write the disk of a founding member."""
+        snapshot = records.Snapshot(
+            last=records.Position(1, 0),
+            membership=records.Membership(members=members),
+            data=self.machine.capture(),
+        )
+        identity = records.Identity(host=self.id, member_id=self.id, group_id=GROUP_ID)
+        storage.Storage(folder=self.folder).initialise(identity, snapshot)
+
+    @property
+    def age(self) -> float:
+        """Return seconds for which the state here may have been outdated."""
+        assert self.replica is not None
+        return self.replica.raft.age
+
+
+class ReplayedControl:
+    """All control hosts of a trace and the operators' changes to them.
+
+    :param lines: the control hosts, all of them voters.
+    :param delay: seconds between two hosts by id, ``None`` where cut off.
+    """
+
+    def __init__(
+        self,
+        *,
+        lines: tuple[trace.HostLine, ...],
+        clock: clocks.Clock,
+        schedule: schedule_module.Schedule,
+        delay: Delay,
+        seed: int,
+    ) -> None:
+        self._clock = clock
+        self._schedule = schedule
+        self._delay = delay
+        self._numbers = itertools.count(1)
+        self._pending_by_number: dict[int, trace.Change] = {}
+        self._writer = proposals.ChangeWriter(
+            environment="replay", signer=None, verifier=None, clock=clock
+        )
+        self.hosts_by_id = {
+            line.id: ReplayedControlHost(line=line, seed=seed + number)
+            for number, line in enumerate(lines)
+        }
+        self.results_by_change_id: dict[str, list[tuple[float, audit.AuditRecord]]] = {}
+
+    def start(self, document: str) -> None:
+        """Found the log and put the first document in it."""
+        members = tuple(
+            records.Member(id=host_id, host=host_id, address=host_id, voter=True)
+            for host_id in self.hosts_by_id
+        )
+        for host in self.hosts_by_id.values():
+            host.initialise(members)
+            self.restart(host.id)
+        change = trace.Change(
+            change_id=INITIAL_CHANGE_ID, author="trace", document=document
+        )
+        self.propose(change)
+
+    def lose(self, host_id: str) -> None:
+        """Stop a control host without a word; its disk stays."""
+        self.hosts_by_id[host_id].replica = None
+
+    def restart(self, host_id: str) -> None:
+        """Start a control host on what its disk holds."""
+        host = self.hosts_by_id[host_id]
+        host.open(clock=self._clock)
+        self._arm(host)
+
+    def propose(self, change: trace.Change) -> None:
+        """Let an operator send a change until it is decided."""
+        self._try(change, self._schedule.now + PATIENCE_S)
+
+    def state_of(self, host_id: str) -> configuration.ConfigurationState | None:
+        """Return the state that a control host hands on, ``None`` if it is down."""
+        host = self.hosts_by_id[host_id]
+        return None if host.replica is None else host.machine.state
+
+    def _try(self, change: trace.Change, give_up_at: float) -> None:
+        if self._schedule.now > give_up_at:
+            return
+        leader = self._find_leader(change)
+        pause = BUSY_S if leader is not None else RETRY_S
+        if leader is None or self._pending_by_number:
+            retry = functools.partial(self._try, change, give_up_at)
+            self._schedule.call_later(pause, retry)
+            return
+        entry = self._writer.write(_to_change(change), leader.machine, ())
+        known = leader.machine.audit.find(change.change_id)
+        if known is not None:
+            self._note(change, known)
+            return
+        number = next(self._numbers)
+        self._pending_by_number[number] = change
+        expire = functools.partial(self._expire, number, give_up_at)
+        self._schedule.call_later(RETRY_S * 5, expire)
+        payload = changes.encode(entry)
+        proposed = events.PayloadProposed(proposal_id=number, payload=payload)
+        self._step(leader, proposed)
+
+    def _expire(self, number: int, give_up_at: float) -> None:
+        """Send a change again whose reply did not come, under the same id."""
+        change = self._pending_by_number.pop(number, None)
+        if change is not None:
+            self._try(change, give_up_at)
+
+    def _find_leader(self, change: trace.Change) -> ReplayedControlHost | None:
+        asked = [change.via] if change.via else list(self.hosts_by_id)
+        for host_id in asked:
+            host = self.hosts_by_id[host_id]
+            if host.replica is None:
+                continue
+            leader = self.hosts_by_id.get(host.replica.raft.leader_id or "")
+            if leader is None or leader.replica is None:
+                continue
+            is_near = leader is host or self._delay(host.id, leader.id) is not None
+            if is_near and leader.replica.is_leader:
+                return leader
+        return None
+
+    def _arm(self, host: ReplayedControlHost) -> None:
+        member = host.replica
+        if member is None:
+            return
+        moment = self._schedule.moment_of(member.raft.next_wake)
+        wake = functools.partial(self._wake, host, member)
+        self._schedule.call_at(max(moment, self._schedule.now), wake)
+
+    def _wake(self, host: ReplayedControlHost, member: replica.Replica) -> None:
+        if host.replica is not member:
+            return
+        if member.raft.next_wake <= self._clock.monotonic() + 1e-9:
+            self._step(host, events.TimeReached())
+        self._arm(host)
+
+    def _step(self, host: ReplayedControlHost, event: events.Event) -> None:
+        assert host.replica is not None
+        for outcome in host.replica.step(event):
+            if isinstance(outcome, replica.Decided):
+                self._settle(outcome)
+            elif not isinstance(outcome, replica.ReadDecided | events.RoleChanged):
+                self._send(host, outcome)
+
+    def _send(self, host: ReplayedControlHost, message: typing.Any) -> None:
+        delay = self._delay(host.id, message.receiver)
+        target = self.hosts_by_id[message.receiver]
+
+        def arrive() -> None:
+            if target.replica is not None:
+                self._step(target, events.MessageReceived(message=message))
+
+        if delay is not None:
+            self._schedule.call_later(delay, arrive)
+
+    def _settle(self, decided: replica.Decided) -> None:
+        change = self._pending_by_number.pop(decided.proposal_id, None)
+        if change is None:
+            return
+        if decided.error is None:
+            self._note(change, decided.result)
+        else:
+            self._try(change, self._schedule.now + PATIENCE_S)
+
+    def _note(self, change: trace.Change, record: audit.AuditRecord) -> None:
+        results = self.results_by_change_id.setdefault(change.change_id, [])
+        results.append((self._schedule.now, record))
+
+
+def _to_change(change: trace.Change) -> configuration.Change:
+    if change.zone is not None:
+        return configuration.ZoneChange(
+            change_id=change.change_id,
+            author=change.author,
+            zone=change.zone,
+            drained=change.drained,
+            force=True,
+        )
+    return configuration.DocumentChange(
+        change_id=change.change_id,
+        author=change.author,
+        document=(change.document or "").encode(),
+        expected_revision=change.expected_revision,
+    )
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -8,7 +8,7 @@
 from greengagehaven.coordination import core, events, options
 from greengagehaven.coordination.membership import node, signals
 from greengagehaven.protocol import codec, membership, notices, upstream
-from greengagehaven.replay import owners
+from greengagehaven.replay import followers, owners
 from greengagehaven.replay import schedule as schedule_module
 from greengagehaven.state import directory
 
@@ -80,6 +80,8 @@
         self._is_stopping = False
         self.directory = directory.Directory()
         self.open_request_ids: set[str] = set()
+        self.follower: followers.ReplayedFollower | None = None
+        self._is_configured = False
         self._schedule = schedule
         self._network = network
         self._in_flight: dict[tuple[str, int], upstream.SubRequest] = {}
@@ -110,9 +112,16 @@
     def takes_callers(self) -> bool:
         """Tell whether the balancer sends callers and upstreams here.
 
-        A host is not ready before it has started from a peer.
+        A host is not ready before it has started from a peer and a document is
+        in force on it.
         """
-        return self.alive and not self._is_stopping and self._membership.is_joined
+        is_ready = self._membership.is_joined and self._is_configured
+        return self.alive and not self._is_stopping and is_ready
+
+    def take_document(self, in_force: events.DocumentInForce) -> None:
+        """Bring a document into force."""
+        self._is_configured = True
+        self.step(in_force)
 
     def stop(self) -> None:
         """Take nobody new, finish what is open, then leave."""
--- a/src/greengagehaven/replay/outcomes.py
+++ b/src/greengagehaven/replay/outcomes.py
@@ -140,6 +140,43 @@
     return f"{crashes} upstreams crashed, at most {line.at_most}"
 
 
+@_judge.register
+def _judge_changes(line: trace.ExpectChanges, played: player.Player) -> str | None:
+    accepted = 0
+    for change_id in line.change_ids:
+        results = [
+            record
+            for at, record in played.results_by_change_id.get(change_id, ())
+            if at <= line.at
+        ]
+        if len(results) != line.results:
+            return f"change {change_id} was answered {len(results)} times"
+        if any(record != results[0] for record in results):
+            return f"change {change_id} got different results"
+        accepted += results[0].accepted
+        if not results[0].accepted and line.refused_code not in (None, results[0].code):
+            return f"change {change_id} was refused as {results[0].code}"
+    if accepted == line.accepted:
+        return None
+    return f"{accepted} of {line.change_ids} accepted, expected {line.accepted}"
+
+
+@_judge.register
+def _judge_revision(line: trace.ExpectRevision, played: player.Player) -> str | None:
+    behind = []
+    for host_id in played.live_host_ids:
+        if not any(fnmatch.fnmatchcase(host_id, each) for each in line.hosts):
+            continue
+        held = [
+            each.revision
+            for each in played.revisions
+            if each.host_id == host_id and each.at <= line.at
+        ]
+        if max(held, default=0) < line.revision:
+            behind.append(f"{host_id} at {max(held, default=0)}")
+    return f"behind revision {line.revision}: {', '.join(behind)}" if behind else None
+
+
 def _judge_share(what: str, line: typing.Any, good: int, total: int) -> str | None:
     if total and good >= line.share * total:
         return None
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -1,5 +1,6 @@
 """Plays a trace: entry hosts run the daemons' core, upstreams obey the trace."""
 
+import dataclasses
 import datetime
 import fnmatch
 import functools
@@ -13,8 +14,17 @@
 from greengagehaven.coordination import events, options
 from greengagehaven.coordination.membership import signals
 from greengagehaven.protocol import claims, membership, trace, upstream
-from greengagehaven.replay import hosts, reader, recorders, schedule, upstreams
-from greengagehaven.state import document
+from greengagehaven.replay import (
+    control,
+    followers,
+    hosts,
+    links,
+    reader,
+    recorders,
+    schedule,
+    upstreams,
+)
+from greengagehaven.state import audit, configuration, document
 
 RENEW_S = 1.0
 STALL_S = 1.0
@@ -23,6 +33,15 @@
 FIRST_READING_S = 1000.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Revision:
+    """A revision came into force on an entry host."""
+
+    at: float
+    host_id: str
+    revision: int
+
+
 class Player:
     """One run of a trace.
 
@@ -41,12 +60,15 @@
         self._clock = clock_module.ManualClock(start=FIRST_READING_S)
         self._schedule = schedule.Schedule(clock=self._clock, lead_in=LEAD_IN_S)
         self._hop_s = recorded.header.hop_ms / 1000
+        self.revisions: list[Revision] = []
         self._rng = random.Random(recorded.header.seed)
         self._incarnations = itertools.count(1)
         self._seeds = itertools.count(recorded.header.seed)
-        self._groups: tuple[tuple[str, ...], ...] = ()
-        self._one_way = False
-        self._in_force = self._parse(1, recorded.header.document)
+        self._links = links.Links(hop=self._hop_s)
+        header = recorded.header
+        for line in (*header.entry_hosts, *header.control_hosts):
+            self._links.zones_by_id[line.id] = line.zone
+        self._in_force = self._parse(1, header.document)
         self._drained = events.ZonesDrained(zones=frozenset())
         self._upstreams_by_id: dict[str, upstreams.ReplayedUpstream] = {}
         self._behaviours: list[trace.Behave] = []
@@ -60,8 +82,17 @@
             lines=recorded.header.entry_hosts,
             clock=self._clock,
             schedule=self._schedule,
-            delay_of=self._delay,
+            delay_of=self._links.zone_delay,
+        )
+        self._control = control.ReplayedControl(
+            lines=header.control_hosts,
+            clock=self._clock,
+            schedule=self._schedule,
+            delay=self._links.delay,
+            seed=header.seed,
         )
+        if header.control_hosts:
+            self._control.start(header.document)
         self._hosts_by_id = {
             line.id: self._build_host(line) for line in recorded.header.entry_hosts
         }
@@ -83,6 +114,18 @@
                 self._schedule.call_at(line.at or self._schedule.now, apply)
         self._schedule.run_until(end + SETTLE_S)
 
+    @property
+    def live_host_ids(self) -> list[str]:
+        """Return the entry hosts that live at the end."""
+        return [host.id for host in self._hosts_by_id.values() if host.alive]
+
+    @property
+    def results_by_change_id(
+        self,
+    ) -> dict[str, list[tuple[float, audit.AuditRecord]]]:
+        """Return what operators were answered, with the moments."""
+        return self._control.results_by_change_id
+
     def crashes(self) -> int:
         """Return how many upstreams crashed."""
         return sum(known.crashes for known in self._upstreams_by_id.values())
@@ -94,7 +137,7 @@
     ) -> None:
         """Carry a sub-request to its upstream and the outcome back."""
         target = self._upstreams_by_id[sub_request.upstream_id]
-        delay = self._delay(host.zone, target.announcement.availability_zone)
+        delay = self._links.zone_delay(host.zone, target.announcement.availability_zone)
         if delay is None:
             failed = upstream.Failed(
                 request_id=sub_request.request_id,
@@ -204,7 +247,16 @@
             self._tell_all(self._drained)
         elif isinstance(line, trace.Document):
             self._in_force = self._parse(line.revision, line.document)
-            self._tell_all(self._in_force)
+            for host in self._hosts_by_id.values():
+                host.take_document(self._in_force)
+        elif isinstance(line, trace.Change):
+            self._control.propose(line)
+        elif isinstance(line, trace.LoseControlHost):
+            self._control.lose(line.host)
+        elif isinstance(line, trace.RestartControlHost):
+            self._control.restart(line.host)
+        elif isinstance(line, trace.CutHosts):
+            self._links.cut(line.hosts)
         elif isinstance(line, trace.LoseHost):
             self._lose_host(line.host)
         elif isinstance(line, trace.StopHost):
@@ -212,8 +264,7 @@
         elif isinstance(line, trace.RestartHost):
             self._restart(line.host)
         elif isinstance(line, trace.Partition):
-            self._groups = line.groups
-            self._one_way = line.one_way
+            self._links.partition(line.groups, one_way=line.one_way)
         elif isinstance(line, trace.StepClock):
             self._clock.step_wall(datetime.timedelta(seconds=line.seconds))
 
@@ -291,26 +342,15 @@
         reachable = [
             host
             for host in self._hosts_by_id.values()
-            if host.takes_callers and self._connects(zone, host.zone)
+            if host.takes_callers and self._links.connects(zone, host.zone)
         ]
         return self._rng.choice(reachable) if reachable else None
 
-    def _connects(self, source: str, target: str) -> bool:
-        """Tell whether a connection between zones opens: it needs both ways."""
-        there, back = self._delay(source, target), self._delay(target, source)
-        return there is not None and back is not None
-
     def _path_delay(self, host_ids: list[str]) -> float | None:
-        """Return seconds along a path of hosts, ``None`` where it is cut."""
-        total = 0.0
-        for source, target in itertools.pairwise(host_ids):
-            delay = self._delay(
-                self._hosts_by_id[source].zone, self._hosts_by_id[target].zone
-            )
-            if delay is None or not self._hosts_by_id[target].alive:
-                return None
-            total += delay
-        return total
+        """Return seconds along a path of live hosts, ``None`` where it is cut."""
+        if not all(self._hosts_by_id[host_id].alive for host_id in host_ids[1:]):
+            return None
+        return self._links.path_delay(host_ids)
 
     def _behave(self, line: trace.Behave) -> None:
         self._behaviours.append(line)
@@ -335,10 +375,60 @@
         self._brief(self._hosts_by_id[host_id])
 
     def _brief(self, host: hosts.ReplayedHost) -> None:
-        host.step(self._in_force)
-        host.step(self._drained)
+        if self._trace.header.control_hosts:
+            self._follow(host)
+        else:
+            host.take_document(self._in_force)
+            host.step(self._drained)
         host.start()
 
+    def _follow(self, host: hosts.ReplayedHost) -> None:
+        host.follower = followers.ReplayedFollower(
+            host_id=host.id,
+            control_ids=tuple(self._control.hosts_by_id),
+            peer_ids=lambda: [each for each in self._hosts_by_id if each != host.id],
+            clock=self._clock,
+            schedule=self._schedule,
+            sources=self,
+            seed=next(self._seeds),
+            on_state=functools.partial(self._put_in_force, host),
+        )
+        host.follower.start()
+
+    def _put_in_force(
+        self, host: hosts.ReplayedHost, state: configuration.ConfigurationState
+    ) -> None:
+        if not host.alive:
+            return
+        if state.revision < max(self._revisions_of(host.id), default=0):
+            self.violations.append(f"{host.id} went back to {state.revision}")
+        revision = Revision(
+            at=self._schedule.now, host_id=host.id, revision=state.revision
+        )
+        self.revisions.append(revision)
+        host.take_document(self._parse(state.revision, state.document.decode()))
+        host.step(events.ZonesDrained(zones=frozenset(state.drained_zones)))
+
+    def _revisions_of(self, host_id: str) -> list[int]:
+        return [each.revision for each in self.revisions if each.host_id == host_id]
+
+    def ask_configuration(
+        self, asker: str, address: str
+    ) -> tuple[configuration.ConfigurationState, float, float] | None:
+        """Return (state, its age, seconds of the call), ``None`` if cut off."""
+        there = self._links.delay(asker, address)
+        back = self._links.delay(address, asker)
+        if there is None or back is None:
+            return None
+        if address in self._control.hosts_by_id:
+            state = self._control.state_of(address)
+            age = 0.0 if state is None else self._control.hosts_by_id[address].age
+        else:
+            peer = self._hosts_by_id[address]
+            state = peer.follower.state if peer.alive and peer.follower else None
+            age = peer.follower.age if peer.follower else 0.0
+        return None if state is None else (state, age, there + back)
+
     def _build_host(self, line: trace.HostLine) -> hosts.ReplayedHost:
         lines = self._trace.header.entry_hosts
         return hosts.ReplayedHost(
@@ -361,25 +451,13 @@
         environment = document.parse(text.encode())
         return events.DocumentInForce(revision=revision, environment=environment)
 
-    def _delay(self, source: str, target: str) -> float | None:
-        """Return seconds for one way between zones, ``None`` where cut off."""
-        if source == target:
-            return self._hop_s / 2
-        if not self._groups:
-            return self._hop_s
-        if any(source in group and target in group for group in self._groups):
-            return self._hop_s
-        if self._one_way and source in self._groups[0]:
-            return self._hop_s
-        return None
-
     def _return(
         self,
         host: hosts.ReplayedHost,
         target: upstreams.ReplayedUpstream,
         outcome: upstream.Outcome,
     ) -> None:
-        delay = self._delay(target.announcement.availability_zone, host.zone)
+        delay = self._links.zone_delay(target.announcement.availability_zone, host.zone)
         if delay is not None:
             self._schedule.call_later(delay, lambda: host.owner.take_outcome(outcome))
             return
--- a/tools/write_traces.py
+++ b/tools/write_traces.py
@@ -106,6 +106,28 @@
     return [f"{tool.prefix}-{number}" for number in range(tool.services)]
 
 
+def control_header(deployment: Deployment, story: str, seed: int) -> dict:
+    """Return the first line of a trace with three control hosts."""
+    control_hosts = [
+        {"id": f"c-{number}", "zone": deployment.zones[number]} for number in range(3)
+    ]
+    return {**header(deployment, story, seed), "control_hosts": control_hosts}
+
+
+def document_with(deployment: Deployment, seed: int, share: float) -> str:
+    """Return the deployment's document with another share of one subscriber."""
+    text = header(deployment, "", seed)["document"]
+    return text.replace(
+        "[subscribers.bulk]\n", f"[subscribers.bulk]\nshare = {share}\n"
+    )
+
+
+def change(change_id: str, at: float, **fields) -> dict:
+    """Return an operator's change."""
+    fields.setdefault("author", f"operator-{change_id}")
+    return {"type": "change", "at": at, "change_id": change_id, **fields}
+
+
 def header(deployment: Deployment, story: str, seed: int) -> dict:
     """Return the first line of a trace."""
     zones = deployment.zones
@@ -916,6 +938,187 @@
     )
 
 
+def write_georgia_racing_operators() -> None:
+    """Two operators change the same revision; one resends after a lost reply."""
+    story = """Two operators send changes with the same number at the same moment,
+    and both send them again because they saw no reply, one of them after the
+    leading control host was lost. Exactly one may win, each gets its first result
+    again, and no host may go back."""
+    one, two = (document_with(GEORGIA, 51, share) for share in (2.0, 3.0))
+    write(
+        "georgia-racing-operators",
+        [
+            control_header(GEORGIA, story, 51),
+            change("one", 1.0, document=one, expected_revision=1),
+            change("two", 1.0, document=two, expected_revision=1),
+            change("one", 1.5, document=one, expected_revision=1),
+            line("lose_control_host", at=2.0, host="c-0"),
+            change("two", 2.1, document=two, expected_revision=1),
+            line("restart_control_host", at=5.0, host="c-0"),
+            line(
+                "expect_changes",
+                at=8.0,
+                change_ids=["one", "two"],
+                accepted=1,
+                results=2,
+                refused_code="revision_conflict",
+            ),
+            line("expect_revision", at=3.0, revision=2),
+        ],
+    )
+
+
+def write_norway_control_host_cut_off() -> None:
+    """A control host is silently cut off for long and comes back."""
+    story = """Something between the hosts drops all packets of one control host for
+    half a minute. Changes go on, every entry host has them within seconds though
+    some followed the lost one, and its return disturbs nothing."""
+    lines = [
+        control_header(NORWAY, story, 52),
+        *announce_all(NORWAY),
+        search(
+            "check-",
+            at=0.5,
+            services=["screening-0"],
+            kind="name-check",
+            count=900,
+            every_ms=50,
+        ),
+        line("cut_hosts", at=2.0, hosts=["c-1"]),
+    ]
+    for number in range(10):
+        text = document_with(NORWAY, 52, 2.0 + number)
+        lines.append(change(f"n-{number}", 3.0 + 3 * number, document=text, via="c-2"))
+    lines += [
+        line("cut_hosts", at=35.0, hosts=[]),
+        line("expect_revision", at=8.0, revision=2),
+        line("expect_revision", at=34.0, revision=11),
+        line(
+            "expect_changes",
+            at=34.0,
+            change_ids=[f"n-{number}" for number in range(10)],
+            accepted=10,
+        ),
+        line("expect_answer", at=50.0, request="check-", complete=True),
+    ]
+    write("norway-control-host-cut-off", lines)
+
+
+def write_norway_second_control_loss_after_repair() -> None:
+    """A control host comes back, and a moment later the next one is lost."""
+    story = """A control host is lost while changes go on and comes back on its disk;
+    a second one fails just after the repair. Nothing that was accepted may be
+    lost, and changes go on with the two that are left."""
+    texts = [document_with(NORWAY, 53, 2.0 + number) for number in range(3)]
+    write(
+        "norway-second-control-loss-after-repair",
+        [
+            control_header(NORWAY, story, 53),
+            line("lose_control_host", at=1.0, host="c-0"),
+            change("first", 2.0, document=texts[0]),
+            line("restart_control_host", at=5.0, host="c-0"),
+            line("lose_control_host", at=5.3, host="c-1"),
+            change("second", 5.4, document=texts[1], expected_revision=2),
+            line("restart_control_host", at=9.0, host="c-1"),
+            line("lose_control_host", at=9.3, host="c-2"),
+            change("third", 9.4, document=texts[2], expected_revision=3),
+            line(
+                "expect_changes",
+                at=14.0,
+                change_ids=["first", "second", "third"],
+                accepted=3,
+            ),
+            line("expect_revision", at=15.0, revision=4),
+        ],
+    )
+
+
+def write_georgia_restart_after_many_changes() -> None:
+    """Hundreds of changes, then every process restarts."""
+    story = """Three hundred changes have accumulated when a power failure restarts
+    every control host and every entry host. All of them must come back to the last
+    revision and answer again."""
+    lines = [control_header(GEORGIA, story, 54), *announce_all(GEORGIA)]
+    for number in range(300):
+        text = document_with(GEORGIA, 54, 1.0 + number / 100)
+        lines.append(change(f"n-{number}", 1.0 + 0.02 * number, document=text))
+    for number in range(3):
+        lines.append(line("lose_control_host", at=9.0, host=f"c-{number}"))
+        lines.append(line("restart_control_host", at=10.0, host=f"c-{number}"))
+    for number in range(HOSTS):
+        lines.append(line("lose_host", at=9.0, host=f"h-{number}"))
+        lines.append(line("restart_host", at=10.0, host=f"h-{number}"))
+    lines += [
+        search(
+            "after-",
+            at=15.0,
+            services=["buyer-0", "clerk-0"],
+            kind="sweep",
+            count=100,
+            every_ms=10,
+        ),
+        line(
+            "expect_changes",
+            at=9.0,
+            change_ids=[f"n-{number}" for number in range(300)],
+            accepted=300,
+        ),
+        line("expect_revision", at=9.0, revision=301),
+        line("expect_revision", at=13.0, revision=301),
+        line("expect_answer", at=18.0, request="after-", complete=True),
+    ]
+    write("georgia-restart-after-many-changes", lines)
+
+
+def write_georgia_drain_in_partition() -> None:
+    """A zone is drained while another one is cut off."""
+    story = """Zone d is cut off when operators drain zone b. The others stop sending
+    work to b within seconds; d learns of it when it comes back, and only then may
+    it reach b again. Nobody's answer is incomplete for it."""
+    services = [f"buyer-{number}" for number in range(4)]
+    in_zone = ["buyer-*-1", "clerk-*-1"]
+    write(
+        "georgia-drain-in-partition",
+        [
+            control_header(GEORGIA, story, 55),
+            *announce_all(GEORGIA),
+            search(
+                "sweep-",
+                at=0.5,
+                host="h-0",
+                services=services,
+                kind="sweep",
+                count=900,
+                every_ms=15,
+            ),
+            search(
+                "viewer-",
+                at=0.5,
+                host="h-3",
+                services=["viewer-0"],
+                kind="sweep",
+                count=900,
+                every_ms=15,
+            ),
+            line("partition", at=2.0, groups=[["a", "b", "c"], ["d"]]),
+            change("drain-b", 3.0, zone="b"),
+            line("partition", at=8.0, groups=[]),
+            search("last-", at=12.0, services=services, **SWEEP),
+            change("restore-b", 11.0, zone="b", drained=False),
+            line(
+                "expect_changes",
+                at=14.0,
+                change_ids=["drain-b", "restore-b"],
+                accepted=2,
+            ),
+            line("expect_no_work", at=4.0, until=11.0, upstreams=in_zone),
+            line("expect_work", at=12.0, until=14.0, upstreams=in_zone),
+            line("expect_answer", at=18.0, request="sweep-", complete=True),
+            line("expect_answer", at=18.0, request="viewer-", complete=True),
+        ],
+    )
+
+
 def main() -> None:
     """Write every trace."""
     for name, write_trace in sorted(globals().items()):
