Count work in a drained zone as a violation

Cause: measure's zone-drain could not tell whether a drain was kept. Conclusion: no new work later than 1 s after the drain was accepted.

--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -8,6 +8,8 @@
 from greengagehaven.daemons import dev
 from greengagehaven.standin import upstream as standin
 
+ZONE_GRACE_S = 1.0
+
 
 def _matching(environment: dev.Dev, name: str) -> list[standin.StandinUpstream]:
     upstreams_by_id = environment.upstreams_by_id
@@ -61,7 +63,18 @@
 
 async def set_zone(environment: dev.Dev, zone: str, drained: bool) -> None:
     """Drain an availability zone or restore it, as an operator."""
+    upstreams = [
+        stand_in
+        for stand_in in environment.upstreams_by_id.values()
+        if stand_in.options.availability_zone == zone
+    ]
+    if not drained:
+        for stand_in in upstreams:
+            stand_in.expect_no_new_work(None)
     await environment.set_zone(zone, drained=drained)
+    if drained:
+        for stand_in in upstreams:
+            stand_in.expect_no_new_work(ZONE_GRACE_S)
 
 
 async def burst(environment: dev.Dev, count: int) -> None:
--- a/src/greengagehaven/standin/upstream.py
+++ b/src/greengagehaven/standin/upstream.py
@@ -134,7 +134,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._state = upstream.UpstreamState.READY
-        self._draining_since: float | None = None
+        self._no_work_after: float | None = None
         self._running = 0
         self._queue: collections.deque[asyncio.Future] = collections.deque()
         self._waits_by_id: dict[tuple[str, str], asyncio.Future] = {}
@@ -171,9 +171,10 @@
         :return: sub-requests that were cut off.
         """
         self.change(state=upstream.UpstreamState.DRAINING)
-        self._draining_since = self._clock.monotonic()
-        end = self._draining_since + bound
-        settle = self._draining_since + min(DRAIN_GRACE_S, bound)
+        began = self._clock.monotonic()
+        self._no_work_after = began + DRAIN_GRACE_S
+        end = began + bound
+        settle = began + min(DRAIN_GRACE_S, bound)
         while self._clock.monotonic() < end:
             busy = self._running or self._queue
             if not busy and self._clock.monotonic() >= settle:
@@ -198,6 +199,16 @@
         self._index_shards()
         self._changed.set()
 
+    def expect_no_new_work(self, after: float | None) -> None:
+        """Count new work as a violation, ``after`` seconds from now on.
+
+        For a zone that operators drain: the upstream itself is told nothing.
+
+        :param after: ``None`` to count none any more.
+        """
+        now = self._clock.monotonic()
+        self._no_work_after = None if after is None else now + after
+
     def chill(self) -> None:
         """Turn cold again without a word."""
         self._warm_runs = 0
@@ -268,9 +279,9 @@
         return None
 
     def _is_over_drain(self) -> bool:
-        if self._draining_since is None:
+        if self._no_work_after is None:
             return False
-        return self._clock.monotonic() > self._draining_since + DRAIN_GRACE_S
+        return self._clock.monotonic() > self._no_work_after
 
     async def _work(
         self, request: http.Request, echo: tuple[tuple[str, str], ...]
