--- a/src/greengagehaven/commands/measure.py
+++ b/src/greengagehaven/commands/measure.py
@@ -6,7 +6,7 @@
 import click
 
 from greengagehaven import log
-from greengagehaven.daemons.measure import runner, scenarios
+from greengagehaven.daemons.measure import config_restart, runner, scenarios
 
 _FIELDS = (
     "queries",
@@ -22,9 +22,11 @@
     "violations",
 )
 
+NAMES = (*scenarios.SCENARIOS, config_restart.NAME)
+
 
 @click.command()
-@click.argument("scenario", type=click.Choice(sorted(scenarios.SCENARIOS)))
+@click.argument("scenario", type=click.Choice(sorted(NAMES)))
 @click.option("--seed", default=1, show_default=True)
 @click.option(
     "--seconds",
@@ -33,13 +35,45 @@
     show_default=True,
     help="Length of each of the two loads.",
 )
+@click.option(
+    "--hosts",
+    type=click.IntRange(0, 50),
+    default=9,
+    show_default=True,
+    help="Entry hosts of config-restart.",
+)
+@click.option(
+    "--changes",
+    type=click.IntRange(1, 2000),
+    default=300,
+    show_default=True,
+    help="Changes of config-restart.",
+)
+@click.option(
+    "--pace",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    show_default=True,
+    help="Seconds between the changes of config-restart.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 @click.option("--log-level", default="error", show_default=True)
 def measure(
-    scenario: str, seed: int, seconds: float, as_json: bool, log_level: str
+    scenario: str,
+    seed: int,
+    seconds: float,
+    hosts: int,
+    changes: int,
+    pace: float,
+    as_json: bool,
+    log_level: str,
 ) -> None:
     """Run SCENARIO without its mechanism, then with it, and compare."""
     log.configure(level=log_level)
+    if scenario == config_restart.NAME:
+        load = config_restart.Load(hosts=hosts, changes=changes, pace=pace)
+        _measure_restart(seed, load, as_json)
+        return
     compared = asyncio.run(runner.compare(scenario, seed=seed, seconds=seconds))
     if as_json:
         click.echo(json.dumps(compared))
@@ -48,3 +82,14 @@
     for field in _FIELDS:
         baseline, with_it = compared["baseline"][field], compared["run"][field]
         click.echo(f"{field:>15} {baseline!s:>10} {with_it!s:>10}")
+
+
+def _measure_restart(seed: int, load: config_restart.Load, as_json: bool) -> None:
+    measured = asyncio.run(config_restart.measure(seed=seed, load=load))
+    if as_json:
+        click.echo(json.dumps(measured))
+        return
+    click.echo(f"{config_restart.NAME}: {config_restart.ABOUT}")
+    for part in ("baseline", "run"):
+        for field, value in measured[part].items():
+            click.echo(f"{part:>8} {field:>22} {value!s:>10}")
--- a/src/greengagehaven/daemons/config_burst.py
+++ b/src/greengagehaven/daemons/measure/config_restart.py
@@ -14,9 +14,12 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.daemons import control, control_daemon, follower
+from greengagehaven.daemons.measure import relay
 from greengagehaven.state import configuration
 from greengagehaven.transport import peers
 
+NAME = "config-restart"
+ABOUT = "a burst of changes, then a restart of every control and entry host"
 ZONES = ("a", "b", "c")
 CONTROL_HOSTS = 3
 POLL_S = 0.002
@@ -52,6 +55,7 @@
         self.daemons: list[control_daemon.ControlDaemon] = []
         self.followers: list[follower.ConfigurationFollower] = []
         self.clients: list[peers.PeerClient] = []
+        self._relay: relay.Relay | None = None
 
     async def start(self) -> None:
         """Start every host; on a folder that was used, from its state."""
@@ -66,13 +70,16 @@
 
     async def start_followers(self) -> None:
         """Start the entry hosts' part."""
+        addresses = [daemon.peer_address for daemon in self.daemons]
+        self._relay = relay.Relay(target=addresses[0])
+        relayed = [await self._relay.start()]
         for number in range(self._hosts):
             client = peers.PeerClient(token=None, clock=self._clock)
             following = follower.ConfigurationFollower(
                 channel=client,
                 host_id=f"e{number}",
                 availability_zone=ZONES[number % len(ZONES)],
-                control_addresses=[daemon.peer_address for daemon in self.daemons],
+                control_addresses=addresses if number else relayed,
                 on_state=lambda state: None,
                 clock=self._clock,
                 rng=self._rng,
@@ -92,6 +99,11 @@
         """Return the bytes of bodies that the followers sent and got."""
         return sum(item.bytes_sent + item.bytes_received for item in self.clients)
 
+    @property
+    def wire_bytes(self) -> int:
+        """Return the bytes of the first follower's TCP streams, both ways."""
+        return self._relay.bytes_moved if self._relay is not None else 0
+
     async def change(self) -> configuration.ChangeResult:
         """Have one small change decided by the leader."""
         self._number += 1
@@ -138,6 +150,8 @@
         await asyncio.gather(*(item.close() for item in self.followers))
         await asyncio.gather(*(item.close() for item in self.clients))
         await asyncio.gather(*(item.close() for item in self.daemons))
+        if self._relay is not None:
+            self._relay.close()
         self.followers = []
         self.clients = []
 
@@ -212,29 +226,28 @@
         restart = await _restart(bench, burst["revision"])
         await bench.stop()
     return {
-        "scenario": "config-burst",
+        "scenario": NAME,
         "seed": seed,
-        "hosts": load.hosts,
-        "changes": load.changes,
-        "idle": idle,
-        "burst": burst,
-        "restart": restart,
+        "baseline": idle,
+        "run": {**dataclasses.asdict(load), **burst, **restart},
+        "ratios": {},
     }
 
 
-async def _idle(bench: Bench, seconds: float = 3.0) -> dict[str, float]:
-    cpu, moved = time.process_time(), bench.bytes_moved
+async def _idle(bench: Bench, seconds: float = 5.0) -> dict[str, float]:
+    cpu, moved, wire = time.process_time(), bench.bytes_moved, bench.wire_bytes
     await asyncio.sleep(seconds)
     return {
         "cpu_share": round((time.process_time() - cpu) / seconds, 4),
         "bytes_per_s_host": round(
             (bench.bytes_moved - moved) / seconds / max(1, len(bench.followers)), 1
         ),
+        "wire_bytes_per_s": round((bench.wire_bytes - wire) / seconds, 1),
     }
 
 
 async def _burst(bench: Bench, load: Load) -> dict[str, typing.Any]:
-    cpu, moved = time.process_time(), bench.bytes_moved
+    cpu, moved, wire = time.process_time(), bench.bytes_moved, bench.wire_bytes
     started = time.perf_counter()
     revision = await bench.burst(load)
     decided = time.perf_counter() - started
@@ -247,6 +260,7 @@
         "last_arrival_ms": round(max(arrivals, default=0.0) * 1000, 1),
         "cpu_ms_per_change": round(spent * 1000 / load.changes, 3),
         "bytes_per_change_host": round((bench.bytes_moved - moved) / per_host, 1),
+        "wire_bytes_per_change": round((bench.wire_bytes - wire) / load.changes, 1),
     }
 
 
