--- a/src/greengagehaven/coordination/hedging.py
+++ b/src/greengagehaven/coordination/hedging.py
@@ -9,6 +9,8 @@
 
 _MIN_DELAY_S = 0.002
 _PROBE_PART = 0.2
+_MAX_HEDGE_TOKENS = 10.0
+_MAX_PROBE_TOKENS = 3.0
 
 
 class HedgePolicy:
@@ -22,8 +24,12 @@
     def __init__(self, *, latencies: latency.LatencyBook, budget_ratio: float) -> None:
         self._latencies = latencies
         self._enabled = budget_ratio > 0
-        self.budget = retries.Budget(ratio=budget_ratio * (1.0 - _PROBE_PART))
-        self._probes = retries.Budget(ratio=budget_ratio * _PROBE_PART)
+        self.budget = retries.Budget(
+            ratio=budget_ratio * (1.0 - _PROBE_PART), max_tokens=_MAX_HEDGE_TOKENS
+        )
+        self._probes = retries.Budget(
+            ratio=budget_ratio * _PROBE_PART, max_tokens=_MAX_PROBE_TOKENS
+        )
 
     def earn(self, first_attempts: int = 1) -> None:
         """Count first attempts."""
--- a/src/greengagehaven/coordination/latency.py
+++ b/src/greengagehaven/coordination/latency.py
@@ -14,6 +14,7 @@
 _USUAL_WEIGHT = 0.05
 _USUAL_CAP = 3.0
 _STRAGGLING_RATIO = 1.5
+_MOST_RATIO = 2.5
 _UNKNOWN_S = 0.02
 _TAIL_QUANTILE = 0.99
 _LEAST_USUAL_S = 0.0005
@@ -106,12 +107,15 @@
         twentieth is hardly slower than the rest: to count it as straggling
         gains nothing and eats the budget that a real straggler needs. Then it
         is some multiple of the usual or the 99th percentile, if that is less.
+        Seconds of overload or cold upstreams leave a high quantile behind, so it
+        counts only up to a larger multiple.
         """
         for window in self._windows_of(key):
             if window is None or window.value is None or window.tail is None:
                 continue
             least = _STRAGGLING_RATIO * self.usual(key)
-            return max(window.value, min(window.tail, least))
+            most = _MOST_RATIO * self.usual(key)
+            return max(min(window.value, most), min(window.tail, least))
         return None
 
     def _windows_of(self, key: LatencyClass) -> tuple[LatencyWindow | None, ...]:
--- a/src/greengagehaven/coordination/retries.py
+++ b/src/greengagehaven/coordination/retries.py
@@ -18,15 +18,18 @@
     """Tokens for extra attempts.
 
     :param ratio: extra attempts allowed for each first attempt.
+    :param max_tokens: most that can be saved up.
     """
 
-    def __init__(self, *, ratio: float) -> None:
+    def __init__(self, *, ratio: float, max_tokens: float = MAX_TOKENS) -> None:
         self._ratio = ratio
-        self._tokens = INITIAL_TOKENS if ratio > 0 else 0.0
+        self._max_tokens = max_tokens
+        self._tokens = min(INITIAL_TOKENS, max_tokens) if ratio > 0 else 0.0
 
     def earn(self, first_attempts: int = 1) -> None:
         """Count first attempts."""
-        self._tokens = min(MAX_TOKENS, self._tokens + self._ratio * first_attempts)
+        tokens = self._tokens + self._ratio * first_attempts
+        self._tokens = min(self._max_tokens, tokens)
 
     def spend(self) -> bool:
         """Take a token for one extra attempt; return whether there was one."""
