--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -22,6 +22,7 @@
     core_loop,
     follower,
     membership_loop,
+    protection_metrics,
     upstream_path,
 )
 from greengagehaven.daemons import metrics as metrics_module
@@ -140,7 +141,9 @@
             channel=self._peer_client,
             addresses_by_id=entry_settings.recorder_addresses_by_id,
             submit=self.loop.submit,
+            look_up=self.core.look_up,
         )
+        protection_metrics.register(self.metrics.registry, lambda: self.core.protection)
         self._caller_api = caller_api.CallerApi(
             loop=self.loop,
             clock=self.clock,
--- a/src/greengagehaven/daemons/recorder_host.py
+++ b/src/greengagehaven/daemons/recorder_host.py
@@ -15,7 +15,7 @@
 
 METHOD = "claims/ask"
 CALL_TIMEOUT_S = 1.0
-COPY_PERIOD_S = 0.5
+COPY_PERIOD_S = 0.2
 COMPACT_AT_CHANGES = 50_000
 
 
