--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -8,7 +8,8 @@
 
 from fakes import control as control_fakes
 from fakes import environment as environments
-from greengagehaven import clock
+from fakes import environment_walk
+from greengagehaven import clock, exceptions
 from greengagehaven.coordination import following
 from greengagehaven.daemons import recovery
 from greengagehaven.state import configuration
@@ -276,6 +277,94 @@
     )
 
 
+@behave.when("the leader is deposed while it decides a change that came through {name}")
+def when_deposed(context, name):
+    environment = context.environment
+    deposed = environment.leader()
+    context.deposed = deposed.settings.host_id
+    assert context.deposed != name
+
+    async def lose_the_lead(change):
+        del deposed.decide
+        deposed.raft.follow(deposed.raft.term + 1, None)
+        # Another one is to be elected, or the host could decide it after all.
+        deposed.raft._candidacy.election_at += 60.0
+        raise exceptions.NotLeaderError(leader=None)
+
+    deposed.decide = lose_the_lead
+    context.began = environment.loop.time()
+    context.answer = environment.apply(
+        environments.document_with(2), "in hand", via=name
+    )
+
+
+@behave.then("the change is accepted within {seconds:d} seconds all the same")
+def then_accepted_soon(context, seconds):
+    status, result = context.answer
+    assert status == 200, result
+    elapsed = context.environment.loop.time() - context.began
+    assert elapsed < seconds, elapsed
+
+
+@behave.when(
+    "control host {name} is cut off, loses its disk and starts with --bootstrap"
+)
+def when_lost_disk(context, name):
+    environment = context.environment
+    context.old_voters = environment.voters()
+    context.lost = name
+    environment.network.cut_off("10.0.0.1:1")
+    environment.stop_control(name)
+    environment.folders_by_host[name] = control_fakes.MemoryFolder(rng=environment.rng)
+    environment.start_control(name, bootstrap=True)
+    environment.wait(5.0)
+
+
+@behave.then("it begins no log and takes no change")
+def then_no_log(context):
+    host, _ = context.environment.controls_by_host[context.lost]
+    assert host.raft is None
+    data = environments.document_with(2)
+    status, problem = context.environment.apply(data, "alone", via=context.lost)
+    assert (status, problem["code"]) == (503, "quorum_lost"), problem
+
+
+@behave.when("the network is whole again")
+def when_whole(context):
+    context.environment.network.heal()
+    context.environment.wait(5.0)
+
+
+@behave.then("control host {name} is a voter of the old log under a new identity")
+def then_new_identity(context, name):
+    environment = context.environment
+    voters = environment.voters()
+    kept = {voter for voter in context.old_voters if not voter.startswith(name)}
+    assert kept < voters and len(voters) == 3, (context.old_voters, voters)
+    host, _ = environment.controls_by_host[name]
+    assert host.raft.member_id in voters - context.old_voters
+    assert host.machine.state.revision == context.revision
+
+
+@behave.when("{count:d} schedules over control and entry hosts run from seed {seed:d}")
+def when_walks(context, count, seed):
+    context.broken = []
+    context.results = 0
+    for number in range(seed, seed + count):
+        walk = environment_walk.Walk(number)
+        try:
+            walk.run()
+        except AssertionError as error:
+            context.broken.append((number, error))
+        context.results += len(walk.results_by_change)
+
+
+@behave.then("each ended with one result for each change, in force on every entry host")
+def then_walks_held(context):
+    assert not context.broken, context.broken
+    assert context.results > 0
+
+
 @behave.given("an entry host that may follow control hosts and peers")
 def given_following(context):
     context.clock = clock.ManualClock()
