--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -253,7 +253,7 @@
     ) -> None:
         try:
             kind = self._check(submitted)
-            if kind.idempotent:
+            if kind.idempotent or not self._options.at_most_once:
                 self._run(submitted, actions)
                 return
             deadline = self._deadline_of(submitted, kind)
--- a/src/greengagehaven/coordination/execution.py
+++ b/src/greengagehaven/coordination/execution.py
@@ -58,7 +58,9 @@
         self._options = options
         self._release_at: float | None = None
         self._queries_by_id: dict[str, query.Query] = {}
-        self._retry_budgets = retries.ServiceBudgets(ratio=options.retry_budget)
+        self._retry_budgets = retries.ServiceBudgets(
+            ratio=options.retry_budget, enabled=options.retry_limits
+        )
         self._restart_budget = retries.Budget(ratio=options.retry_budget)
         self._hedges = hedges
 
--- a/src/greengagehaven/coordination/retries.py
+++ b/src/greengagehaven/coordination/retries.py
@@ -44,10 +44,12 @@
     """A budget for each service, so that one outage uses up only its own.
 
     :param ratio: extra attempts allowed for each first attempt.
+    :param enabled: off, there is always a token.
     """
 
-    def __init__(self, *, ratio: float) -> None:
+    def __init__(self, *, ratio: float, enabled: bool = True) -> None:
         self._ratio = ratio
+        self._enabled = enabled
         self._budgets_by_service: collections.OrderedDict[str, Budget] = (
             collections.OrderedDict()
         )
@@ -58,7 +60,7 @@
 
     def spend(self, service: str) -> bool:
         """Take a token of a service; return whether there was one."""
-        return self._of(service).spend()
+        return not self._enabled or self._of(service).spend()
 
     def _of(self, service: str) -> Budget:
         budget = self._budgets_by_service.get(service)
--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -20,6 +20,12 @@
         stand_in.speed_factor = factor
 
 
+async def fail(environment: dev.Dev, name: str) -> None:
+    """Let upstreams answer every request with an error at once."""
+    for stand_in in _matching(environment, name):
+        stand_in.fails_fast = True
+
+
 async def chill(environment: dev.Dev, name: str) -> None:
     """Turn warm upstreams cold without a word."""
     for stand_in in _matching(environment, name):
--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -117,11 +117,50 @@
             Load(rate=10.0),
             Load(rate=100.0, key=ABUSER_KEY, begin=0.2, end=0.8, is_judged=False),
         ),
-        environment={"upstream_options": {"service_time": 0.03}},
+        environment={"upstream_options": {"service_time": 0.1}},
+    ),
+    "abuser-one-host": Scenario(
+        about="one subscriber sends ten times its share through one host",
+        off=("fairness",),
+        loads=(
+            Load(rate=10.0),
+            Load(
+                rate=100.0,
+                key=ABUSER_KEY,
+                begin=0.2,
+                end=0.8,
+                entry=0,
+                is_judged=False,
+            ),
+        ),
+        environment={"upstream_options": {"service_time": 0.1}},
+    ),
+    "abuser-cheap": Scenario(
+        about="one subscriber sends very many cheap queries through all hosts",
+        off=("fairness",),
+        loads=(
+            Load(rate=10.0),
+            Load(
+                rate=250.0,
+                kind="lookup",
+                services=ALL[:1],
+                key=ABUSER_KEY,
+                begin=0.2,
+                end=0.8,
+                is_judged=False,
+            ),
+        ),
+        environment={"upstream_options": {"service_time": 0.1}},
+    ),
+    "abuser-absent": Scenario(
+        about="the load of the abuser scenarios without the abuser",
+        off=("fairness",),
+        loads=(Load(rate=10.0),),
+        environment={"upstream_options": {"service_time": 0.1}},
     ),
     "resend": Scenario(
         about="billed requests are sent again through other hosts",
-        off=("hedging",),
+        off=("at_most_once",),
         loads=(Load(kind="retire", rate=8.0, services=ALL[:1], resends=2),),
     ),
     "poison": Scenario(
@@ -132,6 +171,27 @@
             Load(rate=10.0, begin=0.2, end=0.7, poison=True, is_judged=False),
         ),
     ),
+    "poison-lookup": Scenario(
+        about="a query to one shard that crashes upstreams is sent every 100 ms",
+        off=("quarantine",),
+        loads=(
+            Load(rate=15.0),
+            Load(
+                rate=10.0,
+                services=ALL[:1],
+                begin=0.2,
+                end=0.7,
+                poison=True,
+                is_judged=False,
+            ),
+        ),
+    ),
+    "outage": Scenario(
+        about="every upstream of a service breaks each request off",
+        off=("retry_limits",),
+        loads=(Load(rate=30.0, services=ALL[:1]),),
+        faults=(Fault(at=0.3, action="fail", arguments={"name": "credits-0-*"}),),
+    ),
     "silent-connections": Scenario(
         about="a third of the connections to upstreams goes silent for good",
         off=("connection_checks",),
