Confine a subscriber over its share only where slots are short, and steadily

Cause: held back, it used little, counted as within its share again and took all slots at once; and a moderately heavier subscriber was confined on idle upstreams.

--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -232,6 +232,7 @@
             passed_over.append(item)
             if prospect.over_share_slots_by_id:
                 held_back.add(item.subscriber_id)
+                self._reserve.note_held(item.subscriber_id)
             elif not running.progress_by_shard[shard_ref].tried:
                 # It could go to any upstream of the shard: none has room.
                 break
@@ -286,6 +287,8 @@
             self._replicas.alive(target.upstream_ids),
             self._clock.monotonic(),
         )
+        if not slots_by_id:
+            return self._replicas.consider(holders)
         return self._replicas.consider_over_share(holders, slots_by_id)
 
     def _settle_charge(self, attempt: Attempt, outcome: upstream.Outcome) -> None:
--- a/src/greengagehaven/coordination/gate.py
+++ b/src/greengagehaven/coordination/gate.py
@@ -23,7 +23,8 @@
 _UNKNOWN_REPLIES_PER_STEP = 10
 _SLOW_REPLIES_PER_STEP = 60
 _AGE_RATIO = 3.0
-_SHARES_DECAY_S = 4.0
+_WITHIN_DECAY_S = 4.0
+_OVER_DECAY_S = 0.3
 
 Reference = typing.Callable[[str], float | None]
 
@@ -102,8 +103,8 @@
         self._reference = reference
         self._slow_start = slow_start
         self._order = itertools.count()
-        self._within_share = time_average.TimeAverage(decay=_SHARES_DECAY_S)
-        self._over_share = time_average.TimeAverage(decay=_SHARES_DECAY_S)
+        self._within_share = time_average.TimeAverage(decay=_WITHIN_DECAY_S)
+        self._over_share = time_average.TimeAverage(decay=_OVER_DECAY_S)
         self._queued_within_share = 0
         self._over_share_runs = 0
         self._queue = fair_queue.FairQueue(order=order, waits=wait_times.WaitTimes())
--- a/src/greengagehaven/coordination/headroom.py
+++ b/src/greengagehaven/coordination/headroom.py
@@ -22,6 +22,9 @@
 """Slots kept free above the average, in square roots of it. About 3 would do if
 each host knew the load of every upstream at every moment; they learn it late."""
 
+SPARE = 0.5
+"""Part of a shard's slots up to which nobody needs to be confined."""
+
 
 class Headroom:
     """Divides the slots of a shard between those within and over their share.
@@ -38,6 +41,10 @@
         """Tell whether a subscriber gets only the slots that others leave."""
         return self._enabled and self._ledger.is_over_share(subscriber_id)
 
+    def note_held(self, subscriber_id: str) -> None:
+        """Take in that a subscriber over its share found no slot."""
+        self._ledger.note_held(subscriber_id)
+
     def allot(
         self,
         shard_ref: upstream.ShardRef,
@@ -47,11 +54,17 @@
     ) -> dict[str, int]:
         """Return slots by upstream that are open to a subscriber over its share.
 
+        It is empty where all are, because the shard has slots to spare.
+
         :param candidates: the upstreams of the shard.
         :param now: monotonic seconds.
         """
         slots = sum(max(1, each.announcement.slots) for each in candidates)
         busy = sum(each.stats.within_share(now) for each in candidates)
+        if not self._ledger.was_held(subscriber_id):
+            load = sum(each.stats.load(now) for each in candidates)
+            if load <= SPARE * slots:
+                return {}
         needed = math.ceil(busy + SAFETY * math.sqrt(busy))
         share = self._ledger.share_of_all(subscriber_id)
         left = max(1, int(share * slots), slots - needed)
--- a/src/greengagehaven/coordination/shedding.py
+++ b/src/greengagehaven/coordination/shedding.py
@@ -87,6 +87,7 @@
     def _refuse_over_share(self, subscriber_id: str) -> None:
         if not self._ledger.is_over_share(subscriber_id):
             return
+        self._ledger.note_held(subscriber_id)
         raise exceptions.ShareExceededError(
             "other subscribers need the upstreams; yours are above their share",
             retry_after=round(self._ledger.seconds_until_fair(subscriber_id), 3),
--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -19,6 +19,9 @@
 REPORT_INTERVAL_S = 0.25
 MAX_REPORTED = 32
 OVER_SHARE_FACTOR = 2.0
+HELD_S = 1.0
+
+_STILL_OVER_RATIO = 0.25
 
 _ACTIVE_S = 1e-4
 _FLOOR_S = 1e-6
@@ -74,6 +77,8 @@
         self._usage_by_id: dict[str, _Decaying] = {}
         self._reports_by_host_id: dict[str, tuple[float, dict[str, float]]] = {}
         self._cost_by_use: dict[tuple[str, str], float] = {}
+        self._cost_by_kind: dict[str, float] = {}
+        self._held_at_by_id: dict[str, float] = {}
         self._active_seconds_by_id: dict[str, float] = {}
         self._active_seconds = 0.0
         self._active_shares = 0.0
@@ -97,7 +102,8 @@
 
     def estimate(self, subscriber_id: str, kind: str) -> float:
         """Return what a sub-request will probably cost, in seconds."""
-        return self._cost_by_use.get((subscriber_id, kind), _FIRST_COST_S)
+        usual = self._cost_by_kind.get(kind, _FIRST_COST_S)
+        return self._cost_by_use.get((subscriber_id, kind), usual)
 
     def charge(self, subscriber_id: str, seconds: float) -> None:
         """Add upstream time to what a subscriber used through this host.
@@ -115,6 +121,10 @@
             self._cost_by_use.clear()
         known = self._cost_by_use.get(use, seconds)
         self._cost_by_use[use] = known + _COST_WEIGHT * (seconds - known)
+        if kind not in self._cost_by_kind and len(self._cost_by_kind) >= _MAX_COSTS:
+            self._cost_by_kind.clear()
+        usual = self._cost_by_kind.get(kind, seconds)
+        self._cost_by_kind[kind] = usual + _COST_WEIGHT * (seconds - usual)
 
     def rank(self, subscriber_id: str) -> float:
         """Return the logarithm of usage by share, in units that do not decay.
@@ -137,8 +147,21 @@
         its share; a subscriber that is alone is never over its share.
         """
         bound = self._allowed_level(subscriber_id)
+        if self.was_held(subscriber_id):
+            # Held back it uses little. Let go for that, it would take all the
+            # slots at once and be held back again.
+            bound *= _STILL_OVER_RATIO
         return bound > 0.0 and self._level(subscriber_id) > bound
 
+    def note_held(self, subscriber_id: str) -> None:
+        """Take in that a subscriber over its share was refused or made to wait."""
+        self._held_at_by_id[subscriber_id] = self._clock.monotonic()
+
+    def was_held(self, subscriber_id: str) -> bool:
+        """Tell whether :meth:`note_held` was called within ``HELD_S``."""
+        held_at = self._held_at_by_id.get(subscriber_id, -math.inf)
+        return self._clock.monotonic() - held_at < HELD_S
+
     def count_over_share(self) -> int:
         """Return how many subscribers are over their share."""
         return sum(map(self.is_over_share, list(self._usage_by_id)))
@@ -248,3 +271,4 @@
         ]
         for subscriber_id in idle:
             del self._usage_by_id[subscriber_id]
+            self._held_at_by_id.pop(subscriber_id, None)
