Tell the wait from what waits; run nothing over its share that would be cut off

Cause: the wait of the last one that was sent told the length of the queue too late, so 2,762 of 15,000 queries over their share were taken in and then ended late; others were cut off while they ran.

--- a/src/greengagehaven/coordination/fair_queue.py
+++ b/src/greengagehaven/coordination/fair_queue.py
@@ -253,7 +253,7 @@
 
         :param now: monotonic seconds.
         """
-        self._waits.note_sent(waiting.lane, since=waiting.since, now=now)
+        self._waits.note_sent(waiting.lane, now=now)
         queue = self._queues_by_shard.get(waiting.shard_ref)
         if queue is None:
             return
--- a/src/greengagehaven/coordination/gates.py
+++ b/src/greengagehaven/coordination/gates.py
@@ -162,7 +162,7 @@
     def _open(self, found: gate.Gate, passage: Passage) -> None:
         now = self._clock.monotonic()
         while (sub_request := found.next(now)) is not None:
-            if sub_request.deadline > now:
+            if sub_request.deadline > now + self._time_needed(found, sub_request):
                 passage.to_send.append(sub_request)
                 continue
             # Its caller has its answer by now; running it would be for nobody.
@@ -177,6 +177,16 @@
             found.end(failed, now)
             passage.outcomes.append(failed)
 
+    def _time_needed(self, found: gate.Gate, sub_request: upstream.SubRequest) -> float:
+        """Return seconds without which a run would only be cut off.
+
+        It is asked of those over their share, which may have waited long: an
+        upstream that runs them for nothing is lost for the others.
+        """
+        if not sub_request.over_share_slots:
+            return 0.0
+        return found.usual_time(sub_request.kind) or 0.0
+
     def _usual_time(self, kind: str) -> float | None:
         times = [found.usual_time(kind) for found in self._gates_by_id.values()]
         known = [seconds for seconds in times if seconds is not None]
--- a/src/greengagehaven/coordination/wait_times.py
+++ b/src/greengagehaven/coordination/wait_times.py
@@ -21,12 +21,12 @@
     """What is known of a lane.
 
     :param waiting: how many wait now.
-    :param average: moving average of the waits of those that were sent.
+    :param interval: moving average of the time from one that is sent to the next.
     :param moved_at: when one was last sent, or when the lane began to fill.
     """
 
     waiting: int = 0
-    average: float = 0.0
+    interval: float = 0.0
     moved_at: float = 0.0
 
 
@@ -50,24 +50,25 @@
         """Count a sub-request that waits no longer, for whatever reason."""
         self._waits_by_lane[lane].waiting -= 1
 
-    def note_sent(self, lane: Lane, *, since: float, now: float) -> None:
-        """Take in how long a sub-request waited that was sent now."""
+    def note_sent(self, lane: Lane, *, now: float) -> None:
+        """Take in that a sub-request was sent now."""
         waits = self._waits_by_lane.get(lane)
         if waits is None:
             return
-        waits.average += _WEIGHT * (max(0.0, now - since) - waits.average)
+        waits.interval += _WEIGHT * (now - waits.moved_at - waits.interval)
         waits.moved_at = now
 
     def expected(self, lane: Lane, now: float) -> float:
         """Return how long one more would wait, in seconds.
 
-        Where nothing waits it is 0: whatever was seen before, the queue is
-        empty again, and only a trial tells how it is now.
+        It is the time in which those that wait now are sent at the pace seen
+        lately. How long the last one waited would tell it too late: those
+        behind it may be many more. Where nothing waits it is 0.
         """
         waits = self._waits_by_lane.get(lane)
         if waits is None or waits.waiting == 0:
             return 0.0
-        return max(waits.average, now - waits.moved_at)
+        return max(now - waits.moved_at, waits.waiting * waits.interval)
 
     def _make_room(self) -> None:
         if len(self._waits_by_lane) < MAX_LANES:
