--- a/src/greengagehaven/coordination/usage.py
+++ b/src/greengagehaven/coordination/usage.py
@@ -15,10 +15,10 @@
 from greengagehaven import clock as clock_module
 from greengagehaven.protocol import notices
 
-DECAY_S = 2.0
+DECAY_S = 1.0
 REPORT_INTERVAL_S = 0.25
 MAX_REPORTED = 32
-OVER_SHARE_FACTOR = 2.0
+OVER_SHARE_FACTOR = 1.5
 HELD_S = 1.0
 
 _STILL_OVER_RATIO = 0.25
