--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -100,7 +100,9 @@
     "cold-start": Scenario(
         about="every replica turns cold at once",
         off=("slow_start",),
+        loads=(Load(rate=30.0),),
         faults=(Fault(at=0.3, action="chill", arguments={"name": "*"}),),
+        environment={"upstream_options": {"service_time": 0.012}},
     ),
     "repartition": Scenario(
         about="a new snapshot and partitioning arrive upstream by upstream",
