--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -175,8 +175,5 @@
         self._head = None
         self._chunks = []
         self._reply_bytes = 0
-        pairs = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers
-        ]
-        return Reply(status=head.status_code, headers=http.Headers(pairs), body=body)
+        headers = http.Headers.from_wire(head.headers)
+        return Reply(status=head.status_code, headers=headers, body=body)
--- a/src/greengagehaven/transport/http.py
+++ b/src/greengagehaven/transport/http.py
@@ -22,6 +22,19 @@
             known = self._values_by_name.get(key)
             self._values_by_name[key] = value if known is None else f"{known}, {value}"
 
+    @classmethod
+    def from_wire(cls, pairs: abc.Iterable[tuple[bytes, bytes]]) -> "Headers":
+        """Return headers from bytes whose names are lower-case already."""
+        headers = cls()
+        values_by_name = headers._values_by_name
+        for raw_name, raw_value in pairs:
+            name = raw_name.decode("latin-1")
+            value = raw_value.decode("latin-1")
+            if name in values_by_name:
+                value = f"{values_by_name[name]}, {value}"
+            values_by_name[name] = value
+        return headers
+
     def __getitem__(self, name: str) -> str:
         return self._values_by_name[name.lower()]
 
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -372,10 +372,6 @@
 
 
 def _read_request(head: h11.Request, body: bytes, peer: str) -> http.Request:
-    pairs = [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers
-    ]
     target = head.target.decode("latin-1")
     path, _, query_string = target.partition("?")
     parameters: dict[str, str] = {}
@@ -387,7 +383,7 @@
         method=head.method.decode("latin-1"),
         path=path,
         parameters=parameters,
-        headers=http.Headers(pairs),
+        headers=http.Headers.from_wire(head.headers),
         body=body,
         peer=peer,
     )
