--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -63,6 +63,7 @@
     """One comparison.
 
     :param off: switches that the baseline turns off.
+    :param without: switches that both runs turn off, to see one alone.
     :param environment: changes to ``dev.DevSettings``.
     :param warm_up: seconds of load before the run, until upstreams are warm and
         latencies known.
@@ -74,6 +75,7 @@
     off: tuple[str, ...]
     loads: tuple[Load, ...] = (Load(),)
     faults: tuple[Fault, ...] = ()
+    without: tuple[str, ...] = ()
     environment: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
     warm_up: float = 0.5
     max_crashes: int = 2
@@ -112,7 +114,9 @@
     "cold-start": Scenario(
         about="every replica turns cold at once",
         off=("slow_start",),
+        loads=(Load(rate=30.0),),
         faults=(Fault(at=0.3, action="chill", arguments={"name": "*"}),),
+        environment={"upstream_options": {"service_time": 0.012}},
     ),
     "repartition": Scenario(
         about="a new snapshot and partitioning arrive upstream by upstream",
@@ -207,7 +211,8 @@
     "silent-connections": Scenario(
         about="a third of the connections to upstreams goes silent for good",
         off=("connection_checks",),
-        faults=(Fault(at=0.3, action="silence", arguments={"fraction": 0.34}),),
+        without=("hedging",),
+        faults=(Fault(at=0.3, action="silence", arguments={"every": 3}),),
     ),
     "zone-outage": Scenario(
         about="a zone's upstreams vanish and come back cold",
