--- a/features/control.feature
+++ b/features/control.feature
@@ -101,6 +101,25 @@
     When the network is whole again
     Then control host c1 is a voter of the old log under a new identity
 
+  Scenario: A control host is away for longer than the log reaches back
+    The others have dropped the entries that it lacks. Without a snapshot in their
+    place it could never catch up, so the next loss would stop all changes.
+
+    Given control hosts that keep 5 entries behind a snapshot
+    When control host c3 is cut off while 60 documents are applied
+    And the network is whole again
+    Then control host c3 has the same revision from a snapshot
+
+  Scenario: The audit trail is full
+    At the target size the trail fills several times a day. It has to stay bounded
+    without an operator's resend being applied a second time.
+
+    Given an audit trail that keeps 10 changes
+    When 30 changes are made and the state is captured and restored
+    Then the newest 10 of 30 are kept
+    And a resend of change 25 returns its first result
+    And a resend of change 3 is refused since its revision is taken
+
   Scenario: Random schedules over whole hosts
     Control hosts stop, start, lose their disks and are cut off from all or from
     each other, entry hosts restart, and operators send changes and send them
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -11,8 +11,9 @@
 from fakes import environment_walk
 from greengagehaven import clock, exceptions
 from greengagehaven.coordination import following
+from greengagehaven.coordination.raft import timing
 from greengagehaven.daemons import recovery
-from greengagehaven.state import configuration
+from greengagehaven.state import changes, configuration
 
 
 @behave.given("an environment of {count:d} control hosts and entry hosts in {zones}")
@@ -346,6 +347,92 @@
     assert host.machine.state.revision == context.revision
 
 
+@behave.given("control hosts that keep {count:d} entries behind a snapshot")
+def given_short_logs(context, count):
+    context.environment = environment = environments.Environment(
+        compact_bytes=4000, raft_timing=timing.Timing(trailing_entries=count)
+    )
+    context.add_cleanup(environment.close)
+    environment.start_controls(3)
+    environment.wait(1.0)
+
+
+@behave.when("control host {name} is cut off while {count:d} documents are applied")
+def when_away(context, name, count):
+    environment = context.environment
+    address = f"10.0.0.{name[1:]}:1"
+    environment.network.cut_off(address)
+    environment.wait(1.5)
+    context.before = environment.controls_by_host[name][0].raft.log.last.index
+    for number in range(count):
+        status, result = environment.apply(
+            environments.document_with(number), f"away-{number}", via="c1"
+        )
+        assert status == 200, result
+    context.revision = result["revision"]
+    assert environment.leader().raft.log.base.index > context.before
+
+
+@behave.then("control host {name} has the same revision from a snapshot")
+def then_from_snapshot(context, name):
+    host, _ = context.environment.controls_by_host[name]
+    assert host.machine.state.revision == context.revision
+    assert host.raft.log.snapshot.last.index > context.before
+
+
+def proposed(number, state):
+    """Return the entry of a numbered change, based on the revision before it."""
+    change = configuration.DocumentChange(
+        change_id=f"change-{number}",
+        author="ann",
+        document=environments.document_with(number),
+        expected_revision=number - 1,
+    )
+    return changes.encode(
+        changes.document_entry(change, state, made_at=1.0, refusal=None, proved=False)
+    )
+
+
+@behave.given("an audit trail that keeps {count:d} changes")
+def given_short_trail(context, count):
+    context.machine = changes.ChangeMachine(max_records=count)
+
+
+@behave.when("{count:d} changes are made and the state is captured and restored")
+def when_many_changes(context, count):
+    machine = context.machine
+    context.records = {
+        number: machine.apply(proposed(number, machine.state))
+        for number in range(1, count + 1)
+    }
+    assert all(record.accepted for record in context.records.values())
+    data = machine.capture()
+    context.machine = changes.ChangeMachine(max_records=len(machine.audit.records()))
+    context.machine.restore(data)
+
+
+@behave.then("the newest {kept:d} of {count:d} are kept")
+def then_kept(context, kept, count):
+    numbers = [record.number for record in context.machine.audit.newest(count)]
+    assert numbers == list(range(count, count - kept, -1)), numbers
+    assert context.machine.audit.count == count
+
+
+@behave.then("a resend of change {number:d} returns its first result")
+def then_first_record(context, number):
+    machine = context.machine
+    record = machine.apply(proposed(number, machine.state))
+    assert record == context.records[number], record
+
+
+@behave.then("a resend of change {number:d} is refused since its revision is taken")
+def then_taken(context, number):
+    machine = context.machine
+    before = machine.state
+    record = machine.apply(proposed(number, machine.state))
+    assert (record.code, machine.state) == ("revision_conflict", before), record
+
+
 @behave.when("{count:d} schedules over control and entry hosts run from seed {seed:d}")
 def when_walks(context, count, seed):
     context.broken = []
