--- a/features/control_commands.feature
+++ b/features/control_commands.feature
@@ -4,7 +4,7 @@
     Operators and their scripts rely on exit codes, on the lines that the commands
     print, on refusals that name their reason.
 
-    Given a trial and a production environment with an entry host each
+    Given a trial and a production environment, this over TLS, with an entry host each
     Then check of a document without mistakes exits 0 and prints its digest
     And check of a document with a mistake exits 1 and names its place
     When the document is applied to trial and awaited
--- a/features/steps/control_commands_steps.py
+++ b/features/steps/control_commands_steps.py
@@ -14,7 +14,7 @@
 from greengagehaven import clock, log
 from greengagehaven.daemons import control, control_daemon, follower
 from greengagehaven.state import document
-from greengagehaven.transport import peers
+from greengagehaven.transport import peers, tls
 
 COMMAND = (sys.executable, "-c", "from greengagehaven import cli; cli.main()")
 NOBODY = "127.0.0.1:1"
@@ -25,8 +25,9 @@
 class Place:
     """One control host and one entry host on real sockets."""
 
-    def __init__(self, folder, name, **settings):
+    def __init__(self, folder, name, certificate=None, **settings):
         self.name = name
+        self.certificate, self._key = certificate or (None, None)
         self._settings = control.ControlSettings(
             host_id=f"{name}-c1",
             data_folder=str(folder / name),
@@ -42,6 +43,7 @@
         self.daemon = control_daemon.ControlDaemon(
             settings=self._settings,
             tokens_by_operator={"ann": "secret"},
+            tls=tls.server_context(certificate=self.certificate, key=self._key),
             clock=system,
             rng=rng,
         )
@@ -86,10 +88,15 @@
 
 
 def at(place, token="secret"):
-    return ("--control", place.daemon.operator_address, "--token", token)
+    options = ("--control", place.daemon.operator_address, "--token", token)
+    if place.certificate is None:
+        return options
+    return (*options, "--control-ca", str(place.certificate))
 
 
-@behave.given("a trial and a production environment with an entry host each")
+@behave.given(
+    "a trial and a production environment, this over TLS, with an entry host each"
+)
 def given_places(context):
     log.configure(level="critical")
     folder = tempfile.TemporaryDirectory()
@@ -99,7 +106,12 @@
     context.loop = loop = asyncio.new_event_loop()
     context.add_cleanup(loop.close)
     context.trial = Place(path, "trial", signing_key=private)
-    context.production = Place(path, "production", trusted_keys=(public,))
+    context.production = Place(
+        path,
+        "production",
+        certificate=keys.write_certificate(path),
+        trusted_keys=(public,),
+    )
     for place in (context.trial, context.production):
         loop.run_until_complete(place.start())
         context.add_cleanup(lambda place=place: loop.run_until_complete(place.close()))
--- a/src/greengagehaven/commands/client.py
+++ b/src/greengagehaven/commands/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import pathlib
 import time
 import typing
 import urllib.parse
@@ -12,11 +13,12 @@
 
 from greengagehaven import exceptions
 from greengagehaven.protocol import codec, search
-from greengagehaven.transport import http_client
+from greengagehaven.transport import http_client, tls
 
 T = typing.TypeVar("T")
 
 DEFAULT_CONTROL = "127.0.0.1:7300"
+AUTHORITY = "greengagehaven.control_ca"
 CALL_TIMEOUT = datetime.timedelta(seconds=12)
 
 
@@ -25,11 +27,19 @@
 
     :param addresses: operators' addresses, ``IP:PORT``.
     :param token: the operator's secret, empty for none.
+    :param authority: PEM that signed their certificates; ``None`` for plain TCP.
     """
 
-    def __init__(self, *, addresses: typing.Sequence[str], token: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        addresses: typing.Sequence[str],
+        token: str = "",
+        authority: pathlib.Path | None = None,
+    ) -> None:
         self._addresses = list(addresses)
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self._tls = tls.client_context(authority=authority)
 
     def get(self, path: str, kind: type[T], **parameters: object) -> T:
         """Return what a path holds."""
@@ -59,7 +69,7 @@
         raise exceptions.ControlUnreachableError(reason)
 
     async def _request(self, address: str, method: str, target: str, body: bytes):
-        client = http_client.HttpClient(address=address)
+        client = http_client.HttpClient(address=address, tls=self._tls)
         try:
             return await client.request(
                 method,
@@ -74,6 +84,14 @@
 
 def options(command: typing.Callable) -> typing.Callable:
     """Add the options that name the control hosts and the operator."""
+    command = click.option(
+        "--control-ca",
+        type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+        expose_value=False,
+        callback=_keep_authority,
+        help="PEM authority of the control hosts' certificates; without it the "
+        "connection is not encrypted.",
+    )(command)
     command = click.option(
         "--token", default="", help="The operator's secret.", show_default=False
     )(command)
@@ -88,6 +106,18 @@
     )(command)
 
 
+def chosen(addresses: typing.Sequence[str], token: str) -> ControlClient:
+    """Return the client that a command's options name."""
+    authority = click.get_current_context().meta.get(AUTHORITY)
+    return ControlClient(addresses=addresses, token=token, authority=authority)
+
+
+def _keep_authority(
+    context: click.Context, _option: click.Parameter, path: pathlib.Path | None
+) -> None:
+    context.meta[AUTHORITY] = path
+
+
 def change_id_option(command: typing.Callable) -> typing.Callable:
     """Add the option that makes a resend return the first result."""
     return click.option(
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import ssl
 
 import click
 import prometheus_client
@@ -14,6 +15,7 @@
 from greengagehaven.daemons import control as control_host
 from greengagehaven.daemons import control_daemon, recovery
 from greengagehaven.protocol import operator
+from greengagehaven.transport import tls
 
 KEY = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
 
@@ -77,6 +79,8 @@
     multiple=True,
     help="PEM whose proofs are demanded (production); may be given several times.",
 )
+@click.option("--tls-certificate", type=KEY, help="PEM chain for operators.")
+@click.option("--tls-key", type=KEY, help="PEM key for operators.")
 @daemons.log_level_option
 def control(
     host_id: str,
@@ -92,6 +96,8 @@
     environment: str,
     signing_key: pathlib.Path | None,
     trusted_keys: tuple[pathlib.Path, ...],
+    tls_certificate: pathlib.Path | None,
+    tls_key: pathlib.Path | None,
     log_level: str,
 ) -> None:
     """Run a control host."""
@@ -125,7 +131,8 @@
         signing_key=signing_key.read_bytes() if signing_key else None,
         trusted_keys=tuple(path.read_bytes() for path in trusted_keys),
     )
-    failure = asyncio.run(_run(chosen, operator_address, peer_token, tokens))
+    context = tls.server_context(certificate=tls_certificate, key=tls_key)
+    failure = asyncio.run(_run(chosen, operator_address, peer_token, tokens, context))
     if failure is not None:
         raise failure
 
@@ -135,6 +142,7 @@
     operator_address: str,
     peer_token: str | None,
     tokens: dict[str, str],
+    context: ssl.SSLContext | None,
 ) -> exceptions.StorageError | None:
     """Run until a signal or a failure of the disk, which is returned."""
     stopped: asyncio.Future[exceptions.StorageError | None]
@@ -153,6 +161,7 @@
         clock=clocks.SystemClock(),
         rng=random.Random(),
         registry=prometheus_client.REGISTRY,
+        tls=context,
         on_failure=stop,
     )
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -173,9 +182,7 @@
 
     Exit code 1 where the quorum is lost or an entry host lags.
     """
-    found = client.ControlClient(addresses=controls, token=token).get(
-        "/v1/status", operator.Status
-    )
+    found = client.chosen(controls, token).get("/v1/status", operator.Status)
     if as_json:
         client.print_json(found)
     else:
@@ -241,7 +248,7 @@
 def _show_records(
     path: str, limit: int, as_json: bool, controls: tuple[str, ...], token: str
 ) -> None:
-    lines = client.ControlClient(addresses=controls, token=token).get(
+    lines = client.chosen(controls, token).get(
         path, list[operator.AuditLine], limit=limit
     )
     if as_json:
--- a/src/greengagehaven/commands/document.py
+++ b/src/greengagehaven/commands/document.py
@@ -43,7 +43,7 @@
 
     Exit code 0 where they are the same bytes, 1 where they are not.
     """
-    control = client.ControlClient(addresses=controls, token=token)
+    control = client.chosen(controls, token)
     current = _document_in_force(control)
     proposed = path.read_bytes()
     if proposed == current.document:
@@ -89,7 +89,7 @@
     Without --expect-revision the revision in force now is expected; --force
     takes whatever there is when the change is decided.
     """
-    control = client.ControlClient(addresses=controls, token=token)
+    control = client.chosen(controls, token)
     data = path.read_bytes()
     document.parse(data)
     if expect_revision is None and not force:
@@ -124,7 +124,7 @@
     It has to be in force on every entry host. With --withdraw it can not be
     promoted any more; tell production with `promote --withdrawn`.
     """
-    control = client.ControlClient(addresses=controls, token=token)
+    control = client.chosen(controls, token)
     change_id = client.new_change_id(change_id)
     body: typing.Any = operator.ProofBody(change_id=change_id, digest=digest)
     path = "/v1/proofs"
@@ -146,6 +146,7 @@
     help="Operators' address of a control host of the trial environment.",
 )
 @click.option("--from-token", default="", help="The operator's secret there.")
+@click.option("--from-ca", type=PATH, help="PEM authority of those there.")
 @click.option("--digest", default="", help="Digest to promote; the one in force.")
 @click.option("--withdrawn", is_flag=True, help="Carry the withdrawal instead.")
 @click.option("--expect-revision", type=click.IntRange(min=0))
@@ -157,6 +158,7 @@
 def promote(
     trials: tuple[str, ...],
     from_token: str,
+    from_ca: pathlib.Path | None,
     digest: str,
     withdrawn: bool,
     expect_revision: int | None,
@@ -168,8 +170,8 @@
     token: str,
 ) -> None:
     """Carry the proved document, unchanged, from trial to production."""
-    trial = client.ControlClient(addresses=trials, token=from_token)
-    control = client.ControlClient(addresses=controls, token=token)
+    trial = client.ControlClient(addresses=trials, token=from_token, authority=from_ca)
+    control = client.chosen(controls, token)
     change_id = client.new_change_id(change_id)
     if withdrawn:
         _carry_withdrawal(trial, control, digest, change_id, as_json)
--- a/src/greengagehaven/commands/zone.py
+++ b/src/greengagehaven/commands/zone.py
@@ -36,7 +36,7 @@
     body = operator.ZoneBody(
         change_id=client.new_change_id(change_id), drained=True, force=force
     )
-    control = client.ControlClient(addresses=controls, token=token)
+    control = client.chosen(controls, token)
     _change_zone(control, name, body, as_json, timeout if wait else None)
 
 
@@ -58,7 +58,7 @@
 ) -> None:
     """Give a drained zone work again."""
     body = operator.ZoneBody(change_id=client.new_change_id(change_id), drained=False)
-    control = client.ControlClient(addresses=controls, token=token)
+    control = client.chosen(controls, token)
     _change_zone(control, name, body, as_json, timeout if wait else None)
 
 
--- a/src/greengagehaven/daemons/control_daemon.py
+++ b/src/greengagehaven/daemons/control_daemon.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import ssl
 import typing
 from collections import abc
 
@@ -31,6 +32,8 @@
     :param clock: source of time.
     :param rng: source of election timeouts.
     :param registry: where metrics are registered.
+    :param tls: context of the operators' listener; ``None`` for plain TCP.
+    :param peer_tls: certificates between hosts; ``None`` for plain TCP.
     :param on_failure: called when the disk failed and the host halted.
     """
 
@@ -44,6 +47,8 @@
         clock: clocks.Clock,
         rng: rngs.Rng,
         registry: prometheus_client.CollectorRegistry | None = None,
+        tls: ssl.SSLContext | None = None,
+        peer_tls: peers.Tls | None = None,
         on_failure: abc.Callable[[exceptions.StorageError], None] | None = None,
     ) -> None:
         self.peer_address = settings.peer_address
@@ -54,7 +59,9 @@
         self._rng = rng
         self._registry = registry
         self._on_failure = on_failure
-        self._client = peers.PeerClient(token=peer_token, clock=clock)
+        self._tls = tls
+        self._peer_tls = peer_tls
+        self._client = peers.PeerClient(token=peer_token, clock=clock, tls=peer_tls)
         self._peer_token = peer_token
         self._handlers_by_method: dict[str, typing.Any] = {}
         self._peer_server: peers.PeerServer | None = None
@@ -100,6 +107,7 @@
             handler=api.handle,
             clock=self._clock,
             limits=http_server.Limits(body_bytes=DOCUMENT_BODY_BYTES),
+            tls=self._tls,
         )
         bind = settings.parse_address("operator address", self.operator_address)
         self.operator_address = await self._http_server.start(*bind)
@@ -146,6 +154,7 @@
             },
             token=self._peer_token,
             clock=self._clock,
+            tls=self._peer_tls,
         )
         bind = settings.parse_address("peer address", self._settings.peer_address)
         self.peer_address = await self._peer_server.start(*bind)
