--- a/src/greengagehaven/standin/upstream.py
+++ b/src/greengagehaven/standin/upstream.py
@@ -19,7 +19,6 @@
 from greengagehaven.transport import http, http_client, http_server, upstream_wire
 
 BILLED_KINDS = frozenset({"retire"})
-DRAIN_GRACE_S = 3.0
 RESTART_S = 1.0
 COLD_SLOWDOWN = 3.0
 WARM_RUNS_PER_STEP = 8
@@ -34,12 +33,16 @@
     """What a set of stand-ins saw, independently of the tier.
 
     :param runs: sub-requests that began to run.
+    :param arrived: sub-requests that asked for a slot.
+    :param over_slots: those that found every slot taken.
     :param doubled: billed orders that ran more than once on a shard.
     :param violations_by_name: work or connections that were not allowed.
     :param crashes: upstreams lost to a poisoned query.
     """
 
     runs: int = 0
+    arrived: int = 0
+    over_slots: int = 0
     doubled: int = 0
     crashes: int = 0
     violations_by_name: collections.Counter = dataclasses.field(
@@ -50,6 +53,7 @@
     def reset(self) -> None:
         """Begin to count anew; billed orders are remembered."""
         self.runs = self.doubled = self.crashes = 0
+        self.arrived = self.over_slots = 0
         self.violations_by_name.clear()
 
     def bill(self, order: tuple[str, str, str]) -> None:
@@ -79,6 +83,8 @@
     service_time: float = 0.004
     starts_cold: bool = False
     cold_tolerance: int = 1
+    drain_bound: float = 10.0
+    drain_grace: float = 3.0
 
 
 class _CountingServer(http_server.HttpServer):
@@ -164,23 +170,31 @@
             await self._server.close()
             self._server = None
 
-    async def drain(self, bound: float = 10.0) -> int:
+    @property
+    def in_flight(self) -> int:
+        """Return sub-requests that run or wait."""
+        return self._running + len(self._queue)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self.stop()
+
+    async def drain(self) -> int:
         """Say ``draining``, finish what runs, take back the announcement.
 
-        :param bound: longest wait in seconds.
         :return: sub-requests that were cut off.
         """
+        bound = self.options.drain_bound
         self.change(state=upstream.UpstreamState.DRAINING)
         began = self._clock.monotonic()
-        self._no_work_after = began + DRAIN_GRACE_S
+        self._no_work_after = began + self.options.drain_grace
         end = began + bound
-        settle = began + min(DRAIN_GRACE_S, bound)
+        settle = began + min(self.options.drain_grace, bound)
         while self._clock.monotonic() < end:
-            busy = self._running or self._queue
-            if not busy and self._clock.monotonic() >= settle:
+            if not self.in_flight and self._clock.monotonic() >= settle:
                 break
             await asyncio.sleep(0.02)
-        left = self._running + len(self._queue)
+        left = self.in_flight
         await self._withdraw()
         await self.stop()
         return left
@@ -288,7 +302,7 @@
     ) -> http.Response:
         deadline = int(request.headers.get("deadline-ms", "1000")) / 1000
         end = self._clock.monotonic() + deadline
-        if self._running + len(self._queue) >= self.options.slots:
+        if self.in_flight >= self.options.slots:
             self.violate("work_over_slots")
         if self._falls_over():
             self.violate("cold_overrun")
@@ -307,13 +321,15 @@
         if bears > self.options.slots * 2:
             self._warm_runs = None
             return False
-        concurrency = self._running + len(self._queue) + 1
+        concurrency = self.in_flight + 1
         return concurrency > bears + self.options.cold_tolerance
 
     async def _take_slot(self, work_id: tuple[str, str], timeout: float) -> bool:
+        self.tally.arrived += 1
         if self._running < self.options.slots:
             self._running += 1
             return True
+        self.tally.over_slots += 1
         place = asyncio.get_running_loop().create_future()
         self._queue.append(place)
         try:
