--- a/src/greengagehaven/commands/replay.py
+++ b/src/greengagehaven/commands/replay.py
@@ -30,7 +30,7 @@
     report = Report(
         trace=trace.name,
         requests=len(played.searches_by_id),
-        sub_requests=len(played.arrivals),
+        sub_requests=len(played.fleet.arrivals),
         expectations=len(recorded.expectations),
         missed=outcomes.find_missed(recorded, played),
     )
--- a/src/greengagehaven/replay/outcomes.py
+++ b/src/greengagehaven/replay/outcomes.py
@@ -109,7 +109,7 @@
 @_judge.register
 def _judge_runs(line: trace.ExpectRuns, played: player.Player) -> str | None:
     runs: dict[object, int] = {}
-    for arrival in played.arrivals:
+    for arrival in played.fleet.arrivals:
         if arrival.ran and arrival.idempotency_key == line.idempotency_key:
             place = arrival.sub_request.shard_ref
             runs[place] = runs.get(place, 0) + 1
@@ -123,9 +123,9 @@
 def _judge_extra_load(line: trace.ExpectExtraLoad, played: player.Player) -> str | None:
     first = {
         (arrival.sub_request.request_id, arrival.sub_request.shard_ref)
-        for arrival in played.arrivals
+        for arrival in played.fleet.arrivals
     }
-    extra = len(played.arrivals) - len(first)
+    extra = len(played.fleet.arrivals) - len(first)
     share = extra / len(first) if first else 0.0
     if share <= line.at_most:
         return None
@@ -134,7 +134,7 @@
 
 @_judge.register
 def _judge_crashes(line: trace.ExpectCrashes, played: player.Player) -> str | None:
-    crashes = played.crashes()
+    crashes = played.fleet.crashes
     if crashes <= line.at_most:
         return None
     return f"{crashes} upstreams crashed, at most {line.at_most}"
@@ -214,7 +214,7 @@
 def _arrivals(line: typing.Any, played: player.Player) -> list[upstreams.Arrival]:
     return [
         arrival
-        for arrival in played.arrivals
+        for arrival in played.fleet.arrivals
         if line.at <= arrival.at < line.until
         and any(
             fnmatch.fnmatchcase(arrival.upstream_id, pattern)
--- a/src/greengagehaven/replay/player.py
+++ b/src/greengagehaven/replay/player.py
@@ -2,32 +2,28 @@
 
 import dataclasses
 import datetime
-import fnmatch
 import functools
 import itertools
 import random
 import typing
 
-import msgspec
-
 from greengagehaven import clock as clock_module
 from greengagehaven.coordination import events, options
 from greengagehaven.coordination.membership import signals
 from greengagehaven.protocol import claims, membership, trace, upstream
 from greengagehaven.replay import (
     control,
+    fleet,
     followers,
     hosts,
+    invariants,
     links,
     reader,
     recorders,
     schedule,
-    upstreams,
 )
 from greengagehaven.state import audit, configuration, document
 
-RENEW_S = 1.0
-STALL_S = 1.0
 SETTLE_S = 15.0
 LEAD_IN_S = 5.0
 FIRST_READING_S = 1000.0
@@ -70,10 +66,13 @@
             self._links.zones_by_id[line.id] = line.zone
         self._in_force = self._parse(1, header.document)
         self._drained = events.ZonesDrained(zones=frozenset())
-        self._upstreams_by_id: dict[str, upstreams.ReplayedUpstream] = {}
-        self._behaviours: list[trace.Behave] = []
-        self._outcomes = self._index_outcomes()
-        self.arrivals: list[upstreams.Arrival] = []
+        self.fleet = fleet.Fleet(
+            recorded=recorded,
+            schedule=self._schedule,
+            links=self._links,
+            hop=self._hop_s,
+            find_host=self._reachable_host,
+        )
         self.endings_by_id: dict[str, hosts.Ending] = {}
         self.searches_by_id: dict[str, tuple[float, trace.Search]] = {}
         self.lost_request_ids: set[str] = set()
@@ -126,50 +125,18 @@
         """Return what operators were answered, with the moments."""
         return self._control.results_by_change_id
 
-    def crashes(self) -> int:
-        """Return how many upstreams crashed."""
-        return sum(known.crashes for known in self._upstreams_by_id.values())
-
     # What the hosts call (hosts.Network).
 
     def send_work(
         self, host: hosts.ReplayedHost, sub_request: upstream.SubRequest
     ) -> None:
         """Carry a sub-request to its upstream and the outcome back."""
-        target = self._upstreams_by_id[sub_request.upstream_id]
-        delay = self._links.zone_delay(host.zone, target.announcement.availability_zone)
-        if delay is None:
-            failed = upstream.Failed(
-                request_id=sub_request.request_id,
-                attempt=sub_request.attempt,
-                upstream_id=sub_request.upstream_id,
-                reason=upstream.FailureReason.STALLED,
-                not_run=False,
-            )
-            self._schedule.call_later(STALL_S, lambda: host.owner.take_outcome(failed))
-            return
         search = self.searches_by_id[sub_request.request_id][1]
-        work = upstreams.Work(
-            sub_request=sub_request,
-            idempotency_key=search.idempotency_key,
-            reply=lambda outcome: self._return(host, target, outcome),
-        )
-        recorded = self._outcomes.get(_outcome_key(sub_request))
-        if recorded is not None:
-            self._schedule.call_later(
-                recorded.latency_ms / 1000,
-                lambda: host.owner.take_outcome(
-                    _recorded_outcome(recorded, sub_request)
-                ),
-            )
-            return
-        self._schedule.call_later(delay, lambda: target.receive(work))
+        self.fleet.send(host, sub_request, search.idempotency_key)
 
     def cancel_work(self, sub_request: upstream.SubRequest) -> None:
         """Tell an upstream that nobody waits for a sub-request."""
-        target = self._upstreams_by_id[sub_request.upstream_id]
-        cancel = functools.partial(target.cancel, *sub_request.id)
-        self._schedule.call_later(self._hop_s, cancel)
+        self.fleet.cancel(sub_request)
 
     def reach(
         self,
@@ -181,7 +148,7 @@
         """Carry a message to another host; ``lost`` where it is cut off."""
         delay = self._path_delay([host.id, other_id])
         if delay is None:
-            self._schedule.call_later(STALL_S, lost)
+            self._schedule.call_later(fleet.STALL_S, lost)
             return
         other = self._hosts_by_id[other_id]
         self._schedule.call_later(delay, lambda: other.alive and arrive(other))
@@ -231,17 +198,19 @@
             return
         self.endings_by_id[request_id] = ending
         if isinstance(ending.result, events.AnswerQuery):
-            self._check_answer(ending.result)
+            answer = ending.result.answer
+            own_ids = invariants.ids_of_same_request(request_id, self.searches_by_id)
+            self.violations += invariants.find_violations(answer, own_ids)
 
     # Events of the trace.
 
     def _apply(self, line: trace.EventLine) -> None:
         if isinstance(line, trace.Announce):
-            self._announce(line.announcement)
+            self.fleet.announce(line.announcement)
         elif isinstance(line, trace.Withdraw):
-            self._withdraw(line.upstream)
+            self.fleet.withdraw(line.upstream)
         elif isinstance(line, trace.Behave):
-            self._behave(line)
+            self.fleet.behave(line)
         elif isinstance(line, trace.Drain):
             self._drained = events.ZonesDrained(zones=frozenset(line.zones))
             self._tell_all(self._drained)
@@ -301,43 +270,6 @@
                 return host_id
         raise AssertionError("cycle ended")
 
-    def _announce(self, announcement: upstream.Announcement) -> None:
-        known = self._upstreams_by_id.get(announcement.id)
-        if known is None:
-            known = upstreams.ReplayedUpstream(
-                announcement=announcement,
-                schedule=self._schedule,
-                arrivals=self.arrivals,
-            )
-            self._upstreams_by_id[announcement.id] = known
-            for behaviour in self._behaviours:
-                if _matches(behaviour.upstreams, announcement.id):
-                    known.behave(behaviour)
-            self._schedule.call_later(RENEW_S, lambda: self._renew(known))
-        known.announce(announcement)
-        self._spread(known)
-
-    def _renew(self, known: upstreams.ReplayedUpstream) -> None:
-        if known.alive and known.announcing:
-            known.renew()
-            self._spread(known)
-        self._schedule.call_later(RENEW_S, lambda: self._renew(known))
-
-    def _spread(self, known: upstreams.ReplayedUpstream) -> None:
-        """Let the balancer carry an announcement to some host in reach."""
-        host = self._reachable_host(known.announcement.availability_zone)
-        if host is not None:
-            announce = functools.partial(host.announce, known.announcement)
-            self._schedule.call_later(self._hop_s, announce)
-
-    def _withdraw(self, upstream_id: str) -> None:
-        known = self._upstreams_by_id[upstream_id]
-        known.announcing = False
-        host = self._reachable_host(known.announcement.availability_zone)
-        if host is not None:
-            incarnation = known.announcement.incarnation
-            host.withdraw(upstream_id, incarnation)
-
     def _reachable_host(self, zone: str) -> hosts.ReplayedHost | None:
         reachable = [
             host
@@ -352,12 +284,6 @@
             return None
         return self._links.path_delay(host_ids)
 
-    def _behave(self, line: trace.Behave) -> None:
-        self._behaviours.append(line)
-        for upstream_id, known in self._upstreams_by_id.items():
-            if _matches(line.upstreams, upstream_id):
-                known.behave(line)
-
     def _tell_all(self, event: events.Event) -> None:
         for host in self._hosts_by_id.values():
             host.step(event)
@@ -450,95 +376,3 @@
     def _parse(self, revision: int, text: str) -> events.DocumentInForce:
         environment = document.parse(text.encode())
         return events.DocumentInForce(revision=revision, environment=environment)
-
-    def _return(
-        self,
-        host: hosts.ReplayedHost,
-        target: upstreams.ReplayedUpstream,
-        outcome: upstream.Outcome,
-    ) -> None:
-        delay = self._links.zone_delay(target.announcement.availability_zone, host.zone)
-        if delay is not None:
-            self._schedule.call_later(delay, lambda: host.owner.take_outcome(outcome))
-            return
-        lost = upstream.Failed(
-            request_id=outcome.request_id,
-            attempt=outcome.attempt,
-            upstream_id=outcome.upstream_id,
-            reason=upstream.FailureReason.STALLED,
-            not_run=False,
-        )
-        self._schedule.call_later(STALL_S, lambda: host.owner.take_outcome(lost))
-
-    def _check_answer(self, action: events.AnswerQuery) -> None:
-        """Hold an answer against what the upstreams really sent."""
-        answer = action.answer
-        stamps = [
-            msgspec.json.decode(result.row, type=upstreams.RowStamp)
-            for result in answer.results
-        ]
-        places = {(stamp.service, stamp.shard) for stamp in stamps}
-        if len(places) != len(stamps):
-            self.violations.append(f"{answer.request_id} holds a row twice")
-        own_ids = self._ids_of_same_request(answer.request_id)
-        if any(stamp.request not in own_ids for stamp in stamps):
-            self.violations.append(f"{answer.request_id} holds another's row")
-        if any(stamp.snapshot != answer.snapshot for stamp in stamps):
-            self.violations.append(f"{answer.request_id} mixes snapshots")
-        coverage = answer.coverage
-        if coverage.answered != len(places):
-            self.violations.append(f"{answer.request_id} misstates its coverage")
-        if coverage.complete != (coverage.answered == coverage.total):
-            self.violations.append(f"{answer.request_id} is not as complete as it says")
-
-    def _ids_of_same_request(self, request_id: str) -> frozenset[str]:
-        """Return a request's id and those of its resends with the same key.
-
-        The answer to a resend is that of the one request that ran.
-        """
-        line = self.searches_by_id[request_id][1]
-        if line.idempotency_key is None:
-            return frozenset({request_id})
-        return frozenset(
-            other_id
-            for other_id, (_, other) in self.searches_by_id.items()
-            if other.idempotency_key == line.idempotency_key
-            and other.subscriber == line.subscriber
-            and other.query == line.query
-        )
-
-    def _index_outcomes(self) -> dict[tuple[str, str, int, str], trace.Outcome]:
-        lines = [numbered.line for numbered in self._trace.events]
-        return {
-            (line.request, line.service, line.shard, line.upstream): line
-            for line in lines
-            if isinstance(line, trace.Outcome)
-        }
-
-
-def _matches(patterns: typing.Iterable[str], upstream_id: str) -> bool:
-    return any(fnmatch.fnmatchcase(upstream_id, pattern) for pattern in patterns)
-
-
-def _outcome_key(sub_request: upstream.SubRequest) -> tuple[str, str, int, str]:
-    ref = sub_request.shard_ref
-    return (sub_request.request_id, ref.service, ref.shard, sub_request.upstream_id)
-
-
-def _recorded_outcome(
-    line: trace.Outcome, sub_request: upstream.SubRequest
-) -> upstream.Outcome:
-    if line.result == trace.REPLIED:
-        return upstream.Replied(
-            request_id=sub_request.request_id,
-            attempt=sub_request.attempt,
-            upstream_id=sub_request.upstream_id,
-            rows=(upstreams.stamp(sub_request),),
-        )
-    return upstream.Failed(
-        request_id=sub_request.request_id,
-        attempt=sub_request.attempt,
-        upstream_id=sub_request.upstream_id,
-        reason=upstream.FailureReason(line.result),
-        not_run=line.not_run,
-    )
--- a/src/greengagehaven/replay/upstreams.py
+++ b/src/greengagehaven/replay/upstreams.py
@@ -64,6 +64,11 @@
         self._running: dict[tuple[str, int], Work] = {}
         self._queue: list[Work] = []
 
+    @property
+    def zone(self) -> str:
+        """Return the availability zone it is in."""
+        return self.announcement.availability_zone
+
     def announce(self, announcement: upstream.Announcement) -> None:
         """Take in what the upstream says of itself; a new start revives it.
 
