Show TLS on a listener and an upstream of others at work

Cause: neither had a test. Conclusion: an upstream on the standard library's server is answered from; a caller without a certificate gets no byte of HTTP.

--- a/features/caller.feature
+++ b/features/caller.feature
@@ -43,3 +43,11 @@
     Then each gets a coded error or a lease
     And every upstream in the directory can be true
     And the environment still answers
+
+  Scenario: An upstream of others serves a complete answer
+    Somebody writes an upstream from the published interface alone, with the
+    standard library's HTTP server. If it did not work, nobody could join.
+
+    Given a development environment on loopback without upstreams
+    When an upstream on http.server announces credits-0
+    Then a search of credits-0 is answered completely with its rows
--- a/features/http.feature
+++ b/features/http.feature
@@ -65,3 +65,11 @@
     When arbitrary bytes are sent to the listener many times
     Then the listener still answers an ordinary request
     And the listener holds no body bytes
+
+  Scenario: With TLS, who has no certificate of ours learns nothing
+    A listener stands where strangers can reach it. Somebody without a
+    certificate must not get as far as a single byte of HTTP.
+
+    Given an HTTP listener with TLS that asks for certificates
+    When a caller with a certificate, one without and one without TLS connect
+    Then only the caller with a certificate gets an answer
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -1,8 +1,10 @@
 """Steps about callers; the daemons' objects in this process, on loopback."""
 
 import asyncio
+import http.server
 import itertools
 import json
+import threading
 
 import behave
 import hypothesis
@@ -32,10 +34,24 @@
 
 @behave.given("a development environment on loopback")
 def given_environment(context):
+    _given_environment(context, upstream_count=3)
+
+
+@behave.given("a development environment on loopback without upstreams")
+def given_bare_environment(context):
+    _given_environment(context, upstream_count=0)
+
+
+def _given_environment(context, upstream_count):
     log.configure(level="CRITICAL")
     context.runner = asyncio.Runner()
     context.add_cleanup(context.runner.close)
-    settings = dev.DevSettings(entry_port=0, operator_port=0, services=SERVICES)
+    settings = dev.DevSettings(
+        entry_port=0,
+        operator_port=0,
+        services=SERVICES,
+        upstream_count=upstream_count,
+    )
     context.dev = dev.Dev(dev_settings=settings)
     context.add_cleanup(lambda: context.runner.run(context.dev.close()))
     context.runner.run(_start(context.dev))
@@ -193,3 +209,58 @@
             _, _, port = announcement.address.rpartition(":")
             assert int(port) > 0 and announcement.slots > 0, announcement
             assert announcement.id, announcement
+
+
+class _ForeignHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers["Content-Length"]))
+        body = json.dumps({"rows": [{"from": "http.server"}]}).encode()
+        self.send_response(200)
+        for name in ("Request-Id", "Attempt", "Service", "Shard", "Snapshot"):
+            self.send_header(name, self.headers[name])
+        self.send_header("Partitioning", self.headers["Partitioning"])
+        self.send_header("Load", "in_flight=1, queued=0")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        pass
+
+
+@behave.when("an upstream on http.server announces credits-0")
+def when_foreign_upstream(context):
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _ForeignHandler)
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    announcement = {
+        "id": "foreign-1",
+        "incarnation": 1733180000,
+        "sequence": 7,
+        "address": f"127.0.0.1:{server.server_port}",
+        "availability_zone": "a",
+        "state": "ready",
+        "slots": 2,
+        "max_connections": 25,
+        "snapshots": [41, 42],
+        "shards": [
+            {"service": "credits-0", "shard": 0, "shard_count": 1, "partitioning": 3}
+        ],
+        "load": {"in_flight": 1, "queued": 0},
+    }
+    request = _request(context.dev, "POST", "/v1/announce", announcement, {})
+    reply = context.runner.run(request)
+    lease = json.loads(reply.body)
+    assert (reply.status, lease["lease_ms"], lease["renew_ms"]) == (200, 3000, 1000)
+
+
+@behave.then("a search of credits-0 is answered completely with its rows")
+def then_foreign_rows(context):
+    url = f"http://{context.dev.entries[0].address}"
+    search = greengagehaven.search(url, ["credits-0"], "sweep", key=dev.DEMO_KEY)
+    answer = context.runner.run(search)
+    assert answer.coverage.complete and answer.snapshot == 42, answer
+    assert [result.row for result in answer.results] == [{"from": "http.server"}]
