Offer TLS on every listener by settings

Cause: operators' listener and calls between hosts had TLS in code but no setting. Conclusion: every listener has certificates by flags or variables.

--- a/src/greengagehaven/commands/client.py
+++ b/src/greengagehaven/commands/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import datetime
+import pathlib
+import ssl
 import time
 import typing
 import urllib.parse
@@ -12,11 +14,12 @@
 
 from greengagehaven import exceptions
 from greengagehaven.protocol import codec, search
-from greengagehaven.transport import http_client
+from greengagehaven.transport import http_client, tls
 
 T = typing.TypeVar("T")
 
 DEFAULT_CONTROL = "127.0.0.1:7300"
+CONTROL_CA = "greengagehaven.control_ca"
 CALL_TIMEOUT = datetime.timedelta(seconds=12)
 
 
@@ -59,7 +62,7 @@
         raise exceptions.ControlUnreachableError(reason)
 
     async def _request(self, address: str, method: str, target: str, body: bytes):
-        client = http_client.HttpClient(address=address)
+        client = http_client.HttpClient(address=address, tls=_tls_of_context())
         try:
             return await client.request(
                 method,
@@ -72,8 +75,27 @@
             client.close()
 
 
+def _tls_of_context() -> ssl.SSLContext | None:
+    context = click.get_current_context(silent=True)
+    authority = None if context is None else context.meta.get(CONTROL_CA)
+    return tls.client_context(authority=authority)
+
+
+def _keep_authority(
+    context: click.Context, option: click.Parameter, value: pathlib.Path | None
+) -> None:
+    context.meta[CONTROL_CA] = value
+
+
 def options(command: typing.Callable) -> typing.Callable:
     """Add the options that name the control hosts and the operator."""
+    command = click.option(
+        "--control-ca",
+        type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+        callback=_keep_authority,
+        expose_value=False,
+        help="Use TLS to control hosts; PEM of their CA.",
+    )(command)
     command = click.option(
         "--token", default="", help="The operator's secret.", show_default=False
     )(command)
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -4,16 +4,18 @@
 import pathlib
 import random
 import signal
+import ssl
 
 import click
 import prometheus_client
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
-from greengagehaven.commands import client, daemons
+from greengagehaven.commands import certificates, client, daemons
 from greengagehaven.daemons import control as control_host
 from greengagehaven.daemons import control_daemon, recovery
 from greengagehaven.protocol import operator
+from greengagehaven.transport import peers
 
 KEY = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
 
@@ -78,6 +80,8 @@
     help="PEM whose proofs are demanded (production); may be given several times.",
 )
 @daemons.log_level_option
+@certificates.listener_options
+@certificates.peer_options
 def control(
     host_id: str,
     data_folder: str,
@@ -92,6 +96,12 @@
     environment: str,
     signing_key: pathlib.Path | None,
     trusted_keys: tuple[pathlib.Path, ...],
+    tls_certificate: pathlib.Path | None,
+    tls_key: pathlib.Path | None,
+    tls_client_ca: pathlib.Path | None,
+    peer_ca: pathlib.Path | None,
+    peer_certificate: pathlib.Path | None,
+    peer_key: pathlib.Path | None,
     log_level: str,
 ) -> None:
     """Run a control host."""
@@ -125,7 +135,11 @@
         signing_key=signing_key.read_bytes() if signing_key else None,
         trusted_keys=tuple(path.read_bytes() for path in trusted_keys),
     )
-    failure = asyncio.run(_run(chosen, operator_address, peer_token, tokens))
+    operator_tls = certificates.read_listener(tls_certificate, tls_key, tls_client_ca)
+    peer_tls = certificates.read_peer(peer_ca, peer_certificate, peer_key)
+    failure = asyncio.run(
+        _run(chosen, operator_address, peer_token, tokens, operator_tls, peer_tls)
+    )
     if failure is not None:
         raise failure
 
@@ -135,6 +149,8 @@
     operator_address: str,
     peer_token: str | None,
     tokens: dict[str, str],
+    operator_tls: ssl.SSLContext | None,
+    peer_tls: peers.Tls | None,
 ) -> exceptions.StorageError | None:
     """Run until a signal or a failure of the disk, which is returned."""
     stopped: asyncio.Future[exceptions.StorageError | None]
@@ -150,6 +166,8 @@
         operator_address=operator_address,
         peer_token=peer_token,
         tokens_by_operator=tokens,
+        operator_tls=operator_tls,
+        peer_tls=peer_tls,
         clock=clocks.SystemClock(),
         rng=random.Random(),
         registry=prometheus_client.REGISTRY,
--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -8,6 +8,7 @@
 import click
 
 from greengagehaven import log, settings
+from greengagehaven.commands import certificates
 from greengagehaven.daemons import dev as dev_module
 from greengagehaven.daemons import entry as entry_module
 from greengagehaven.daemons import lifecycle
@@ -142,9 +143,8 @@
     show_default=True,
     help="Longest wait for requests in flight.",
 )
-@click.option("--tls-certificate", type=_FILE, help="PEM chain of the listeners.")
-@click.option("--tls-key", type=_FILE, help="PEM key of the listeners.")
-@click.option("--tls-client-ca", type=_FILE, help="Ask callers for a certificate.")
+@certificates.listener_options
+@certificates.peer_options
 @click.option(
     "--upstream-ca", type=_FILE, help="Use TLS to upstreams; PEM of their CA."
 )
@@ -167,6 +167,9 @@
     tls_certificate: pathlib.Path | None,
     tls_key: pathlib.Path | None,
     tls_client_ca: pathlib.Path | None,
+    peer_ca: pathlib.Path | None,
+    peer_certificate: pathlib.Path | None,
+    peer_key: pathlib.Path | None,
     upstream_ca: pathlib.Path | None,
     log_level: str,
 ) -> None:
@@ -191,9 +194,8 @@
     )
     host = entry_module.EntryHost(
         entry_settings=entry_settings,
-        tls=tls_module.server_context(
-            certificate=tls_certificate, key=tls_key, client_authority=tls_client_ca
-        ),
+        tls=certificates.read_listener(tls_certificate, tls_key, tls_client_ca),
+        peer_tls=certificates.read_peer(peer_ca, peer_certificate, peer_key),
         upstream_tls=tls_module.client_context(authority=upstream_ca),
     )
     data = None if document is None else document.read_bytes()
--- a/src/greengagehaven/daemons/control_daemon.py
+++ b/src/greengagehaven/daemons/control_daemon.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import ssl
 import typing
 from collections import abc
 
@@ -27,6 +28,8 @@
     :param settings: what the control host is told.
     :param operator_address: ``IP:PORT`` for operators, port 0 for any.
     :param peer_token: secret that the hosts of the environment share.
+    :param operator_tls: context of the operators' listener; ``None`` for plain.
+    :param peer_tls: certificates between hosts; ``None`` for plain TCP.
     :param tokens_by_operator: secret of each operator by name.
     :param clock: source of time.
     :param rng: source of election timeouts.
@@ -40,6 +43,8 @@
         settings: control.ControlSettings,
         operator_address: str = "127.0.0.1:0",
         peer_token: str | None = None,
+        operator_tls: ssl.SSLContext | None = None,
+        peer_tls: peers.Tls | None = None,
         tokens_by_operator: abc.Mapping[str, str] | None = None,
         clock: clocks.Clock,
         rng: rngs.Rng,
@@ -54,7 +59,9 @@
         self._rng = rng
         self._registry = registry
         self._on_failure = on_failure
-        self._client = peers.PeerClient(token=peer_token, clock=clock)
+        self._client = peers.PeerClient(token=peer_token, clock=clock, tls=peer_tls)
+        self._operator_tls = operator_tls
+        self._peer_tls = peer_tls
         self._peer_token = peer_token
         self._handlers_by_method: dict[str, typing.Any] = {}
         self._peer_server: peers.PeerServer | None = None
@@ -100,6 +107,7 @@
             handler=api.handle,
             clock=self._clock,
             limits=http_server.Limits(body_bytes=DOCUMENT_BODY_BYTES),
+            tls=self._operator_tls,
         )
         bind = settings.parse_address("operator address", self.operator_address)
         self.operator_address = await self._http_server.start(*bind)
@@ -146,6 +154,7 @@
             },
             token=self._peer_token,
             clock=self._clock,
+            tls=self._peer_tls,
         )
         bind = settings.parse_address("peer address", self._settings.peer_address)
         self.peer_address = await self._peer_server.start(*bind)
