--- a/src/greengagehaven/commands/certificates.py
+++ b/src/greengagehaven/commands/certificates.py
@@ -31,7 +31,9 @@
         "--peer-key", type=FILE, help="PEM key towards other hosts."
     )(command)
     command = click.option(
-        "--peer-certificate", type=FILE, help="PEM chain towards other hosts."
+        "--peer-certificate",
+        type=FILE,
+        help="PEM chain towards other hosts; it has to name greengagehaven.",
     )(command)
     return click.option(
         "--peer-ca", type=FILE, help="Use TLS between hosts; PEM of their CA."
