--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -166,11 +166,11 @@
         operator_address=operator_address,
         peer_token=peer_token,
         tokens_by_operator=tokens,
-        operator_tls=operator_tls,
         peer_tls=peer_tls,
         clock=clocks.SystemClock(),
         rng=random.Random(),
         registry=prometheus_client.REGISTRY,
+        tls=operator_tls,
         on_failure=stop,
     )
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -191,9 +191,7 @@
 
     Exit code 1 where the quorum is lost or an entry host lags.
     """
-    found = client.ControlClient(addresses=controls, token=token).get(
-        "/v1/status", operator.Status
-    )
+    found = client.chosen(controls, token).get("/v1/status", operator.Status)
     if as_json:
         client.print_json(found)
     else:
@@ -259,7 +257,7 @@
 def _show_records(
     path: str, limit: int, as_json: bool, controls: tuple[str, ...], token: str
 ) -> None:
-    lines = client.ControlClient(addresses=controls, token=token).get(
+    lines = client.chosen(controls, token).get(
         path, list[operator.AuditLine], limit=limit
     )
     if as_json:
--- a/src/greengagehaven/daemons/control_daemon.py
+++ b/src/greengagehaven/daemons/control_daemon.py
@@ -28,12 +28,12 @@
     :param settings: what the control host is told.
     :param operator_address: ``IP:PORT`` for operators, port 0 for any.
     :param peer_token: secret that the hosts of the environment share.
-    :param operator_tls: context of the operators' listener; ``None`` for plain.
-    :param peer_tls: certificates between hosts; ``None`` for plain TCP.
     :param tokens_by_operator: secret of each operator by name.
     :param clock: source of time.
     :param rng: source of election timeouts.
     :param registry: where metrics are registered.
+    :param tls: context of the operators' listener; ``None`` for plain TCP.
+    :param peer_tls: certificates between hosts; ``None`` for plain TCP.
     :param on_failure: called when the disk failed and the host halted.
     """
 
@@ -43,12 +43,12 @@
         settings: control.ControlSettings,
         operator_address: str = "127.0.0.1:0",
         peer_token: str | None = None,
-        operator_tls: ssl.SSLContext | None = None,
-        peer_tls: peers.Tls | None = None,
         tokens_by_operator: abc.Mapping[str, str] | None = None,
         clock: clocks.Clock,
         rng: rngs.Rng,
         registry: prometheus_client.CollectorRegistry | None = None,
+        tls: ssl.SSLContext | None = None,
+        peer_tls: peers.Tls | None = None,
         on_failure: abc.Callable[[exceptions.StorageError], None] | None = None,
     ) -> None:
         self.peer_address = settings.peer_address
@@ -59,9 +59,9 @@
         self._rng = rng
         self._registry = registry
         self._on_failure = on_failure
-        self._client = peers.PeerClient(token=peer_token, clock=clock, tls=peer_tls)
-        self._operator_tls = operator_tls
+        self._tls = tls
         self._peer_tls = peer_tls
+        self._client = peers.PeerClient(token=peer_token, clock=clock, tls=peer_tls)
         self._peer_token = peer_token
         self._handlers_by_method: dict[str, typing.Any] = {}
         self._peer_server: peers.PeerServer | None = None
@@ -107,7 +107,7 @@
             handler=api.handle,
             clock=self._clock,
             limits=http_server.Limits(body_bytes=DOCUMENT_BODY_BYTES),
-            tls=self._operator_tls,
+            tls=self._tls,
         )
         bind = settings.parse_address("operator address", self.operator_address)
         self.operator_address = await self._http_server.start(*bind)
