Hold the sum of connections to the caps through a partition

Cause: the issue asks that connection shares never exceed the caps while zones are cut off; owners, limits and membership were each tested by themselves. Proof: with an owner's limit not held to a quarter of the cap, or shares kept by hosts that are no longer owners, the new scenario is red.

--- a/features/fakes/wire.py
+++ b/features/fakes/wire.py
@@ -231,6 +231,7 @@
         self.address = address or f"127.0.0.1:{wire.rng.randrange(4000, 5000)}"
         self.sequence = 0
         self.snapshots = (41, 42)
+        self.max_connections = 25
         self.state = upstream.UpstreamState.READY
         self.is_running = True
         self._renew()
@@ -247,7 +248,7 @@
             availability_zone=self.zone,
             state=self.state,
             slots=2,
-            max_connections=25,
+            max_connections=self.max_connections,
             snapshots=self.snapshots,
             shards=(shard,),
         )
--- a/features/partition.feature
+++ b/features/partition.feature
@@ -109,3 +109,19 @@
     And the zones are joined again
     Then after 5 s every host serves all directory upstreams
     And every membership host takes all others for live
+
+  Scenario: Caps on connections hold while zones part and meet
+    The links between hosts fail while upstreams still reach hosts on both
+    sides, so that either side takes itself for their owner. An upstream closes
+    what goes beyond its cap, and queries on such a connection would fail.
+
+    Given every directory upstream announces to hosts of all zones
+    And each membership host keeps to its connection limits
+    When zone "a" is cut off
+    Then over 20 s connections stay within every cap
+    When membership host "b1" dies
+    Then over 15 s connections stay within every cap
+    When membership host "b1" starts again with incarnation 3
+    And the zones are joined again
+    Then over 15 s connections stay within every cap
+    And each directory upstream has one owner that may connect
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,6 +6,7 @@
 
 from fakes import wire
 from greengagehaven import exceptions
+from greengagehaven.coordination import connections, ownership
 from greengagehaven.coordination.membership import signals, upstreams
 from greengagehaven.protocol import upstream
 
@@ -652,3 +653,71 @@
     elapsed = context.wire.clock.monotonic() - context.healed_at
     for host_id, count in context.wire.calls_by_host.items():
         assert count / elapsed <= limit, f"{host_id} made {count} in {elapsed} s"
+
+
+class Shares:
+    """Owners and connection limits of one host, fed by its membership."""
+
+    def __init__(self, context, host_id) -> None:
+        self._host = context.wire.hosts_by_id[host_id]
+        self.owners = ownership.Ownership(host_id=host_id, zone=host_id[0])
+        self._limits = connections.ConnectionLimits(
+            clock=context.wire.clock, owners=self.owners
+        )
+        self._taken: dict[str, str] = {}
+
+    def limit(self, upstream_id):
+        if self._host.counted != self._taken:
+            self._taken = self._host.counted
+            self.owners.set_hosts(self._taken)
+            self._limits.set_hosts(self._taken)
+        known = self._host.directory.upstreams_by_id.get(upstream_id)
+        return 0 if known is None else self._limits.limit(known)
+
+
+def shares_by_host_id(context):
+    """Return the shares of the hosts that run; a restarted one begins anew."""
+    for host_id, host in context.wire.hosts_by_id.items():
+        if context.hosts_with_shares.get(host_id) is not host:
+            context.hosts_with_shares[host_id] = host
+            context.shares_by_host_id[host_id] = Shares(context, host_id)
+    return {each: context.shares_by_host_id[each] for each in context.wire.hosts_by_id}
+
+
+def sum_of_limits(context, upstream_id):
+    return sum(each.limit(upstream_id) for each in shares_by_host_id(context).values())
+
+
+@behave.given("every directory upstream announces to hosts of all zones")
+def given_all_zones(context):
+    for each in context.upstreams_by_id.values():
+        each.hosts = tuple(sorted(context.wire.hosts_by_id))
+        # Some take so few connections that a share of one for two is too much.
+        each.max_connections = 4 if each.id.endswith("0") else 25
+
+
+@behave.given("each membership host keeps to its connection limits")
+def given_limits(context):
+    context.hosts_with_shares = {}
+    context.shares_by_host_id = {}
+    over(context, 5, lambda: sum_of_limits(context, "u-a0"))
+
+
+@behave.then("over {seconds:d} s connections stay within every cap")
+def then_within_caps(context, seconds):
+    def check():
+        for each in context.upstreams_by_id.values():
+            cap = each.announcement().max_connections
+            total = sum_of_limits(context, each.id)
+            assert total <= cap, f"{each.id} may get {total} connections of {cap}"
+
+    over(context, seconds, check)
+
+
+@behave.then("each directory upstream has one owner that may connect")
+def then_one_owner(context):
+    for upstream_id in context.upstreams_by_id:
+        limits = [
+            each.limit(upstream_id) for each in shares_by_host_id(context).values()
+        ]
+        assert sum(limit > 0 for limit in limits) == 1, (upstream_id, limits)
