--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagehaven.daemons import dev
+from greengagehaven.protocol import upstream
 from greengagehaven.standin import upstream as standin
 
 
@@ -35,6 +36,19 @@
         stand_in.chill()
 
 
+async def fail_fast(environment: dev.Dev, name: str) -> None:
+    """Let upstreams answer every request with an error at once."""
+    for stand_in in _matching(environment, name):
+        stand_in.fails_fast = True
+
+
+async def lie(environment: dev.Dev, name: str) -> None:
+    """Make upstreams slow, and let them report that they are idle."""
+    for stand_in in _matching(environment, name):
+        stand_in.speed_factor = 8.0
+        stand_in.load_lie = upstream.LoadReport(in_flight=0, queued=0)
+
+
 async def stop(environment: dev.Dev, name: str) -> None:
     """Let upstreams vanish."""
     await asyncio.gather(*(each.stop() for each in _matching(environment, name)))
--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -105,14 +105,31 @@
         warm_up=3.0,
     ),
     "lost-replica": Scenario(
-        about="a replica of each service vanishes without a word",
+        about="replicas die, fail at once, or report idle while saturated",
         off=("hedging", "ejection", "connection_checks"),
-        faults=(Fault(at=0.3, action="stop", arguments={"name": "credits-?-b1"}),),
+        loads=(Load(), Load()),
+        faults=(
+            Fault(at=0.3, action="stop", arguments={"name": "credits-0-b1"}),
+            Fault(at=0.3, action="fail_fast", arguments={"name": "credits-1-a0"}),
+            Fault(at=0.3, action="lie", arguments={"name": "credits-2-c2"}),
+        ),
+        environment={"upstream_options": {"service_time": 0.02}},
+        warm_up=2.0,
     ),
     "cold-start": Scenario(
-        about="every replica turns cold at once",
-        off=("slow_start",),
-        faults=(Fault(at=0.3, action="chill", arguments={"name": "*"}),),
+        about="upstreams start anew, warm ones turn cold without a word",
+        off=("slow_start", "shared_limits"),
+        loads=(Load(), Load()),
+        faults=(
+            Fault(at=0.2, action="stop", arguments={"name": "*-b1"}),
+            Fault(at=0.4, action="restart", arguments={"name": "*-b1"}),
+            Fault(at=0.7, action="chill", arguments={"name": "*-a0"}),
+        ),
+        environment={
+            "hosts_per_zone": 3,
+            "upstream_options": {"service_time": 0.04},
+        },
+        warm_up=3.0,
     ),
     "repartition": Scenario(
         about="a new snapshot and partitioning arrive upstream by upstream",
