Choose among replicas with one cost for each

Cause: choosing computed a replica's cost up to five times; replicas of a noisy shard stayed in use up to four times as slow as the best. Conclusion: set aside from 1.5 times the best replica on (at least twice the usual).

--- a/src/greengagehaven/coordination/selection.py
+++ b/src/greengagehaven/coordination/selection.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import operator
 from collections import abc
 
 from greengagehaven import rng as rng_module
@@ -18,7 +19,7 @@
 from greengagehaven.protocol import upstream
 
 _CHOICES = 2
-_SLOW_RATIO = 2.0
+_SLOW_RATIO = 1.5
 _SLOW_LEAST = 2.0
 _OTHER_ZONE_COST = 1.25
 _NEAR_RATIO = 1.5
@@ -86,13 +87,14 @@
         """Return one of ``candidates`` (not empty)."""
         if len(candidates) == 1:
             return candidates[0]
-        pool = self._nearby(candidates, now) or candidates
+        scored = [(self._cost(each, now), each) for each in candidates]
+        pool = self._nearby(scored, now) or scored
         if len(pool) <= _CHOICES:
             sampled = list(pool)
             self._rng.shuffle(sampled)
         else:
             sampled = self._rng.sample(pool, _CHOICES)
-        return min(sampled, key=lambda each: self._cost(each, now))
+        return min(sampled, key=operator.itemgetter(0))[1]
 
     def probe_target(
         self,
@@ -112,14 +114,17 @@
         return None
 
     def _nearby(
-        self, candidates: abc.Sequence[Candidate], now: float
-    ) -> list[Candidate]:
+        self, scored: abc.Sequence[tuple[float, Candidate]], now: float
+    ) -> list[tuple[float, Candidate]]:
         """Return those of the own zone that cost hardly more than any other."""
-        nearby = [each for each in candidates if self._is_near_and_free(each, now)]
-        if not nearby or len(nearby) == len(candidates):
-            return nearby
-        least = min(self._cost(each, now) for each in candidates)
-        return [each for each in nearby if self._cost(each, now) <= _NEAR_RATIO * least]
+        if self._zone is None:
+            return []
+        most = _NEAR_RATIO * min(cost for cost, _ in scored)
+        return [
+            (cost, each)
+            for cost, each in scored
+            if cost <= most and self._is_near_and_free(each, now)
+        ]
 
     def _is_near_and_free(self, candidate: Candidate, now: float) -> bool:
         announcement = candidate.announcement
