--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -127,6 +127,7 @@
             directory=directory,
             usable=self.is_usable,
             order=self._ledger if options.fairness else None,
+            standing=options.standing,
             slow_start=options.slow_start,
         )
         self._dispatcher = dispatcher.Dispatcher(
--- a/src/greengagehaven/coordination/gate.py
+++ b/src/greengagehaven/coordination/gate.py
@@ -89,6 +89,7 @@
     :param reference: usual service time of a kind at other upstreams.
     :param order: ranks the subscribers of those that wait; ``None``, arrival
         decides among them.
+    :param standing: off, all kinds stand alike.
     :param slow_start: off, a fresh upstream gets all its slots at once.
     """
 
@@ -98,6 +99,7 @@
         announcement: upstream.Announcement,
         reference: Reference,
         order: usage.UsageOrder | None = None,
+        standing: bool = True,
         slow_start: bool = True,
     ) -> None:
         self._reference = reference
@@ -107,7 +109,9 @@
         self._over_share = time_average.TimeAverage(decay=_OVER_DECAY_S)
         self._queued_within_share = 0
         self._over_share_runs = 0
-        self._queue = fair_queue.FairQueue(order=order, waits=wait_times.WaitTimes())
+        self._queue = fair_queue.FairQueue(
+            order=order, waits=wait_times.WaitTimes(), standing=standing
+        )
         self._queued_by_id: dict[tuple[str, int], _Queued] = {}
         self._runs_by_id: dict[tuple[str, int], _Run] = {}
         self._times_by_kind: dict[str, service_time.ServiceTime] = {}
--- a/src/greengagehaven/coordination/gates.py
+++ b/src/greengagehaven/coordination/gates.py
@@ -29,6 +29,7 @@
     :param usable: whether an upstream may get new work now.
     :param order: ranks subscribers among those that wait; ``None``, arrival
         decides among them.
+    :param standing: off, all kinds stand alike.
     :param slow_start: see :class:`~greengagehaven.coordination.gate.Gate`.
     """
 
@@ -39,12 +40,14 @@
         directory: directory.DirectoryView,
         usable: Usable,
         order: usage.UsageOrder | None = None,
+        standing: bool = True,
         slow_start: bool = True,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._usable = usable
         self._order = order
+        self._standing = standing
         self._slow_start = slow_start
         self._gates_by_id: dict[str, gate.Gate] = {}
         self._upstream_ids_by_sub_request: dict[tuple[str, int], str] = {}
@@ -152,6 +155,7 @@
                 announcement=announcement,
                 reference=self._usual_time,
                 order=self._order,
+                standing=self._standing,
                 slow_start=self._slow_start,
             )
             self._gates_by_id[upstream_id] = found
--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -158,6 +158,22 @@
         loads=(Load(rate=10.0),),
         environment={"upstream_options": {"service_time": 0.1}},
     ),
+    "standing": Scenario(
+        about="lookups of the same subscriber saturate a service that sweeps need",
+        off=("standing",),
+        loads=(
+            Load(rate=6.0),
+            Load(
+                rate=100.0,
+                kind="lookup",
+                services=ALL[:1],
+                begin=0.2,
+                end=0.8,
+                is_judged=False,
+            ),
+        ),
+        environment={"upstream_options": {"service_time": 0.1}},
+    ),
     "resend": Scenario(
         about="billed requests are sent again through other hosts",
         off=("at_most_once",),
