--- a/src/greengagehaven/daemons/measure/faults.py
+++ b/src/greengagehaven/daemons/measure/faults.py
@@ -31,6 +31,12 @@
         stand_in.speed_factor = factor if stand_in in chosen else 1.0
 
 
+async def fail(environment: dev.Dev, name: str) -> None:
+    """Let upstreams answer every request with an error at once."""
+    for stand_in in _matching(environment, name):
+        stand_in.fails_fast = True
+
+
 async def chill(environment: dev.Dev, name: str) -> None:
     """Turn warm upstreams cold without a word."""
     for stand_in in _matching(environment, name):
@@ -49,10 +55,10 @@
         await environment.start_upstream(service, int(number), starts_cold=True)
 
 
-async def silence(environment: dev.Dev, fraction: float) -> None:
-    """Let a part of the open connections to each upstream go silent."""
-    for stand_in in environment.upstreams_by_id.values():
-        stand_in.go_silent(fraction)
+async def silence(environment: dev.Dev, every: int) -> None:
+    """Let all open connections to each ``every``-th upstream go silent."""
+    for stand_in in list(environment.upstreams_by_id.values())[::every]:
+        stand_in.go_silent()
 
 
 async def repartition(environment: dev.Dev, zone: str) -> None:
