--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -26,9 +26,15 @@
 from fakes import wire  # noqa: E402
 from greengagehaven import clock as clocks  # noqa: E402
 from greengagehaven import log, settings  # noqa: E402
+from greengagehaven.coordination import usage  # noqa: E402
 from greengagehaven.coordination.membership import antientropy, node, signals  # noqa: E402
 from greengagehaven.daemons import membership_loop  # noqa: E402
-from greengagehaven.protocol import codec, membership, upstream  # noqa: E402
+from greengagehaven.protocol import (  # noqa: E402
+    codec,
+    membership,
+    notices,
+    upstream,
+)
 from greengagehaven.state import directory  # noqa: E402
 from greengagehaven.transport import peers  # noqa: E402
 
@@ -38,6 +44,8 @@
 SPAN_S = 5.0
 START_SPACING_S = 0.1
 SERVICES = 400
+REPORTED_SUBSCRIBERS = 5
+REPORTING_HOSTS = 9
 RESTARTS = 3
 CHANGES = 6
 SPACING_S = 3.0
@@ -234,6 +242,37 @@
     return pages * resource.getpagesize()
 
 
+async def measure_reports(count: int) -> dict[str, float]:
+    """Cost of a host among ``count`` that all report usage, beside being idle."""
+    hosts: list[Host] = []
+    await start_hosts(hosts, count)
+    await asyncio.sleep(SETTLE_S)
+    idle = await measure_span(hosts, SPAN_S)
+    tasks = [asyncio.ensure_future(report_forever(host)) for host in hosts]
+    busy = await measure_span(hosts, SPAN_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await asyncio.gather(*(host.stop() for host in hosts))
+    return {
+        "hosts": count,
+        "cpu_share": round(busy["cpu_share"] - idle["cpu_share"], 5),
+        "body_bytes_per_s": round(busy["bytes_per_s"] - idle["bytes_per_s"], 1),
+        "calls_per_s": round(busy["calls_per_s"] - idle["calls_per_s"], 2),
+    }
+
+
+async def report_forever(host: Host) -> None:
+    """Report the usage of a few subscribers as often as the core does."""
+    usages = tuple(
+        notices.SubscriberUsage(f"subscriber-{number}", 1.0)
+        for number in range(REPORTED_SUBSCRIBERS)
+    )
+    while True:
+        host.loop.notify(notices.UsageReport(usages=usages))
+        await asyncio.sleep(usage.REPORT_INTERVAL_S)
+
+
 async def measure_span(hosts: list[Host], seconds: float) -> dict[str, float]:
     """Return processor time, bytes and calls of one host in a second."""
     calls = sum(host.client.calls for host in hosts)
@@ -507,6 +546,8 @@
 async def measure_all(host_counts: list[int]) -> dict:
     """Measure what needs a loop."""
     report = {**await measure_wire(), "by_hosts": []}
+    if host_counts:
+        report["usage_reports"] = await measure_reports(REPORTING_HOSTS)
     for count in host_counts:
         report["by_hosts"].append(await measure_hosts(count))
     return report
