--- a/src/greengagehaven/coordination/membership/digests.py
+++ b/src/greengagehaven/coordination/membership/digests.py
@@ -7,7 +7,6 @@
 import xxhash
 
 BUCKETS = 128
-BUCKET_BYTES = 8
 _EMPTY = (0,) * BUCKETS
 
 
--- a/src/greengagehaven/coordination/membership/leases.py
+++ b/src/greengagehaven/coordination/membership/leases.py
@@ -5,20 +5,11 @@
 import msgspec.structs
 
 from greengagehaven import exceptions
-from greengagehaven.coordination.membership import knowledge
+from greengagehaven.coordination.membership import arrivals, knowledge
 from greengagehaven.protocol import membership, upstream
 
 LEASE_S = 3.0
 RENEW_S = 1.0
-# An upstream whose clock went back between two starts looks like late news of
-# an older start. Late news does not go on and on; a living upstream does.
-_PROOFS_OF_LIFE = 3
-_PROOF_SPAN_S = 1.5
-_MAX_REVENANTS = 1000
-# Hosts of zones that are joined again find each other within the patience.
-_ADOPTION_PATIENCE_S = 1.0
-# Shorter than most partitions, so that visits from before one do not count.
-_VISITS_FORGOTTEN_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,14 +24,6 @@
     is_change: bool
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Revenant:
-    incarnation: int
-    sequence: int
-    first_at: float
-    proofs: int = 1
-
-
 class Leases:
     """Judges announcements and keeps the leases whose home this host is.
 
@@ -53,8 +36,7 @@
     ) -> None:
         self._knowledge = knowledge
         self._lease = lease
-        self._revenants_by_id: dict[str, _Revenant] = {}
-        self._visits_by_zone: dict[str, tuple[float, float]] = {}
+        self._arrivals = arrivals.Arrivals()
 
     def judge(self, announcement: upstream.Announcement, now: float) -> Accepted | None:
         """Return what an announcement means, ``None`` where it is late news.
@@ -230,7 +212,7 @@
     ) -> str:
         """Return whose hosts keep the lease: the upstream's zone, if it can."""
         wanted = announcement.availability_zone
-        is_lasting = self._is_lasting(wanted, now)
+        is_lasting = self._arrivals.is_lasting(wanted, now)
         candidates = [wanted]
         if known is not None and not known.is_gone:
             candidates.append(known.zone)
@@ -243,22 +225,6 @@
             return known.zone
         return self._knowledge.own_zone
 
-    def _is_lasting(self, zone: str, now: float) -> bool:
-        """Tell whether upstreams of a zone have been coming here for a while.
-
-        When a partition heals, an upstream's announcement may cross before its
-        zone's hosts do. Were its lease taken over at once, those hosts would hear
-        that another zone keeps it, and stop using their own upstreams until that
-        zone has vouched for itself: queries there find no replica for a moment.
-        """
-        if len(self._visits_by_zone) > _MAX_REVENANTS:
-            self._visits_by_zone.clear()
-        first, last = self._visits_by_zone.get(zone, (now, now))
-        if now - last > _VISITS_FORGOTTEN_S:
-            first = now
-        self._visits_by_zone[zone] = (first, now)
-        return now - first > _ADOPTION_PATIENCE_S
-
     def _effective_incarnation(
         self,
         announcement: upstream.Announcement,
@@ -282,26 +248,10 @@
         return None
 
     def _is_alive_again(self, announcement: upstream.Announcement, now: float) -> bool:
-        seen = self._revenants_by_id.get(announcement.id)
-        if len(self._revenants_by_id) > _MAX_REVENANTS:
-            self._revenants_by_id.clear()
-        order = (announcement.incarnation, announcement.sequence)
         gone_since = self._knowledge.upstreams.gone_since(announcement.id)
         if gone_since is None or now - gone_since < self._lease:
             return False
-        if seen is None or seen.incarnation != announcement.incarnation:
-            self._revenants_by_id[announcement.id] = _Revenant(
-                incarnation=order[0], sequence=order[1], first_at=now
-            )
-            return False
-        if announcement.sequence <= seen.sequence:
-            return False
-        seen.sequence = announcement.sequence
-        seen.proofs += 1
-        if seen.proofs < _PROOFS_OF_LIFE or now - seen.first_at < _PROOF_SPAN_S:
-            return False
-        del self._revenants_by_id[announcement.id]
-        return True
+        return self._arrivals.prove_life(announcement, now)
 
 
 def _check_address(
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -14,6 +14,7 @@
     leases,
     outbox,
     probing,
+    pushing,
     renewing,
     rumors,
     signals,
@@ -24,15 +25,6 @@
 from greengagehaven.protocol import membership
 from greengagehaven.state import directory
 
-PUSH_INTERVAL_S = 0.05
-PUSH_FAN_OUT = 3
-PUSH_FAR = 2
-PUSH_BYTES = 32_768
-# News is pushed at once while it is little; when it comes thick it waits and
-# travels together. Hosts that are slow would else be suspected, refute, and get
-# more calls about that, the slower they answer.
-PUSH_CALLS_PER_S = 6.0
-PUSH_CALLS_AT_ONCE = 40.0
 # A host that finds no peer for this long serves by itself.
 JOIN_PATIENCE_S = 3.0
 SLOW_CHECK_S = 1.0
@@ -70,7 +62,6 @@
         retention: upstreams.Retention = DEFAULT_RETENTION,
     ) -> None:
         self._clock = clock
-        self._rng = rng
         seeds = [seed for seed in seeds if seed != own.address]
         known = knowledge.Knowledge(
             own=own, served=served, lease=lease, retention=retention
@@ -102,9 +93,13 @@
         self._telling = telling.Telling(knowledge=known, outbox=self._outbox, rng=rng)
         self._started_at = clock.monotonic()
         self._stepped_at = self._started_at
-        self._push_at = 0.0
-        self._push_credit = PUSH_CALLS_AT_ONCE
-        self._push_credit_at = self._started_at
+        self._pushing = pushing.Pushing(
+            knowledge=known,
+            rumors=self._rumors,
+            outbox=self._outbox,
+            rng=rng,
+            now=self._started_at,
+        )
         self._slow_check_at = 0.0
         self._is_joined = not seeds
         self._reported: tuple[int, dict[str, str]] = (-1, {})
@@ -168,7 +163,8 @@
         self._outbox.now = self._clock.monotonic()
         self._catch_up()
         self._handlers_by_type[type(event)](event)
-        self._push()
+        if not self.has_left:
+            self._pushing.push()
         self._report()
         return self._outbox.take()
 
@@ -258,9 +254,7 @@
     def _on_leave(self, event: signals.LeaveRequested) -> None:
         left = self._known.hosts.own.with_status(membership.HostStatus.LEFT)
         self._known.put_host(left, self._outbox.now)
-        message = self._outbox.plain("")
-        for target in (*self._near_targets(), *self._far_targets()):
-            self._outbox.call(calls.Push(), target, message)
+        self._pushing.say_goodbye()
 
     def _take(self, exchange: membership.Exchange, *, push: bool) -> tuple[str, ...]:
         self._intake.take_records(exchange, push=push)
@@ -303,48 +297,6 @@
             self._is_joined = True
             self._outbox.note("joined_without_peer")
 
-    def _push(self) -> None:
-        now = self._outbox.now
-        if now < self._push_at or not self._rumors.has_unpushed or self.has_left:
-            return
-        elapsed = now - self._push_credit_at
-        self._push_credit_at = now
-        self._push_credit = min(
-            PUSH_CALLS_AT_ONCE, self._push_credit + elapsed * PUSH_CALLS_PER_S
-        )
-        if self._push_credit <= 0:
-            return
-        self._push_at = now + PUSH_INTERVAL_S
-        records, own_records = self._rumors.take_unpushed(PUSH_BYTES)
-        self._push_to(self._near_targets(), records)
-        if own_records:
-            self._push_to(self._far_targets(), own_records)
-
-    def _push_to(
-        self, targets: list[membership.HostRecord], records: list[rumors.Record]
-    ) -> None:
-        hosts, upstreams = rumors.split(records)
-        message = self._outbox.plain("", hosts=hosts, upstreams=upstreams)
-        self._push_credit -= len(targets)
-        for target in targets:
-            self._outbox.call(calls.Push(), target, message)
-
-    def _near_targets(self) -> list[membership.HostRecord]:
-        return self._some_of(self._known.own_zone, PUSH_FAN_OUT)
-
-    def _far_targets(self) -> list[membership.HostRecord]:
-        return [
-            target
-            for zone in self._known.hosts.zones
-            if zone != self._known.own_zone
-            for target in self._some_of(zone, PUSH_FAR)
-        ]
-
-    def _some_of(self, zone: str, count: int) -> list[membership.HostRecord]:
-        partner_ids = self._known.hosts.partner_ids(zone)
-        chosen = self._rng.sample(partner_ids, min(count, len(partner_ids)))
-        return [self._known.hosts.records_by_id[host_id] for host_id in chosen]
-
     def _report(self) -> None:
         self._refresh_zones()
         changed = self._known.upstreams.take_changed()
