--- a/features/fakes/core.py
+++ b/features/fakes/core.py
@@ -144,13 +144,19 @@
             )
         )
 
-    def reply(self, sub_request: upstream.SubRequest, *rows: bytes) -> None:
+    def reply(
+        self,
+        sub_request: upstream.SubRequest,
+        *rows: bytes,
+        load: upstream.LoadReport | None = None,
+    ) -> None:
         """Let an upstream answer a sub-request."""
         outcome = upstream.Replied(
             request_id=sub_request.request_id,
             attempt=sub_request.attempt,
             upstream_id=sub_request.upstream_id,
             rows=tuple(msgspec.Raw(row) for row in rows or (b"{}",)),
+            load=load,
         )
         self.in_flight.pop(sub_request.id, None)
         self.step(events.OutcomeReceived(outcome=outcome))
--- a/src/greengagehaven/coordination/dispatcher.py
+++ b/src/greengagehaven/coordination/dispatcher.py
@@ -184,7 +184,10 @@
         is_plain = not attempt.extra and not attempt.is_over_share
         if isinstance(outcome, upstream.Replied) and is_plain:
             self._latencies.observe(attempt.latency_class, took, now)
-        self._replicas.end(key, attempt.incarnation, outcome, took / attempt.usual)
+        slowness = took / attempt.usual
+        self._replicas.end(
+            key, attempt.incarnation, outcome, slowness, is_probe=attempt.is_probe
+        )
         return attempt
 
     def shards_beside(self, upstream_id: str) -> list[upstream.ShardRef]:
--- a/src/greengagehaven/coordination/replicas.py
+++ b/src/greengagehaven/coordination/replicas.py
@@ -118,6 +118,8 @@
         incarnation: int,
         outcome: upstream.Outcome,
         slowness: float,
+        *,
+        is_probe: bool = False,
     ) -> None:
         """Take an attempt out of flight and learn from its outcome.
 
@@ -138,6 +140,8 @@
                 return
         stats.outstanding_by_id.pop(attempt_id, None)
         stats.note_in_flight(now)
+        if is_probe and isinstance(outcome, upstream.Replied):
+            stats.forget_slowness()
         _learn(stats, outcome, slowness, now)
 
     def shuffle(self, items: list) -> None:
--- a/src/greengagehaven/coordination/upstream_stats.py
+++ b/src/greengagehaven/coordination/upstream_stats.py
@@ -104,6 +104,15 @@
         if not self._failures:
             self._ejections = 0
 
+    def forget_slowness(self) -> None:
+        """Let the next reply alone tell how slow the upstream is.
+
+        A replica that was set aside gets a probe now and then only. Were its
+        average to come down as it does under load, it would stay out for long
+        after it is well again.
+        """
+        self.slowness = None
+
     def record_abandoned(self, age: float, now: float) -> None:
         """Take in that an attempt had no reply for ``age`` times the usual.
 
