--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -11,11 +11,11 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
-from greengagehaven.commands import client, daemons
+from greengagehaven.commands import certificates, client, daemons
 from greengagehaven.daemons import control as control_host
 from greengagehaven.daemons import control_daemon, recovery
 from greengagehaven.protocol import operator
-from greengagehaven.transport import tls
+from greengagehaven.transport import peers
 
 KEY = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
 
@@ -79,9 +79,9 @@
     multiple=True,
     help="PEM whose proofs are demanded (production); may be given several times.",
 )
-@click.option("--tls-certificate", type=KEY, help="PEM chain for operators.")
-@click.option("--tls-key", type=KEY, help="PEM key for operators.")
 @daemons.log_level_option
+@certificates.listener_options
+@certificates.peer_options
 def control(
     host_id: str,
     data_folder: str,
@@ -98,6 +98,10 @@
     trusted_keys: tuple[pathlib.Path, ...],
     tls_certificate: pathlib.Path | None,
     tls_key: pathlib.Path | None,
+    tls_client_ca: pathlib.Path | None,
+    peer_ca: pathlib.Path | None,
+    peer_certificate: pathlib.Path | None,
+    peer_key: pathlib.Path | None,
     log_level: str,
 ) -> None:
     """Run a control host."""
@@ -131,8 +135,11 @@
         signing_key=signing_key.read_bytes() if signing_key else None,
         trusted_keys=tuple(path.read_bytes() for path in trusted_keys),
     )
-    context = tls.server_context(certificate=tls_certificate, key=tls_key)
-    failure = asyncio.run(_run(chosen, operator_address, peer_token, tokens, context))
+    operator_tls = certificates.read_listener(tls_certificate, tls_key, tls_client_ca)
+    peer_tls = certificates.read_peer(peer_ca, peer_certificate, peer_key)
+    failure = asyncio.run(
+        _run(chosen, operator_address, peer_token, tokens, operator_tls, peer_tls)
+    )
     if failure is not None:
         raise failure
 
@@ -142,7 +149,8 @@
     operator_address: str,
     peer_token: str | None,
     tokens: dict[str, str],
-    context: ssl.SSLContext | None,
+    operator_tls: ssl.SSLContext | None,
+    peer_tls: peers.Tls | None,
 ) -> exceptions.StorageError | None:
     """Run until a signal or a failure of the disk, which is returned."""
     stopped: asyncio.Future[exceptions.StorageError | None]
@@ -158,10 +166,11 @@
         operator_address=operator_address,
         peer_token=peer_token,
         tokens_by_operator=tokens,
+        peer_tls=peer_tls,
         clock=clocks.SystemClock(),
         rng=random.Random(),
         registry=prometheus_client.REGISTRY,
-        tls=context,
+        tls=operator_tls,
         on_failure=stop,
     )
     for number in (signal.SIGTERM, signal.SIGINT):
