--- a/src/greengagehaven/daemons/measure/scenarios.py
+++ b/src/greengagehaven/daemons/measure/scenarios.py
@@ -107,11 +107,33 @@
         warm_up=3.0,
     ),
     "lost-replica": Scenario(
-        about="a replica of each service vanishes without a word",
+        about="replicas die, fail at once, or report idle while saturated",
         off=("hedging", "ejection", "connection_checks"),
-        faults=(Fault(at=0.3, action="stop", arguments={"name": "credits-?-b1"}),),
+        loads=(Load(), Load()),
+        faults=(
+            Fault(at=0.3, action="stop", arguments={"name": "credits-0-b1"}),
+            Fault(at=0.3, action="fail_fast", arguments={"name": "credits-1-a0"}),
+            Fault(at=0.3, action="lie", arguments={"name": "credits-2-c2"}),
+        ),
+        environment={"upstream_options": {"service_time": 0.02}},
+        warm_up=2.0,
     ),
     "cold-start": Scenario(
+        about="upstreams start anew, warm ones turn cold without a word",
+        off=("slow_start", "shared_limits"),
+        loads=(Load(), Load()),
+        faults=(
+            Fault(at=0.2, action="stop", arguments={"name": "*-b1"}),
+            Fault(at=0.4, action="restart", arguments={"name": "*-b1"}),
+            Fault(at=0.7, action="chill", arguments={"name": "*-a0"}),
+        ),
+        environment={
+            "hosts_per_zone": 3,
+            "upstream_options": {"service_time": 0.04},
+        },
+        warm_up=3.0,
+    ),
+    "index-reload": Scenario(
         about="every replica turns cold at once",
         off=("slow_start",),
         loads=(Load(rate=30.0),),
@@ -174,6 +196,22 @@
         loads=(Load(rate=10.0),),
         environment={"upstream_options": {"service_time": 0.1}},
     ),
+    "standing": Scenario(
+        about="lookups of the same subscriber saturate a service that sweeps need",
+        off=("standing",),
+        loads=(
+            Load(rate=6.0),
+            Load(
+                rate=100.0,
+                kind="lookup",
+                services=ALL[:1],
+                begin=0.2,
+                end=0.8,
+                is_judged=False,
+            ),
+        ),
+        environment={"upstream_options": {"service_time": 0.1}},
+    ),
     "resend": Scenario(
         about="billed requests are sent again through other hosts",
         off=("at_most_once",),
