Refuse a peer address that no other host can reach

Cause: a host that listens on 0.0.0.0 would tell others to call themselves. Proof: without the check the new scenario of membership_loop.feature is red.

--- a/features/membership_loop.feature
+++ b/features/membership_loop.feature
@@ -21,3 +21,10 @@
     Given 2 membership loops on loopback in the zones "a b"
     When a host with another token starts from the loop of "a"
     Then that host finds no peer and the loops know 2 hosts
+
+  Scenario: An address that nobody can reach stops the start
+    An operator has a host listen on all its addresses. The others would be told
+    0.0.0.0, call themselves, and take the new host for dead.
+
+    When a membership loop is to start on the address "0.0.0.0:9000"
+    Then it is refused with "invalid_setting" at "peer-listen"
--- a/features/steps/membership_loop_steps.py
+++ b/features/steps/membership_loop_steps.py
@@ -7,7 +7,7 @@
 import behave
 import prometheus_client
 
-from greengagehaven import clock
+from greengagehaven import clock, exceptions
 from greengagehaven.daemons import membership_loop
 from greengagehaven.protocol import notices, upstream
 from greengagehaven.state import directory
@@ -207,3 +207,27 @@
     assert set(context.stranger.hosts) == {"host-z"}, context.stranger.hosts
     for host in context.hosts_by_zone.values():
         assert len(host.hosts) == count, host.hosts
+
+
+@behave.when('a membership loop is to start on the address "{address}"')
+def when_unreachable(context, address):
+    try:
+        membership_loop.MembershipLoop(
+            host_id="host-a",
+            zone="a",
+            address=address,
+            seeds=(),
+            served=directory.Directory(),
+            channel=None,
+            listener=None,
+            clock=clock.SystemClock(),
+            rng=random.Random(1),
+        )
+        context.refusal = None
+    except exceptions.SettingError as error:
+        context.refusal = (error.code, error.place)
+
+
+@behave.then('it is refused with "{code}" at "{place}"')
+def then_setting_refused(context, code, place):
+    assert context.refusal == (code, place), context.refusal
--- a/src/greengagehaven/daemons/membership_loop.py
+++ b/src/greengagehaven/daemons/membership_loop.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import datetime
+import ipaddress
 import typing
 
 import msgspec
 import prometheus_client
 
 from greengagehaven import clock as clocks
-from greengagehaven import exceptions, log
+from greengagehaven import exceptions, log, settings
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import events, peers
 from greengagehaven.coordination.membership import leases, node, signals
@@ -48,6 +49,7 @@
     :param notice_type: type, or tagged union, of the query path's notices.
     :param lease: how long an upstream's announcement holds.
     :param registry: where metrics are registered, ``None`` for nowhere.
+    :raises SettingError: ``address`` is one that no other host can reach.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         lease: datetime.timedelta = datetime.timedelta(seconds=leases.LEASE_S),
         registry: prometheus_client.CollectorRegistry | None = None,
     ) -> None:
+        _check_reachable(address)
         own = membership.HostRecord(
             id=host_id,
             zone=zone,
@@ -249,3 +252,14 @@
         reply = self._step(event)
         assert reply is not None
         return codec.encode_msgpack(reply.message)
+
+
+def _check_reachable(address: str) -> None:
+    # Told to others, 0.0.0.0 leads each of them to itself.
+    host, _ = settings.parse_address("peer-listen", address)
+    if ipaddress.ip_address(host).is_unspecified:
+        raise exceptions.SettingError(
+            place="peer-listen",
+            value=address,
+            expected="an IP number that other hosts can reach, as they are told it",
+        )
