--- a/src/greengagehaven/coordination/selection.py
+++ b/src/greengagehaven/coordination/selection.py
@@ -11,7 +11,6 @@
 """
 
 import dataclasses
-import operator
 from collections import abc
 
 from greengagehaven import rng as rng_module
@@ -23,6 +22,7 @@
 _SLOW_LEAST = 2.0
 _OTHER_ZONE_COST = 1.25
 _NEAR_RATIO = 1.5
+_BLUR = 0.1
 _FORGIVE_S = 5.0
 _PROBE_INTERVAL_S = 0.25
 
@@ -94,7 +94,12 @@
             self._rng.shuffle(sampled)
         else:
             sampled = self._rng.sample(pool, _CHOICES)
-        return min(sampled, key=operator.itemgetter(0))[1]
+        return min(sampled, key=self._blur)[1]
+
+    def _blur(self, scored: tuple[float, Candidate]) -> float:
+        # Replicas that do alike would differ by rounding only, and every host
+        # would send all its work to the same one.
+        return scored[0] * (1.0 + _BLUR * self._rng.random())
 
     def probe_target(
         self,
