Refuse wrong certificates between hosts at the start and on the wire

That a host without a certificate of the CA is refused had no test.

Now the files are read once with ssl, and a wrong one ends the start of entry and control with one error line and exit 2.

Shown red: with require_client_auth=False the other authority's host got the body; without check_peer_files the daemons went on to bind their ports.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -40,3 +40,19 @@
     Given a peer server that expects the token "right" and echoes bodies
     When a second peer server starts on the same address
     Then the peer call ends with "invalid_setting"
+
+  Scenario: With TLS between hosts, only certificates of ours get through
+    The shared token leaks, and a machine that is no host of ours shows it. It
+    could withdraw upstreams and take in queries unless TLS keeps it out.
+
+    Given a peer server with TLS that echoes bodies
+    When peers call with our certificate, with another authority's and without TLS
+    Then only the peer with our certificate gets the body
+
+  Scenario: Wrong files for TLS between hosts stop the start
+    An operator swaps two files. The host would come up and reach nobody, which
+    looks like a fault of the network.
+
+    Given files of certificates for hosts, with a key of another host
+    When an entry and a control host start with files that are wrong
+    Then each exits 2 with one line of error that names the setting
--- a/src/greengagehaven/commands/certificates.py
+++ b/src/greengagehaven/commands/certificates.py
@@ -61,7 +61,7 @@
 ) -> peers.Tls | None:
     """Return the certificates between hosts, ``None`` where none are given.
 
-    :raises SettingError: only some of the three files are given.
+    :raises SettingError: only some of the three files are given, or one is wrong.
     """
     if authority is None and certificate is None and key is None:
         return None
@@ -71,6 +71,7 @@
             value="some of them",
             expected="all three files",
         )
+    tls.check_peer_files(authority=authority, certificate=certificate, key=key)
     return peers.Tls(
         authority=authority.read_bytes(),
         certificate=certificate.read_bytes(),
--- a/src/greengagehaven/transport/tls.py
+++ b/src/greengagehaven/transport/tls.py
@@ -64,6 +64,30 @@
     return context
 
 
+def check_peer_files(
+    *, authority: pathlib.Path, certificate: pathlib.Path, key: pathlib.Path
+) -> None:
+    """Read the files for TLS between hosts the way ``ssl`` reads them.
+
+    gRPC takes wrong bytes without an error: the host would start, and each of
+    its calls would fail as if the other host were dead.
+
+    :raises SettingError: a file is wrong, or ``key`` is another certificate's.
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    _load_authority(context, "--peer-ca", authority)
+    try:
+        # gRPC has no pass phrase to offer; without one here, OpenSSL would wait
+        # at the terminal for it.
+        context.load_cert_chain(certificate, key, password=b"")
+    except (OSError, ssl.SSLError) as error:
+        raise exceptions.SettingError(
+            place="--peer-certificate, --peer-key",
+            value=f"{certificate}, {key}",
+            expected=f"a PEM chain and its key ({error})",
+        ) from error
+
+
 def _load_authority(context: ssl.SSLContext, place: str, path: pathlib.Path) -> None:
     try:
         context.load_verify_locations(path)
