Stop the leading control host under load in a feature

Cause: a planned stop of a control host while changes go on was only tested without load. Now three operators change the document without a pause while the leader gets SIGTERM: it exits 0, the others go on, and after its restart every acknowledged change stands in the history under its revision.

No fault was found in the daemon.

--- a/features/control_daemons.feature
+++ b/features/control_daemons.feature
@@ -16,3 +16,17 @@
     Then it exits 0
     When a byte in the middle of its log is damaged and it starts again
     Then it exits 1 with one line that names the file and the offset
+
+  Scenario: The control host that leads is stopped while changes go on
+    Control hosts are restarted for an update while operators and their programs
+    change the document. A change that was acknowledged and then is gone is
+    noticed only when the environment behaves as before it.
+
+    Given three control daemons on loopback
+    And operators who change the document without a pause
+    When the control daemon that leads is told to stop under this load
+    Then it exits 0
+    And the other control daemons go on to take changes
+    When the killed daemon starts again
+    Then every acknowledged change stands in the history under its revision
+    And status shows three control hosts at the same revision and exits 0
