--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -13,58 +13,25 @@
 from greengagehaven import rng as rng_module
 from greengagehaven.coordination import (
     admission,
-    dispatcher,
     events,
-    execution,
-    fair_queue,
     fingerprint,
     gates,
-    headroom,
-    hedging,
-    isolation,
     keyed,
-    latency,
-    limits,
     options,
     ownership,
+    parts,
     plan,
-    quarantine,
+    protection,
     query,
     refusal,
-    replicas,
-    selection,
-    shedding,
     timers,
     upstream_stats,
     usage,
-    wait_times,
 )
 from greengagehaven.protocol import notices, search, upstream
 from greengagehaven.state import directory, document
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Protection:
-    """Counts for operators.
-
-    :param waiting: sub-requests that wait for room, ``parked`` ones included.
-    :param parked: sub-requests of suspected queries that are held.
-    :param suspects: queries that were in flight when an upstream was lost.
-    :param quarantined: queries that are refused, or on trial after it.
-    :param over_share: subscribers over their share.
-    :param claims_waiting: requests that wait for their idempotency key.
-    :param claims_unconfirmed: outcomes that a recorder has not confirmed.
-    """
-
-    waiting: int
-    parked: int
-    suspects: int
-    quarantined: int
-    over_share: int
-    claims_waiting: int
-    claims_unconfirmed: int
-
-
 class Core:
     """Query path of one entry host.
 
@@ -91,82 +58,32 @@
         recorder_ids: frozenset[str] = frozenset(),
     ) -> None:
         self._clock = clock
-        self._host_id = host_id
-        self._zone = zone
         self._options = options
-        self._directory = directory
         self._environment: document.Environment | None = None
         self._drained_zones: frozenset[str] = frozenset()
         self._timers = timers.Timers()
         self._reports_usage = False
         self._last_report = notices.UsageReport(usages=())
-        self._planner = plan.Planner(directory=directory)
-        self._ledger = usage.UsageLedger(clock=clock)
-        self._cases = quarantine.Quarantine(clock=clock, host_id=host_id)
-        self._isolation = isolation.Isolation(
-            cases=self._cases, enabled=options.quarantine
-        )
-        waits = wait_times.WaitTimes()
-        self._shedding = shedding.Shedding(
-            ledger=self._ledger, waits=waits, options=options
-        )
-        self._owners = ownership.Ownership(
-            host_id=host_id, zone=zone, enabled=options.shared_limits
-        )
-        self._limits = (
-            limits.SharedLimits() if options.shared_limits else limits.SlotLimits()
-        )
-        latencies = latency.LatencyBook(quantile=options.hedge_quantile)
-        hedges = hedging.HedgePolicy(
-            latencies=latencies,
-            budget_ratio=options.hedge_budget if options.hedging else 0.0,
-        )
-        reserve = headroom.Headroom(ledger=self._ledger, enabled=options.fairness)
-        self._gates = gates.Gates(
+        made = parts.build(
             clock=clock,
+            rng=rng,
             directory=directory,
+            host_id=host_id,
+            zone=zone,
+            options=options,
             usable=self.is_usable,
-            order=self._ledger if options.fairness else None,
-            standing=options.standing,
-            slow_start=options.slow_start,
-        )
-        self._dispatcher = dispatcher.Dispatcher(
-            clock=clock,
-            directory=directory,
-            planner=self._planner,
-            usable=self.is_usable,
-            candidates=replicas.Replicas(
-                clock=clock,
-                directory=directory,
-                upstream_limits=self._limits,
-                selector=selection.Selector(
-                    rng=rng,
-                    zone=zone if options.zone_preference else None,
-                    ejection=options.ejection,
-                    owners=self._owners,
-                ),
-            ),
-            latencies=latencies,
-            queue=fair_queue.FairQueue(
-                order=self._ledger if options.fairness else None,
-                waits=waits,
-                standing=options.standing,
-            ),
-            ledger=self._ledger,
-            reserve=reserve,
-            isolation=self._isolation,
-            may_probe=hedges.may_probe,
-        )
-        self._execution = execution.Execution(
-            clock=clock,
-            planner=self._planner,
-            usable=self.is_usable,
-            sender=self._dispatcher,
             pending=self._timers,
-            isolation=self._isolation,
-            hedges=hedges,
-            options=options,
         )
+        self._planner = made.planner
+        self._ledger = made.ledger
+        self._cases = made.cases
+        self._isolation = made.isolation
+        self._shedding = made.shedding
+        self._owners = made.owners
+        self._limits = made.limits
+        self._gates = made.gates
+        self._dispatcher = made.dispatcher
+        self._execution = made.execution
         self._keyed = keyed.KeyedRequests(
             clock=clock,
             recorder_ids=recorder_ids,
@@ -214,9 +131,9 @@
         return self._dispatcher.stats_by_id
 
     @property
-    def protection(self) -> Protection:
+    def protection(self) -> protection.Protection:
         """Return what protects the upstreams and subscribers now."""
-        return Protection(
+        return protection.Protection(
             waiting=self._dispatcher.waiting_count,
             parked=self._isolation.parked_count,
             suspects=self._cases.suspect_count,
--- a/src/greengagehaven/daemons/protection_metrics.py
+++ b/src/greengagehaven/daemons/protection_metrics.py
@@ -6,7 +6,7 @@
 
 import prometheus_client
 
-from greengagehaven.coordination import core
+from greengagehaven.coordination import protection
 
 _HELP_BY_FIELD = {
     "waiting": "Sub-requests that wait for room",
@@ -21,7 +21,7 @@
 
 def register(
     registry: prometheus_client.CollectorRegistry,
-    read: typing.Callable[[], core.Protection],
+    read: typing.Callable[[], protection.Protection],
 ) -> None:
     """Register a gauge for each count.
 
@@ -31,7 +31,7 @@
     def read_field(name: str) -> float:
         return float(getattr(read(), name))
 
-    for field in dataclasses.fields(core.Protection):
+    for field in dataclasses.fields(protection.Protection):
         gauge = prometheus_client.Gauge(
             f"greengagehaven_protection_{field.name}",
             _HELP_BY_FIELD[field.name],
