Retire a caller's idle connections when one of them fell silent

Cause: after a timeout the HTTP client closed only the connection at hand. A session with N connections that all fell silent lost up to N searches, one timeout each. Now idle connections without progress since the request began are closed with it.

Two features with a relay that forgets its connections: a session needs one timeout; an entry host whose connections to control fall silent puts the next document in force.

--- a/features/caller.feature
+++ b/features/caller.feature
@@ -51,3 +51,14 @@
     Given a development environment on loopback without upstreams
     When an upstream on http.server announces credits-0
     Then a search of credits-0 is answered completely with its rows
+
+  Scenario: A session whose connections all fall silent needs one timeout
+    A firewall between caller and host forgets its table: bytes vanish, no reset
+    arrives, new connections work. A caller with many connections kept alive
+    would otherwise see one search after another time out.
+
+    Given a development environment on loopback
+    And a caller's session with several connections through a relay
+    When all connections of the session fall silent and it searches
+    Then this search ends at its timeout as one that may have run
+    And the session's next search is answered in full
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -56,3 +56,11 @@
     Given files of certificates for hosts, with a key of another host
     When an entry and a control host start with files that are wrong
     Then each exits 2 with one line of error that names the setting
+
+  Scenario: An entry host whose connections to control fall silent follows again
+    A firewall between an entry host and a control host forgets its table. The
+    host would go on with an old document, and operators would wait for it.
+
+    Given an entry host that reaches its control host through a relay
+    When its connections to the control host fall silent after document 1
+    Then the entry host still puts document 2 in force and says so
--- a/src/greengagehaven/transport/http_client.py
+++ b/src/greengagehaven/transport/http_client.py
@@ -54,6 +54,7 @@
         :raises ConnectionLostError: the connection ended, or the time was over,
             after bytes of the request had left.
         """
+        started = self._clock.monotonic()
         connection = self._take_idle() or await self._connect(timeout)
         future = asyncio.get_running_loop().create_future()
         connection.exchange = future
@@ -62,6 +63,7 @@
         try:
             return await asyncio.wait_for(future, timeout.total_seconds())
         except TimeoutError as error:
+            self._retire_idle(started)
             raise exceptions.ConnectionLostError(
                 f"no reply from {self.address} within {timeout}"
             ) from error
@@ -123,6 +125,17 @@
             connection.close()
         return None
 
+    def _retire_idle(self, before: float) -> None:
+        """Close idle connections on which nothing came since ``before``.
+
+        What lost track of one connection without a reset lost track of others
+        too. Each would cost one more request its whole timeout before a new
+        connection, which works, is tried.
+        """
+        for connection in list(self._idle):
+            if connection.last_progress < before:
+                connection.abort("another connection fell silent")
+
     async def _connect(
         self, timeout: datetime.timedelta
     ) -> client_connection.ClientConnection:
