Keep nothing in the core's loop for queries whose caller left

Cause: a billed query goes on when its caller leaves. Its later dispatches made a new entry in _shards_by_request_id, which nobody took out. Now an entry is only read there.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -116,3 +116,12 @@
     Given three recorders and a claim that c-1 and c-2 have granted
     When a host with an older set of recorders claims the same key
     Then every recorder abstains
+
+  Scenario: A billed query whose caller left leaves nothing behind
+    A caller closes its connection while a part of its billed query still waits
+    for a slot. The query goes on, since it may run only once. An entry kept for
+    each of these makes a host grow until it is killed, weeks later.
+
+    Given a core loop whose core dispatches a billed query late
+    When its caller leaves before the dispatch and the sub-requests end
+    Then the core loop dispatched them and keeps nothing of the query
--- a/src/greengagehaven/daemons/core_loop.py
+++ b/src/greengagehaven/daemons/core_loop.py
@@ -167,7 +167,9 @@
         shard_ref = sub_request.shard_ref
         key = (sub_request.request_id, shard_ref)
         in_flight = self._in_flight_by_shard.get(key, 0)
-        seen = self._shards_by_request_id.setdefault(sub_request.request_id, set())
+        # A request whose caller left may still be dispatched. An entry made for
+        # it here would stay for good, as nobody waits who would take it out.
+        seen = self._shards_by_request_id.get(sub_request.request_id, set())
         if in_flight:
             purpose = "hedge"
         elif shard_ref in seen:
