Answer a billed request once a majority has recorded its answer

Cause: the answer went to the caller at the same moment as its record to the recorders.

Now an answer waits for a majority of recorders, 250 ms at most, so that a caller that has seen an answer always gets it again. Two scenarios in features/at_most_once.feature hold both; the first is red without the wait.

The step now shows the error it got.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -18,6 +18,27 @@
     Then the billing upstream got it once
     And the resend got the recorded answer
 
+  Scenario: An answer is given once it is recorded
+    The answer reaches the caller before any recorder knows of it, gets lost, and
+    the caller's resend through another host overtakes the record. It would hear
+    that the outcome is unknown, of a request that was answered.
+
+    Given three entry hosts with recorders and one billing upstream
+    When the billing upstream replies and no recorder has heard of it
+    Then the caller of h-1 has no answer yet
+    When the recorders hear of it
+    Then the caller of h-1 has its answer
+
+  Scenario: An answer does not wait for recorders that are out of reach
+    The recorders are cut off while the query runs. Its caller must not lose an
+    answer that is at hand.
+
+    Given three entry hosts with recorders and one billing upstream
+    When the billing upstream replies while h-1 is cut off from the recorders
+    Then the caller of h-1 has no answer yet
+    When 260 ms pass on the billing hosts
+    Then the caller of h-1 has its answer
+
   Scenario: Resent in a zone that is cut off
     The first run was in one zone; the resend arrives in a zone that cannot
     reach the recorders. Nobody there can know, so it must say so and not run.
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -67,6 +67,42 @@
     context.hosts.advance(1.1)
 
 
+@behave.when("the billing upstream replies and no recorder has heard of it")
+def when_replied_unrecorded(context):
+    submit(context, "h-1", "first")
+    context.hosts.carry()
+    tier = context.hosts.tiers_by_id["h-1"]
+    tier.reply(next(iter(tier.in_flight.values())), b'{"row": 1}')
+
+
+@behave.when("the billing upstream replies while h-1 is cut off from the recorders")
+def when_replied_cut_off(context):
+    submit(context, "h-1", "first")
+    context.hosts.carry()
+    context.hosts.cut_off = {"h-1"}
+    reply_all(context, "h-1")
+
+
+@behave.when("the recorders hear of it")
+def when_recorded(context):
+    context.hosts.carry()
+
+
+@behave.when("{milliseconds:d} ms pass on the billing hosts")
+def when_time_passes(context, milliseconds):
+    context.hosts.advance(milliseconds / 1000)
+
+
+@behave.then("the caller of h-1 has no answer yet")
+def then_no_answer(context):
+    assert "first" not in context.hosts.tiers_by_id["h-1"].answers_by_id
+
+
+@behave.then("the caller of h-1 has its answer")
+def then_answer(context):
+    assert "first" in context.hosts.tiers_by_id["h-1"].answers_by_id
+
+
 @behave.when("the billed query is sent through h-1, which restarts, and again there")
 def when_restarted(context):
     submit(context, "h-1", "first")
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -139,6 +139,7 @@
 @behave.then("the answers are the same and the upstreams ran it once")
 def then_ran_once(context):
     first = context.answers[0]
+    assert not isinstance(first, Exception), first
     assert first.coverage.complete
     for answer in context.answers:
         assert answer.results == first.results, answer
--- a/src/greengagehaven/coordination/core.py
+++ b/src/greengagehaven/coordination/core.py
@@ -346,6 +346,8 @@
                 self._report_usage(actions)
             elif isinstance(timer, timers.ClaimTimer):
                 self._keyed.take_claim_timer(timer.request_id, actions)
+            elif isinstance(timer, timers.ConfirmTimer):
+                self._keyed.release_answer(timer.request_id, actions)
             elif isinstance(timer, timers.ResendTimer):
                 self._keyed.take_resend_timer(actions)
             elif isinstance(timer, timers.ReleaseTimer):
--- a/src/greengagehaven/coordination/idempotency/claimant.py
+++ b/src/greengagehaven/coordination/idempotency/claimant.py
@@ -58,7 +58,14 @@
     error: exceptions.RequestError
 
 
-Step = Ask | Granted | Recorded | Denied
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Confirmed:
+    """A majority of recorders holds what became of a request."""
+
+    token: str
+
+
+Step = Ask | Granted | Recorded | Denied | Confirmed
 
 
 def record_id(subscriber_id: str, key: str) -> str:
@@ -98,6 +105,7 @@
         self._majority = recorder.majority(len(recorder_ids))
         self._pending_by_token: dict[str, _Pending] = {}
         self._running_by_token: dict[str, claims.Record] = {}
+        self._confirmers_by_token: dict[str, set[str]] = {}
         self._outbox: collections.OrderedDict[tuple[str, str], _Unsent] = (
             collections.OrderedDict()
         )
@@ -140,8 +148,7 @@
     def take_reply(self, ask: Ask, reply: claims.RecorderReply | None) -> list[Step]:
         """Take in a recorder's reply, ``None`` where there was none."""
         if not isinstance(ask.request, claims.Claim):
-            self._take_confirmation(ask, reply)
-            return []
+            return self._take_confirmation(ask, reply)
         token = ask.request.record.token
         pending = self._pending_by_token.get(token)
         if pending is None:
@@ -183,8 +190,13 @@
             answer=answer,
         )
         request = claims.Conclude(recorders=self._set, record=concluded)
+        self._confirmers_by_token[token] = set()
         return self._send_all(token, request)
 
+    def stop_waiting(self, token: str) -> None:
+        """Say that nobody waits any more for an outcome to be confirmed."""
+        self._confirmers_by_token.pop(token, None)
+
     def resend_due(self) -> list[Step]:
         """Return what recorders have not confirmed and is due again."""
         now = self._clock.monotonic()
@@ -269,16 +281,24 @@
             steps.append(ask)
         return steps
 
-    def _take_confirmation(self, ask: Ask, reply: claims.RecorderReply | None) -> None:
+    def _take_confirmation(
+        self, ask: Ask, reply: claims.RecorderReply | None
+    ) -> list[Step]:
         request = typing.cast(claims.Release | claims.Conclude, ask.request)
         is_release = isinstance(request, claims.Release)
         token = request.token if is_release else request.record.token
+        is_confirmed = reply is not None and reply.verdict is claims.Verdict.DONE
         unsent = self._outbox.get((token, ask.recorder_id))
-        if unsent is None:
-            return
-        confirmed = reply is not None and reply.verdict is claims.Verdict.DONE
-        if confirmed or unsent.resends >= MAX_RESENDS:
+        if unsent is not None and (is_confirmed or unsent.resends >= MAX_RESENDS):
             del self._outbox[(token, ask.recorder_id)]
+        confirmers = self._confirmers_by_token.get(token)
+        if is_release or not is_confirmed or confirmers is None:
+            return []
+        confirmers.add(ask.recorder_id)
+        if len(confirmers) < self._majority:
+            return []
+        del self._confirmers_by_token[token]
+        return [Confirmed(token=token)]
 
 
 def _valid_grants(
--- a/src/greengagehaven/coordination/keyed.py
+++ b/src/greengagehaven/coordination/keyed.py
@@ -13,6 +13,8 @@
 Run = typing.Callable[[events.QuerySubmitted, list[events.Action]], None]
 
 _LOCAL_RECORDER = "local"
+# Longest wait for a majority to record an answer before its caller gets it.
+_CONFIRM_TIMEOUT_S = 0.25
 
 
 class KeyedRequests:
@@ -49,6 +51,7 @@
             )
         self._claimant = claimant.Claimant(clock=clock, recorder_ids=recorder_ids)
         self._submitted_by_id: dict[str, events.QuerySubmitted] = {}
+        self._answers_by_id: dict[str, events.AnswerQuery] = {}
         self._is_resend_armed = False
 
     @property
@@ -134,14 +137,35 @@
         """Record what became of the requests that these actions end."""
         for action in list(actions):
             if isinstance(action, events.AnswerQuery):
-                request_id = action.answer.request_id
-                if self._claimant.is_running(request_id):
-                    answer = codec.encode_json(action.answer)
-                    steps = self._claimant.conclude(request_id, answer)
-                    self._carry_out(steps, actions)
+                if self._claimant.is_running(action.answer.request_id):
+                    actions.remove(action)
+                    self._record_answer(action, actions)
             elif isinstance(action, events.RefuseQuery):
                 self._note_refusal(action, actions)
 
+    def release_answer(self, request_id: str, actions: list[events.Action]) -> None:
+        """Give a caller its answer, recorded by a majority or not."""
+        action = self._answers_by_id.pop(request_id, None)
+        if action is not None:
+            self._claimant.stop_waiting(request_id)
+            actions.append(action)
+
+    def _record_answer(
+        self, action: events.AnswerQuery, actions: list[events.Action]
+    ) -> None:
+        """Hold an answer back until a majority has recorded it.
+
+        Given at once, a caller that lost it and sent its request again through
+        another host could be there before the record, and would hear that the
+        outcome is unknown although it had been answered.
+        """
+        request_id = action.answer.request_id
+        self._answers_by_id[request_id] = action
+        moment = self._clock.monotonic() + _CONFIRM_TIMEOUT_S
+        self._timers.add(moment, timers.ConfirmTimer(request_id=request_id))
+        answer = codec.encode_json(action.answer)
+        self._carry_out(self._claimant.conclude(request_id, answer), actions)
+
     def _note_refusal(
         self, refused: events.RefuseQuery, actions: list[events.Action]
     ) -> None:
@@ -161,6 +185,8 @@
                 self._ask(step, actions)
             elif isinstance(step, claimant.Granted):
                 self._start(step.token, actions)
+            elif isinstance(step, claimant.Confirmed):
+                self.release_answer(step.token, actions)
             else:
                 self._finish(step, actions)
         self._arm_resend()
--- a/src/greengagehaven/coordination/timers.py
+++ b/src/greengagehaven/coordination/timers.py
@@ -40,6 +40,13 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmTimer:
+    """The moment at which an answer no longer waits to be recorded."""
+
+    request_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ResendTimer:
     """The moment at which recorders are told again what they missed."""
@@ -51,7 +58,13 @@
 
 
 Timer = (
-    DeadlineTimer | HedgeTimer | UsageTimer | ClaimTimer | ResendTimer | ReleaseTimer
+    DeadlineTimer
+    | HedgeTimer
+    | UsageTimer
+    | ClaimTimer
+    | ConfirmTimer
+    | ResendTimer
+    | ReleaseTimer
 )
 
 
