Let an owner that leaves finish what other hosts sent through it

Cause: when an entry host left by plan, the others gave up at once what they had sent through it, and it closed without waiting for that work. A billed request that was in flight ended as unknown: a planned stop cut it off. Found by reading the order of a drain.

Now a host that left by word keeps what it holds until it is done, within the drain's bound, and the others wait for it; a host that fell silent is given up as before.

--- a/features/fakes/owners.py
+++ b/features/fakes/owners.py
@@ -69,6 +69,7 @@
         self.channels_by_id = {}
         self.owners_by_id = {}
         self.gates_by_host = {}
+        self.left = set()
         self.directory.put(fake_core.announce("u-1"))
         self.zones = {
             f"h-{number}": ZONES[number % len(ZONES)] for number in range(count)
@@ -101,6 +102,7 @@
             direct=FakeUpstream(self),
             peer_channel=self.wire,
             address_of=lambda known: known,
+            has_left=self.left.__contains__,
         )
         self.wire.handlers_by_address[host_id] = channel.handlers_by_method
         self.channels_by_id[host_id] = channel
--- a/features/owner.feature
+++ b/features/owner.feature
@@ -50,3 +50,11 @@
     Given 9 owner-linked hosts with one upstream of 2 slots
     When the owner dies while every other host has 1 sub-request there
     Then every owner-linked sub-request ends and a new owner serves the next one
+
+  Scenario: The owner is stopped as planned with sub-requests of other hosts
+    Operators stop the host that owns an upstream. Were what other hosts had
+    sent through it given up, their billed requests would end as unknown.
+
+    Given 9 owner-linked hosts with one upstream of 2 slots
+    When the owner leaves by word while every other host has 1 sub-request there
+    Then none is given up, all are answered, and the owner is idle after it
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -133,6 +133,38 @@
     asyncio.run(run())
 
 
+@behave.when("the owner leaves by word while every other host has 1 sub-request there")
+def when_owner_leaves(context):
+    hosts = context.hosts
+    leaving = hosts.owner_id
+    others = [host_id for host_id in hosts.zones if host_id != leaving]
+
+    async def run():
+        for host_id in others:
+            hosts.send(host_id)
+        await hosts.settle()
+        hosts.left.add(leaving)
+        left = {host_id: hosts.zones[host_id] for host_id in others}
+        for host_id in others:
+            hosts.owners_by_id[host_id].set_hosts(left)
+            hosts.channels_by_id[host_id].hosts_changed()
+        context.after_leaving = list(hosts.outcomes)
+        context.was_idle = hosts.channels_by_id[leaving].is_idle
+        await hosts.work(len(others))
+        context.is_idle = hosts.channels_by_id[leaving].is_idle
+
+    asyncio.run(run())
+
+
+@behave.then("none is given up, all are answered, and the owner is idle after it")
+def then_finished(context):
+    assert context.after_leaving == [], context.after_leaving
+    assert len(context.hosts.outcomes) == 8, context.hosts.outcomes
+    for outcome in context.hosts.outcomes:
+        assert isinstance(outcome, upstream.Replied), outcome
+    assert (context.was_idle, context.is_idle) == (False, True)
+
+
 @behave.then("at no moment the owned upstream had more than 2 and in the end 18 ran")
 def then_within_slots(context):
     assert context.hosts.peak == 2, context.hosts.peak
--- a/src/greengagehaven/coordination/membership/node.py
+++ b/src/greengagehaven/coordination/membership/node.py
@@ -155,6 +155,11 @@
         records = self._known.hosts.records_by_id.values()
         return any(each.address == address and each.is_live for each in records)
 
+    def has_host_left(self, host_id: str) -> bool:
+        """Tell whether a host said that it leaves, rather than fell silent."""
+        record = self._known.hosts.get(host_id)
+        return record is not None and record.status is membership.HostStatus.LEFT
+
     def step(self, event: signals.Event) -> list[signals.Action]:
         """Take one event and return what is to be done, in order.
 
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -131,6 +131,7 @@
             decisions=self.core,
             peer_channel=self._peer_client,
             address_of=self._peer_address_of,
+            has_left=self._has_left,
             options=options,
             cancellation=cancellation,
             tls=upstream_tls,
@@ -261,17 +262,21 @@
         """Leave service in order; return requests that were cut off.
 
         Not ready first, so that the balancer stops sending callers; then no
-        new connections and queries; then what is in flight ends.
+        new connections and queries; then what is in flight ends. Leaving by
+        word makes the others choose new owners, and what they had sent here
+        is finished before this host goes.
         """
         self._is_draining = True
         log.info("entry_draining", host=self.settings.host_id)
         await asyncio.sleep(self.settings.balancer_wait.total_seconds())
         await self._server.drain(self.settings.drain_bound)
         left = self.in_flight
-        if left:
-            log.warning("drain_cut_off", host=self.settings.host_id, requests=left)
         if self._membership is not None:
             await self._membership.leave()
+        # Other hosts' sub-requests for the upstreams that this host owned.
+        left += await self._path.finish(self.settings.drain_bound)
+        if left:
+            log.warning("drain_cut_off", host=self.settings.host_id, requests=left)
         await self.close()
         return left
 
@@ -396,6 +401,11 @@
             if record.is_live and record.id != self.settings.host_id
         )
 
+    def _has_left(self, host_id: str) -> bool:
+        if self._membership is None:
+            return False
+        return self._membership.core.has_host_left(host_id)
+
     def _peer_address_of(self, host_id: str) -> str | None:
         record = self._need_membership().core.knowledge.hosts.get(host_id)
         return None if record is None else record.address
--- a/src/greengagehaven/daemons/upstream_path.py
+++ b/src/greengagehaven/daemons/upstream_path.py
@@ -1,5 +1,7 @@
 """The way from one entry host to upstreams: gates, connections, other owners."""
 
+import asyncio
+import datetime
 import ssl
 import typing
 
@@ -11,6 +13,8 @@
 
 AddressOf = typing.Callable[[str], str | None]
 
+FINISH_POLL = datetime.timedelta(milliseconds=20)
+
 _REFRESHING_EVENTS = (
     events.DirectoryChanged,
     events.ZonesDrained,
@@ -23,6 +27,7 @@
     :param decisions: the host's core, which knows owners and usable upstreams.
     :param peer_channel: calls to other hosts.
     :param address_of: returns the peer address of a host, or ``None``.
+    :param has_left: whether a host left by word and finishes what it has.
     :param cancellation: how running sub-requests are given up.
     :param tls: context towards upstreams; ``None`` for plain TCP.
     """
@@ -36,6 +41,7 @@
         decisions: core.Core,
         peer_channel: peers.PeerChannel,
         address_of: AddressOf,
+        has_left: typing.Callable[[str], bool],
         options: options_module.Options,
         cancellation: upstream_channel.Cancellation = (
             upstream_channel.Cancellation.DELETE
@@ -63,6 +69,7 @@
             direct=self._direct,
             peer_channel=peer_channel,
             address_of=address_of,
+            has_left=has_left,
         )
 
     @property
@@ -82,6 +89,20 @@
             self._limits.forget_departed(self._directory.upstreams_by_id)
             self.channel.upstreams_changed()
 
+    async def finish(self, bound: datetime.timedelta) -> int:
+        """Wait until nothing is left of what hosts sent through this owner.
+
+        To be called once no host chooses this one as an owner any more.
+
+        :param bound: longest wait.
+        :return: sub-requests that are left.
+        """
+        for _ in range(int(bound / FINISH_POLL)):
+            if self.channel.is_idle:
+                break
+            await asyncio.sleep(FINISH_POLL.total_seconds())
+        return self.channel.held_count
+
     def close(self) -> None:
         """Cut every connection; every sub-request that is left fails."""
         self.channel.close()
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -135,7 +135,14 @@
             self._schedule.call_later(TICK_S, self._leave_when_done)
             return
         self.signal(signals.LeaveRequested())
-        self.alive = False
+        self._go_when_idle()
+
+    def _go_when_idle(self) -> None:
+        """Finish what other hosts had sent through this owner."""
+        if self.owner.is_idle:
+            self.alive = False
+        else:
+            self._schedule.call_later(TICK_S, self._go_when_idle)
 
     def start(self) -> None:
         """Look for other hosts from now on."""
@@ -197,7 +204,7 @@
             self.step(events.OutcomeReceived(outcome=outcome))
 
     def _refresh_owner(self) -> None:
-        for key in self.owner.lost_ids():
+        for key in self.owner.lost_ids(self._membership.has_host_left):
             sub_request = self._in_flight.get(key)
             if sub_request is not None:
                 self.receive(_fail(sub_request, upstream.FailureReason.OWNER_LOST))
--- a/src/greengagehaven/replay/owners.py
+++ b/src/greengagehaven/replay/owners.py
@@ -70,13 +70,21 @@
         elif owner_id is not None:
             self._links.withdraw(owner_id, sub_request)
 
-    def lost_ids(self) -> list[tuple[str, int]]:
-        """Return what is at owners that are no longer live, once."""
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no sub-request is held, of any host."""
+        return not self._origins_by_id
+
+    def lost_ids(self, has_left: typing.Callable[[str], bool]) -> list[tuple[str, int]]:
+        """Return what is at owners that are no longer live, once.
+
+        :param has_left: whether a host left by word and finishes what it has.
+        """
         live = self._decisions.owners.host_ids
         lost = [
             sub_request_id
             for sub_request_id, owner_id in self._owner_ids_by_id.items()
-            if owner_id not in live
+            if owner_id not in live and not has_left(owner_id)
         ]
         for sub_request_id in lost:
             del self._owner_ids_by_id[sub_request_id]
--- a/src/greengagehaven/transport/owner_channel.py
+++ b/src/greengagehaven/transport/owner_channel.py
@@ -41,6 +41,7 @@
     :param direct: connections of this host to upstreams.
     :param peer_channel: calls to other hosts; ``None`` where there are none.
     :param address_of: returns ``IP:PORT`` of a host's peer server, or ``None``.
+    :param has_left: whether a host left by word and finishes what it has.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         direct: upstream.UpstreamChannel,
         peer_channel: peers.PeerChannel | None = None,
         address_of: typing.Callable[[str], str | None] = lambda host_id: None,
+        has_left: typing.Callable[[str], bool] = lambda host_id: False,
     ) -> None:
         self._host_id = host_id
         self._clock = clock
@@ -63,6 +65,7 @@
         self._direct = direct
         self._peer_channel = peer_channel
         self._address_of = address_of
+        self._has_left = has_left
         self._pending_by_id: dict[tuple[str, int], _Pending] = {}
         self._origins_by_id: dict[tuple[str, int], str] = {}
         self._early_cancels: collections.OrderedDict[tuple[str, int], None] = (
@@ -80,6 +83,17 @@
         """Return sub-requests of this host whose outcome is not told yet."""
         return len(self._pending_by_id)
 
+    @property
+    def held_count(self) -> int:
+        """Return sub-requests, of any host, that are at this owner."""
+        return len(self._origins_by_id)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is held and every outcome has been told."""
+        boxes = self._outboxes_by_host_id.values()
+        return not self._origins_by_id and all(box.is_idle for box in boxes)
+
     def dispatch(
         self, batch: typing.Sequence[upstream.SubRequest], on_outcome: OnOutcome
     ) -> None:
@@ -117,10 +131,14 @@
         self._direct.retire_connections(upstream_id)
 
     def hosts_changed(self) -> None:
-        """Fail what is at owners that are gone; take over what they had."""
+        """Fail what is at owners that are gone; take over what they had.
+
+        An owner that left by word finishes what it has. Were that given up, a
+        planned stop would cut off the billed requests of other hosts.
+        """
         live = set(self._owners.host_ids)
         for (request_id, attempt), pending in list(self._pending_by_id.items()):
-            if pending.owner_id not in live:
+            if pending.owner_id not in live and not self._has_left(pending.owner_id):
                 reason = upstream.FailureReason.OWNER_LOST
                 self._fail(request_id, attempt, reason, detail="its owner left")
         for host_id, box in list(self._outboxes_by_host_id.items()):
--- a/tools/write_traces.py
+++ b/tools/write_traces.py
@@ -1119,6 +1119,38 @@
     )
 
 
+def write_norway_owner_stopped() -> None:
+    """Owner hosts are stopped as planned while billed queries run through them."""
+    story = """Billed queries run at upstreams whose owners are other entry hosts, when
+    operators stop two of these. A planned stop cuts off nothing: each query must be
+    answered, and none may end as unknown."""
+    billed = [
+        search(
+            f"billed-{number}",
+            at=3.0,
+            host="h-0",
+            services=[f"billing-{number}"],
+            kind="billed",
+            query={"key": "19750412-1234"},
+            idempotency_key=f"invoice-{number}",
+        )
+        for number in range(12)
+    ]
+    write(
+        "norway-owner-stopped",
+        [
+            header(NORWAY, story, 36),
+            *announce_all(NORWAY),
+            NORWAY_WARM_UP,
+            line("behave", at=2.5, upstreams=["billing-*"], latency_ms=400),
+            *billed,
+            line("stop_host", at=3.1, host="h-3"),
+            line("stop_host", at=3.1, host="h-6"),
+            line("expect_answer", at=4.0, request="billed-", complete=True),
+        ],
+    )
+
+
 def main() -> None:
     """Write every trace."""
     for name, write_trace in sorted(globals().items()):
