--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -31,7 +31,7 @@
 
 @click.command()
 @click.option("--entry-port", type=_PORT, default=8080, show_default=True)
-@click.option("--operator-port", type=_PORT, default=8081, show_default=True)
+@click.option("--operator-port", type=_PORT, default=7300, show_default=True)
 @click.option(
     "--key",
     default=dev_module.DEMO_KEY,
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -46,7 +46,7 @@
     """
 
     entry_port: int = 8080
-    operator_port: int = 8081
+    operator_port: int = 7300
     key: str = DEMO_KEY
     upstream_count: int = 3
     hosts_per_zone: int = 1
