Ask an entry host beyond loopback for the peers' token

Cause: control hosts refused to start beyond loopback without a token, entry hosts did not; whoever reached the port could announce hosts and upstreams. One check serves both now, and an address that stands for every interface is refused for entry hosts too: each host that is told it would call itself.

Two of the three examples are red without it (control asked before).

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -64,3 +64,16 @@
     Given an entry host that reaches its control host through a relay
     When its connections to the control host fall silent after document 1
     Then the entry host still puts document 2 in force and says so
+
+  Scenario Outline: A host beyond loopback does not start without a secret
+    An operator forgets the peers' token. Whoever reaches the port could announce
+    hosts and upstreams, or vote, and callers would get a stranger's rows.
+
+    When <command> is started without a peer token on <address>
+    Then it does not start and names the <setting> in one line
+
+    Examples:
+      | command | address        | setting      |
+      | entry   | 192.0.2.1:7301 | peer token   |
+      | control | 192.0.2.1:7301 | peer token   |
+      | entry   | 0.0.0.0:7301   | peer address |
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -4,9 +4,10 @@
 import datetime
 
 import behave
+from click import testing
 
 from fakes import relays
-from greengagehaven import clock, exceptions, settings
+from greengagehaven import cli, clock, exceptions, settings
 from greengagehaven.transport import peers
 
 BODY = b"ping"
@@ -129,3 +130,29 @@
 @behave.then("the peer handler still ran to its end")
 def then_handler_ended(context):
     run(context, asyncio.wait_for(context.ended.wait(), 5))
+
+
+ARGUMENTS_BY_COMMAND = {
+    "entry": ["entry", "--host-id", "h-1", "--zone", "a", "--peer-listen"],
+    "control": [
+        "control",
+        "--host-id",
+        "c-1",
+        "--data-folder",
+        "unused",
+        "--peer-address",
+    ],
+}
+
+
+@behave.when("{command} is started without a peer token on {address}")
+def when_started_without_token(context, command, address):
+    arguments = [*ARGUMENTS_BY_COMMAND[command], address]
+    context.done = testing.CliRunner().invoke(cli.greengagehaven, arguments)
+
+
+@behave.then("it does not start and names the {setting} in one line")
+def then_names_setting(context, setting):
+    assert context.done.exit_code == 2, context.done.output
+    lines = [line for line in context.done.output.splitlines() if "Error:" in line]
+    assert len(lines) == 1 and f"{setting}: got" in lines[0], context.done.output
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -114,15 +114,7 @@
             value="none",
             expected=f"NAME=TOKEN, since {operator_address} is not loopback",
         )
-    for address in (peer_address, *peer_addresses):
-        peer_host, _ = settings.parse_reachable("peer address", address)
-        if peer_token is None and not settings.is_loopback(peer_host):
-            # Whoever reaches the port could vote and replace the log.
-            raise exceptions.SettingError(
-                place="peer token",
-                value="none",
-                expected=f"a secret, since {address} is not loopback",
-            )
+    settings.check_peer_token(peer_token, (peer_address, *peer_addresses))
     chosen = control_host.ControlSettings(
         host_id=host_id,
         data_folder=data_folder,
--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -175,6 +175,7 @@
 ) -> None:
     """Run an entry host."""
     log.configure(level=log_level)
+    settings.check_peer_token(peer_token, (peer_listen, *seeds, *controls))
     entry_settings = entry_module.EntrySettings(
         host_id=host_id,
         zone=zone,
--- a/src/greengagehaven/settings.py
+++ b/src/greengagehaven/settings.py
@@ -70,3 +70,21 @@
         parse_address(name, address)
         addresses_by_id[host_id] = address
     return addresses_by_id
+
+
+def check_peer_token(token: str | None, addresses: abc.Iterable[str]) -> None:
+    """Refuse to call or serve other hosts beyond loopback without a secret.
+
+    Whoever reaches the port could otherwise vote, replace the configuration, or
+    announce hosts and upstreams.
+
+    :raises SettingError: an address is wrong, or the secret is missing.
+    """
+    for address in addresses:
+        host, _ = parse_reachable("peer address", address)
+        if token is None and not is_loopback(host):
+            raise exceptions.SettingError(
+                place="peer token",
+                value="none",
+                expected=f"a secret, since {address} is not loopback",
+            )
