--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -49,6 +49,7 @@
 TARGET_RENEW_S = 30.0
 DOCUMENT_SUBSCRIBERS = 8_000
 FOLLOWER_MAX_SHARE = 0.03
+USAGE_PARTNERS = 3
 VOTERS = 5
 LEARNERS = 11
 
@@ -331,6 +332,7 @@
         ),
         lease_line(slopes, owned / TODAY_RENEW_S, "renewed each second"),
         configuration_line(slopes),
+        usage_line(slopes, others=NODES - 1, who="every other host"),
     ]
 
 
@@ -350,6 +352,7 @@
         ),
         lease_line(slopes, owned / TARGET_RENEW_S, "renewed each 30 s, work as proof"),
         configuration_line(slopes),
+        usage_line(slopes, others=USAGE_PARTNERS, who="3 hosts that add up: not built"),
     ]
 
 
@@ -378,6 +381,19 @@
     )
 
 
+def usage_line(slopes: Slopes, *, others: int, who: str) -> ControlLine:
+    """Reports of what subscribers used, four a second to each of some hosts."""
+    each = others / (TODAY_HOSTS - 1)
+    wire = slopes["usage_calls_per_s_9_hosts"] * slopes["wire_bytes_per_call"]
+    return ControlLine(
+        what="reports of usage",
+        cores=each * slopes["usage_core_share_9_hosts"],
+        bytes_per_s=each * (slopes["usage_body_bytes_per_s_9_hosts"] + wire),
+        memory_mb=0.0,
+        carried_by=f"to {who}",
+    )
+
+
 def configuration_line(slopes: Slopes) -> ControlLine:
     """Following the configuration, with a document of many subscribers."""
     changes = CHANGES_PER_DAY / DAY_S
