Build every failed outcome in one place; drop what nothing uses

The same five lines that turn a sub-request into its failed outcome stood in seven places; protocol.upstream.failure_of serves them all. Three errors and four constants had no user left: refusals of changes carry their codes in the state machine.

--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -5,8 +5,6 @@
 from greengagehaven import exceptions
 from greengagehaven.commands import control, daemons, document, measure, replay, zone
 
-EXIT_FAILED = 1
-
 
 class _Group(click.Group):
     def invoke(self, ctx: click.Context) -> object:
--- a/src/greengagehaven/commands/client.py
+++ b/src/greengagehaven/commands/client.py
@@ -17,6 +17,7 @@
 
 T = typing.TypeVar("T")
 
+DEFAULT_WAIT_S = 30.0
 DEFAULT_CONTROL = "127.0.0.1:7300"
 AUTHORITY = "greengagehaven.control_ca"
 CALL_TIMEOUT = datetime.timedelta(seconds=12)
@@ -127,6 +128,16 @@
     )(command)
 
 
+def wait_options(command: typing.Callable) -> typing.Callable:
+    """Add the options that wait for a change to be in force."""
+    command = click.option(
+        "--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds."
+    )(command)
+    return click.option(
+        "--wait", is_flag=True, help="Wait until it is in force everywhere."
+    )(command)
+
+
 def json_option(command: typing.Callable) -> typing.Callable:
     """Add the option that prints facts as JSON."""
     return click.option(
--- a/src/greengagehaven/commands/document.py
+++ b/src/greengagehaven/commands/document.py
@@ -11,7 +11,6 @@
 from greengagehaven.protocol import operator
 from greengagehaven.state import configuration, document
 
-DEFAULT_WAIT_S = 30.0
 PATH = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
 
 
@@ -68,8 +67,7 @@
     help="Revision that the change is based on; it is refused on any other.",
 )
 @click.option("--force", is_flag=True, help="Apply it to whatever is in force.")
-@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.wait_options
 @client.change_id_option
 @client.json_option
 @client.options
@@ -150,8 +148,7 @@
 @click.option("--digest", default="", help="Digest to promote; the one in force.")
 @click.option("--withdrawn", is_flag=True, help="Carry the withdrawal instead.")
 @click.option("--expect-revision", type=click.IntRange(min=0))
-@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.wait_options
 @client.change_id_option
 @client.json_option
 @client.options
--- a/src/greengagehaven/commands/zone.py
+++ b/src/greengagehaven/commands/zone.py
@@ -6,8 +6,6 @@
 from greengagehaven.commands import client
 from greengagehaven.protocol import operator
 
-DEFAULT_WAIT_S = 30.0
-
 
 @click.group()
 def zone() -> None:
@@ -17,8 +15,7 @@
 @zone.command()
 @click.argument("name")
 @click.option("--force", is_flag=True, help="Also the last zone, or an unseen one.")
-@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.wait_options
 @client.change_id_option
 @client.json_option
 @client.options
@@ -42,8 +39,7 @@
 
 @zone.command()
 @click.argument("name")
-@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
-@click.option("--timeout", default=DEFAULT_WAIT_S, help="Longest wait in seconds.")
+@client.wait_options
 @client.change_id_option
 @client.json_option
 @client.options
--- a/src/greengagehaven/coordination/gates.py
+++ b/src/greengagehaven/coordination/gates.py
@@ -170,12 +170,8 @@
                 passage.to_send.append(sub_request)
                 continue
             # Its caller has its answer by now; running it would be for nobody.
-            failed = upstream.Failed(
-                request_id=sub_request.request_id,
-                attempt=sub_request.attempt,
-                upstream_id=sub_request.upstream_id,
-                reason=upstream.FailureReason.TIMEOUT,
-                not_run=True,
+            failed = upstream.failure_of(
+                sub_request, upstream.FailureReason.TIMEOUT, not_run=True
             )
             del self._upstream_ids_by_sub_request[sub_request.id]
             found.end(failed, now)
@@ -198,11 +194,9 @@
 
 
 def _refuse(sub_request: upstream.SubRequest) -> upstream.Failed:
-    return upstream.Failed(
-        request_id=sub_request.request_id,
-        attempt=sub_request.attempt,
-        upstream_id=sub_request.upstream_id,
-        reason=upstream.FailureReason.CONNECT,
+    return upstream.failure_of(
+        sub_request,
+        upstream.FailureReason.CONNECT,
         not_run=True,
         detail="the upstream takes no new work",
     )
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -17,8 +17,6 @@
 )
 from greengagehaven.state import records
 
-MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
-
 
 class Raft:
     """A member of a replicated log; ``step`` takes an event, returns actions.
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -29,7 +29,6 @@
 ZONES = ("a", "b", "c")
 SERVICES = tuple(f"credits-{number}" for number in range(10))
 DEMO_KEY = "demo-key"
-DEMO_SUBSCRIBER = "demo"
 PARTITIONING = 3
 HOST = "127.0.0.1"
 POLL_S = 0.02
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -294,12 +294,6 @@
     code = "upstream_connection_lost"
 
 
-class EchoMismatchError(UpstreamError):
-    """A reply belongs to a different sub-request."""
-
-    code = "upstream_echo_mismatch"
-
-
 class ControlError(GreengagehavenError):
     """A control host could not do what an operator asked."""
 
@@ -307,26 +301,6 @@
     status = 503
 
 
-class RevisionConflictError(ControlError):
-    """Another change took the revision that this change expected.
-
-    :param expected: revision that the operator had seen.
-    :param current: revision that is in force.
-    :param author: who made the change that won.
-    """
-
-    code = "revision_conflict"
-    status = 409
-
-    def __init__(self, *, expected: int, current: int, author: str) -> None:
-        super().__init__(
-            f"expected revision {expected}, but {author} made it {current}"
-        )
-        self.expected = expected
-        self.current = current
-        self.author = author
-
-
 class NotLeaderError(ControlError):
     """This control host does not lead; ``leader`` may, when known."""
 
@@ -388,13 +362,6 @@
     status = 403
 
 
-class LastZoneError(ControlError):
-    """Draining this availability zone would leave none in service."""
-
-    code = "last_zone"
-    status = 409
-
-
 class StorageError(GreengagehavenError):
     """State on disk that cannot be written or read.
 
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -165,6 +165,26 @@
 Outcome = Replied | Failed
 
 
+def failure_of(
+    sub_request: SubRequest,
+    reason: FailureReason,
+    *,
+    not_run: bool = False,
+    detail: str = "",
+    retry_after: float | None = None,
+) -> Failed:
+    """Return the outcome of a sub-request that got no usable reply."""
+    return Failed(
+        request_id=sub_request.request_id,
+        attempt=sub_request.attempt,
+        upstream_id=sub_request.upstream_id,
+        reason=reason,
+        not_run=not_run,
+        detail=detail,
+        retry_after=retry_after,
+    )
+
+
 class ShardSearchBody(msgspec.Struct, frozen=True, kw_only=True):
     """Body of ``POST /v1/shard/search``."""
 
--- a/src/greengagehaven/replay/fleet.py
+++ b/src/greengagehaven/replay/fleet.py
@@ -140,13 +140,7 @@
 
     def _lose(self, host: hosts.ReplayedHost, sub_request: upstream.SubRequest) -> None:
         """Let the connection go silent until the host notices."""
-        lost = upstream.Failed(
-            request_id=sub_request.request_id,
-            attempt=sub_request.attempt,
-            upstream_id=sub_request.upstream_id,
-            reason=upstream.FailureReason.STALLED,
-            not_run=False,
-        )
+        lost = upstream.failure_of(sub_request, upstream.FailureReason.STALLED)
         take = functools.partial(host.owner.take_outcome, lost)
         self._schedule.call_later(STALL_S, take)
 
@@ -179,10 +173,6 @@
             upstream_id=sub_request.upstream_id,
             rows=(upstreams.stamp(sub_request),),
         )
-    return upstream.Failed(
-        request_id=sub_request.request_id,
-        attempt=sub_request.attempt,
-        upstream_id=sub_request.upstream_id,
-        reason=upstream.FailureReason(line.result),
-        not_run=line.not_run,
+    return upstream.failure_of(
+        sub_request, upstream.FailureReason(line.result), not_run=line.not_run
     )
--- a/src/greengagehaven/replay/hosts.py
+++ b/src/greengagehaven/replay/hosts.py
@@ -207,7 +207,9 @@
         for key in self.owner.lost_ids(self._membership.has_host_left):
             sub_request = self._in_flight.get(key)
             if sub_request is not None:
-                self.receive(_fail(sub_request, upstream.FailureReason.OWNER_LOST))
+                self.receive(
+                    upstream.failure_of(sub_request, upstream.FailureReason.OWNER_LOST)
+                )
         self.owner.refresh()
 
     def _tick(self) -> None:
@@ -240,7 +242,7 @@
         if sub_request is None:
             return
         self.owner.cancel(sub_request)
-        failed = _fail(sub_request, upstream.FailureReason.CANCELLED)
+        failed = upstream.failure_of(sub_request, upstream.FailureReason.CANCELLED)
         self._schedule.call_later(0.0, lambda: self.receive(failed))
 
     def _end(self, request_id: str, result: typing.Any) -> None:
@@ -262,7 +264,7 @@
             owner_id,
             lambda other: other.owner.take_offer(self._host.id, sub_request),
             lambda: self._host.receive(
-                _fail(sub_request, upstream.FailureReason.OWNER_LOST)
+                upstream.failure_of(sub_request, upstream.FailureReason.OWNER_LOST)
             ),
         )
 
@@ -288,15 +290,3 @@
     def stop(self, sub_request: upstream.SubRequest) -> None:
         """Tell an upstream that nobody waits for a sub-request."""
         self._network.cancel_work(sub_request)
-
-
-def _fail(
-    sub_request: upstream.SubRequest, reason: upstream.FailureReason
-) -> upstream.Failed:
-    return upstream.Failed(
-        request_id=sub_request.request_id,
-        attempt=sub_request.attempt,
-        upstream_id=sub_request.upstream_id,
-        reason=reason,
-        not_run=False,
-    )
--- a/src/greengagehaven/replay/owners.py
+++ b/src/greengagehaven/replay/owners.py
@@ -107,13 +107,7 @@
         if self._sent_by_id.pop(sub_request.id, None) is not None:
             self._links.stop(sub_request)
             self.take_outcome(
-                upstream.Failed(
-                    request_id=sub_request.request_id,
-                    attempt=sub_request.attempt,
-                    upstream_id=sub_request.upstream_id,
-                    reason=upstream.FailureReason.CANCELLED,
-                    not_run=False,
-                )
+                upstream.failure_of(sub_request, upstream.FailureReason.CANCELLED)
             )
 
     def take_outcome(self, outcome: upstream.Outcome) -> None:
--- a/src/greengagehaven/replay/upstreams.py
+++ b/src/greengagehaven/replay/upstreams.py
@@ -9,7 +9,6 @@
 from greengagehaven.replay import schedule as schedule_module
 
 Reply = typing.Callable[[upstream.Outcome], None]
-MODES = ("reply", "silent", "reset", "refuse", "crash", "wrong_echo")
 
 _STALL_BOUND_S = 1.0
 _CONNECT_S = 0.002
@@ -199,13 +198,7 @@
     def _fail(
         self, work: Work, reason: upstream.FailureReason, *, not_run: bool = False
     ) -> None:
-        failed = upstream.Failed(
-            request_id=work.sub_request.request_id,
-            attempt=work.sub_request.attempt,
-            upstream_id=work.sub_request.upstream_id,
-            reason=reason,
-            not_run=not_run,
-        )
+        failed = upstream.failure_of(work.sub_request, reason, not_run=not_run)
         delay = _CONNECT_S if reason is upstream.FailureReason.CONNECT else 0.0
         self._schedule.call_later(delay, lambda: work.reply(failed))
 
--- a/src/greengagehaven/transport/upstream_channel.py
+++ b/src/greengagehaven/transport/upstream_channel.py
@@ -155,7 +155,7 @@
                 request=sub_request.request_id,
             )
             reason = upstream.FailureReason.MISMATCH
-            self._report(exchange, upstream_wire.fail(sub_request, reason))
+            self._report(exchange, upstream.failure_of(sub_request, reason))
             return False
         if exchange.on_outcome is not None:
             self._report(exchange, upstream_wire.read_reply(sub_request, reply))
@@ -169,7 +169,7 @@
     ) -> None:
         """Report an exchange that ended without a reply."""
         not_run = exchange.sent_at is None
-        failed = upstream_wire.fail(
+        failed = upstream.failure_of(
             exchange.sub_request, reason, not_run=not_run, detail=detail
         )
         self._report(exchange, failed)
@@ -213,7 +213,9 @@
         else:
             self._stop_work(exchange, pool)
         not_run = exchange.sent_at is None
-        self._report(exchange, upstream_wire.fail(sub_request, reason, not_run=not_run))
+        self._report(
+            exchange, upstream.failure_of(sub_request, reason, not_run=not_run)
+        )
 
     def _stop_work(
         self,
--- a/src/greengagehaven/transport/upstream_wire.py
+++ b/src/greengagehaven/transport/upstream_wire.py
@@ -72,7 +72,9 @@
         rows = _REPLY_DECODER.decode(reply.body).rows
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         detail = f"a malformed reply: {error}"
-        return fail(sub_request, upstream.FailureReason.STATUS, detail=detail)
+        return upstream.failure_of(
+            sub_request, upstream.FailureReason.STATUS, detail=detail
+        )
     return upstream.Replied(
         request_id=sub_request.request_id,
         attempt=sub_request.attempt,
@@ -82,26 +84,6 @@
     )
 
 
-def fail(
-    sub_request: upstream.SubRequest,
-    reason: upstream.FailureReason,
-    *,
-    not_run: bool = False,
-    detail: str = "",
-    retry_after: float | None = None,
-) -> upstream.Failed:
-    """Return a failed outcome of a sub-request."""
-    return upstream.Failed(
-        request_id=sub_request.request_id,
-        attempt=sub_request.attempt,
-        upstream_id=sub_request.upstream_id,
-        reason=reason,
-        not_run=not_run,
-        detail=detail,
-        retry_after=retry_after,
-    )
-
-
 def read_load(headers: http.Headers) -> upstream.LoadReport | None:
     """Return the ``Load`` header, ``None`` where it is missing or malformed."""
     text = headers.get("load")
@@ -127,7 +109,7 @@
     else:
         # Only the listed statuses may promise that nothing was run.
         not_run = False
-    return fail(
+    return upstream.failure_of(
         sub_request,
         reason,
         not_run=not_run,
