--- a/src/greengagehaven/coordination/proposals.py
+++ b/src/greengagehaven/coordination/proposals.py
@@ -20,6 +20,8 @@
     :param signer: signs proofs, ``None`` where none can be made.
     :param verifier: checks proofs, ``None`` where none is demanded.
     :param clock: wall clock.
+    :param check_document: reads a document; it raises ``DocumentError`` where
+        the document must not come into force.
     """
 
     def __init__(
@@ -29,7 +31,9 @@
         signer: proofs.Signer | None,
         verifier: proofs.Verifier | None,
         clock: clocks.Clock,
+        check_document: abc.Callable[[bytes], object] = document.parse,
     ) -> None:
+        self._check_document = check_document
         self._environment = environment
         self._signer = signer
         self._verifier = verifier
@@ -62,7 +66,7 @@
     def _write_document(
         self, change: configuration.DocumentChange, machine: changes.ChangeMachine
     ) -> changes.DocumentEntry:
-        refusal = _check_document(change.document)
+        refusal = self._read(change.document)
         if refusal is None:
             refusal = self._check_proof(change, machine)
         return changes.document_entry(
@@ -73,6 +77,13 @@
             proved=self._verifier is not None and refusal is None,
         )
 
+    def _read(self, data: bytes) -> changes.Refusal | None:
+        try:
+            self._check_document(data)
+        except exceptions.DocumentError as error:
+            return changes.Refusal(error.code, error.detail)
+        return None
+
     def _check_proof(
         self, change: configuration.DocumentChange, machine: changes.ChangeMachine
     ) -> changes.Refusal | None:
@@ -187,11 +198,3 @@
             environment=self._environment, digest=digest, made_at=self._clock.now()
         )
         return self._signer.sign(statement)
-
-
-def _check_document(data: bytes) -> changes.Refusal | None:
-    try:
-        document.parse(data)
-    except exceptions.DocumentError as error:
-        return changes.Refusal(error.code, error.detail)
-    return None
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests passed on as bytes to one upstream, or to one of each shard."""
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -0,0 +1,206 @@
+"""Events that the router takes and actions that it returns."""
+
+import dataclasses
+import enum
+
+from greengagehaven import exceptions
+from greengagehaven.protocol import watching
+from greengagehaven.state import routes
+
+
+class Fault(enum.StrEnum):
+    """Why an attempt brought no reply that counts.
+
+    ``CONNECT``: no connection, nothing was sent. ``UNSENT``: the connection had
+    ended before anything was sent. ``LOST``: it ended after the request was
+    sent. ``GARBLED``: what came is no reply to this request. ``SILENT``: it was
+    cut since nobody waited for it any more.
+    """
+
+    CONNECT = "connect"
+    UNSENT = "unsent"
+    LOST = "lost"
+    GARBLED = "garbled"
+    SILENT = "silent"
+
+
+NOT_SENT = frozenset({Fault.CONNECT, Fault.UNSENT})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """What an upstream says of its load in a reply."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Replied:
+    """An attempt got a whole reply.
+
+    :param is_success: a 2xx with a signature, for this request.
+    :param not_run: the upstream says that it did not run the request.
+    """
+
+    status: int
+    is_success: bool
+    not_run: bool = False
+    load: Load | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Failed:
+    """An attempt got no reply that counts."""
+
+    fault: Fault
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestArrived:
+    """A caller's request was read whole.
+
+    :param number: of the request on this host.
+    :param request_id: the caller's id.
+    :param path: with the query.
+    :param time_left: seconds that the caller will wait, ``None`` where it does
+        not say.
+    """
+
+    number: int
+    request_id: str
+    host: str
+    path: str
+    time_left: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestAbandoned:
+    """The caller closed its connection."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptEnded:
+    """An attempt ended, one way or another."""
+
+    attempt: int
+    outcome: Replied | Failed
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TableInForce:
+    """A table of routes came into force."""
+
+    table: routes.RoutingTable
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ZonesDrained:
+    """The availability zones that take no new work."""
+
+    zones: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamsChanged:
+    """Upstreams came, went or changed."""
+
+    entries: tuple[watching.UpstreamEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostsCounted:
+    """How many entry hosts there are."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TimeReached:
+    """The clock reached a moment that the router asked for."""
+
+
+Event = (
+    RequestArrived
+    | RequestAbandoned
+    | AttemptEnded
+    | TableInForce
+    | ZonesDrained
+    | UpstreamsChanged
+    | HostsCounted
+    | TimeReached
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """Send a request to an upstream.
+
+    :param time_left: seconds that the caller still waits.
+    :param connections: how many connections this host may hold there.
+    """
+
+    attempt: int
+    number: int
+    upstream_id: str
+    address: str
+    time_left: float
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """Nobody waits for these attempts any more.
+
+    :param may_cut: whether they may be broken off where they last long.
+    """
+
+    attempts: tuple[int, ...]
+    may_cut: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PassOn:
+    """Give the caller an upstream's reply as it is; the request is over."""
+
+    number: int
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerParts:
+    """Give the caller the greatest records of these parts; it is over."""
+
+    number: int
+    attempts: tuple[int, ...]
+    missing: int
+    top_records: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse:
+    """Give the caller an error; the request is over."""
+
+    number: int
+    error: exceptions.RequestError
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ForgetUpstream:
+    """Close the connections to an address; another upstream may have it now."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WakeAt:
+    """Send ``TimeReached`` at this moment, in monotonic seconds."""
+
+    moment: float
+
+
+Action = Send | Release | PassOn | AnswerParts | Refuse | ForgetUpstream | WakeAt
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -0,0 +1,275 @@
+"""What an entry host knows of upstreams, and its choice among them."""
+
+import collections
+import dataclasses
+import math
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import rng as rngs
+from greengagehaven.coordination.routing import events
+from greengagehaven.protocol import watching
+from greengagehaven.state import routes
+
+CROSS_ZONE_S = 0.003
+COLD_FACTOR = 2.0
+SLOWNESS_WEIGHT = 0.2
+SLOWNESS_LIFETIME_S = 2.0
+LOAD_LIFETIME_S = 0.25
+FAULT_WEIGHT = 0.15
+EJECT_FAULTS = 2
+EJECT_FIRST_S = 0.4
+EJECT_MOST_S = 4.0
+GREY_RATE = 0.3
+GREY_FACTOR = 6.0
+REJECTED_FAULT = 0.5
+NOISE = 0.1
+OVERDUE_FACTOR = 2.0
+OVERDUE_LEAST_S = 0.02
+FORGET_AFTER_S = 60.0
+DEFAULT_CONNECTIONS = 8
+
+
+class Upstream:
+    """One upstream as this host sees it.
+
+    :param entry: what it said of itself.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, *, entry: watching.UpstreamEntry, now: float) -> None:
+        self.entry = entry
+        self.cold_until = now + entry.cold_left_ms / 1000
+        self.sent_at_by_attempt: dict[int, float] = {}
+        self.slowness = 1.0
+        self.slowness_at = now
+        self.fault_rate = 0.0
+        self.faults_in_row = 0
+        self.ejected_until = -math.inf
+        self.load: events.Load | None = None
+        self.load_at = -math.inf
+        self.cold_sent: collections.deque[float] = collections.deque()
+
+    def expected(self, usual: float, now: float) -> float:
+        """Return the seconds that a request sent now is likely to take.
+
+        :param usual: seconds that such a request takes at a usual upstream.
+        """
+        age = now - self.slowness_at
+        faded = 1.0 + (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_LIFETIME_S)
+        if now < self.cold_until:
+            faded = max(faded, COLD_FACTOR)
+        own = len(self.sent_at_by_attempt)
+        ahead = max(own, self._reported_load(now))
+        queued = max(0.0, ahead + 1 - self.entry.slots) / self.entry.slots
+        crowd = 0.1 * min(ahead, self.entry.slots)
+        return usual * faded * (1.0 + queued + crowd) + self._overdue(
+            usual * faded, now
+        )
+
+    def _reported_load(self, now: float) -> float:
+        if self.load is None:
+            return 0.0
+        age = now - self.load_at
+        reported = max(0, self.load.running - 1) + self.load.waiting
+        return reported * max(0.0, 1.0 - age / LOAD_LIFETIME_S)
+
+    def _overdue(self, usual: float, now: float) -> float:
+        """Return how long its oldest request has been late; it may be pausing."""
+        if not self.sent_at_by_attempt:
+            return 0.0
+        oldest = next(iter(self.sent_at_by_attempt.values()))
+        late = now - oldest - max(OVERDUE_LEAST_S, OVERDUE_FACTOR * usual)
+        return max(0.0, late)
+
+    def note_latency(self, ratio: float, now: float) -> None:
+        """Take in a latency as a multiple of the usual one."""
+        age = now - self.slowness_at
+        faded = 1.0 + (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_LIFETIME_S)
+        self.slowness = faded + SLOWNESS_WEIGHT * (min(ratio, 20.0) - faded)
+        self.slowness_at = now
+
+    def note_success(self) -> None:
+        """Take in a reply that counts."""
+        self.faults_in_row = 0
+        self.fault_rate *= 1.0 - FAULT_WEIGHT
+
+    def note_fault(self, weight: float, now: float) -> bool:
+        """Take in a failure; return whether it is ejected for it."""
+        self.fault_rate += FAULT_WEIGHT * (weight - self.fault_rate)
+        if weight < 1.0:
+            return False
+        self.faults_in_row += 1
+        if self.faults_in_row < EJECT_FAULTS:
+            return False
+        times = self.faults_in_row - EJECT_FAULTS
+        duration = min(EJECT_MOST_S, EJECT_FIRST_S * 2.0 ** min(times, 8))
+        self.ejected_until = now + duration
+        return True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ColdBound:
+    """How many requests a second a cold upstream bears, over all hosts."""
+
+    factor: float = 1.0
+    slack: float = 0.0
+
+
+class Fleet:
+    """Upstreams by id, and which of them gets the next request.
+
+    :param zone: availability zone of this host.
+    :param cold_bound: how the rate of a service's cold upstreams is widened.
+    :param clock: monotonic time.
+    :param rng: breaks ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        cold_bound: ColdBound,
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+    ) -> None:
+        self.upstreams_by_id: dict[str, Upstream] = {}
+        self._zone = zone
+        self._cold_bound = cold_bound
+        self._clock = clock
+        self._rng = rng
+        self._orders_by_id: dict[str, tuple] = {}
+        self._ids_by_service: dict[str, set[str]] = {}
+        self._drained_zones: frozenset[str] = frozenset()
+        self._limits_by_service: abc.Mapping[str, routes.ServiceLimits] = {}
+        self._hosts = 1
+
+    def set_limits(
+        self, limits_by_service: abc.Mapping[str, routes.ServiceLimits]
+    ) -> None:
+        """Take what upstreams of each service bear."""
+        self._limits_by_service = limits_by_service
+
+    def set_hosts(self, count: int) -> None:
+        """Take the number of entry hosts that share each upstream."""
+        self._hosts = max(1, count)
+
+    def set_drained_zones(self, zones: frozenset[str]) -> None:
+        """Take the availability zones that get no new work."""
+        self._drained_zones = zones
+
+    def take(self, entry: watching.UpstreamEntry) -> Upstream | None:
+        """Take news of an upstream; return it where it left or began anew."""
+        known_order = self._orders_by_id.get(entry.id)
+        if known_order is not None and entry.order <= known_order:
+            return None
+        self._orders_by_id[entry.id] = entry.order
+        upstream = self.upstreams_by_id.get(entry.id)
+        if entry.stage is watching.Stage.GONE:
+            return self._remove(entry.id)
+        now = self._clock.monotonic()
+        if upstream is None:
+            self._add(entry, now)
+            return None
+        is_new = entry.incarnation != upstream.entry.incarnation
+        if is_new or entry.service != upstream.entry.service:
+            self._remove(entry.id)
+            self._add(entry, now)
+            return upstream
+        upstream.entry = entry
+        upstream.cold_until = now + entry.cold_left_ms / 1000
+        return None
+
+    def forget(self, upstream_id: str) -> Upstream | None:
+        """Use an upstream no more until a later start of it announces itself."""
+        return self._remove(upstream_id)
+
+    def choose(
+        self, service: str, usual: float, *, tried: abc.Container[str] = ()
+    ) -> Upstream | None:
+        """Return the upstream that should get a request, ``None`` for none.
+
+        :param usual: seconds that such a request usually takes.
+        :param tried: ids that must not get it.
+        """
+        now = self._clock.monotonic()
+        usable = [
+            upstream
+            for upstream in self._usable(service)
+            if upstream.entry.id not in tried and self._may_take(upstream, now)
+        ]
+        fit = [upstream for upstream in usable if self._is_fit(upstream, now)]
+        if fit:
+            return min(fit, key=lambda upstream: self._cost(upstream, usual, now))
+        # All look unfit: a bad signal must not empty a shard.
+        return min(usable, key=lambda upstream: upstream.ejected_until, default=None)
+
+    def expected(self, upstream: Upstream, usual: float) -> float:
+        """Return the seconds that a request to an upstream is likely to take."""
+        return upstream.expected(usual, self._clock.monotonic())
+
+    def connections(self, upstream: Upstream) -> int:
+        """Return how many connections this host may hold to an upstream."""
+        limits = self._limits_by_service.get(upstream.entry.service)
+        if limits is None or limits.connections <= 0:
+            return DEFAULT_CONNECTIONS
+        return max(2, limits.connections // (self._hosts + 1))
+
+    def note_sent(self, upstream: Upstream, attempt: int) -> None:
+        """Count an attempt that is sent."""
+        now = self._clock.monotonic()
+        upstream.sent_at_by_attempt[attempt] = now
+        if now < upstream.cold_until:
+            upstream.cold_sent.append(now)
+
+    def _usable(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream_id in self._ids_by_service.get(service, ())
+            if (upstream := self.upstreams_by_id[upstream_id]).entry.stage
+            is not watching.Stage.DRAINING
+            and upstream.entry.availability_zone not in self._drained_zones
+        ]
+
+    def _may_take(self, upstream: Upstream, now: float) -> bool:
+        """Tell whether a cold upstream bears one more from this host."""
+        if now >= upstream.cold_until:
+            return True
+        limits = self._limits_by_service.get(upstream.entry.service)
+        if limits is None or limits.cold_rate <= 0:
+            return True
+        sent = upstream.cold_sent
+        while sent and now - sent[0] >= 1.0:
+            sent.popleft()
+        bound = limits.cold_rate * self._cold_bound.factor + self._cold_bound.slack
+        return len(sent) + 1 <= bound / (self._hosts + 1)
+
+    def _is_fit(self, upstream: Upstream, now: float) -> bool:
+        if upstream.entry.stage is watching.Stage.SILENT:
+            return False
+        if now < upstream.ejected_until:
+            return False
+        # One request tells whether it is back.
+        was_ejected = upstream.faults_in_row >= EJECT_FAULTS
+        return not (was_ejected and upstream.sent_at_by_attempt)
+
+    def _cost(self, upstream: Upstream, usual: float, now: float) -> float:
+        cost = upstream.expected(usual, now)
+        if upstream.entry.availability_zone != self._zone:
+            cost += CROSS_ZONE_S
+        if upstream.fault_rate > GREY_RATE:
+            cost *= 1.0 + GREY_FACTOR * upstream.fault_rate
+        return cost * (1.0 + NOISE * self._rng.random())
+
+    def _add(self, entry: watching.UpstreamEntry, now: float) -> None:
+        self.upstreams_by_id[entry.id] = Upstream(entry=entry, now=now)
+        self._ids_by_service.setdefault(entry.service, set()).add(entry.id)
+
+    def _remove(self, upstream_id: str) -> Upstream | None:
+        upstream = self.upstreams_by_id.pop(upstream_id, None)
+        if upstream is not None:
+            ids = self._ids_by_service[upstream.entry.service]
+            ids.discard(upstream_id)
+            if not ids:
+                del self._ids_by_service[upstream.entry.service]
+        return upstream
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -0,0 +1,120 @@
+"""One request in flight: its shards, and the attempts on each of them."""
+
+import dataclasses
+import math
+
+from greengagehaven.coordination.routing import events, fleet
+from greengagehaven.state import routes
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Attempt:
+    """One sending of a request to one upstream.
+
+    :param is_wanted: whether the request still waits for it.
+    """
+
+    id: int
+    request: "RoutedRequest"
+    shard: "ShardState"
+    upstream: fleet.Upstream
+    sent_at: float
+    usual: float
+    purpose: str
+    is_wanted: bool = True
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class ShardState:
+    """What a request has of one service.
+
+    :param runs: attempts that ran or may have.
+    :param part: the attempt whose reply counts.
+    :param is_failed: no part will come.
+    :param reply: the last whole reply that is no success.
+    """
+
+    service: str
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    runs: int = 0
+    sends: int = 0
+    hedge_at: float = math.inf
+    part: Attempt | None = None
+    is_failed: bool = False
+    reply: Attempt | None = None
+    failure: str = ""
+
+    @property
+    def is_pending(self) -> bool:
+        """Tell whether a part may still come."""
+        return self.part is None and not self.is_failed
+
+
+class RoutedRequest:
+    """A caller's request from its arrival to its answer.
+
+    :param number: of the request on this host.
+    :param request_id: the caller's id.
+    :param route: pinned; a later table does not touch it.
+    :param services: the shards, or the one service that answers it.
+    :param started: monotonic seconds.
+    :param deadline: when nobody waits any more.
+    :param answer_by: when a sweep that has enough parts is answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        request_id: str,
+        route: routes.Route,
+        services: tuple[str, ...],
+        started: float,
+        deadline: float,
+        answer_by: float,
+    ) -> None:
+        self.number = number
+        self.request_id = request_id
+        self.route = route
+        self.shards = [ShardState(service=service) for service in services]
+        self.started = started
+        self.deadline = deadline
+        self.answer_by = answer_by
+        self.is_over = False
+        self.wake_at = math.inf
+
+    @property
+    def is_sweep(self) -> bool:
+        """Tell whether parts of several shards make up the answer."""
+        return bool(self.route.shards)
+
+    @property
+    def parts(self) -> list[Attempt]:
+        """Return the attempts whose replies are in."""
+        return [shard.part for shard in self.shards if shard.part is not None]
+
+    @property
+    def pending(self) -> list[ShardState]:
+        """Return the shards whose parts may still come."""
+        return [shard for shard in self.shards if shard.is_pending]
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any upstream may have run it."""
+        return any(shard.runs for shard in self.shards)
+
+    def next_moment(self) -> float:
+        """Return when this request has to be looked at again."""
+        hedges = [shard.hedge_at for shard in self.shards if shard.is_pending]
+        moment = min(hedges, default=math.inf)
+        if self.is_sweep and len(self.parts) >= self.route.least_parts:
+            moment = min(moment, self.answer_by)
+        return min(moment, self.deadline)
+
+
+def kind_of_failure(outcome: events.Replied | events.Failed) -> str:
+    """Return a word for the log."""
+    if isinstance(outcome, events.Failed):
+        return str(outcome.fault)
+    return f"status_{outcome.status}"
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -0,0 +1,596 @@
+"""The router of an entry host: events in, actions out.
+
+A request goes to one upstream of a service, or to one of each shard. Stragglers
+are hedged and failures retried, where the request may run again and the budget
+that all entry hosts share allows it.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import typing
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven import rng as rngs
+from greengagehaven.coordination import latency
+from greengagehaven.coordination.routing import events, extra, fleet, request
+from greengagehaven.state import routes
+
+MISDIRECTED = 421
+HEDGE_QUANTILE = 0.95
+FIRST_HEDGE_SHARE = 0.25
+LEAST_HEDGE_S = 0.006
+HEDGE_KEEP = 0.2
+ANSWER_SHARE = 0.85
+DEADLINE_MARGIN_S = 0.01
+RETRY_AFTER_RANGE_S = (0.03, 0.12)
+SLOW_RATIO = 4.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What the router is told.
+
+    :param zone: availability zone of this host.
+    :param retry_ratio: extra attempts allowed for each request of a service.
+    :param retry_burst: extra attempts allowed besides, over all hosts.
+    :param cold_bound: how the rate of cold upstreams is widened.
+    """
+
+    zone: str
+    retry_ratio: float = 0.1
+    retry_burst: float = 20.0
+    cold_bound: fleet.ColdBound = fleet.ColdBound()
+
+
+class Router:
+    """Decides what becomes of each request; performs no input or output.
+
+    :param options: what it is told.
+    :param clock: monotonic time.
+    :param rng: for weights, ties and the spread of returns.
+    """
+
+    def __init__(self, *, options: Options, clock: clocks.Clock, rng: rngs.Rng) -> None:
+        self.fleet = fleet.Fleet(
+            zone=options.zone, cold_bound=options.cold_bound, clock=clock, rng=rng
+        )
+        self.table: routes.RoutingTable | None = None
+        self._clock = clock
+        self._rng = rng
+        self._extra = extra.ExtraAttempts(
+            ratio=options.retry_ratio, burst=options.retry_burst
+        )
+        self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
+        self._requests_by_number: dict[int, request.RoutedRequest] = {}
+        self._attempts_by_id: dict[int, request.Attempt] = {}
+        self._attempt_ids = itertools.count(1)
+        self._timers: list[tuple[float, int]] = []
+        self._debts_by_route: dict[str, dict[str, float]] = {}
+        self._handlers_by_event: dict[type, typing.Callable] = {
+            events.RequestArrived: self._on_arrived,
+            events.RequestAbandoned: self._on_abandoned,
+            events.AttemptEnded: self._on_ended,
+            events.TableInForce: self._on_table,
+            events.ZonesDrained: self._on_zones_drained,
+            events.UpstreamsChanged: self._on_upstreams,
+            events.HostsCounted: self._on_hosts_counted,
+            events.TimeReached: self._on_time,
+        }
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests have no answer yet."""
+        return len(self._requests_by_number)
+
+    def step(self, event: events.Event) -> list[events.Action]:
+        """Take one event and return what is to be done, in order."""
+        actions: list[events.Action] = []
+        self._handlers_by_event[type(event)](event, actions)
+        if self._timers:
+            actions.append(events.WakeAt(moment=self._timers[0][0]))
+        return actions
+
+    def _on_table(
+        self, in_force: events.TableInForce, actions: list[events.Action]
+    ) -> None:
+        self.table = in_force.table
+        self.fleet.set_limits(in_force.table.limits_by_service)
+        services = frozenset(
+            name for route in in_force.table.routes for name in route.service_names
+        )
+        self._extra.retain(services)
+        names = {route.name for route in in_force.table.routes}
+        for name in set(self._debts_by_route) - names:
+            del self._debts_by_route[name]
+
+    def _on_zones_drained(
+        self, drained: events.ZonesDrained, actions: list[events.Action]
+    ) -> None:
+        self.fleet.set_drained_zones(drained.zones)
+
+    def _on_hosts_counted(
+        self, counted: events.HostsCounted, actions: list[events.Action]
+    ) -> None:
+        self.fleet.set_hosts(counted.count)
+        self._extra.set_hosts(counted.count)
+
+    def _on_upstreams(
+        self, changed: events.UpstreamsChanged, actions: list[events.Action]
+    ) -> None:
+        for entry in changed.entries:
+            left = self.fleet.take(entry)
+            if left is not None:
+                address = left.entry.address
+                actions.append(events.ForgetUpstream(address=address))
+
+    def _on_arrived(
+        self, arrived: events.RequestArrived, actions: list[events.Action]
+    ) -> None:
+        try:
+            routed = self._admit(arrived)
+        except exceptions.RequestError as error:
+            log.info(
+                "refused",
+                request=arrived.request_id,
+                code=error.code,
+                host=arrived.host,
+                table=0 if self.table is None else self.table.number,
+            )
+            actions.append(events.Refuse(number=arrived.number, error=error))
+            return
+        self._requests_by_number[routed.number] = routed
+        for shard in routed.shards:
+            self._extra.earn(shard.service)
+            if not self._send(routed, shard, "primary", actions):
+                self._fail_shard(shard, "no_upstream")
+        self._settle(routed, actions)
+
+    def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
+        if self.table is None:
+            raise exceptions.NotConfiguredError(
+                "no table of routes is in force yet", retry_after=self._retry_after()
+            )
+        route = self.table.find(arrived.host, arrived.path)
+        if route is None:
+            raise exceptions.NotFoundError("no route matches host and path")
+        now = self._clock.monotonic()
+        left = route.timeout
+        if arrived.time_left is not None:
+            left = min(left, arrived.time_left)
+        services = route.shards or (self._pick_service(route),)
+        log.info(
+            "admitted",
+            request=arrived.request_id,
+            route=route.name,
+            table=self.table.number,
+            shards=len(services),
+            service=services[0],
+            left_ms=round(left * 1000),
+        )
+        return request.RoutedRequest(
+            number=arrived.number,
+            request_id=arrived.request_id,
+            route=route,
+            services=services,
+            started=now,
+            deadline=now + left - DEADLINE_MARGIN_S,
+            answer_by=now + route.objective * ANSWER_SHARE,
+        )
+
+    def _pick_service(self, route: routes.Route) -> str:
+        """Return the service whose weight's part is owed most.
+
+        Drawn at random the parts of a few hundred requests would stray from
+        their weights by several in a hundred.
+        """
+        if len(route.services) == 1:
+            return route.services[0].service
+        total = sum(weighted.weight for weighted in route.services)
+        owed = self._debts_by_route.setdefault(route.name, {})
+        for weighted in route.services:
+            known = owed.get(weighted.service)
+            if known is None:
+                # All hosts would begin with the same service otherwise.
+                known = self._rng.random()
+            owed[weighted.service] = known + weighted.weight / total
+        chosen = max(route.services, key=lambda weighted: owed[weighted.service])
+        owed[chosen.service] -= 1.0
+        return chosen.service
+
+    def _send(
+        self,
+        routed: request.RoutedRequest,
+        shard: request.ShardState,
+        purpose: str,
+        actions: list[events.Action],
+    ) -> bool:
+        """Send one more attempt; return whether an upstream was there for it."""
+        key = _latency_class(routed.route)
+        usual = self._latencies.usual(key)
+        chosen = self.fleet.choose(shard.service, usual, tried=shard.tried)
+        if chosen is None:
+            return False
+        self._send_to(chosen, usual, routed, shard, purpose, actions)
+        return True
+
+    def _send_to(
+        self,
+        chosen: fleet.Upstream,
+        usual: float,
+        routed: request.RoutedRequest,
+        shard: request.ShardState,
+        purpose: str,
+        actions: list[events.Action],
+    ) -> None:
+        now = self._clock.monotonic()
+        attempt = request.Attempt(
+            id=next(self._attempt_ids),
+            request=routed,
+            shard=shard,
+            upstream=chosen,
+            sent_at=now,
+            usual=usual,
+            purpose=purpose,
+        )
+        log.info(
+            "sent",
+            request=routed.request_id,
+            service=shard.service,
+            upstream=chosen.entry.id,
+            purpose=purpose,
+            ahead=len(chosen.sent_at_by_attempt),
+            slowness=round(chosen.slowness, 2),
+            faults=round(chosen.fault_rate, 2),
+            load_age_ms=_age_ms(now, chosen.load_at),
+        )
+        self.fleet.note_sent(chosen, attempt.id)
+        self._attempts_by_id[attempt.id] = attempt
+        shard.attempts.append(attempt)
+        shard.tried.add(chosen.entry.id)
+        shard.sends += 1
+        shard.runs += 1
+        shard.hedge_at = self._hedge_moment(routed, now)
+        actions.append(
+            events.Send(
+                attempt=attempt.id,
+                number=routed.number,
+                upstream_id=chosen.entry.id,
+                address=chosen.entry.address,
+                time_left=routed.deadline - now,
+                connections=self.fleet.connections(chosen),
+            )
+        )
+
+    def _hedge_moment(self, routed: request.RoutedRequest, now: float) -> float:
+        route = routed.route
+        if not route.is_idempotent or route.attempts < 2:
+            return float("inf")
+        delay = self._latencies.straggling_after(_latency_class(route))
+        if delay is None:
+            delay = route.objective * FIRST_HEDGE_SHARE
+        return now + max(LEAST_HEDGE_S, delay)
+
+    def _on_ended(
+        self, ended: events.AttemptEnded, actions: list[events.Action]
+    ) -> None:
+        attempt = self._attempts_by_id.pop(ended.attempt, None)
+        if attempt is None:
+            return
+        attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
+        attempt.shard.attempts.remove(attempt)
+        self._observe(attempt, ended.outcome, actions)
+        if not attempt.is_wanted or attempt.request.is_over:
+            return
+        routed, shard = attempt.request, attempt.shard
+        outcome = ended.outcome
+        if isinstance(outcome, events.Replied) and outcome.is_success:
+            shard.part = attempt
+            self._release(shard.attempts, actions)
+        else:
+            self._take_failure(attempt, outcome, actions)
+        self._settle(routed, actions)
+
+    def _observe(
+        self,
+        attempt: request.Attempt,
+        outcome: events.Replied | events.Failed,
+        actions: list[events.Action],
+    ) -> None:
+        """Learn about the upstream from the end of an attempt."""
+        now = self._clock.monotonic()
+        upstream = attempt.upstream
+        took = now - attempt.sent_at
+        if isinstance(outcome, events.Replied):
+            if outcome.load is not None:
+                upstream.load = outcome.load
+                upstream.load_at = now
+            if outcome.status == MISDIRECTED:
+                self._forget(attempt, actions)
+            elif outcome.is_success:
+                upstream.note_success()
+                upstream.note_latency(took / attempt.usual, now)
+                key = _latency_class(attempt.request.route)
+                self._latencies.observe(key, took, now)
+            elif outcome.not_run:
+                upstream.note_fault(fleet.REJECTED_FAULT, now)
+            else:
+                self._note_fault(attempt, outcome, now)
+        elif outcome.fault is events.Fault.SILENT:
+            ratio = took / attempt.usual
+            upstream.note_latency(ratio, now)
+            if ratio > SLOW_RATIO:
+                self._note_fault(attempt, outcome, now)
+        elif outcome.fault is not events.Fault.UNSENT:
+            self._note_fault(attempt, outcome, now)
+
+    def _note_fault(
+        self,
+        attempt: request.Attempt,
+        outcome: events.Replied | events.Failed,
+        now: float,
+    ) -> None:
+        upstream = attempt.upstream
+        if upstream.note_fault(1.0, now):
+            log.warning(
+                "upstream_ejected",
+                upstream=upstream.entry.id,
+                service=upstream.entry.service,
+                reason=request.kind_of_failure(outcome),
+                in_row=upstream.faults_in_row,
+                for_ms=round((upstream.ejected_until - now) * 1000),
+            )
+
+    def _forget(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
+        entry = attempt.upstream.entry
+        left = self.fleet.upstreams_by_id.get(entry.id)
+        if left is attempt.upstream:
+            log.warning("address_reused", upstream=entry.id, address=entry.address)
+            self.fleet.forget(entry.id)
+            actions.append(events.ForgetUpstream(address=entry.address))
+
+    def _take_failure(
+        self,
+        attempt: request.Attempt,
+        outcome: events.Replied | events.Failed,
+        actions: list[events.Action],
+    ) -> None:
+        routed, shard = attempt.request, attempt.shard
+        log.info(
+            "attempt_failed",
+            request=routed.request_id,
+            service=shard.service,
+            upstream=attempt.upstream.entry.id,
+            reason=request.kind_of_failure(outcome),
+            detail=getattr(outcome, "detail", ""),
+            took_ms=_age_ms(self._clock.monotonic(), attempt.sent_at),
+        )
+        did_not_run = _did_not_run(outcome)
+        if did_not_run:
+            shard.runs -= 1
+        if isinstance(outcome, events.Replied) and not did_not_run:
+            shard.reply = attempt
+        shard.failure = request.kind_of_failure(outcome)
+        if shard.attempts:
+            return
+        if self._is_final(outcome) or not self._retry(attempt, did_not_run, actions):
+            self._fail_shard(shard, shard.failure)
+
+    def _is_final(self, outcome: events.Replied | events.Failed) -> bool:
+        """Tell whether another upstream would say the same."""
+        is_reply = isinstance(outcome, events.Replied) and not outcome.not_run
+        return is_reply and 400 <= outcome.status < 500 and not _did_not_run(outcome)
+
+    def _retry(
+        self,
+        attempt: request.Attempt,
+        did_not_run: bool,
+        actions: list[events.Action],
+    ) -> bool:
+        routed, shard = attempt.request, attempt.shard
+        if not (routed.route.is_idempotent or did_not_run):
+            return False
+        if shard.runs >= routed.route.attempts:
+            return False
+        if self._clock.monotonic() >= routed.deadline:
+            return False
+        usual = self._latencies.usual(_latency_class(routed.route))
+        chosen = self.fleet.choose(shard.service, usual, tried=shard.tried)
+        if chosen is None or not self._extra.spend(shard.service):
+            shard.failure += "_no_budget" if chosen is not None else "_no_upstream"
+            return False
+        self._send_to(chosen, usual, routed, shard, "retry", actions)
+        return True
+
+    def _fail_shard(self, shard: request.ShardState, reason: str) -> None:
+        shard.is_failed = True
+        shard.failure = reason
+
+    def _hedge(
+        self,
+        routed: request.RoutedRequest,
+        shard: request.ShardState,
+        now: float,
+        actions: list[events.Action],
+    ) -> None:
+        shard.hedge_at = float("inf")
+        if shard.runs >= routed.route.attempts or not shard.attempts:
+            return
+        usual = self._latencies.usual(_latency_class(routed.route))
+        chosen = self.fleet.choose(shard.service, usual, tried=shard.tried)
+        if chosen is None:
+            return
+        if now + self.fleet.expected(chosen, usual) >= routed.deadline:
+            return
+        keep = HEDGE_KEEP if routed.route.priority > 1 else 0.0
+        if not self._extra.spend(shard.service, keep=keep):
+            log.info("hedge_refused", request=routed.request_id, service=shard.service)
+            return
+        self._send_to(chosen, usual, routed, shard, "hedge", actions)
+
+    def _settle(
+        self, routed: request.RoutedRequest, actions: list[events.Action]
+    ) -> None:
+        """Answer a request whose fate is certain, or wait for its next moment."""
+        if routed.is_over:
+            return
+        now = self._clock.monotonic()
+        if routed.is_sweep:
+            self._settle_sweep(routed, now, actions)
+        else:
+            self._settle_single(routed, actions)
+        if routed.is_over:
+            return
+        if now >= routed.deadline:
+            self._refuse(routed, self._late_error(routed), actions)
+            return
+        moment = routed.next_moment()
+        if moment < routed.wake_at:
+            routed.wake_at = moment
+            heapq.heappush(self._timers, (moment, routed.number))
+
+    def _settle_single(
+        self, routed: request.RoutedRequest, actions: list[events.Action]
+    ) -> None:
+        shard = routed.shards[0]
+        if shard.is_pending:
+            return
+        whole = shard.part or shard.reply
+        if whole is not None:
+            actions.append(events.PassOn(number=routed.number, attempt=whole.id))
+            self._end(routed, "answered" if shard.part else "upstream_error", actions)
+            return
+        self._refuse(routed, self._failure_error(routed), actions)
+
+    def _settle_sweep(
+        self,
+        routed: request.RoutedRequest,
+        now: float,
+        actions: list[events.Action],
+    ) -> None:
+        parts = routed.parts
+        pending = routed.pending
+        least = routed.route.least_parts
+        if len(parts) + len(pending) < least:
+            self._refuse(routed, self._failure_error(routed), actions)
+            return
+        is_due = len(parts) >= least and now >= min(routed.answer_by, routed.deadline)
+        if pending and not is_due:
+            return
+        missing = len(routed.shards) - len(parts)
+        actions.append(
+            events.AnswerParts(
+                number=routed.number,
+                attempts=tuple(attempt.id for attempt in parts),
+                missing=missing,
+                top_records=routed.route.top_records,
+            )
+        )
+        self._end(routed, "answered" if not missing else "partial", actions)
+
+    def _failure_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
+        reasons = sorted({shard.failure for shard in routed.shards if shard.failure})
+        detail = f"{len(routed.parts)} of {len(routed.shards)} shards: " + ", ".join(
+            reasons
+        )
+        if routed.may_have_run:
+            return exceptions.UpstreamsFailedError(
+                detail, ran=exceptions.Ran.UNKNOWN, retry_after=self._retry_after()
+            )
+        return exceptions.IncompleteError(detail, retry_after=self._retry_after())
+
+    def _late_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
+        return exceptions.DeadlineExceededError(
+            f"{len(routed.parts)} of {len(routed.shards)} shards in time",
+            ran=exceptions.Ran.UNKNOWN,
+        )
+
+    def _retry_after(self) -> float:
+        return self._rng.uniform(*RETRY_AFTER_RANGE_S)
+
+    def _refuse(
+        self,
+        routed: request.RoutedRequest,
+        error: exceptions.RequestError,
+        actions: list[events.Action],
+    ) -> None:
+        actions.append(events.Refuse(number=routed.number, error=error))
+        self._end(routed, error.code, actions, detail=error.detail)
+
+    def _end(
+        self,
+        routed: request.RoutedRequest,
+        outcome: str,
+        actions: list[events.Action],
+        *,
+        detail: str = "",
+    ) -> None:
+        routed.is_over = True
+        self._requests_by_number.pop(routed.number, None)
+        parts = routed.parts
+        log.info(
+            "ended",
+            request=routed.request_id,
+            route=routed.route.name,
+            outcome=outcome,
+            parts=len(parts),
+            missing=",".join(
+                f"{shard.service}:{shard.failure or 'waiting'}"
+                for shard in routed.shards
+                if shard.part is None
+            ),
+            sends=sum(shard.sends for shard in routed.shards),
+            took_ms=_age_ms(self._clock.monotonic(), routed.started),
+            detail=detail,
+        )
+        left = [attempt for shard in routed.shards for attempt in shard.attempts]
+        self._release(left, actions)
+
+    def _release(
+        self, attempts: abc.Iterable[request.Attempt], actions: list[events.Action]
+    ) -> None:
+        wanted = [attempt for attempt in attempts if attempt.is_wanted]
+        for attempt in wanted:
+            attempt.is_wanted = False
+        if wanted:
+            ids = tuple(attempt.id for attempt in wanted)
+            may_cut = wanted[0].request.route.is_idempotent
+            actions.append(events.Release(attempts=ids, may_cut=may_cut))
+
+    def _on_abandoned(
+        self, abandoned: events.RequestAbandoned, actions: list[events.Action]
+    ) -> None:
+        routed = self._requests_by_number.get(abandoned.number)
+        if routed is not None:
+            self._end(routed, "caller_left", actions)
+
+    def _on_time(
+        self, reached: events.TimeReached, actions: list[events.Action]
+    ) -> None:
+        now = self._clock.monotonic()
+        while self._timers and self._timers[0][0] <= now:
+            _, number = heapq.heappop(self._timers)
+            routed = self._requests_by_number.get(number)
+            if routed is None:
+                continue
+            routed.wake_at = float("inf")
+            for shard in routed.pending:
+                if shard.hedge_at <= now:
+                    self._hedge(routed, shard, now, actions)
+            self._settle(routed, actions)
+
+
+def _did_not_run(outcome: events.Replied | events.Failed) -> bool:
+    if isinstance(outcome, events.Failed):
+        return outcome.fault in events.NOT_SENT
+    return outcome.not_run or outcome.status == MISDIRECTED
+
+
+def _latency_class(route: routes.Route) -> latency.LatencyClass:
+    return latency.LatencyClass(service="", kind=route.name)
+
+
+def _age_ms(now: float, moment: float) -> int | None:
+    return None if moment == float("-inf") else round((now - moment) * 1000)
--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -28,6 +28,7 @@
     audit,
     changes,
     configuration,
+    document,
     folder,
     proofs,
     records,
@@ -65,6 +66,11 @@
     :param recorder_addresses_by_id: peer addresses of the recorders of
         idempotency keys; this host is one where its name is among them.
     :param raft_timing: periods of the replicated log.
+    :param least_voters: hosts that count for the quorum before the first change
+        is taken. The log begins with one voter; a change that only its disk
+        holds would be acknowledged and lost with that disk.
+    :param check_document: reads a document of an operator; it raises
+        ``DocumentError`` where the document must not come into force.
     """
 
     host_id: str
@@ -82,6 +88,8 @@
         default_factory=dict
     )
     raft_timing: timing.Timing = timing.Timing()
+    least_voters: int = 1
+    check_document: abc.Callable[[bytes], object] = document.parse
 
 
 class ControlHost:
@@ -115,6 +123,7 @@
         self.channel = channel
         self.clock = clock
         self.machine = changes.ChangeMachine()
+        self.on_revision: abc.Callable[[], None] | None = None
         self.driver: raft_driver.RaftDriver | None = None
         self.publisher = publisher.Publisher(
             published=self.machine.published, age=lambda: self.age, clock=clock
@@ -255,6 +264,18 @@
             raise exceptions.QuorumLostError("this host has not found its log yet")
         return self.driver
 
+    def check_voters(self) -> None:
+        """Refuse changes while too few hosts hold the log.
+
+        :raises QuorumLostError: other hosts have still to join.
+        """
+        raft = self.raft
+        voters = 0 if raft is None else len(raft.log.membership.voter_ids)
+        if voters < self.settings.least_voters:
+            raise exceptions.QuorumLostError(
+                f"{voters} of {self.settings.least_voters} control hosts have joined"
+            )
+
     def _open(self, identity: records.Identity) -> None:
         assert self._storage is not None
         started = time.perf_counter()
@@ -344,6 +365,8 @@
         if self.machine.state.revision != self._seen_revision:
             self._seen_revision = self.machine.state.revision
             self.publisher.notify()
+            if self.on_revision is not None:
+                self.on_revision()
 
     def _halt(self, error: exceptions.StorageError) -> None:
         log.error(
--- a/src/greengagehaven/daemons/deciding.py
+++ b/src/greengagehaven/daemons/deciding.py
@@ -34,6 +34,10 @@
             # which is a few bytes where the whole may be a megabyte.
             async with self._deciding_document:
                 entry, record = await self._decide_one(change, ())
+        elif isinstance(change, configuration.ZoneChange) and change.force:
+            # Which zones have hosts does not matter, so nobody is asked: a host
+            # that is cut off would hold up the order for its whole timeout.
+            entry, record = await self._decide_one(change, ())
         else:
             reports = await self._host.reports.collect()
             entry, record = await self._decide_one(change, reports)
@@ -51,6 +55,7 @@
         reports: tuple[control.HostReport, ...],
     ) -> tuple[changes.Entry, audit.AuditRecord]:
         driver = self._host.need_driver()
+        self._host.check_voters()
         await driver.read()
         entry = self._writer.write(change, self._host.machine, reports)
         record = self._host.machine.audit.find(change.change_id)
@@ -80,6 +85,7 @@
         signer=signer,
         verifier=verifier,
         clock=clock,
+        check_document=settings.check_document,
     )
 
 
--- /dev/null
+++ b/src/greengagehaven/daemons/gateway.py
@@ -0,0 +1,344 @@
+"""An entry host that passes requests on by routes: sockets around the router."""
+
+import asyncio
+import dataclasses
+import datetime
+import itertools
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven import rng as rngs
+from greengagehaven import settings as checks
+from greengagehaven.coordination.routing import events, merging, router
+from greengagehaven.daemons import watcher
+from greengagehaven.protocol import exchange as names_module
+from greengagehaven.protocol import watching
+from greengagehaven.state import configuration, routes
+from greengagehaven.transport import exchanges, http, http_server, peers
+
+ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
+STOP_MARGIN = datetime.timedelta(seconds=0.8)
+BINARY = "application/octet-stream"
+_MS = 1000.0
+
+ReadDocument = abc.Callable[[bytes], routes.RoutingTable]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GatewaySettings:
+    """What an entry host is told when it starts.
+
+    :param listen: ``IP:PORT`` for callers.
+    :param ready_listen: ``IP:PORT`` where the balancer asks.
+    :param ready_path: path that the balancer asks for.
+    :param control_addresses: peer addresses of control hosts.
+    :param grace: time from the order to stop to the end of the process.
+    """
+
+    host_id: str
+    zone: str
+    listen: str
+    ready_listen: str
+    ready_path: str = "/readyz"
+    control_addresses: tuple[str, ...]
+    grace: datetime.timedelta
+    router: router.Options
+
+
+class Gateway:
+    """Takes callers' requests and passes them on.
+
+    :param settings: what it is told.
+    :param names: names of headers.
+    :param read_document: reads the document in force as a table of routes.
+    :param clock: source of time.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        names: names_module.HeaderNames,
+        read_document: ReadDocument,
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+    ) -> None:
+        self._settings = settings
+        self._names = names
+        self._read_document = read_document
+        self._clock = clock
+        self._router = router.Router(options=settings.router, clock=clock, rng=rng)
+        self._channel = exchanges.ExchangeChannel(names=names, clock=clock)
+        self._client = peers.PeerClient(token=None, clock=clock)
+        self._watcher = watcher.Watcher(
+            channel=self._client,
+            host_id=settings.host_id,
+            availability_zone=settings.zone,
+            is_entry=True,
+            control_addresses=settings.control_addresses,
+            sink=self,
+            clock=clock,
+        )
+        self._numbers = itertools.count(1)
+        self._requests_by_number: dict[int, http.Request] = {}
+        self._futures_by_number: dict[int, asyncio.Future[http.Response]] = {}
+        self._replies_by_attempt: dict[int, exchanges.Exchange] = {}
+        self._attempts_by_number: dict[int, list[int]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+        self._is_stopping = False
+        self._server = http_server.HttpServer(handler=self._handle, clock=clock)
+        self._ready_server = http_server.HttpServer(
+            handler=self._handle_ready, clock=clock
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return requests that are not finished."""
+        return self._router.in_flight
+
+    async def start(self) -> None:
+        """Bind the sockets and begin to watch control hosts.
+
+        :raises SettingError: an address cannot be bound.
+        """
+        listen = checks.parse_address("listen", self._settings.listen)
+        await self._server.start(*listen)
+        ready = checks.parse_address("ready listen", self._settings.ready_listen)
+        await self._ready_server.start(*ready)
+        self._watcher.start()
+
+    def set_seeds(self, addresses: abc.Iterable[str]) -> None:
+        """Take other control hosts to begin with."""
+        self._watcher.set_seeds(addresses)
+
+    async def drain(self) -> int:
+        """Finish what runs and what still comes, then stop."""
+        self._is_stopping = True
+        left = await self._server.drain(
+            self._settings.grace - STOP_MARGIN, accept_for=ACCEPT_WHILE_STOPPING
+        )
+        await self.close()
+        return left
+
+    async def close(self) -> None:
+        """Stop and release the sockets."""
+        await self._watcher.close()
+        await self._server.close()
+        await self._ready_server.close()
+        await self._channel.close()
+        await self._client.close()
+
+    def take_entries(self, entries: tuple[watching.UpstreamEntry, ...]) -> None:
+        """Take news of upstreams."""
+        self._submit(events.UpstreamsChanged(entries=entries))
+
+    def take_state(self, state: configuration.ConfigurationState) -> None:
+        """Put a newer configuration in force."""
+        zones = frozenset(state.drained_zones)
+        self._submit(events.ZonesDrained(zones=zones))
+        number = 0
+        if state.document:
+            try:
+                table = self._read_document(state.document)
+            except exceptions.DocumentError as error:
+                # Control hosts refuse what they cannot read, so this happens
+                # only where they run a newer version than this host.
+                log.error(
+                    "document_refused", revision=state.revision, error=error.detail
+                )
+                return
+            number = table.number
+            self._server.limits = _limits_of(table.caller_limits)
+            self._submit(events.TableInForce(table=table))
+        log.info(
+            "configuration_in_force",
+            revision=state.revision,
+            number=number,
+            drained=",".join(state.drained_zones),
+        )
+
+    def take_entry_hosts(self, count: int) -> None:
+        """Take the number of entry hosts."""
+        self._submit(events.HostsCounted(count=count))
+
+    async def _handle_ready(self, request: http.Request) -> http.Response:
+        if request.path != self._settings.ready_path:
+            raise exceptions.NotFoundError("no such path")
+        is_ready = self._router.table is not None and not self._is_stopping
+        return http.Response(status=200 if is_ready else 503, content_type=None)
+
+    async def _handle(self, request: http.Request) -> http.Response:
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._requests_by_number[number] = request
+        self._futures_by_number[number] = future
+        arrived = events.RequestArrived(
+            number=number,
+            request_id=request.headers.get(self._names.request_id) or f"local-{number}",
+            host=_host_of(request),
+            path=request.target,
+            time_left=_time_left(request.headers.get(self._names.time_left)),
+        )
+        try:
+            self._submit(arrived)
+            return await future
+        except asyncio.CancelledError:
+            self._submit(events.RequestAbandoned(number=number))
+            raise
+        finally:
+            del self._requests_by_number[number]
+            del self._futures_by_number[number]
+            for attempt in self._attempts_by_number.pop(number, ()):
+                self._replies_by_attempt.pop(attempt, None)
+
+    def _submit(self, event: events.Event) -> None:
+        for action in self._router.step(event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._send(action)
+            case events.Release(attempts=attempts, may_cut=may_cut):
+                for attempt in attempts:
+                    self._channel.release(attempt, may_cut=may_cut)
+            case events.PassOn(number=number, attempt=attempt):
+                self._answer(number, self._passed_on(attempt))
+            case events.AnswerParts():
+                self._answer(action.number, self._merged(action))
+            case events.Refuse(number=number, error=error):
+                self._answer(number, _refusal(error))
+            case events.ForgetUpstream(address=address):
+                self._channel.forget(address)
+            case events.WakeAt(moment=moment):
+                self._arm(moment)
+
+    def _send(self, send: events.Send) -> None:
+        request = self._requests_by_number[send.number]
+        headers = [
+            (name, value)
+            for name, value in request.headers.items()
+            if name not in exchanges.NOT_FORWARDED
+            and name not in (self._names.time_left, self._names.expected_upstream)
+            and name not in _connection_options(request.headers)
+        ]
+        headers.append((self._names.expected_upstream, send.upstream_id))
+        exchange = exchanges.Exchange(
+            attempt=send.attempt,
+            address=send.address,
+            request_id=request.headers.get(self._names.request_id) or "",
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            send_by=self._clock.monotonic() + send.time_left,
+            on_end=self._on_end,
+        )
+        self._attempts_by_number.setdefault(send.number, []).append(send.attempt)
+        self._replies_by_attempt[send.attempt] = exchange
+        # Later, so that an end at once does not come in the middle of a step.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._start, exchange, send.connections)
+
+    def _start(self, exchange: exchanges.Exchange, connections: int) -> None:
+        self._channel.send(exchange, connections=connections)
+
+    def _on_end(
+        self, exchange: exchanges.Exchange, outcome: events.Replied | events.Failed
+    ) -> None:
+        self._submit(events.AttemptEnded(attempt=exchange.attempt, outcome=outcome))
+
+    def _passed_on(self, attempt: int) -> http.Response:
+        reply = self._replies_by_attempt[attempt].reply
+        assert reply is not None
+        options = _connection_options(reply.headers)
+        headers = tuple(
+            (name, value)
+            for name, value in reply.headers.items()
+            if name not in exchanges.NOT_FORWARDED and name not in options
+        )
+        return http.Response(
+            status=reply.status, body=reply.body, content_type=None, headers=headers
+        )
+
+    def _merged(self, answer: events.AnswerParts) -> http.Response:
+        replies = [
+            reply
+            for attempt in answer.attempts
+            if (reply := self._replies_by_attempt[attempt].reply) is not None
+        ]
+        signatures = ", ".join(
+            reply.headers[self._names.signature] for reply in replies
+        )
+        body = merging.greatest_records(
+            (reply.body for reply in replies), answer.top_records
+        )
+        return http.Response(
+            status=200,
+            body=body,
+            content_type=BINARY,
+            headers=(
+                (self._names.part_signatures, signatures),
+                (self._names.missing_parts, str(answer.missing)),
+            ),
+        )
+
+    def _answer(self, number: int, response: http.Response) -> None:
+        future = self._futures_by_number.get(number)
+        if future is not None and not future.done():
+            future.set_result(response)
+
+    def _arm(self, moment: float) -> None:
+        if moment >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = moment
+        loop = asyncio.get_running_loop()
+        delay = max(0.0, moment - self._clock.monotonic())
+        self._timer = loop.call_later(delay, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._timer_at = float("inf")
+        # Fired a little early, the router finds nothing due and asks again.
+        self._submit(events.TimeReached())
+
+
+def _host_of(request: http.Request) -> str:
+    return (request.headers.get("host") or "").partition(":")[0].lower()
+
+
+def _time_left(value: str | None) -> float | None:
+    """Return the seconds that a caller waits, ``None`` where it does not say."""
+    try:
+        left = float(value or "")
+    except ValueError:
+        return None
+    return left / _MS if 0 <= left < float("inf") else None
+
+
+def _connection_options(headers: http.Headers) -> tuple[str, ...]:
+    value = headers.get("connection")
+    if value is None:
+        return ()
+    return tuple(option.strip().lower() for option in value.split(","))
+
+
+def _refusal(error: exceptions.RequestError) -> http.Response:
+    headers: tuple[tuple[str, str], ...] = ()
+    if error.retry_after is not None:
+        headers = (("Retry-After", f"{error.retry_after:.3f}"),)
+    return http.Response(status=error.status, content_type=None, headers=headers)
+
+
+def _limits_of(limits: routes.CallerLimits) -> http_server.Limits:
+    return http_server.Limits(
+        body_bytes=limits.body_bytes,
+        head_bytes=limits.head_bytes,
+        request_timeout=datetime.timedelta(seconds=max(limits.head_timeout, 10.0)),
+        idle_timeout=datetime.timedelta(seconds=limits.idle_timeout),
+    )
--- a/src/greengagehaven/daemons/publisher.py
+++ b/src/greengagehaven/daemons/publisher.py
@@ -38,6 +38,11 @@
         self._reports_by_host: dict[str, tuple[float, control.HostReport]] = {}
         self._encoded: tuple[int, bytes] | None = None
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the state that is served."""
+        return self._published.revision
+
     def notify(self) -> None:
         """Wake every follower that waits, after the state moved forward."""
         news, self._news = self._news, asyncio.Event()
--- /dev/null
+++ b/src/greengagehaven/daemons/register.py
@@ -0,0 +1,222 @@
+"""A control host that takes announcements of upstreams and numbered documents."""
+
+import asyncio
+import datetime
+import typing
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log, settings
+from greengagehaven import rng as rngs
+from greengagehaven.daemons import control, orders, registrar, roster_feed, watcher
+from greengagehaven.protocol import watching
+from greengagehaven.state import configuration, roster
+from greengagehaven.transport import http, http_server, peers
+
+STOP_GRACE = datetime.timedelta(seconds=1)
+BODY_BYTES = 8_000_000
+REOPEN_PAUSE_S = 1.0
+SILENT_BEATS = 4.5
+
+Doors = abc.Callable[[orders.Orders, registrar.Registrar], http.Handler]
+
+
+class RegisterDaemon:
+    """Binds the sockets of a control host and runs it.
+
+    :param settings: what the control host is told.
+    :param listen: ``IP:PORT`` for upstreams and operators.
+    :param zone: availability zone of this host.
+    :param announce_period: seconds between two announcements of an upstream.
+    :param doors: makes the handler of calls at ``listen``.
+    :param clock: source of time.
+    :param rng: source of election timeouts.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: control.ControlSettings,
+        listen: str,
+        zone: str,
+        announce_period: float,
+        doors: Doors,
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+    ) -> None:
+        self._settings = settings
+        self._listen = listen
+        self._doors = doors
+        self._clock = clock
+        self._rng = rng
+        self._client = peers.PeerClient(token=None, clock=clock)
+        self._roster = roster.Roster(
+            holder=settings.host_id, silence=SILENT_BEATS * announce_period
+        )
+        self._watcher = watcher.Watcher(
+            channel=self._client,
+            host_id=settings.host_id,
+            availability_zone=zone,
+            is_entry=False,
+            control_addresses=settings.peer_addresses,
+            own_address=settings.peer_address,
+            follows=False,
+            sink=self,
+            clock=clock,
+        )
+        self._handlers_by_method: dict[str, typing.Any] = {}
+        self._peer_server: peers.PeerServer | None = None
+        self._http_server: http_server.HttpServer | None = None
+        self._host: control.ControlHost | None = None
+        self._feed: roster_feed.RosterFeed | None = None
+        self._reopening: asyncio.Task[None] | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Return requests that are not finished."""
+        return 0 if self._http_server is None else self._http_server.busy_count
+
+    async def start(self) -> None:
+        """Bind the sockets and take part.
+
+        :raises SettingError: an address or the data folder cannot be used.
+        :raises LogDamagedError: the state on the disk is damaged.
+        """
+        await self._start_peer_server()
+        self._http_server = http_server.HttpServer(
+            handler=self._handle,
+            clock=self._clock,
+            limits=http_server.Limits(body_bytes=BODY_BYTES),
+        )
+        await self._http_server.start(*settings.parse_address("listen", self._listen))
+        await self._open()
+        self._watcher.start()
+
+    def set_seeds(self, addresses: abc.Iterable[str]) -> None:
+        """Take other control hosts to begin with."""
+        self._watcher.set_seeds(addresses)
+
+    async def drain(self) -> int:
+        """Finish what runs, then stop."""
+        assert self._http_server is not None
+        left = await self._http_server.drain(STOP_GRACE)
+        await self.close()
+        return left
+
+    async def close(self) -> None:
+        """Stop and release the sockets."""
+        if self._reopening is not None:
+            self._reopening.cancel()
+        await self._watcher.close()
+        if self._http_server is not None:
+            await self._http_server.close()
+        await self._close_host()
+        if self._peer_server is not None:
+            await self._peer_server.stop(STOP_GRACE)
+        await self._client.close()
+
+    def take_entries(self, entries: tuple[watching.UpstreamEntry, ...]) -> None:
+        """Merge what another control host knows of upstreams."""
+        if self._feed is not None:
+            self._feed.merge(entries)
+
+    def take_state(self, state: configuration.ConfigurationState) -> None:
+        """Take no configuration this way; it comes through the log."""
+
+    def take_entry_hosts(self, count: int) -> None:
+        """Take no count; each control host counts its own watchers."""
+
+    async def _handle(self, request: http.Request) -> http.Response:
+        handler = self._handler
+        if handler is None:
+            raise exceptions.QuorumLostError("this host is starting")
+        return await handler(request)
+
+    async def _start_peer_server(self) -> None:
+        methods = (*control.METHODS, orders.ORDER_METHOD, roster_feed.WATCH_METHOD)
+        self._handlers_by_method = {}
+        self._handler: http.Handler | None = None
+        self._peer_server = peers.PeerServer(
+            handlers_by_method={method: self._late(method) for method in methods},
+            token=None,
+            clock=self._clock,
+        )
+        bind = settings.parse_address("peer address", self._settings.peer_address)
+        await self._peer_server.start(*bind)
+
+    def _late(self, method: str) -> typing.Any:
+        async def handle(body: bytes) -> bytes:
+            handler = self._handlers_by_method.get(method)
+            if handler is None:
+                raise exceptions.QuorumLostError("this host is starting")
+            return await handler(body)
+
+        return handle
+
+    async def _open(self) -> None:
+        """Read the disk and take part in the log."""
+        self._host = control.ControlHost(
+            settings=self._settings,
+            channel=self._client,
+            clock=self._clock,
+            rng=self._rng,
+            on_failure=self._on_failure,
+        )
+        self._feed = roster_feed.RosterFeed(
+            roster=self._roster,
+            configuration=self._host.publisher,
+            control_addresses=self._member_addresses,
+            clock=self._clock,
+        )
+        self._host.on_revision = self._feed.notify
+        ordering = orders.Orders(host=self._host)
+        registering = registrar.Registrar(
+            feed=self._feed, least_controls=self._least_other_controls
+        )
+        await self._host.start()
+        self._feed.start()
+        self._handlers_by_method = {
+            **self._host.handlers_by_method,
+            orders.ORDER_METHOD: ordering.handle,
+            roster_feed.WATCH_METHOD: self._feed.handle,
+        }
+        self._handler = self._doors(ordering, registering)
+
+    async def _close_host(self) -> None:
+        if self._feed is not None:
+            await self._feed.close()
+        if self._host is not None:
+            await self._host.close()
+
+    def _on_failure(self, error: exceptions.StorageError) -> None:
+        if self._reopening is None or self._reopening.done():
+            self._reopening = asyncio.ensure_future(self._reopen())
+
+    async def _reopen(self) -> None:
+        """Start over from the disk, as a restart of the process would.
+
+        A full or stalled disk comes back. The upstreams known here, the watchers
+        and the port stay meanwhile, which a restart would lose.
+        """
+        while True:
+            await asyncio.sleep(REOPEN_PAUSE_S)
+            await self._close_host()
+            try:
+                await self._open()
+            except exceptions.StorageError as error:
+                log.error("reopen_failed", path=error.path, error=error.detail)
+                continue
+            log.info("reopened", host=self._settings.host_id)
+            return
+
+    def _member_addresses(self) -> tuple[str, ...]:
+        raft = None if self._host is None else self._host.raft
+        if raft is None:
+            return ()
+        return tuple(member.address for member in raft.log.membership.members)
+
+    def _least_other_controls(self) -> int:
+        """Return how many other control hosts make a quorum with this one."""
+        raft = None if self._host is None else self._host.raft
+        voters = 1 if raft is None else len(raft.log.membership.voter_ids)
+        return voters // 2
--- /dev/null
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -0,0 +1,203 @@
+"""A control host's side of watching: announcements in, news out to watchers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import secrets
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.daemons import publisher
+from greengagehaven.protocol import codec, control, watching
+from greengagehaven.state import roster
+
+WATCH_METHOD = "roster/watch"
+MAX_WAIT_S = 5.0
+SWEEP_PERIOD_S = 0.5
+WATCHER_LIFETIME_S = 4.0
+CONTACT_S = 2.5
+HAND_OVER_S = 0.6
+FEED_ID_BYTES = 6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Watcher:
+    """A host that asks this one for news.
+
+    :param held_version: what it held at its last call.
+    """
+
+    is_entry: bool
+    held_version: int
+    seen_at: float
+
+
+class RosterFeed:
+    """Hands the roster and the configuration of a control host on.
+
+    :param roster: the upstreams known here.
+    :param configuration: answers what changed in the configuration.
+    :param control_addresses: gives the peer addresses of the log's members.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: roster.Roster,
+        configuration: publisher.Publisher,
+        control_addresses: abc.Callable[[], tuple[str, ...]],
+        clock: clocks.Clock,
+    ) -> None:
+        self.roster = roster
+        self._configuration = configuration
+        self._control_addresses = control_addresses
+        self._clock = clock
+        self._feed = secrets.token_hex(FEED_ID_BYTES)
+        self._watchers_by_host: dict[str, _Watcher] = {}
+        self._news = asyncio.Event()
+        self._held = asyncio.Event()
+        self._sweeper: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look for upstreams that fell silent."""
+        self._sweeper = asyncio.ensure_future(self._sweep_forever())
+
+    async def close(self) -> None:
+        """Let every watcher go."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            await asyncio.gather(self._sweeper, return_exceptions=True)
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake every watcher that waits, after the configuration moved on."""
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def announce(self, entry: watching.UpstreamEntry) -> None:
+        """Take an announcement and tell the watchers where it is news."""
+        if self.roster.announce(entry, self._clock.monotonic()):
+            self.note_change(entry)
+
+    def merge(self, entries: abc.Iterable[watching.UpstreamEntry]) -> None:
+        """Take what another control host knows."""
+        now = self._clock.monotonic()
+        changed = [entry for entry in entries if self.roster.merge(entry, now)]
+        if changed:
+            self.notify()
+
+    def note_change(self, entry: watching.UpstreamEntry) -> None:
+        """Log a change of an upstream and tell the watchers."""
+        log.info(
+            "upstream_changed",
+            upstream=entry.id,
+            service=entry.service,
+            address=entry.address,
+            zone=entry.availability_zone,
+            stage=entry.stage,
+            incarnation=entry.incarnation,
+            sequence=entry.sequence,
+            cold_ms=entry.cold_left_ms,
+            version=self.roster.version,
+        )
+        self.notify()
+
+    async def hand_over(self, version: int, *, least_controls: int) -> None:
+        """Return once the watchers in contact hold a version of the roster.
+
+        An upstream that was told that it may leave stops when it likes. A host
+        that has not heard of it goes on sending to it.
+
+        :param least_controls: other control hosts that have to hold it.
+        :raises QuorumLostError: too few control hosts hold it in time.
+        """
+        end = self._clock.monotonic() + HAND_OVER_S
+        while True:
+            now = self._clock.monotonic()
+            waiting = [
+                host_id
+                for host_id, watcher in self._watchers_by_host.items()
+                if now - watcher.seen_at < CONTACT_S and watcher.held_version < version
+            ]
+            if not waiting and self._controls_holding(version) >= least_controls:
+                return
+            if now >= end:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(end - now):
+                    await self._held.wait()
+        holding = self._controls_holding(version)
+        log.warning(
+            "hand_over_incomplete",
+            version=version,
+            waiting=",".join(waiting),
+            controls=holding,
+            least_controls=least_controls,
+        )
+        if holding < least_controls:
+            raise exceptions.QuorumLostError(
+                f"{holding} of {least_controls} other control hosts took it"
+            )
+
+    async def handle(self, body: bytes) -> bytes:
+        """Answer a watcher, at once where there is news, else when it comes."""
+        request = codec.decode_msgpack(body, watching.WatchRequest)
+        held = request.held_version if request.feed == self._feed else 0
+        self._note_watcher(request, held)
+        wait = min(request.wait_ms / 1000, MAX_WAIT_S)
+        if wait > 0 and not self._has_news(request, held):
+            news = self._news
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await news.wait()
+        now = self._clock.monotonic()
+        follow = control.FollowRequest(
+            held_revision=request.held_revision, whole=request.whole
+        )
+        reply = watching.WatchReply(
+            feed=self._feed,
+            version=self.roster.version,
+            entries=self.roster.since(held, now),
+            entry_hosts=self._count_entry_hosts(now),
+            control_addresses=self._control_addresses(),
+            configuration=await self._configuration.handle(
+                codec.encode_msgpack(follow)
+            ),
+        )
+        return codec.encode_msgpack(reply)
+
+    def _has_news(self, request: watching.WatchRequest, held: int) -> bool:
+        if self.roster.version > held or request.whole:
+            return True
+        return self._configuration.revision > request.held_revision
+
+    def _note_watcher(self, request: watching.WatchRequest, held: int) -> None:
+        self._watchers_by_host[request.host_id] = _Watcher(
+            is_entry=request.is_entry,
+            held_version=held,
+            seen_at=self._clock.monotonic(),
+        )
+        held_event, self._held = self._held, asyncio.Event()
+        held_event.set()
+
+    def _controls_holding(self, version: int) -> int:
+        return sum(
+            not watcher.is_entry and watcher.held_version >= version
+            for watcher in self._watchers_by_host.values()
+        )
+
+    def _count_entry_hosts(self, now: float) -> int:
+        self._watchers_by_host = {
+            host_id: watcher
+            for host_id, watcher in self._watchers_by_host.items()
+            if now - watcher.seen_at < WATCHER_LIFETIME_S
+        }
+        return sum(watcher.is_entry for watcher in self._watchers_by_host.values())
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            for entry in self.roster.sweep(self._clock.monotonic()):
+                self.note_change(entry)
--- /dev/null
+++ b/src/greengagehaven/daemons/watcher.py
@@ -0,0 +1,201 @@
+"""A host's calls to control hosts for news of upstreams and configuration."""
+
+import asyncio
+import typing
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import peers
+from greengagehaven.daemons import roster_feed
+from greengagehaven.protocol import codec, control, watching
+from greengagehaven.state import configuration, published
+
+WAIT_S = 1.5
+MARGIN_S = 0.7
+FIRST_WAIT_S = 0.0
+RETRY_PAUSE_S = 0.15
+LOST_AFTER_S = 3.0
+COUNT_LIFETIME_S = 15.0
+MAX_REVISION = 2**62
+
+
+class Sink(typing.Protocol):
+    """What takes the news."""
+
+    def take_entries(self, entries: tuple[watching.UpstreamEntry, ...]) -> None:
+        """Merge entries of a control host's roster."""
+
+    def take_state(self, state: configuration.ConfigurationState) -> None:
+        """Put a newer configuration in force."""
+
+    def take_entry_hosts(self, count: int) -> None:
+        """Note how many entry hosts there are."""
+
+
+class Watcher:
+    """Asks every control host at once and holds what the newest of them knows.
+
+    All of them are asked, since one that was cut off without a sign goes on
+    answering with what it last knew; the configuration only moves forward.
+
+    :param channel: calls to other hosts.
+    :param host_id: name of this host.
+    :param availability_zone: of this host.
+    :param is_entry: whether this host takes callers' requests.
+    :param control_addresses: peer addresses of control hosts to begin with.
+    :param own_address: this host's own peer address, which it does not ask.
+    :param follows: whether this host takes the configuration this way.
+    :param sink: what takes the news.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: peers.PeerChannel,
+        host_id: str,
+        availability_zone: str,
+        is_entry: bool,
+        control_addresses: abc.Iterable[str],
+        own_address: str = "",
+        follows: bool = True,
+        sink: Sink,
+        clock: clocks.Clock,
+    ) -> None:
+        self._channel = channel
+        self._host_id = host_id
+        self._availability_zone = availability_zone
+        self._is_entry = is_entry
+        self._own_address = own_address
+        self._follows = follows
+        self._sink = sink
+        self._clock = clock
+        self._published = published.Published()
+        self._needs_whole = False
+        self._counts_by_address: dict[str, tuple[float, int]] = {}
+        self._seeds = tuple(control_addresses)
+        self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self.set_seeds(self._seeds)
+
+    def set_seeds(self, addresses: abc.Iterable[str]) -> None:
+        """Ask these control hosts too."""
+        self._seeds = tuple(addresses)
+        for address in self._seeds:
+            self._watch(address)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        tasks = list(self._tasks_by_address.values())
+        self._tasks_by_address.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _watch(self, address: str) -> None:
+        if address == self._own_address or address in self._tasks_by_address:
+            return
+        task = asyncio.ensure_future(self._watch_forever(address))
+        self._tasks_by_address[address] = task
+
+    async def _watch_forever(self, address: str) -> None:
+        feed, version = "", 0
+        wait = FIRST_WAIT_S
+        heard_at: float | None = None
+        is_lost = False
+        while True:
+            request = watching.WatchRequest(
+                host_id=self._host_id,
+                availability_zone=self._availability_zone,
+                is_entry=self._is_entry,
+                feed=feed,
+                held_version=version,
+                held_revision=self._published.revision
+                if self._follows
+                else MAX_REVISION,
+                whole=self._needs_whole,
+                wait_ms=round(wait * 1000),
+            )
+            try:
+                reply = await self._ask(address, request, wait + MARGIN_S)
+                is_news = self._take(address, reply)
+            except (
+                exceptions.PeerError,
+                exceptions.InvalidRequestError,
+                exceptions.StateMismatchError,
+            ) as error:
+                now = self._clock.monotonic()
+                is_long = heard_at is None or now - heard_at > LOST_AFTER_S
+                if is_long and not is_lost:
+                    is_lost = True
+                    log.warning("control_lost", address=address, error=error.detail)
+                wait = FIRST_WAIT_S
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if is_lost or heard_at is None:
+                log.info("control_reached", address=address, feed=reply.feed)
+            is_lost = False
+            heard_at = self._clock.monotonic()
+            feed, version = reply.feed, reply.version
+            # The next call tells at once that this news is held; only then may
+            # an upstream that wants to leave be told that it can.
+            wait = FIRST_WAIT_S if is_news and reply.entries else WAIT_S
+
+    async def _ask(
+        self, address: str, request: watching.WatchRequest, timeout: float
+    ) -> watching.WatchReply:
+        data = await self._channel.call(
+            address,
+            roster_feed.WATCH_METHOD,
+            codec.encode_msgpack(request),
+            timeout=timeout,
+        )
+        return codec.decode_msgpack(data, watching.WatchReply)
+
+    def _take(self, address: str, reply: watching.WatchReply) -> bool:
+        is_news = bool(reply.entries)
+        if reply.entries:
+            self._sink.take_entries(reply.entries)
+        if reply.configuration:
+            follow = codec.decode_msgpack(reply.configuration, control.FollowReply)
+            is_news = self._take_configuration(follow) or is_news
+        self._take_count(address, reply.entry_hosts)
+        for other in reply.control_addresses:
+            self._watch(other)
+        return is_news
+
+    def _take_configuration(self, reply: control.FollowReply) -> bool:
+        before = self._published.revision
+        try:
+            if reply.state:
+                state = codec.decode_msgpack(
+                    reply.state, configuration.ConfigurationState
+                )
+                self._published.replace(state)
+                self._needs_whole = False
+            for raw in reply.deltas:
+                delta = codec.decode_msgpack(raw, configuration.Delta)
+                if delta.revision > self._published.revision:
+                    self._published.advance(delta)
+        except exceptions.StateMismatchError:
+            self._needs_whole = True
+            raise
+        if self._published.revision == before:
+            return False
+        self._sink.take_state(self._published.state)
+        return True
+
+    def _take_count(self, address: str, count: int) -> None:
+        now = self._clock.monotonic()
+        self._counts_by_address[address] = (now, count)
+        # A control host that has just started has not heard of all; a share of
+        # a bound that is too large breaks it, one that is too small does not.
+        fresh = [
+            said
+            for said_at, said in self._counts_by_address.values()
+            if now - said_at < COUNT_LIFETIME_S
+        ]
+        self._sink.take_entry_hosts(max(fresh))
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -209,6 +209,13 @@
     status = 503
 
 
+class UpstreamsFailedError(RequestError):
+    """Upstreams that may have run the request brought no answer."""
+
+    code = "upstreams_failed"
+    status = 502
+
+
 class OverloadedError(RequestError):
     """The system is saturated, and this request was not run."""
 
--- /dev/null
+++ b/src/greengagehaven/platform/announcements.py
@@ -0,0 +1,76 @@
+"""What leafs say of themselves to control hosts on the platform."""
+
+import msgspec
+
+from greengagehaven import exceptions, settings
+from greengagehaven.protocol import codec, watching
+
+_STAGES_BY_STATE = {
+    "ready": watching.Stage.READY,
+    "draining": watching.Stage.DRAINING,
+}
+
+
+class _Beat(msgspec.Struct, frozen=True, rename="camel"):
+    backend: str
+    addr: str
+    zone: str
+    slots: int
+    state: str
+    seq: int
+    born: int = 0
+    cold_left_ms: float = 0.0
+
+
+class _Goodbye(msgspec.Struct, frozen=True):
+    born: int | None = None
+
+
+class Reply(msgspec.Struct, frozen=True, rename="camel"):
+    """Answer to a beat."""
+
+
+def read_beat(upstream_id: str, data: bytes) -> watching.UpstreamEntry:
+    """Return the entry that a beat names.
+
+    :raises InvalidRequestError: it names none.
+    """
+    beat = codec.decode_json(data, _Beat, place="beat")
+    stage = _STAGES_BY_STATE.get(beat.state)
+    if stage is None:
+        raise exceptions.InvalidRequestError(
+            place="beat.state", value=beat.state, expected="ready or draining"
+        )
+    if not (upstream_id and beat.backend and beat.zone and beat.slots > 0):
+        raise exceptions.InvalidRequestError(
+            place="beat",
+            value=data[:80],
+            expected="an id, a backend, a zone and slots above 0",
+        )
+    try:
+        settings.parse_address("beat.addr", beat.addr)
+    except exceptions.SettingError as error:
+        raise exceptions.InvalidRequestError(
+            place="beat.addr", value=beat.addr, expected=error.expected
+        ) from error
+    return watching.UpstreamEntry(
+        id=upstream_id,
+        incarnation=beat.born,
+        sequence=beat.seq,
+        service=beat.backend,
+        address=beat.addr,
+        availability_zone=beat.zone,
+        stage=stage,
+        slots=beat.slots,
+        cold_left_ms=max(0, round(beat.cold_left_ms)),
+    )
+
+
+def read_goodbye(data: bytes) -> int | None:
+    """Return the incarnation that says goodbye, ``None`` where it names none.
+
+    :raises InvalidRequestError: it cannot be read.
+    """
+    if not data.strip():
+        return None
+    return codec.decode_json(data, _Goodbye, place="goodbye").born
--- /dev/null
+++ b/src/greengagehaven/platform/control_doors.py
@@ -0,0 +1,91 @@
+"""The platform's calls to a control host, handed to the product's own."""
+
+import typing
+import urllib.parse
+from collections import abc
+
+from greengagehaven import exceptions
+from greengagehaven.daemons import orders, registrar
+from greengagehaven.platform import announcements, documents, names
+from greengagehaven.transport import http
+
+_RETRY_AFTER_S = "0.3"
+
+Route = abc.Callable[[http.Request, str], typing.Awaitable[http.Response]]
+
+
+class ControlDoors:
+    """Answers leafs and the operator.
+
+    :param orders: carries out the operator's orders.
+    :param registrar: takes what leafs announce.
+    """
+
+    def __init__(
+        self, *, orders: orders.Orders, registrar: registrar.Registrar
+    ) -> None:
+        self._orders = orders
+        self._registrar = registrar
+        self._routes: dict[tuple[str, str], Route] = {
+            ("PUT", names.CONFIG_PATH): self._put_config,
+            ("GET", names.CONFIG_PATH): self._get_config,
+            ("POST", names.EVACUATE_PATH): self._post_evacuation,
+            ("DELETE", names.EVACUATE_PATH): self._delete_evacuation,
+            ("PUT", names.INSTANCES_PATH): self._put_instance,
+            ("DELETE", names.INSTANCES_PATH): self._delete_instance,
+        }
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Answer one call.
+
+        :raises GreengagehavenError: it is refused; the server writes it out.
+        """
+        path = request.path
+        if path == names.CONFIG_PATH:
+            prefix, rest = path, ""
+        else:
+            prefix, rest = path[: path.rfind("/") + 1], path[path.rfind("/") + 1 :]
+        route = self._routes.get((request.method, prefix))
+        if route is None:
+            raise exceptions.NotFoundError(f"no such call: {request.method} {path}")
+        try:
+            return await route(request, urllib.parse.unquote(rest))
+        except exceptions.ControlError as error:
+            if error.status != 503:
+                raise
+            return http.Response(
+                status=503, body=b"{}", headers=(("Retry-After", _RETRY_AFTER_S),)
+            )
+
+    async def _put_config(self, request: http.Request, _: str) -> http.Response:
+        try:
+            documents.read(request.body)
+        except exceptions.DocumentError as error:
+            raise exceptions.InvalidRequestError(
+                place="config", value="", expected=error.detail
+            ) from error
+        number = documents.number_of(request.body)
+        await self._orders.put_document(number, request.body)
+        return _OK
+
+    async def _get_config(self, _request: http.Request, _: str) -> http.Response:
+        return http.Response(status=200, body=await self._orders.read_document())
+
+    async def _post_evacuation(self, _: http.Request, zone: str) -> http.Response:
+        await self._orders.set_zone(zone, drained=True)
+        return _OK
+
+    async def _delete_evacuation(self, _: http.Request, zone: str) -> http.Response:
+        await self._orders.set_zone(zone, drained=False)
+        return _OK
+
+    async def _put_instance(self, request: http.Request, name: str) -> http.Response:
+        await self._registrar.announce(announcements.read_beat(name, request.body))
+        return _OK
+
+    async def _delete_instance(self, request: http.Request, name: str) -> http.Response:
+        await self._registrar.withdraw(name, announcements.read_goodbye(request.body))
+        return _OK
+
+
+_OK = http.Response(status=200, body=b"{}")
--- /dev/null
+++ b/src/greengagehaven/platform/documents.py
@@ -0,0 +1,161 @@
+"""The operator's configuration on the platform, read as a table of routes."""
+
+import math
+
+import msgspec
+
+from greengagehaven import exceptions
+from greengagehaven.protocol import codec
+from greengagehaven.state import routes
+
+_IDEMPOTENT = "idempotent"
+_MS = 1000.0
+
+
+class _Weighted(msgspec.Struct, frozen=True):
+    backend: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    backend: str | None = None
+    weighted_backends: tuple[_Weighted, ...] | None = None
+    gather: tuple[str, ...] | None = None
+    top_k: int = msgspec.field(default=0, name="topK")
+    min_coverage: float = 1.0
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    max_conns: int = 0
+    cold_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_000_000
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 75_000.0
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+
+
+def read(data: bytes) -> routes.RoutingTable:
+    """Return the table that a configuration holds.
+
+    :raises DocumentError: it must not come into force.
+    """
+    try:
+        config = codec.decode_json(data, _Config, place="config")
+    except exceptions.InvalidRequestError as error:
+        mistake = exceptions.DocumentMistakeError(
+            place="config", value="", expected=error.detail
+        )
+        raise exceptions.DocumentError(mistakes=[mistake]) from error
+    mistakes = _mistakes_of(config)
+    if mistakes:
+        raise exceptions.DocumentError(mistakes=mistakes)
+    return routes.RoutingTable(
+        number=config.version,
+        routes=[_route_of(route) for route in config.routes],
+        limits_by_service={
+            service.name: routes.ServiceLimits(
+                connections=service.max_conns, cold_rate=service.cold_per_s
+            )
+            for service in config.services
+        },
+        caller_limits=routes.CallerLimits(
+            head_bytes=config.limits.max_header_bytes,
+            body_bytes=config.limits.max_body_bytes,
+            head_timeout=config.limits.header_timeout_ms / _MS,
+            idle_timeout=config.limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def number_of(data: bytes) -> int:
+    """Return the operator's number of a configuration that ``read`` took."""
+    return codec.decode_json(data, _Config, place="config").version
+
+
+def _route_of(route: _Route) -> routes.Route:
+    services = tuple(
+        routes.WeightedService(service=part.backend, weight=part.weight)
+        for part in route.weighted_backends or ()
+        if part.weight > 0
+    )
+    if route.backend is not None:
+        services = (routes.WeightedService(service=route.backend, weight=1.0),)
+    return routes.Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        services=() if route.gather else services,
+        shards=route.gather or (),
+        is_idempotent=bool(route.gather) or route.type == _IDEMPOTENT,
+        attempts=max(1, route.attempts),
+        timeout=route.timeout_ms / _MS,
+        objective=(route.slo_ms or route.timeout_ms) / _MS,
+        priority=route.priority,
+        top_records=route.top_k,
+        least_coverage=route.min_coverage,
+    )
+
+
+def _mistakes_of(config: _Config) -> list[exceptions.DocumentMistakeError]:
+    mistakes = []
+    names = {service.name for service in config.services}
+    places: set[tuple[str, str]] = set()
+    for number, route in enumerate(config.routes):
+        place = f"routes[{number}]"
+        place_key = (route.host.lower(), route.path_prefix)
+        if place_key in places:
+            mistakes.append(_mistake(place, route.path_prefix, "a prefix of its own"))
+        places.add(place_key)
+        if not math.isfinite(route.timeout_ms) or route.timeout_ms <= 0:
+            mistakes.append(
+                _mistake(f"{place}.timeoutMs", route.timeout_ms, "more than 0")
+            )
+        mistakes += _mistakes_of_services(place, route, names)
+    return mistakes
+
+
+def _mistakes_of_services(
+    place: str, route: _Route, names: set[str]
+) -> list[exceptions.DocumentMistakeError]:
+    weighted = route.weighted_backends or ()
+    used = [part.backend for part in weighted]
+    used += route.gather or ()
+    used += [] if route.backend is None else [route.backend]
+    mistakes = [
+        _mistake(place, name, "the name of a service")
+        for name in used
+        if name not in names
+    ]
+    if not used:
+        mistakes.append(_mistake(place, "", "at least one service"))
+    has_weight = all(part.weight >= 0 for part in weighted)
+    if weighted and not (has_weight and sum(part.weight for part in weighted) > 0):
+        mistakes.append(_mistake(f"{place}.weightedBackends", 0, "weights above 0"))
+    if route.gather is not None and len(set(route.gather)) != len(route.gather):
+        mistakes.append(_mistake(f"{place}.gather", "", "each service once"))
+    return mistakes
+
+
+def _mistake(
+    place: str, value: object, expected: str
+) -> exceptions.DocumentMistakeError:
+    return exceptions.DocumentMistakeError(place=place, value=value, expected=expected)
--- /dev/null
+++ b/src/greengagehaven/platform/names.py
@@ -0,0 +1,22 @@
+"""Names of headers and paths that the platform speaks."""
+
+from greengagehaven.protocol import exchange
+
+_HEADER_PREFIX = "x-greengagehaven-"
+_PATH_PREFIX = "/greengagehaven"
+
+READY_PATH = f"{_PATH_PREFIX}/readyz"
+CONFIG_PATH = f"{_PATH_PREFIX}/config"
+INSTANCES_PATH = f"{_PATH_PREFIX}/instances/"
+EVACUATE_PATH = f"{_PATH_PREFIX}/evacuate/"
+
+HEADERS = exchange.HeaderNames(
+    request_id=f"{_HEADER_PREFIX}request-id",
+    time_left=f"{_HEADER_PREFIX}deadline-ms",
+    expected_upstream=f"{_HEADER_PREFIX}expect-instance",
+    signature=f"{_HEADER_PREFIX}response-stamp",
+    not_run=f"{_HEADER_PREFIX}not-executed",
+    load=f"{_HEADER_PREFIX}server-load",
+    part_signatures=f"{_HEADER_PREFIX}part-stamps",
+    missing_parts=f"{_HEADER_PREFIX}missing-parts",
+)
--- /dev/null
+++ b/src/greengagehaven/platform/settings.py
@@ -0,0 +1,169 @@
+"""The platform's settings file: lines of ``a.b=value``."""
+
+import dataclasses
+import os
+import pathlib
+from collections import abc
+
+from greengagehaven import exceptions, settings
+
+PATH_VARIABLE = "GREENGAGEHAVEN_CONFIG"
+DEFAULT_PATH = "/etc/greengagehaven/local.conf"
+_TRUE = {"true": True, "false": False}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeSettings:
+    """What a process reads of its settings file.
+
+    :param first_port: first of the ports that are free for talk between hosts.
+    :param seeds: addresses of control hosts as upstreams call them.
+    :param listen_by_door: ``IP:PORT`` by what is served there.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    first_port: int
+    seeds: tuple[str, ...]
+    listen_by_door: abc.Mapping[str, str]
+    bootstrap: bool
+    data_folder: str
+    heartbeat_ms: int
+    retry_ratio: float
+    retry_burst: float
+    grace_s: float
+    cold_factor: float
+    cold_slack: float
+
+    @property
+    def peer_address(self) -> str:
+        """Return where other hosts reach this one."""
+        return settings.format_address(self.ip, self.first_port)
+
+    def door(self, name: str) -> str:
+        """Return the ``IP:PORT`` of what this process serves.
+
+        :raises SettingError: it is told none.
+        """
+        address = self.listen_by_door.get(name)
+        if address is None:
+            raise exceptions.SettingError(
+                place=f"listen.{name}", value="", expected="IP:PORT"
+            )
+        return address
+
+    @property
+    def control_addresses(self) -> tuple[str, ...]:
+        """Return where the seeds answer other hosts; ports are alike everywhere."""
+        hosts = (settings.parse_address("seeds", seed)[0] for seed in self.seeds)
+        return tuple(settings.format_address(host, self.first_port) for host in hosts)
+
+
+def path() -> pathlib.Path:
+    """Return the path of the settings file."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def load(file: pathlib.Path) -> NodeSettings:
+    """Read the settings file.
+
+    :raises SettingError: it cannot be read, or a field that is needed is
+        missing or odd.
+    """
+    try:
+        return parse(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingError(
+            place=PATH_VARIABLE, value=str(file), expected=f"a text file ({error})"
+        ) from error
+
+
+def parse(text: str) -> NodeSettings:
+    """Return the settings that lines hold; unknown fields are ignored.
+
+    :raises SettingError: a field that is needed is missing or odd.
+    """
+    fields = _Fields(text)
+    listen_by_door = fields.under("listen.")
+    for door, address in listen_by_door.items():
+        settings.parse_address(f"listen.{door}", address)
+    seeds = fields.items("seeds")
+    for seed in seeds:
+        settings.parse_address("seeds", seed)
+    ip = fields.text("ip")
+    settings.parse_address("ip", f"{ip}:0")
+    return NodeSettings(
+        node=fields.text("node"),
+        ip=ip,
+        zone=fields.text("zone"),
+        first_port=round(fields.number("internalPorts", 0)),
+        seeds=seeds,
+        listen_by_door=listen_by_door,
+        bootstrap=fields.flag("bootstrap"),
+        data_folder=fields.get("dataDir"),
+        heartbeat_ms=round(fields.number("heartbeatMs")),
+        retry_ratio=fields.number("bounds.retryRatio"),
+        retry_burst=fields.number("bounds.retryBurst"),
+        grace_s=fields.number("bounds.graceS"),
+        cold_factor=fields.number("bounds.coldFactor"),
+        cold_slack=fields.number("bounds.coldSlack"),
+    )
+
+
+class _Fields:
+    """Fields by name, read with checks."""
+
+    def __init__(self, text: str) -> None:
+        self._values_by_name: dict[str, str] = {}
+        for line in text.splitlines():
+            name, separator, value = line.partition("=")
+            if separator:
+                self._values_by_name[name.strip()] = value.strip()
+
+    def get(self, name: str) -> str:
+        """Return a field, empty where it is missing."""
+        return self._values_by_name.get(name, "")
+
+    def text(self, name: str) -> str:
+        """Return a field that has to be there."""
+        value = self.get(name)
+        if not value:
+            raise exceptions.SettingError(place=name, value=value, expected="a value")
+        return value
+
+    def items(self, name: str) -> tuple[str, ...]:
+        """Return the items of a list."""
+        return tuple(item.strip() for item in self.text(name).split(","))
+
+    def number(self, name: str, position: int | None = None) -> float:
+        """Return a number, or the one at a position of a list."""
+        value = self.text(name)
+        if position is not None:
+            value = self.items(name)[position]
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if not 0 <= number < float("inf"):
+            raise exceptions.SettingError(
+                place=name, value=value, expected="a number from 0 on"
+            )
+        return number
+
+    def flag(self, name: str) -> bool:
+        """Return a truth value."""
+        value = self.text(name)
+        if value not in _TRUE:
+            raise exceptions.SettingError(
+                place=name, value=value, expected="true or false"
+            )
+        return _TRUE[value]
+
+    def under(self, prefix: str) -> dict[str, str]:
+        """Return the fields below a name."""
+        return {
+            name.removeprefix(prefix): value
+            for name, value in self._values_by_name.items()
+            if name.startswith(prefix) and value
+        }
--- /dev/null
+++ b/src/greengagehaven/protocol/watching.py
@@ -0,0 +1,142 @@
+"""Messages by which hosts learn of upstreams and of the configuration."""
+
+import enum
+
+import msgspec
+
+GONE_SEQUENCE = 2**62
+
+
+class Stage(enum.StrEnum):
+    """Life stage of an upstream as hosts hand it on.
+
+    ``SILENT`` is no stage that an upstream announces: the host that heard it
+    last has heard nothing for some time.
+    """
+
+    READY = "ready"
+    DRAINING = "draining"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class UpstreamEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What is known of one upstream, ordered by ``order``.
+
+    :param incarnation: of this start; a later start has a greater one.
+    :param sequence: of the announcement within the incarnation.
+    :param slots: requests that it runs at a time.
+    :param cold_left_ms: how much longer it is slow after its start.
+    :param holder: control host that heard it last.
+    """
+
+    id: str
+    incarnation: int
+    sequence: int
+    service: str
+    address: str
+    availability_zone: str
+    stage: Stage
+    slots: int
+    cold_left_ms: int = 0
+    holder: str = ""
+
+    @property
+    def order(self) -> tuple[int, int, bool]:
+        """Return what decides which of two entries of one id is newer."""
+        return (self.incarnation, self.sequence, self.stage is Stage.SILENT)
+
+    @property
+    def is_live(self) -> bool:
+        """Tell whether it is neither gone nor silent."""
+        return self.stage in (Stage.READY, Stage.DRAINING)
+
+    def says_same(self, other: "UpstreamEntry") -> bool:
+        """Tell whether two announcements differ in nothing that others need."""
+        return self._facts() == other._facts()
+
+    def with_holder(self, holder: str) -> "UpstreamEntry":
+        """Return the entry as heard by another control host."""
+        return msgspec.structs.replace(self, holder=holder)
+
+    def with_cold(self, left_ms: int) -> "UpstreamEntry":
+        """Return the entry with what is left of its cold start."""
+        return msgspec.structs.replace(self, cold_left_ms=left_ms)
+
+    def as_silent(self) -> "UpstreamEntry":
+        """Return the entry of an upstream that announces nothing any more."""
+        return msgspec.structs.replace(self, stage=Stage.SILENT)
+
+    def as_gone(self, incarnation: int | None = None) -> "UpstreamEntry":
+        """Return the entry that no announcement of this incarnation undoes."""
+        return msgspec.structs.replace(
+            self,
+            incarnation=self.incarnation if incarnation is None else incarnation,
+            stage=Stage.GONE,
+            sequence=GONE_SEQUENCE,
+            cold_left_ms=0,
+        )
+
+    def _facts(self) -> tuple:
+        return (
+            self.incarnation,
+            self.service,
+            self.address,
+            self.availability_zone,
+            self.stage,
+            self.slots,
+            self.holder,
+            self.cold_left_ms > 0,
+        )
+
+
+def unknown_gone(upstream_id: str, incarnation: int) -> UpstreamEntry:
+    """Return the entry of an upstream that left and of which no more is known."""
+    return UpstreamEntry(
+        id=upstream_id,
+        incarnation=incarnation,
+        sequence=GONE_SEQUENCE,
+        service="",
+        address="",
+        availability_zone="",
+        stage=Stage.GONE,
+        slots=1,
+    )
+
+
+class WatchRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Ask a control host for what changed.
+
+    :param is_entry: whether the asking host takes callers' requests.
+    :param feed: name of the run of the control host that ``held_version``
+        counts in; another run starts counting anew.
+    :param held_version: the newest version of its roster that is merged here.
+    :param held_revision: the newest configuration held; deltas follow it.
+    :param whole: ask for the whole configuration.
+    :param wait_ms: how long to wait for news where there is none.
+    """
+
+    host_id: str
+    availability_zone: str
+    is_entry: bool
+    feed: str = ""
+    held_version: int = 0
+    held_revision: int = 0
+    whole: bool = False
+    wait_ms: int = 0
+
+
+class WatchReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What changed at a control host.
+
+    :param entry_hosts: entry hosts that this control host heard of lately.
+    :param control_addresses: peer addresses of the members of the log.
+    :param configuration: a ``FollowReply``, encoded.
+    """
+
+    feed: str
+    version: int
+    entries: tuple[UpstreamEntry, ...] = ()
+    entry_hosts: int = 0
+    control_addresses: tuple[str, ...] = ()
+    configuration: bytes = b""
--- a/src/greengagehaven/state/changes.py
+++ b/src/greengagehaven/state/changes.py
@@ -37,6 +37,10 @@
     :param base_digest: of the document that ``splice`` changes.
     :param splice: ``None`` where the change is bound to be refused.
     :param proved: whether a valid proof came with it.
+    :param number: the operator's number, ``None`` where documents have none.
+    :param document: the whole of a numbered document. It may replace any other,
+        so it is not bound to the base that its leader saw: a change before it
+        whose outcome was not known would get it refused for good.
     """
 
     expected_revision: int | None
@@ -44,6 +48,8 @@
     base_digest: str = ""
     splice: configuration.Splice | None = None
     proved: bool = False
+    number: int | None = None
+    document: bytes = b""
 
 
 class ZoneEntry(_Entry, frozen=True, kw_only=True, tag=True):
@@ -172,6 +178,8 @@
         return None
 
     def _decide_document(self, entry: DocumentEntry) -> Refusal | None:
+        if entry.number is not None:
+            return self._decide_numbered(entry, entry.number)
         conflict = self._conflict(entry.expected_revision)
         if conflict is not None:
             return conflict
@@ -185,6 +193,18 @@
             _keep(self.proofs_by_digest, entry.digest, b"")
         return None
 
+    def _decide_numbered(self, entry: DocumentEntry, number: int) -> Refusal | None:
+        if number <= self.state.number:
+            # Two operators may send at once and an old change may arrive again.
+            # Refused, its operator would send it for ever; obeyed, it would undo
+            # what was acknowledged after it.
+            return None
+        if entry.digest in self.withdrawals_by_digest:
+            return Refusal("proof_refused", f"digest {entry.digest} was withdrawn")
+        splice = configuration.splice_between(self.state.document, entry.document)
+        self._advance(splice=splice, digest=entry.digest, number=number)
+        return None
+
     def _conflict(self, expected: int | None) -> Refusal | None:
         current = self.state.revision
         if expected is None or expected == current:
@@ -233,6 +253,7 @@
         fields = {
             "digest": state.digest,
             "drained_zones": state.drained_zones,
+            "number": state.number,
             "revision": state.revision + 1,
             **changed,
         }
@@ -269,7 +290,10 @@
         change would be refused for its base.
     """
     splice = None
-    if refusal is None and change.expected_revision in (None, state.revision):
+    whole = b""
+    if change.number is not None:
+        whole = change.document if refusal is None else b""
+    elif refusal is None and change.expected_revision in (None, state.revision):
         splice = configuration.splice_between(state.document, change.document)
     return DocumentEntry(
         change_id=change.change_id,
@@ -281,6 +305,8 @@
         base_digest=state.digest,
         splice=splice,
         proved=proved,
+        number=change.number,
+        document=whole,
     )
 
 
--- a/src/greengagehaven/state/configuration.py
+++ b/src/greengagehaven/state/configuration.py
@@ -50,12 +50,14 @@
     :param document: the TOML bytes, empty before the first document.
     :param digest: SHA-256 of the document in hex, empty before the first.
     :param drained_zones: availability zones that take no new work.
+    :param number: the operator's own number of the document, 0 where it has none.
     """
 
     revision: int = 0
     document: bytes = b""
     digest: str = ""
     drained_zones: tuple[str, ...] = ()
+    number: int = 0
 
 
 class Delta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -63,12 +65,14 @@
 
     :param splice: the change to the document, ``None`` where it stays.
     :param digest: of the document after it.
+    :param number: the operator's number of the document after it.
     """
 
     revision: int
     digest: str
     drained_zones: tuple[str, ...] = ()
     splice: Splice | None = None
+    number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,6 +84,8 @@
     :param expected_revision: revision the operator saw; ``None`` to force.
     :param proof: signed statement of the trial environment, where production
         demands one.
+    :param number: the operator's own number of the document. The highest is in
+        force; one that is not higher is accepted and changes nothing.
     """
 
     change_id: str
@@ -87,6 +93,7 @@
     document: bytes
     expected_revision: int | None
     proof: bytes = b""
+    number: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/state/published.py
+++ b/src/greengagehaven/state/published.py
@@ -49,6 +49,7 @@
             document=data,
             digest=delta.digest,
             drained_zones=delta.drained_zones,
+            number=delta.number,
         )
         self._keep(delta)
 
--- /dev/null
+++ b/src/greengagehaven/state/roster.py
@@ -0,0 +1,153 @@
+"""Upstreams that announced themselves, as control hosts hand them on.
+
+What control hosts and entry hosts hold is merged by (incarnation, sequence), so
+the order in which news arrives does not matter. A host that was away asks for
+what changed since a version of the host that it asks.
+"""
+
+import collections
+import dataclasses
+from collections import abc
+
+from greengagehaven.protocol import watching
+
+GONE_KEPT_S = 120.0
+MAX_GAP_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Held:
+    """An entry as this host holds it; moments are on its monotonic clock.
+
+    :param version: this host's count when the entry last changed here.
+    """
+
+    entry: watching.UpstreamEntry
+    cold_until: float
+    changed_at: float
+    version: int
+
+
+class Roster:
+    """Entries by id; each change gets the next version.
+
+    :param holder: name of this host, for entries that it hears itself.
+    :param silence: seconds without an announcement after which an upstream that
+        this host heard last is told to be silent.
+    """
+
+    def __init__(self, *, holder: str, silence: float) -> None:
+        self.version = 0
+        self._holder = holder
+        self._silence = silence
+        self._held_by_id: collections.OrderedDict[str, Held] = collections.OrderedDict()
+        self._id_by_address: dict[str, str] = {}
+        self._heard_at_by_id: dict[str, float] = {}
+        self._swept_at: float | None = None
+
+    @property
+    def held_by_id(self) -> abc.Mapping[str, Held]:
+        """Return every entry, gone ones included while they are remembered."""
+        return self._held_by_id
+
+    def announce(self, entry: watching.UpstreamEntry, now: float) -> bool:
+        """Take an announcement made to this host; return whether it is news.
+
+        A renewal that says nothing new changes nothing, so that only changes
+        travel to other hosts.
+        """
+        held = self._held_by_id.get(entry.id)
+        known = None if held is None else held.entry
+        if known is not None and entry.order < known.order:
+            return False
+        self._heard_at_by_id[entry.id] = now
+        entry = entry.with_holder(self._holder)
+        if known is not None and known.says_same(entry):
+            # The sequence is kept without a version: a late older announcement
+            # must not win, but nobody else needs to hear of a renewal.
+            assert held is not None
+            self._held_by_id[entry.id] = dataclasses.replace(held, entry=entry)
+            return False
+        return self._put(entry, now)
+
+    def merge(self, entry: watching.UpstreamEntry, now: float) -> bool:
+        """Take an entry of another host; return whether it is news."""
+        held = self._held_by_id.get(entry.id)
+        if held is not None and entry.order <= held.entry.order:
+            return False
+        return self._put(entry, now)
+
+    def since(self, version: int, now: float) -> tuple[watching.UpstreamEntry, ...]:
+        """Return the entries that changed after ``version``."""
+        changed = []
+        for held in reversed(self._held_by_id.values()):
+            if held.version <= version:
+                break
+            left_ms = max(0, round((held.cold_until - now) * 1000))
+            changed.append(held.entry.with_cold(left_ms))
+        changed.reverse()
+        return tuple(changed)
+
+    def sweep(self, now: float) -> list[watching.UpstreamEntry]:
+        """Mark upstreams that fell silent here, and return them.
+
+        A host that stood still itself hears all announcements late. It would
+        call every upstream silent when it wakes, so it starts counting anew.
+        """
+        stood_still = self._swept_at is not None and now - self._swept_at > MAX_GAP_S
+        self._swept_at = now
+        if stood_still:
+            self._heard_at_by_id = dict.fromkeys(self._heard_at_by_id, now)
+        silent = []
+        for upstream_id, heard_at in list(self._heard_at_by_id.items()):
+            held = self._held_by_id.get(upstream_id)
+            if held is None or held.entry.holder != self._holder:
+                del self._heard_at_by_id[upstream_id]
+            elif now - heard_at > self._silence and held.entry.is_live:
+                del self._heard_at_by_id[upstream_id]
+                entry = held.entry.as_silent()
+                self._put(entry, now)
+                silent.append(entry)
+        self._forget_gone(now)
+        return silent
+
+    def _put(self, entry: watching.UpstreamEntry, now: float) -> bool:
+        if entry.is_live and not self._take_address(entry, now):
+            return False
+        self._store(entry, now)
+        return True
+
+    def _take_address(self, entry: watching.UpstreamEntry, now: float) -> bool:
+        """Give the address to the later incarnation; return whether it is this.
+
+        Addresses are used again. An announcement that was held up by a
+        partition may arrive after its sender died and another one took over.
+        """
+        owner = self._held_by_id.get(self._id_by_address.get(entry.address, ""))
+        is_other = owner is not None and owner.entry.id != entry.id
+        if is_other and owner.entry.is_live and owner.entry.address == entry.address:
+            if owner.entry.incarnation > entry.incarnation:
+                return False
+            self._store(owner.entry.as_gone(), now)
+        self._id_by_address[entry.address] = entry.id
+        return True
+
+    def _store(self, entry: watching.UpstreamEntry, now: float) -> None:
+        self.version += 1
+        self._held_by_id[entry.id] = Held(
+            entry=entry,
+            cold_until=now + entry.cold_left_ms / 1000,
+            changed_at=now,
+            version=self.version,
+        )
+        self._held_by_id.move_to_end(entry.id)
+
+    def _forget_gone(self, now: float) -> None:
+        for upstream_id, held in list(self._held_by_id.items()):
+            if now - held.changed_at < GONE_KEPT_S:
+                return
+            if held.entry.is_live:
+                continue
+            del self._held_by_id[upstream_id]
+            if self._id_by_address.get(held.entry.address) == upstream_id:
+                del self._id_by_address[held.entry.address]
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -54,6 +54,7 @@
         self._head: h11.Response | None = None
         self._chunks: list[bytes] = []
         self._reply_bytes = 0
+        self._awaits_reply = False
 
     @property
     def is_open(self) -> bool:
@@ -94,11 +95,16 @@
         if body:
             data += self._codec.send(h11.Data(data=body)) or b""
         data += self._codec.send(h11.EndOfMessage()) or b""
+        self._awaits_reply = True
         self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a reply."""
         self.last_progress = self._clock.monotonic()
+        if not self._awaits_reply:
+            # The next exchange would take these bytes for its own reply.
+            self.abort("bytes that nobody asked for")
+            return
         try:
             self._codec.receive_data(data)
             self._read_events()
@@ -143,6 +149,7 @@
         reply = self._take_reply()
         if reply is None:
             return
+        self._awaits_reply = False
         if self._codec.their_state is h11.DONE and self._codec.our_state is h11.DONE:
             self._codec.start_next_cycle()
             if self._codec.trailing_data[0]:
--- a/src/greengagehaven/transport/http.py
+++ b/src/greengagehaven/transport/http.py
@@ -54,6 +54,7 @@
 class Request:
     """A request that was read whole.
 
+    :param target: path and query string as they came.
     :param path: decoded path without the query string.
     :param parameters: the query string's last value of each name.
     :param peer: ``IP:PORT`` of the other side.
@@ -65,15 +66,19 @@
     headers: Headers
     body: bytes
     peer: str
+    target: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
-    """A response, written with a ``Content-Length``."""
+    """A response, written with a ``Content-Length``.
+
+    :param content_type: ``None`` where the headers say it, or nothing does.
+    """
 
     status: int
     body: bytes = b""
-    content_type: str = "application/json"
+    content_type: str | None = "application/json"
     headers: tuple[tuple[str, str], ...] = ()
 
 
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -120,7 +120,10 @@
         return settings.format_address(bound_host, bound_port)
 
     async def drain(
-        self, bound: datetime.timedelta = datetime.timedelta(seconds=30)
+        self,
+        bound: datetime.timedelta = datetime.timedelta(seconds=30),
+        *,
+        accept_for: datetime.timedelta = datetime.timedelta(),
     ) -> int:
         """Stop accepting, let requests finish, close connections.
 
@@ -128,13 +131,18 @@
         was already under way when the drain began is still answered.
 
         :param bound: longest wait.
+        :param accept_for: how long new connections are still taken, each for one
+            request. A balancer goes on sending some until it has noticed.
         :return: requests that were not finished; ``close`` cuts them off.
         """
         self.draining = True
-        self._stop_listening()
         now = self.clock.monotonic()
         end = now + bound.total_seconds()
-        idle_end = now + min(bound, self.limits.linger).total_seconds()
+        if accept_for:
+            await asyncio.sleep(accept_for.total_seconds())
+        self._stop_listening()
+        now = self.clock.monotonic()
+        idle_end = now + min(bound - accept_for, self.limits.linger).total_seconds()
         while self._connections and self.clock.monotonic() < end:
             if self.clock.monotonic() >= idle_end:
                 for connection in list(self._idle):
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -40,7 +40,6 @@
     def __init__(self, *, owner: typing.Any) -> None:
         self.deadline = NEVER
         self._owner = owner
-        self._limits = owner.limits
         self._state = State.CLOSED
         self._transport: typing.Any = None
         self._codec = h11.Connection(
@@ -56,6 +55,12 @@
         self._closes_after_write = False
         self.peer = ""
 
+    @property
+    def _limits(self) -> typing.Any:
+        # Asked anew each time: an operator may change them, and a connection
+        # that is open for hours would go by old ones.
+        return self._owner.limits
+
     @property
     def is_blocked(self) -> bool:
         """Tell whether a response waits for the other side to read."""
@@ -275,11 +280,9 @@
         self.deadline = self._owner.clock.monotonic() + write_timeout
 
     def _encode(self, response: http.Response) -> bytes:
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(response.body))),
-            *response.headers,
-        ]
+        headers = [("Content-Length", str(len(response.body))), *response.headers]
+        if response.content_type is not None:
+            headers.insert(0, ("Content-Type", response.content_type))
         if self._closes_after_write:
             headers.append(("Connection", "close"))
         head = h11.Response(
@@ -386,6 +389,7 @@
         headers=http.Headers.from_wire(head.headers),
         body=body,
         peer=peer,
+        target=target,
     )
 
 
