--- /dev/null
+++ b/features/exchanges.feature
@@ -0,0 +1,74 @@
+Feature: Exchanges of bytes with upstreams
+
+  Scenario: A whole reply with the request's id and a signature counts
+    Given an upstream that replies well
+    When 2 exchanges are made one after the other
+    Then both succeed over 1 connection
+
+  Scenario: A reply to another request
+    An upstream answers late, on a connection that carries the next request by
+    then. Its caller would get another caller's record.
+
+    Given an upstream that echoes another request's id
+    When an exchange is made
+    Then it fails as garbled
+    And its connection is not used again
+
+  Scenario: A success without a signature
+    Something that is not the upstream answers at its address.
+
+    Given an upstream that signs nothing
+    When an exchange is made
+    Then it fails as garbled
+
+  Scenario: A body that was encoded on the way
+    Given an upstream whose replies are encoded
+    When an exchange is made
+    Then it fails as garbled
+
+  Scenario: A reply without a length ends with its connection
+    Given an upstream whose reply ends with its connection
+    When an exchange is made
+    Then it succeeds
+
+  Scenario: A reply without a length is cut off by a reset
+    The bytes that came look like a whole reply. Passed on, a caller would take
+    half a record for all of it.
+
+    Given an upstream whose reply without a length is cut off by a reset
+    When an exchange is made
+    Then it fails as lost
+
+  Scenario: Bytes that nobody asked for come on an idle connection
+    The next request would be answered with them.
+
+    Given an upstream that sends a second reply a little later
+    When 2 exchanges are made with a pause between them
+    Then both succeed over 2 connections
+
+  Scenario: Nothing listens
+    Given an address where nothing listens
+    When an exchange is made
+    Then it fails as connect
+
+  Scenario: An upstream that refuses without running
+    Given an upstream that is full
+    When an exchange is made
+    Then it is told not to have run
+
+  Scenario: Nobody waits for an attempt that soon ends by itself
+    A hedge won. The loser's connection took the upstream 6 ms of a slot to set
+    up, and cutting it would cost that again.
+
+    Given an upstream that replies after 50 ms
+    When an exchange is made and released at once
+    And another exchange is made after it
+    Then both succeed over 1 connection
+
+  Scenario: Nobody waits for an attempt that lasts
+    The caller left. The upstream would work on for nobody.
+
+    Given an upstream that never replies
+    When an exchange is made and released at once
+    Then it fails as silent
+    And the upstream sees the connection end
--- /dev/null
+++ b/features/fakes/leafs.py
@@ -0,0 +1,245 @@
+"""Leafs, an operator and clients of the platform, on loopback."""
+
+import asyncio
+import datetime
+import json
+import random
+import socket
+import tempfile
+
+from greengagehaven import clock
+from greengagehaven.coordination.raft import timing
+from greengagehaven.coordination.routing import router
+from greengagehaven.daemons import control, gateway, register
+from greengagehaven.platform import control_doors, documents, names
+from greengagehaven.transport import http, http_client, http_server
+
+HOST = "leno12.example"
+SHARDS = ("huvo11a", "lohu93e")
+RECORD = bytes(range(16))
+PATIENCE_S = 20.0
+PERIOD_S = 0.3
+CONTROLS = 3
+SWEEP_PATH = "/nono601/no91/2f"
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def configuration(version=7, **changed):
+    route = {
+        "name": "r-1",
+        "host": HOST,
+        "pathPrefix": "/nono601/no91/",
+        "type": "idempotent",
+        "timeoutMs": 2000,
+        "sloMs": 1000,
+        "priority": 1,
+        "gather": list(SHARDS),
+        "attempts": 2,
+        "topK": 5,
+        "minCoverage": 0.75,
+    }
+    single = {
+        "name": "r-2",
+        "host": HOST,
+        "pathPrefix": "/rany330/",
+        "type": "non_idempotent",
+        "timeoutMs": 2000,
+        "sloMs": 1000,
+        "priority": 2,
+        "backend": SHARDS[0],
+        "attempts": 2,
+    }
+    service = {"healthPath": "/healthz", "maxConns": 26, "protocol": "h1"}
+    return {
+        "version": version,
+        "routes": [route, single],
+        "services": [{"name": name, **service} for name in SHARDS],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
+        **changed,
+    }
+
+
+class Leaf:
+    """Answers sweeps with one record and counts them; beats when told."""
+
+    def __init__(self, name, shard, zone):
+        self.name = name
+        self.shard = shard
+        self.zone = zone
+        self.served = 0
+        self.sequence = 0
+        self.state = "ready"
+        self.server = http_server.HttpServer(handler=self.answer)
+        self.address = ""
+
+    async def answer(self, request):
+        expected = request.headers.get(names.HEADERS.expected_upstream)
+        if expected != self.name:
+            return http.Response(status=421, content_type=None)
+        self.served += 1
+        headers = (
+            (names.HEADERS.request_id, request.headers[names.HEADERS.request_id]),
+            (names.HEADERS.signature, f"{self.name}.{self.served}"),
+            (names.HEADERS.load, "1,0,2"),
+        )
+        return http.Response(
+            status=200, body=RECORD, content_type=None, headers=headers
+        )
+
+    def beat(self):
+        self.sequence += 1
+        return {
+            "backend": self.shard,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 2,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self.sequence,
+            "born": 1_733_180_000_000,
+        }
+
+
+class Platform:
+    """Three control hosts, an entry host, leafs, an operator and a client."""
+
+    def __init__(self):
+        self.clock = clock.SystemClock()
+        self.folder = tempfile.TemporaryDirectory()
+        ports = free_ports(2 * CONTROLS + 2)
+        self.doors = [f"127.0.0.1:{port}" for port in ports[:CONTROLS]]
+        peers = [f"127.0.0.1:{port}" for port in ports[CONTROLS : 2 * CONTROLS]]
+        self.controls = [self.make_control(n, peers) for n in range(CONTROLS)]
+        self.front, self.ready = (f"127.0.0.1:{port}" for port in ports[-2:])
+        self.gateway = gateway.Gateway(
+            settings=gateway.GatewaySettings(
+                host_id="front-1",
+                zone="midt-a",
+                listen=self.front,
+                ready_listen=self.ready,
+                ready_path=names.READY_PATH,
+                control_addresses=tuple(peers),
+                grace=datetime.timedelta(seconds=6),
+                router=router.Options(zone="midt-a"),
+            ),
+            names=names.HEADERS,
+            read_document=documents.read,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+        self.clients_by_address = {}
+        self.leafs = []
+        self.requests = 0
+
+    def make_control(self, number, peers):
+        return register.RegisterDaemon(
+            settings=control.ControlSettings(
+                host_id=f"core-{number}",
+                data_folder=f"{self.folder.name}/{number}",
+                peer_address=peers[number],
+                peer_addresses=tuple(p for p in peers if p != peers[number]),
+                bootstrap=True,
+                least_voters=CONTROLS,
+                check_document=documents.read,
+                # Generous, so that a busy machine brings no election about.
+                raft_timing=timing.Timing(election_min=1.5, election_max=3.0),
+            ),
+            listen=self.doors[number],
+            zone="midt-a",
+            announce_period=PERIOD_S * 20,
+            doors=lambda orders, registrar: (
+                control_doors.ControlDoors(orders=orders, registrar=registrar).handle
+            ),
+            clock=self.clock,
+            rng=random.Random(number),
+        )
+
+    async def start(self):
+        for each in self.controls:
+            await each.start()
+        await self.gateway.start()
+
+    async def close(self):
+        for client in self.clients_by_address.values():
+            client.close()
+        await self.gateway.close()
+        for each in self.controls:
+            await each.close()
+        for leaf in self.leafs:
+            await leaf.server.close()
+        self.folder.cleanup()
+
+    async def add_leafs(self):
+        for shard in SHARDS:
+            for number, zone in enumerate(("midt-a", "midt-b")):
+                leaf = Leaf(f"i-{shard}-{number}", shard, zone)
+                leaf.address = await leaf.server.start()
+                self.leafs.append(leaf)
+                await self.beat(leaf)
+
+    async def beat(self, leaf):
+        async def ask():
+            body = json.dumps(leaf.beat()).encode()
+            path = names.INSTANCES_PATH + leaf.name
+            reply = await self.call(self.doors[0], "PUT", path, body)
+            return reply.status == 200
+
+        await self.until(ask)
+
+    async def put(self, config, *, door=0):
+        body = json.dumps(config).encode()
+        return await self.call(self.doors[door], "PUT", names.CONFIG_PATH, body)
+
+    async def put_until_taken(self, config):
+        async def ask():
+            return (await self.put(config)).status == 200
+
+        await self.until(ask)
+
+    async def sweep(self):
+        self.requests += 1
+        headers = {
+            "Host": HOST,
+            names.HEADERS.request_id: f"q-{self.requests}",
+            names.HEADERS.time_left: "2000",
+        }
+        return await self.call(self.front, "GET", SWEEP_PATH, b"", headers)
+
+    async def sweep_until(self, condition):
+        """Sweep until the news has reached the entry host."""
+        reply = None
+
+        async def ask():
+            nonlocal reply
+            reply = await self.sweep()
+            return condition(reply)
+
+        await self.until(ask)
+        return reply
+
+    async def call(self, address, method, path, body, headers=None):
+        client = self.clients_by_address.get(address)
+        if client is None:
+            client = http_client.HttpClient(address=address, clock=self.clock)
+            self.clients_by_address[address] = client
+        patience = datetime.timedelta(seconds=PATIENCE_S)
+        return await client.request(
+            method, path, headers=headers, body=body, timeout=patience
+        )
+
+    async def until(self, ask):
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                if await ask():
+                    return
+                await asyncio.sleep(0.02)
--- /dev/null
+++ b/features/fakes/routing.py
@@ -0,0 +1,155 @@
+"""A router with upstreams whose replies the test hands out."""
+
+import random
+
+from greengagehaven import clock
+from greengagehaven.coordination.routing import events, router
+from greengagehaven.protocol import watching
+from greengagehaven.state import routes
+
+HOST = "register.example"
+OBJECTIVE_S = 0.1
+TIMEOUT_S = 1.0
+ZONE = "a"
+
+
+def entry(
+    upstream_id,
+    service,
+    *,
+    incarnation=1,
+    sequence=1,
+    zone=ZONE,
+    stage=watching.Stage.READY,
+    address=None,
+    cold_left_ms=0,
+):
+    return watching.UpstreamEntry(
+        id=upstream_id,
+        incarnation=incarnation,
+        sequence=sequence,
+        service=service,
+        address=address or f"{upstream_id}:1",
+        availability_zone=zone,
+        stage=stage,
+        slots=2,
+        cold_left_ms=cold_left_ms,
+    )
+
+
+def sweep_route(shards, *, least_coverage=0.75, attempts=2, prefix="/sweep/"):
+    return routes.Route(
+        name="sweep",
+        host=HOST,
+        path_prefix=prefix,
+        shards=tuple(shards),
+        attempts=attempts,
+        timeout=TIMEOUT_S,
+        objective=OBJECTIVE_S,
+        top_records=3,
+        least_coverage=least_coverage,
+    )
+
+
+def single_route(*weighted, is_idempotent=True, attempts=2, prefix="/single/"):
+    return routes.Route(
+        name="single",
+        host=HOST,
+        path_prefix=prefix,
+        services=tuple(
+            routes.WeightedService(service=service, weight=weight)
+            for service, weight in weighted
+        ),
+        is_idempotent=is_idempotent,
+        attempts=attempts,
+        timeout=TIMEOUT_S,
+        objective=OBJECTIVE_S,
+    )
+
+
+def table(number, *of_routes, cold_rate=0.0):
+    services = {name for route in of_routes for name in route.service_names}
+    return routes.RoutingTable(
+        number=number,
+        routes=of_routes,
+        limits_by_service={
+            name: routes.ServiceLimits(connections=26, cold_rate=cold_rate)
+            for name in services
+        },
+        caller_limits=routes.CallerLimits(),
+    )
+
+
+class RoutingTier:
+    """One entry host's router on a manual clock; every action is kept."""
+
+    def __init__(self, *, burst=20.0, ratio=0.2, seed=1):
+        self.clock = clock.ManualClock()
+        options = router.Options(zone=ZONE, retry_ratio=ratio, retry_burst=burst)
+        self.router = router.Router(
+            options=options, clock=self.clock, rng=random.Random(seed)
+        )
+        self.sent = []
+        self.released = []
+        self.forgotten = []
+        self.endings_by_number = {}
+        self.wake_at = None
+        self.next_number = 1
+
+    def step(self, event):
+        for action in self.router.step(event):
+            match action:
+                case events.Send():
+                    self.sent.append(action)
+                case events.Release(attempts=attempts):
+                    self.released.extend(attempts)
+                case events.ForgetUpstream(address=address):
+                    self.forgotten.append(address)
+                case events.WakeAt(moment=moment):
+                    self.wake_at = moment
+                case ending:
+                    assert ending.number not in self.endings_by_number
+                    self.endings_by_number[ending.number] = ending
+
+    def put(self, *entries):
+        self.step(events.UpstreamsChanged(entries=entries))
+
+    def put_table(self, new):
+        self.step(events.TableInForce(table=new))
+
+    def request(self, path, *, time_left=None):
+        number = self.next_number
+        self.next_number += 1
+        arrived = events.RequestArrived(
+            number=number,
+            request_id=f"r-{number}",
+            host=HOST,
+            path=path,
+            time_left=time_left,
+        )
+        self.step(arrived)
+        return number
+
+    def attempts_of(self, number):
+        return [send for send in self.sent if send.number == number]
+
+    def reply(self, send, *, status=200, not_run=False, load=None):
+        outcome = events.Replied(
+            status=status,
+            is_success=200 <= status < 300,
+            not_run=not_run,
+            load=load,
+        )
+        self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+
+    def fail(self, send, fault):
+        outcome = events.Failed(fault=fault)
+        self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+
+    def pass_time(self, seconds):
+        end = self.clock.monotonic() + seconds
+        while self.wake_at is not None and self.wake_at <= end:
+            moment, self.wake_at = self.wake_at, None
+            self.clock.advance(max(0.0, moment - self.clock.monotonic()))
+            self.step(events.TimeReached())
+        self.clock.advance(end - self.clock.monotonic())
--- /dev/null
+++ b/features/roster.feature
@@ -0,0 +1,91 @@
+Feature: Upstreams announce themselves to control hosts
+
+  Scenario: A late announcement does not undo a later one
+    An announcement is held up on its way. The upstream has said since that it
+    drains; were it ready again here, hosts would send to it until it is gone.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And the roster heard u-1 draining in incarnation 5 with sequence 4
+    When the roster hears u-1 ready in incarnation 5 with sequence 3
+    Then the roster has u-1 as draining
+
+  Scenario: An upstream that said goodbye stays away
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And the roster hears the goodbye of u-1
+    When the roster hears u-1 ready in incarnation 5 with sequence 4
+    Then the roster has u-1 as gone
+
+  Scenario: A later start under the same id counts anew
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 30
+    And the roster hears the goodbye of u-1
+    When the roster hears u-1 ready in incarnation 6 with sequence 1
+    Then the roster has u-1 as ready
+
+  Scenario: An address is used again
+    The first upstream died and its address went to another. Both entries would
+    send requests of one service to an upstream of the other.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3 at addr-1
+    When the roster hears u-2 ready in incarnation 9 with sequence 1 at addr-1
+    Then the roster has u-1 as gone
+    And the roster has u-2 as ready
+
+  Scenario: The old owner of an address is heard of late
+    A partition held up its announcement; it died long ago.
+
+    Given a roster that heard u-2 ready in incarnation 9 with sequence 1 at addr-1
+    When the roster hears u-1 ready in incarnation 5 with sequence 3 at addr-1
+    Then the roster has u-2 as ready
+    And the roster does not know u-1
+
+  Scenario: A renewal that says nothing new travels nowhere
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When the roster hears u-1 ready in incarnation 5 with sequence 4
+    Then nothing is told to watchers that held its last version
+
+  Scenario: An upstream falls silent
+    It crashed and says nothing any more.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When 6 seconds pass without an announcement
+    Then the roster has u-1 as silent
+    When the roster hears u-1 ready in incarnation 5 with sequence 4
+    Then the roster has u-1 as ready
+
+  Scenario: A control host that stood still calls nobody silent
+    The host was frozen, and its upstreams announced themselves elsewhere or wait
+    in its sockets. Calling all of them silent would empty every shard.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When the host stands still for 6 seconds
+    Then the roster has u-1 as ready
+
+  Scenario: Two control hosts come to the same
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And another roster that heard u-1 draining in incarnation 5 with sequence 4
+    When each merges what the other knows
+    Then both rosters have u-1 as draining
+    And merging once more changes nothing
+
+  Scenario: A host that starts to watch gets everything
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And the roster heard u-2 ready in incarnation 5 with sequence 3
+    Then a watcher from version 0 is told of 2 upstreams
+
+  Scenario: An upstream is told that it may leave once hosts know
+    Two entry hosts watch and one is slow to take the news. The upstream would
+    stop while that host still sends to it.
+
+    Given a feed that entry-1 and entry-2 watch
+    When u-1 drains and entry-1 takes the news
+    Then u-1 is not yet told that it may leave
+    When entry-2 takes the news
+    Then u-1 is told that it may leave
+
+  Scenario: An upstream is not told that it may leave where a quorum does not know
+    This host is cut off from the other control hosts. Hosts on the other side
+    would go on sending to the upstream.
+
+    Given a feed of which 1 other control host has to know
+    When u-1 drains and entry-1 takes the news
+    Then u-1 is refused with quorum_lost
--- /dev/null
+++ b/features/routing.feature
@@ -0,0 +1,185 @@
+Feature: Requests are passed on by routes
+
+  Scenario: The longest prefix of the request's host decides
+    Given a router whose routes are /reg/ to service short and /reg/deep/ to service long
+    When a request for /reg/deep/7 arrives
+    Then it goes to an upstream of service long
+
+  Scenario: No route matches
+    Given a router whose routes are /reg/ to service short and /reg/deep/ to service long
+    When a request for /other/ arrives
+    Then the request is refused with not_found
+
+  Scenario: No table of routes is known yet
+    A host that has just started knows no route. A caller that were told "not
+    found" would not ask again, though the route is there.
+
+    Given a router without a table
+    When a request for /reg/ arrives
+    Then the request is refused with not_configured and told when to come back
+
+  Scenario: A sweep answers once every shard has replied
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    When a sweep arrives
+    And all its attempts are answered
+    Then it is answered with 4 parts and 0 missing
+
+  Scenario: A straggler is hedged on another upstream
+    One upstream of a shard stands still for a moment. Every sweep that it holds
+    up would be late, though its neighbours are idle.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    When a sweep arrives
+    And all its attempts but the first are answered
+    And 30 ms pass
+    Then a second attempt of the first shard went to another upstream
+    When the second attempt is answered
+    Then it is answered with 4 parts and 0 missing
+    And the first attempt is released
+
+  Scenario: Near the objective a sweep with enough parts is answered
+    A shard has no upstream that replies. The caller would get a complete answer
+    that comes too late to be of use.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    When a sweep arrives
+    And all its attempts but the first are answered
+    And 90 ms pass
+    Then it is answered with 3 parts and 1 missing
+
+  Scenario: Too few parts can still come
+    Two of four shards have no upstream at all. A caller that were left waiting
+    until its deadline could not ask another host.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    And all upstreams of 2 shards are gone
+    When a sweep arrives
+    And all its attempts are answered
+    Then the request is refused with upstreams_failed and told when to come back
+
+  Scenario: No shard has an upstream
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    And all upstreams of 4 shards are gone
+    When a sweep arrives
+    Then the request is refused with incomplete and told when to come back
+
+  Scenario: A request pins the shards that its table names
+    The index is cut into other shards while a sweep runs. Parts of both sets
+    together would count records twice.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    When a sweep arrives
+    And a table with 5 other shards comes into force
+    And all its attempts are answered
+    Then it is answered with 4 parts and 0 missing
+
+  Scenario: A request that may run once is not sent again after it was sent
+    The upstream's connection ends after the request was sent. It may have run;
+    sent again it would be billed twice.
+
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And its attempt is lost
+    Then the request is refused with upstreams_failed
+    And 1 attempt was sent
+
+  Scenario: A request that may run once goes on where it did not run
+    The first upstream is full and says that it did not run the request.
+
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And its attempt is rejected as not run
+    Then 2 attempts were sent
+    When the second attempt is answered
+    Then the reply is passed on
+
+  Scenario: A request that ran nowhere may be promised not to have run
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And every attempt is rejected as not run
+    Then the request is refused with incomplete and told when to come back
+
+  Scenario: An upstream's own failure of a request that runs once is passed on
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And its attempt is answered with 500
+    Then the reply is passed on
+    And 1 attempt was sent
+
+  Scenario: A request that has not been answered in time
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And 1000 ms pass
+    Then the request is refused with deadline_exceeded
+
+  Scenario: Extra attempts stay within the budget of all hosts together
+    Every upstream of a shard is slow. Each host would hedge each request, and
+    the load on the service would double when it can least bear it.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    And 9 entry hosts share a burst of 20 and a ratio of 0.2
+    When 200 sweeps arrive and wait 60 ms each
+    Then at most 38 extra attempts were sent
+
+  Scenario: Requests are spread by weight
+    Given a router whose route gives service one 3 parts and service two 1 part
+    When 40 requests arrive and are answered
+    Then service one got between 29 and 31 of them
+
+  Scenario: A zone that operators took out gets nothing
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    And operators take zone b out
+    When 30 sweeps arrive and are answered
+    Then no attempt went to zone b
+
+  Scenario: An upstream that drains gets nothing new
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    And the first upstream of the first shard drains
+    When 30 sweeps arrive and are answered
+    Then no attempt went to the first upstream
+
+  Scenario: An address that went to another upstream
+    The upstream is gone and its address serves another service, which answers
+    that it is not the one meant.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a sweep arrives
+    And its attempt is answered with 421
+    Then 2 attempts were sent
+    And the upstream of the first attempt gets nothing more
+
+  Scenario: An upstream that fails again and again is set aside
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When the first upstream loses each of 40 sweeps 20 ms apart
+    Then it got at most 8 attempts
+
+  Scenario: A signal that makes every upstream look unfit
+    All upstreams of a shard failed a moment ago. A host that sent to none of
+    them would go on refusing after they are back.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When every upstream has failed 4 times
+    And a sweep arrives
+    Then 1 attempt was sent for it
+
+  Scenario: A caller leaves
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    When a sweep arrives
+    And its caller leaves
+    Then all its attempts are released
+    And nothing is kept of it
+
+  Scenario: Cold upstreams of a service get no more than they bear
+    A zone came back and all of a service's upstreams are cold. Each entry host
+    would send what it always sent, and together they would crash them.
+
+    Given a router with a sweep over 1 shards of 3 cold upstreams that bear 9 a second
+    And 8 entry hosts share them
+    When 60 sweeps arrive within a second
+    Then no upstream got more than 1 attempt
+
+  Scenario: The greatest records of all parts answer a sweep
+    Equal records all count, and a remainder that is no whole record does not.
+
+    When parts with records 5 1, 9 5 and 2 with a remainder are merged for the top 3
+    Then the merged records are 9 5 5
--- /dev/null
+++ b/features/steps/numbered_documents_steps.py
@@ -0,0 +1,115 @@
+"""Steps about documents that operators number."""
+
+import behave
+
+from greengagehaven import clock, exceptions
+from greengagehaven.coordination import proposals
+from greengagehaven.state import changes, configuration
+
+MISTAKE = b"mistake"
+
+
+def check(document):
+    if document == MISTAKE:
+        mistake = exceptions.DocumentMistakeError(
+            place="document", value="", expected="no mistake"
+        )
+        raise exceptions.DocumentError(mistakes=[mistake])
+
+
+class NumberedLog:
+    """The state machine of a log, and the writer of its leader."""
+
+    def __init__(self):
+        self.machine = changes.ChangeMachine()
+        self.records = []
+        self.writer = proposals.ChangeWriter(
+            environment="test",
+            signer=None,
+            verifier=None,
+            clock=clock.ManualClock(),
+            check_document=check,
+        )
+
+    def write(self, number, content):
+        change = configuration.DocumentChange(
+            change_id=f"{number}-{content!r}",
+            author="operator",
+            document=content,
+            expected_revision=None,
+            number=number,
+        )
+        return changes.encode(self.writer.write(change, self.machine, ()))
+
+    def put(self, number, content=None):
+        content = content or b"document %d" % number
+        self.apply(self.write(number, content))
+
+    def apply(self, payload):
+        self.records.append(self.machine.apply(payload))
+
+
+@behave.given("a log of numbered documents")
+def given_log(context):
+    context.log = NumberedLog()
+
+
+@behave.when("the log gets document {first:d}, then document {second:d}")
+def when_two(context, first, second):
+    context.log.put(first)
+    context.log.put(second)
+
+
+@behave.when("the log gets document 7, then other content as document 7")
+def when_other_content(context):
+    context.log.put(7)
+    context.log.put(7, b"other content")
+
+
+@behave.when("the log gets document 7, then document 7 again")
+def when_again(context):
+    context.log.put(7)
+    context.log.put(7)
+
+
+@behave.when("documents 3 and 7 are written on the same state and applied in order")
+def when_same_state(context):
+    payloads = [context.log.write(3, b"document 3"), context.log.write(7, b"seven")]
+    for payload in payloads:
+        context.log.apply(payload)
+
+
+@behave.when("the log gets a document with a mistake")
+def when_mistake(context):
+    context.log.put(7, MISTAKE)
+
+
+@behave.then("the log has document {number:d} in force")
+def then_in_force(context, number):
+    assert context.log.machine.state.number == number
+
+
+@behave.then("both documents were accepted")
+def then_accepted(context):
+    assert [record.accepted for record in context.log.records] == [True, True]
+
+
+@behave.then("the log keeps the first content of document 7")
+def then_first_content(context):
+    assert context.log.machine.state.document == b"document 7"
+
+
+@behave.then("the log's revision moved once")
+def then_moved_once(context):
+    assert context.log.machine.state.revision == 1
+
+
+@behave.then("the document is refused with {code}")
+def then_refused(context, code):
+    (record,) = context.log.records
+    assert not record.accepted and record.code == code, record
+
+
+@behave.then("the log has no document")
+def then_none(context):
+    assert context.log.machine.state.document == b""
--- /dev/null
+++ b/features/steps/roster_steps.py
@@ -0,0 +1,268 @@
+"""Steps about the roster of upstreams and the feed that hands it on."""
+
+import asyncio
+
+import behave
+
+from fakes import routing
+from greengagehaven import clock, exceptions
+from greengagehaven.daemons import publisher, registrar, roster_feed
+from greengagehaven.protocol import codec, watching
+from greengagehaven.state import published, roster
+
+SILENCE_S = 5.0
+SWEEP_S = 0.5
+TURNS = 20
+
+
+class Listener:
+    """A roster on a manual clock."""
+
+    def __init__(self, holder="c1"):
+        self.clock = clock.ManualClock(start=100.0)
+        self.roster = roster.Roster(holder=holder, silence=SILENCE_S)
+
+    def hear(self, upstream_id, stage, incarnation, sequence, address=None):
+        said = routing.entry(
+            upstream_id,
+            "service",
+            incarnation=incarnation,
+            sequence=sequence,
+            stage=watching.Stage(stage),
+            address=address,
+        )
+        self.held = self.roster.version
+        return self.roster.announce(said, self.clock.monotonic())
+
+    def stage_of(self, upstream_id):
+        held = self.roster.held_by_id.get(upstream_id)
+        return None if held is None else str(held.entry.stage)
+
+    def since(self, version):
+        return self.roster.since(version, self.clock.monotonic())
+
+
+@behave.given(
+    "a roster that heard {upstream_id} ready in incarnation {incarnation:d} "
+    "with sequence {sequence:d} at {address}"
+)
+def given_roster_at(context, upstream_id, incarnation, sequence, address):
+    context.listener = Listener()
+    context.listener.hear(upstream_id, "ready", incarnation, sequence, address)
+
+
+@behave.given(
+    "a roster that heard {upstream_id} ready in incarnation {incarnation:d} "
+    "with sequence {sequence:d}"
+)
+def given_roster(context, upstream_id, incarnation, sequence):
+    context.listener = Listener()
+    context.listener.hear(upstream_id, "ready", incarnation, sequence)
+
+
+@behave.given(
+    "the roster heard {upstream_id} {stage} in incarnation {incarnation:d} "
+    "with sequence {sequence:d}"
+)
+def given_heard(context, upstream_id, stage, incarnation, sequence):
+    context.listener.hear(upstream_id, stage, incarnation, sequence)
+
+
+@behave.when(
+    "the roster hears {upstream_id} {stage} in incarnation {incarnation:d} "
+    "with sequence {sequence:d} at {address}"
+)
+def when_hears_at(context, upstream_id, stage, incarnation, sequence, address):
+    context.listener.hear(upstream_id, stage, incarnation, sequence, address)
+
+
+@behave.when(
+    "the roster hears {upstream_id} {stage} in incarnation {incarnation:d} "
+    "with sequence {sequence:d}"
+)
+def when_hears(context, upstream_id, stage, incarnation, sequence):
+    context.listener.hear(upstream_id, stage, incarnation, sequence)
+
+
+@behave.given("the roster hears the goodbye of {upstream_id}")
+def given_goodbye(context, upstream_id):
+    listener = context.listener
+    gone = listener.roster.held_by_id[upstream_id].entry.as_gone()
+    listener.roster.announce(gone, listener.clock.monotonic())
+
+
+@behave.given(
+    "another roster that heard {upstream_id} draining in incarnation "
+    "{incarnation:d} with sequence {sequence:d}"
+)
+def given_other(context, upstream_id, incarnation, sequence):
+    context.other = Listener("c2")
+    context.other.hear(upstream_id, "draining", incarnation, sequence)
+
+
+@behave.when("{count:d} seconds pass without an announcement")
+def when_silence(context, count):
+    for _ in range(int(count / SWEEP_S)):
+        context.listener.clock.advance(SWEEP_S)
+        context.listener.roster.sweep(context.listener.clock.monotonic())
+
+
+@behave.when("the host stands still for {count:d} seconds")
+def when_frozen(context, count):
+    listener = context.listener
+    listener.roster.sweep(listener.clock.monotonic())
+    listener.clock.advance(count)
+    listener.roster.sweep(listener.clock.monotonic())
+
+
+@behave.when("each merges what the other knows")
+def when_merged(context):
+    context.changes = merge_both(context)
+
+
+@behave.then("both rosters have {upstream_id} as {stage}")
+def then_stage_in_both(context, upstream_id, stage):
+    for listener in (context.listener, context.other):
+        assert listener.stage_of(upstream_id) == stage
+
+
+@behave.then("merging once more changes nothing")
+def then_nothing_more(context):
+    assert merge_both(context) == []
+
+
+def merge_both(context):
+    pairs = (
+        (context.listener, context.other),
+        (context.other, context.listener),
+    )
+    changed = []
+    for one, other in pairs:
+        now = one.clock.monotonic()
+        changed += [entry for entry in other.since(0) if one.roster.merge(entry, now)]
+    return changed
+
+
+@behave.then("the roster does not know {upstream_id}")
+def then_unknown(context, upstream_id):
+    assert context.listener.stage_of(upstream_id) is None
+
+
+@behave.then("the roster has {upstream_id} as {stage}")
+def then_stage(context, upstream_id, stage):
+    assert context.listener.stage_of(upstream_id) == stage
+
+
+@behave.then("nothing is told to watchers that held its last version")
+def then_nothing_told(context):
+    assert context.listener.since(context.listener.held) == ()
+
+
+@behave.then("a watcher from version 0 is told of {count:d} upstreams")
+def then_told(context, count):
+    assert len(context.listener.since(0)) == count
+
+
+class Feed:
+    """A feed with watchers that hold what they are told when the test says."""
+
+    def __init__(self, least_controls):
+        self.clock = clock.SystemClock()
+        self.feed = roster_feed.RosterFeed(
+            roster=roster.Roster(holder="c1", silence=SILENCE_S),
+            configuration=publisher.Publisher(
+                published=published.Published(), age=lambda: 0.0, clock=self.clock
+            ),
+            control_addresses=tuple,
+            clock=self.clock,
+        )
+        self.registrar = registrar.Registrar(
+            feed=self.feed, least_controls=lambda: least_controls
+        )
+        self.feeds_by_host = {}
+
+    async def watch(self, host_id):
+        feed, version = self.feeds_by_host.get(host_id, ("", 0))
+        request = watching.WatchRequest(
+            host_id=host_id,
+            availability_zone="a",
+            is_entry=True,
+            feed=feed,
+            held_version=version,
+        )
+        data = await self.feed.handle(codec.encode_msgpack(request))
+        reply = codec.decode_msgpack(data, watching.WatchReply)
+        self.feeds_by_host[host_id] = (reply.feed, reply.version)
+
+    async def drain(self):
+        ready = routing.entry("u-1", "service")
+        await self.registrar.announce(ready)
+        for host_id in ("entry-1", "entry-2"):
+            if host_id in self.feeds_by_host:
+                await self.watch(host_id)
+        draining = routing.entry(
+            "u-1", "service", sequence=2, stage=watching.Stage.DRAINING
+        )
+        telling = asyncio.ensure_future(self.registrar.announce(draining))
+        await asyncio.sleep(0)
+        return telling
+
+
+@behave.given("a feed that entry-1 and entry-2 watch")
+def given_feed(context):
+    context.hosts = ("entry-1", "entry-2")
+    context.least_controls = 0
+
+
+@behave.given("a feed of which 1 other control host has to know")
+def given_feed_quorum(context):
+    context.hosts = ("entry-1",)
+    context.least_controls = 1
+
+
+@behave.when("u-1 drains and entry-1 takes the news")
+def when_drains(context):
+    context.told = asyncio.run(drain_u1(context))
+
+
+async def drain_u1(context):
+    """Return whether u-1 is told after each host took the news."""
+    feed = Feed(context.least_controls)
+    for host_id in context.hosts:
+        await feed.watch(host_id)
+    telling = await feed.drain()
+    told = []
+    for host_id in context.hosts:
+        # The first call brings the news, the second one says that it is held.
+        await feed.watch(host_id)
+        await feed.watch(host_id)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        told.append(telling.done())
+    context.error = None
+    try:
+        await telling
+    except exceptions.QuorumLostError as error:
+        context.error = error
+    return told
+
+
+@behave.when("entry-2 takes the news")
+def when_second_takes(context):
+    assert len(context.told) == 2
+
+
+@behave.then("u-1 is not yet told that it may leave")
+def then_not_told(context):
+    assert context.told[0] is False
+
+
+@behave.then("u-1 is told that it may leave")
+def then_may_leave(context):
+    assert context.told[1] is True
+    assert context.error is None
+
+
+@behave.then("u-1 is refused with quorum_lost")
+def then_refused(context):
+    assert context.error is not None
--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,373 @@
+"""Steps about the router of an entry host."""
+
+import collections
+
+import behave
+
+from fakes import routing
+from greengagehaven.coordination.routing import events, merging
+from greengagehaven.protocol import watching
+
+ZONES = "abc"
+SHARD_NAMES = [f"shard-{number}" for number in range(10)]
+
+
+def upstreams_of(service, count, **fields):
+    return [
+        routing.entry(f"{service}-u{number}", service, zone=ZONES[number], **fields)
+        for number in range(count)
+    ]
+
+
+def start_sweeps(context, shards, upstreams, *, cold_rate=0.0, **fields):
+    context.tier = routing.RoutingTier()
+    names = SHARD_NAMES[:shards]
+    route = routing.sweep_route(names)
+    context.tier.put_table(routing.table(1, route, cold_rate=cold_rate))
+    for name in names:
+        context.tier.put(*upstreams_of(name, upstreams, **fields))
+
+
+@behave.given(
+    "a router whose routes are /reg/ to service short and /reg/deep/ to service long"
+)
+def given_two_routes(context):
+    context.tier = routing.RoutingTier()
+    short = routing.single_route(("short", 1.0), prefix="/reg/")
+    long = routing.single_route(("long", 1.0), prefix="/reg/deep/")
+    context.tier.put_table(routing.table(1, short, long))
+    context.tier.put(*upstreams_of("short", 2), *upstreams_of("long", 2))
+
+
+@behave.given("a router without a table")
+def given_no_table(context):
+    context.tier = routing.RoutingTier()
+
+
+@behave.given(
+    "a router with a sweep over {shards:d} shards of {count:d} upstreams each"
+)
+def given_sweeps(context, shards, count):
+    start_sweeps(context, shards, count)
+
+
+@behave.given(
+    "a router with a sweep over {shards:d} shards of {count:d} cold upstreams "
+    "that bear {rate:d} a second"
+)
+def given_cold_sweeps(context, shards, count, rate):
+    start_sweeps(context, shards, count, cold_rate=float(rate), cold_left_ms=60_000)
+
+
+@behave.given("a router with requests that run once")
+def given_run_once(context):
+    context.tier = routing.RoutingTier()
+    route = routing.single_route(("billed", 1.0), is_idempotent=False)
+    context.tier.put_table(routing.table(1, route))
+    context.tier.put(*upstreams_of("billed", 3))
+
+
+@behave.given("a router whose route gives service one 3 parts and service two 1 part")
+def given_weights(context):
+    context.tier = routing.RoutingTier()
+    route = routing.single_route(("one", 3.0), ("two", 1.0))
+    context.tier.put_table(routing.table(1, route))
+    context.tier.put(*upstreams_of("one", 3), *upstreams_of("two", 3))
+
+
+@behave.given("all upstreams of {count:d} shards are gone")
+def given_gone(context, count):
+    for name in SHARD_NAMES[:count]:
+        context.tier.put(*(each.as_gone() for each in upstreams_of(name, 3)))
+
+
+@behave.given("{count:d} entry hosts share a burst of 20 and a ratio of 0.2")
+def given_hosts(context, count):
+    context.tier.step(events.HostsCounted(count=count))
+
+
+@behave.given("{count:d} entry hosts share them")
+def given_sharing_hosts(context, count):
+    context.tier.step(events.HostsCounted(count=count))
+
+
+@behave.given("operators take zone {zone} out")
+def given_drained(context, zone):
+    context.tier.step(events.ZonesDrained(zones=frozenset({zone})))
+
+
+@behave.given("the first upstream of the first shard drains")
+def given_draining(context):
+    first = routing.entry(
+        "shard-0-u0",
+        "shard-0",
+        sequence=2,
+        stage=watching.Stage.DRAINING,
+    )
+    context.tier.put(first)
+
+
+@behave.when("a request for {path} arrives")
+def when_request(context, path):
+    context.number = context.tier.request(path)
+
+
+@behave.when("a sweep arrives")
+def when_sweep(context):
+    context.number = context.tier.request("/sweep/1")
+
+
+@behave.when("a request that runs once arrives")
+def when_run_once(context):
+    context.number = context.tier.request("/single/1")
+
+
+@behave.when("all its attempts are answered")
+def when_all_answered(context):
+    for send in context.tier.attempts_of(context.number):
+        context.tier.reply(send)
+
+
+@behave.when("all its attempts but the first are answered")
+def when_all_but_first(context):
+    for send in context.tier.attempts_of(context.number)[1:]:
+        context.tier.reply(send)
+
+
+@behave.when("{count:d} ms pass")
+def when_time(context, count):
+    context.tier.pass_time(count / 1000)
+
+
+@behave.when("the second attempt is answered")
+def when_second_answered(context):
+    context.tier.reply(context.tier.attempts_of(context.number)[-1])
+
+
+@behave.when("a table with 5 other shards comes into force")
+def when_other_table(context):
+    names = SHARD_NAMES[5:]
+    context.tier.put_table(routing.table(2, routing.sweep_route(names)))
+
+
+@behave.when("its attempt is lost")
+def when_lost(context):
+    send = context.tier.attempts_of(context.number)[0]
+    context.tier.fail(send, events.Fault.LOST)
+
+
+@behave.when("its attempt is rejected as not run")
+def when_rejected(context):
+    send = context.tier.attempts_of(context.number)[0]
+    context.tier.reply(send, status=503, not_run=True)
+
+
+@behave.when("every attempt is rejected as not run")
+def when_all_rejected(context):
+    done = 0
+    while done < len(context.tier.attempts_of(context.number)):
+        send = context.tier.attempts_of(context.number)[done]
+        context.tier.reply(send, status=503, not_run=True)
+        done += 1
+
+
+@behave.when("its attempt is answered with {status:d}")
+def when_status(context, status):
+    send = context.tier.attempts_of(context.number)[0]
+    context.tier.reply(send, status=status)
+
+
+@behave.when("{count:d} sweeps arrive and wait {wait:d} ms each")
+def when_slow_sweeps(context, count, wait):
+    context.first_attempts = count
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        context.tier.pass_time(wait / 1000)
+        for send in context.tier.attempts_of(number):
+            context.tier.reply(send)
+
+
+@behave.when("{count:d} sweeps arrive and are answered")
+def when_sweeps(context, count):
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        context.tier.pass_time(0.01)
+        for send in context.tier.attempts_of(number):
+            context.tier.reply(send)
+
+
+@behave.when("{count:d} requests arrive and are answered")
+def when_requests(context, count):
+    for _ in range(count):
+        number = context.tier.request("/single/1")
+        context.tier.reply(context.tier.attempts_of(number)[0])
+
+
+@behave.when("{count:d} sweeps arrive within a second")
+def when_burst(context, count):
+    for _ in range(count):
+        context.tier.request("/sweep/1")
+        context.tier.pass_time(0.9 / count)
+
+
+@behave.when("the first upstream loses each of {count:d} sweeps {gap:d} ms apart")
+def when_first_fails(context, count, gap):
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        context.tier.pass_time(0.001)
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            done += 1
+            if send.upstream_id == "shard-0-u0":
+                context.tier.fail(send, events.Fault.LOST)
+            else:
+                context.tier.reply(send)
+        context.tier.pass_time(gap / 1000)
+
+
+@behave.when("every upstream has failed 4 times")
+def when_all_fail(context):
+    for _ in range(12):
+        number = context.tier.request("/sweep/1")
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            context.tier.fail(send, events.Fault.LOST)
+            done += 1
+
+
+@behave.when("its caller leaves")
+def when_leaves(context):
+    context.tier.step(events.RequestAbandoned(number=context.number))
+
+
+@behave.when(
+    "parts with records 5 1, 9 5 and 2 with a remainder are merged for the top 3"
+)
+def when_merged(context):
+    parts = [record(5) + record(1), record(9) + record(5), record(2) + b"\xff" * 7]
+    context.merged = merging.greatest_records(parts, 3)
+
+
+def record(value):
+    return bytes([value]) * merging.RECORD_BYTES
+
+
+@behave.then("it goes to an upstream of service {service}")
+def then_service(context, service):
+    (send,) = context.tier.attempts_of(context.number)
+    assert send.upstream_id.startswith(service), send
+
+
+@behave.then("the request is refused with {code} and told when to come back")
+def then_refused_with_time(context, code):
+    ending = context.tier.endings_by_number[context.number]
+    assert ending.error.code == code, ending
+    assert ending.error.retry_after > 0
+
+
+@behave.then("the request is refused with {code}")
+def then_refused(context, code):
+    ending = context.tier.endings_by_number[context.number]
+    assert ending.error.code == code, ending
+
+
+@behave.then("it is answered with {parts:d} parts and {missing:d} missing")
+def then_answered(context, parts, missing):
+    ending = context.tier.endings_by_number[context.number]
+    assert isinstance(ending, events.AnswerParts), ending
+    assert len(set(ending.attempts)) == parts, ending
+    assert ending.missing == missing, ending
+
+
+@behave.then("a second attempt of the first shard went to another upstream")
+def then_hedged(context):
+    sends = context.tier.attempts_of(context.number)
+    assert len(sends) == 5, sends
+    assert sends[4].upstream_id.startswith("shard-0"), sends
+    assert sends[4].upstream_id != sends[0].upstream_id, sends
+
+
+@behave.then("the first attempt is released")
+def then_first_released(context):
+    first = context.tier.attempts_of(context.number)[0]
+    assert first.attempt in context.tier.released
+
+
+@behave.then("{count:d} attempt was sent")
+@behave.then("{count:d} attempts were sent")
+@behave.then("{count:d} attempt was sent for it")
+def then_sent(context, count):
+    sends = context.tier.attempts_of(context.number)
+    assert len(sends) == count, sends
+
+
+@behave.then("the reply is passed on")
+def then_passed_on(context):
+    ending = context.tier.endings_by_number[context.number]
+    assert isinstance(ending, events.PassOn), ending
+    assert ending.attempt == context.tier.attempts_of(context.number)[-1].attempt
+
+
+@behave.then("at most {count:d} extra attempts were sent")
+def then_extra(context, count):
+    extra = len(context.tier.sent) - context.first_attempts
+    assert 0 < extra <= count, extra
+
+
+@behave.then("service one got between {least:d} and {most:d} of them")
+def then_share(context, least, most):
+    counts = collections.Counter(send.upstream_id[:3] for send in context.tier.sent)
+    assert least <= counts["one"] <= most, counts
+
+
+@behave.then("no attempt went to zone b")
+def then_not_zone(context):
+    assert not [send for send in context.tier.sent if send.upstream_id.endswith("u1")]
+
+
+@behave.then("no attempt went to the first upstream")
+def then_not_first(context):
+    ids = {send.upstream_id for send in context.tier.sent}
+    assert ids and "shard-0-u0" not in ids, ids
+
+
+@behave.then("the upstream of the first attempt gets nothing more")
+def then_forgotten(context):
+    first = context.tier.attempts_of(context.number)[0]
+    assert first.address in context.tier.forgotten
+    for _ in range(20):
+        number = context.tier.request("/sweep/1")
+        (send, *_) = context.tier.attempts_of(number)
+        assert send.upstream_id != first.upstream_id
+        context.tier.reply(send)
+
+
+@behave.then("it got at most {count:d} attempts")
+def then_few(context, count):
+    sends = [s for s in context.tier.sent if s.upstream_id == "shard-0-u0"]
+    assert 0 < len(sends) <= count, len(sends)
+
+
+@behave.then("all its attempts are released")
+def then_all_released(context):
+    sends = context.tier.attempts_of(context.number)
+    assert {send.attempt for send in sends} == set(context.tier.released)
+
+
+@behave.then("nothing is kept of it")
+def then_nothing_kept(context):
+    assert context.tier.router.in_flight == 0
+
+
+@behave.then("no upstream got more than {count:d} attempt")
+def then_cold(context, count):
+    counts = collections.Counter(send.upstream_id for send in context.tier.sent)
+    assert len(counts) == 3, counts
+    assert max(counts.values()) <= count, counts
+
+
+@behave.then("the merged records are 9 5 5")
+def then_merged(context):
+    assert context.merged == record(9) + record(5) + record(5)
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -86,7 +86,7 @@
             pool = _Pool(address=exchange.address, channel=self, clock=self._clock)
             self._pools_by_address[exchange.address] = pool
         if self._sweeper is None:
-            self._sweep()
+            self._sweep_later()
         pool.submit(exchange, connections)
 
     def release(self, attempt: int, *, may_cut: bool) -> None:
@@ -165,6 +165,9 @@
             pool.sweep(now)
             if pool.is_unused:
                 del self._pools_by_address[address]
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_PERIOD_S, self._sweep)
 
--- a/src/greengagehaven/transport/http_client.py
+++ b/src/greengagehaven/transport/http_client.py
@@ -49,6 +49,7 @@
         """Send a request and return its reply, whatever the status.
 
         :param target: path with query string.
+        :param headers: ``Host`` is the address where it is not among them.
         :param timeout: for the connection and the whole reply.
         :raises ConnectError: no byte of the request left.
         :raises ConnectionLostError: the connection ended, or the time was over,
@@ -58,8 +59,8 @@
         connection = self._take_idle() or await self._connect(timeout)
         future = asyncio.get_running_loop().create_future()
         connection.exchange = future
-        pairs = [("Host", self.address), *(headers or {}).items()]
-        connection.send(method, target, pairs, body)
+        pairs = {"Host": self.address, **(headers or {})}
+        connection.send(method, target, list(pairs.items()), body)
         try:
             return await asyncio.wait_for(future, timeout.total_seconds())
         except TimeoutError as error:
