Refuse routed requests that crash the upstreams that run them, at every host

Cause: routed requests had no quarantine; the sign of such a crash is a connection that ends without a byte of reply and a listener that is gone.

--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -92,6 +92,8 @@
         self.sent = []
         self.released = []
         self.forgotten = []
+        self.checked = []
+        self.reported = []
         self.endings_by_number = {}
         self.wake_at = None
         self.next_number = 1
@@ -105,6 +107,10 @@
                     self.released.extend(attempts)
                 case events.ForgetUpstream(address=address):
                     self.forgotten.append(address)
+                case events.CheckListener():
+                    self.checked.append(action)
+                case events.ReportCrash(crash=crash):
+                    self.reported.append(crash)
                 case events.WakeAt(moment=moment):
                     self.wake_at = moment
                 case ending:
@@ -117,7 +123,7 @@
     def put_table(self, new):
         self.step(events.TableInForce(table=new))
 
-    def request(self, path, *, time_left=None):
+    def request(self, path, *, time_left=None, fingerprint=None):
         number = self.next_number
         self.next_number += 1
         arrived = events.RequestArrived(
@@ -125,6 +131,7 @@
             request_id=f"r-{number}",
             host=HOST,
             path=path,
+            fingerprint=fingerprint or f"f-{number}",
             time_left=time_left,
         )
         self.step(arrived)
@@ -146,6 +153,15 @@
         outcome = events.Failed(fault=fault)
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
+    def lose(self, send, *, is_listening):
+        """End a connection without a byte of reply, and look at the listener."""
+        outcome = events.Failed(fault=events.Fault.LOST, is_mute=True)
+        self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+        check = self.checked.pop()
+        self.step(
+            events.ListenerChecked(attempt=check.attempt, is_listening=is_listening)
+        )
+
     def pass_time(self, seconds):
         end = self.clock.monotonic() + seconds
         while self.wake_at is not None and self.wake_at <= end:
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -178,6 +178,44 @@
     When 60 sweeps arrive within a second
     Then no upstream got more than 1 attempt
 
+  Scenario: A request crashes the upstreams that run it
+    Each upstream that begins it closes its listener without a byte of reply and
+    stays away for seconds. Its caller resends it at once, until every service of
+    the sweep is gone.
+
+    Given a router with a sweep over 10 shards of 3 upstreams each
+    And a sweep that crashes each upstream that runs it
+    When its caller sends it 30 times, 100 ms apart
+    Then no shard lost more than 2 upstreams
+    And its caller was told that it is quarantined
+    When another sweep arrives
+    Then it goes to every shard
+
+  Scenario: A request that crashes upstreams comes again at another host
+    Given a router with a sweep over 10 shards of 3 upstreams each
+    And another host reported that a sweep crashed 2 upstreams of a shard
+    When that sweep arrives here
+    Then the request is refused with quarantined and told when to come back
+    And nothing of it was sent
+
+  Scenario: An answer is lost and the upstream goes on listening
+    Its connection was reset on the way. The request is good and runs elsewhere;
+    refused, its caller would not get an answer for a minute.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When the answers to 5 sweeps with one fingerprint are lost
+    And a sweep with that fingerprint arrives
+    Then 1 attempt was sent for it
+
+  Scenario: A conviction ends
+    A coincidence must not keep a good query away for good.
+
+    Given a router with a sweep over 10 shards of 3 upstreams each
+    And another host reported that a sweep crashed 2 upstreams of a shard
+    When 61 seconds pass
+    And that sweep arrives here
+    Then it goes to every shard
+
   Scenario: The greatest records of all parts answer a sweep
     Equal records all count, and a remainder that is no whole record does not.
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -371,3 +371,91 @@
 @behave.then("the merged records are 9 5 5")
 def then_merged(context):
     assert context.merged == record(9) + record(5) + record(5)
+
+
+@behave.given("a sweep that crashes each upstream that runs it")
+def given_crashing(context):
+    context.fingerprint = "crashing"
+
+
+@behave.when("its caller sends it {count:d} times, {gap:d} ms apart")
+def when_resent(context, count, gap):
+    context.numbers = []
+    for _ in range(count):
+        number = context.tier.request("/sweep/1", fingerprint=context.fingerprint)
+        context.numbers.append(number)
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            context.tier.lose(send, is_listening=False)
+            done += 1
+        context.tier.pass_time(gap / 1000)
+
+
+@behave.then("no shard lost more than {count:d} upstreams")
+def then_lost(context, count):
+    lost = collections.defaultdict(set)
+    for send in context.tier.sent:
+        shard = send.upstream_id.rpartition("-")[0]
+        lost[shard].add(send.upstream_id)
+    assert max(len(ids) for ids in lost.values()) <= count, lost
+
+
+@behave.then("its caller was told that it is quarantined")
+def then_quarantined(context):
+    endings = [context.tier.endings_by_number[number] for number in context.numbers]
+    codes = [ending.error.code for ending in endings]
+    assert codes[-20:] == ["quarantined"] * 20, codes
+
+
+@behave.when("another sweep arrives")
+def when_another_sweep(context):
+    context.number = context.tier.request("/sweep/other")
+
+
+@behave.then("it goes to every shard")
+def then_every_shard(context):
+    assert len(context.tier.attempts_of(context.number)) == 10
+
+
+@behave.given("another host reported that a sweep crashed 2 upstreams of a shard")
+def given_reported(context):
+    context.fingerprint = "crashing"
+    crashes = tuple(
+        watching.Crash(
+            fingerprint=context.fingerprint,
+            service="shard-3",
+            upstream_id=f"shard-3-u{number}",
+            incarnation=1,
+        )
+        for number in range(2)
+    )
+    context.tier.step(events.CrashesReported(crashes=crashes))
+
+
+@behave.when("that sweep arrives here")
+@behave.when("a sweep with that fingerprint arrives")
+def when_same(context):
+    context.number = context.tier.request("/sweep/1", fingerprint=context.fingerprint)
+
+
+@behave.then("nothing of it was sent")
+def then_nothing_sent(context):
+    assert context.tier.attempts_of(context.number) == []
+
+
+@behave.when("the answers to {count:d} sweeps with one fingerprint are lost")
+def when_answers_lost(context, count):
+    context.fingerprint = "good"
+    for _ in range(count):
+        number = context.tier.request("/sweep/1", fingerprint=context.fingerprint)
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            context.tier.lose(send, is_listening=True)
+            done += 1
+
+
+@behave.when("{count:d} seconds pass")
+def when_seconds(context, count):
+    context.tier.pass_time(float(count))
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -52,10 +52,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Failed:
-    """An attempt got no reply that counts."""
+    """An attempt got no reply that counts.
+
+    :param is_mute: not a byte of a reply came.
+    """
 
     fault: Fault
     detail: str = ""
+    is_mute: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,6 +69,7 @@
     :param number: of the request on this host.
     :param request_id: the caller's id.
     :param path: with the query.
+    :param fingerprint: alike for requests that an upstream cannot tell apart.
     :param time_left: seconds that the caller will wait, ``None`` where it does
         not say.
     """
@@ -73,6 +78,7 @@
     request_id: str
     host: str
     path: str
+    fingerprint: str = ""
     time_left: float | None = None
 
 
@@ -119,6 +125,21 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ListenerChecked:
+    """Whether the upstream of a lost attempt still listens."""
+
+    attempt: int
+    is_listening: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashesReported:
+    """Other entry hosts saw upstreams crash."""
+
+    crashes: tuple[watching.Crash, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeReached:
     """The clock reached a moment that the router asked for."""
@@ -132,6 +153,8 @@
     | ZonesDrained
     | UpstreamsChanged
     | HostsCounted
+    | ListenerChecked
+    | CrashesReported
     | TimeReached
 )
 
@@ -196,6 +219,21 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckListener:
+    """Find out whether the upstream of a lost attempt still listens."""
+
+    attempt: int
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReportCrash:
+    """Tell the other entry hosts of a crash."""
+
+    crash: watching.Crash
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WakeAt:
     """Send ``TimeReached`` at this moment, in monotonic seconds."""
@@ -203,4 +241,14 @@
     moment: float
 
 
-Action = Send | Release | PassOn | AnswerParts | Refuse | ForgetUpstream | WakeAt
+Action = (
+    Send
+    | Release
+    | PassOn
+    | AnswerParts
+    | Refuse
+    | ForgetUpstream
+    | CheckListener
+    | ReportCrash
+    | WakeAt
+)
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -56,6 +56,7 @@
 
     :param number: of the request on this host.
     :param request_id: the caller's id.
+    :param fingerprint: alike for requests that an upstream cannot tell apart.
     :param route: pinned; a later table does not touch it.
     :param services: the shards, or the one service that answers it.
     :param started: monotonic seconds.
@@ -68,6 +69,7 @@
         *,
         number: int,
         request_id: str,
+        fingerprint: str,
         route: routes.Route,
         services: tuple[str, ...],
         started: float,
@@ -76,6 +78,7 @@
     ) -> None:
         self.number = number
         self.request_id = request_id
+        self.fingerprint = fingerprint
         self.route = route
         self.shards = [ShardState(service=service) for service in services]
         self.started = started
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -15,7 +15,14 @@
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import latency
-from greengagehaven.coordination.routing import events, extra, fleet, request
+from greengagehaven.coordination.routing import (
+    events,
+    extra,
+    fleet,
+    request,
+    suspects,
+)
+from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
 MISDIRECTED = 421
@@ -63,6 +70,8 @@
         self._extra = extra.ExtraAttempts(
             ratio=options.retry_ratio, burst=options.retry_burst
         )
+        self._suspects = suspects.Suspects(clock=clock)
+        self._lost_by_attempt: dict[int, request.Attempt] = {}
         self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
         self._attempts_by_id: dict[int, request.Attempt] = {}
@@ -77,6 +86,8 @@
             events.ZonesDrained: self._on_zones_drained,
             events.UpstreamsChanged: self._on_upstreams,
             events.HostsCounted: self._on_hosts_counted,
+            events.ListenerChecked: self._on_listener_checked,
+            events.CrashesReported: self._on_crashes,
             events.TimeReached: self._on_time,
         }
 
@@ -156,6 +167,7 @@
         route = self.table.find(arrived.host, arrived.path)
         if route is None:
             raise exceptions.NotFoundError("no route matches host and path")
+        self._check_suspect(arrived.fingerprint)
         now = self._clock.monotonic()
         left = route.timeout
         if arrived.time_left is not None:
@@ -173,6 +185,7 @@
         return request.RoutedRequest(
             number=arrived.number,
             request_id=arrived.request_id,
+            fingerprint=arrived.fingerprint,
             route=route,
             services=services,
             started=now,
@@ -180,6 +193,18 @@
             answer_by=now + route.objective * ANSWER_SHARE,
         )
 
+    def _check_suspect(self, fingerprint: str) -> None:
+        """Refuse a request that crashes upstreams, or that may just have."""
+        if self._suspects.is_convicted(fingerprint):
+            raise exceptions.SuspendedError(
+                "upstreams crashed on it", retry_after=suspects.CONVICTION_S
+            )
+        if self._suspects.is_pending(fingerprint):
+            raise exceptions.SuspendedError(
+                "an upstream was lost with it a moment ago",
+                retry_after=self._retry_after(),
+            )
+
     def _pick_service(self, route: routes.Route) -> str:
         """Return the service whose weight's part is owed most.
 
@@ -318,6 +343,9 @@
                 upstream.note_fault(fleet.REJECTED_FAULT, now)
             else:
                 self._note_fault(attempt, outcome, now)
+        elif outcome.fault is events.Fault.LOST and outcome.is_mute:
+            self._note_fault(attempt, outcome, now)
+            self._look_into(attempt, actions)
         elif outcome.fault is events.Fault.SILENT:
             ratio = took / attempt.usual
             upstream.note_latency(ratio, now)
@@ -343,6 +371,58 @@
                 for_ms=round((upstream.ejected_until - now) * 1000),
             )
 
+    def _look_into(
+        self, attempt: request.Attempt, actions: list[events.Action]
+    ) -> None:
+        """Find out whether an upstream crashed on an attempt."""
+        self._suspects.note_loss(attempt.request.fingerprint)
+        self._lost_by_attempt[attempt.id] = attempt
+        check = events.CheckListener(
+            attempt=attempt.id, address=attempt.upstream.entry.address
+        )
+        actions.append(check)
+
+    def _on_listener_checked(
+        self, checked: events.ListenerChecked, actions: list[events.Action]
+    ) -> None:
+        attempt = self._lost_by_attempt.pop(checked.attempt, None)
+        if attempt is None:
+            return
+        if checked.is_listening:
+            self._suspects.note_listening(attempt.request.fingerprint)
+            return
+        entry = attempt.upstream.entry
+        crash = watching.Crash(
+            fingerprint=attempt.request.fingerprint,
+            service=entry.service,
+            upstream_id=entry.id,
+            incarnation=entry.incarnation,
+        )
+        log.warning(
+            "upstream_crashed",
+            request=attempt.request.request_id,
+            fingerprint=crash.fingerprint,
+            service=crash.service,
+            upstream=crash.upstream_id,
+        )
+        self._take_crash(crash)
+        actions.append(events.ReportCrash(crash=crash))
+
+    def _on_crashes(
+        self, reported: events.CrashesReported, actions: list[events.Action]
+    ) -> None:
+        for crash in reported.crashes:
+            self._take_crash(crash)
+
+    def _take_crash(self, crash: watching.Crash) -> None:
+        if self._suspects.take_crash(crash):
+            log.warning(
+                "request_convicted",
+                fingerprint=crash.fingerprint,
+                service=crash.service,
+                for_s=suspects.CONVICTION_S,
+            )
+
     def _forget(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         entry = attempt.upstream.entry
         left = self.fleet.upstreams_by_id.get(entry.id)
@@ -394,6 +474,8 @@
             return False
         if shard.runs >= routed.route.attempts:
             return False
+        if self._suspects.is_convicted(routed.fingerprint):
+            return False
         if self._clock.monotonic() >= routed.deadline:
             return False
         usual = self._latencies.usual(_latency_class(routed.route))
@@ -416,6 +498,8 @@
         actions: list[events.Action],
     ) -> None:
         shard.hedge_at = float("inf")
+        if self._suspects.is_convicted(routed.fingerprint):
+            return
         if shard.runs >= routed.route.attempts or not shard.attempts:
             return
         usual = self._latencies.usual(_latency_class(routed.route))
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -6,6 +6,8 @@
 import itertools
 from collections import abc
 
+import xxhash
+
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
@@ -164,6 +166,10 @@
         """Take the number of entry hosts."""
         self._submit(events.HostsCounted(count=count))
 
+    def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
+        """Take crashes that other entry hosts saw."""
+        self._submit(events.CrashesReported(crashes=crashes))
+
     async def _handle_ready(self, request: http.Request) -> http.Response:
         if request.path != self._settings.ready_path:
             raise exceptions.NotFoundError("no such path")
@@ -180,6 +186,7 @@
             request_id=request.headers.get(self._names.request_id) or f"local-{number}",
             host=_host_of(request),
             path=request.target,
+            fingerprint=_fingerprint_of(request),
             time_left=_time_left(request.headers.get(self._names.time_left)),
         )
         try:
@@ -213,6 +220,10 @@
                 self._answer(number, _refusal(error))
             case events.ForgetUpstream(address=address):
                 self._channel.forget(address)
+            case events.CheckListener():
+                self._check_listener(action)
+            case events.ReportCrash(crash=crash):
+                self._watcher.report_crash(crash)
             case events.WakeAt(moment=moment):
                 self._arm(moment)
 
@@ -251,6 +262,14 @@
     ) -> None:
         self._submit(events.AttemptEnded(attempt=exchange.attempt, outcome=outcome))
 
+    def _check_listener(self, check: events.CheckListener) -> None:
+        def on_checked(is_listening: bool) -> None:
+            self._submit(
+                events.ListenerChecked(attempt=check.attempt, is_listening=is_listening)
+            )
+
+        self._channel.check_listener(check.address, on_checked)
+
     def _passed_on(self, attempt: int) -> http.Response:
         reply = self._replies_by_attempt[attempt].reply
         assert reply is not None
@@ -312,6 +331,14 @@
     return (request.headers.get("host") or "").partition(":")[0].lower()
 
 
+def _fingerprint_of(request: http.Request) -> str:
+    """Return what requests that an upstream cannot tell apart share."""
+    head = f"{request.method} {_host_of(request)} {request.target}\n"
+    digest = xxhash.xxh64(head.encode())
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
 def _time_left(value: str | None) -> float | None:
     """Return the seconds that a caller waits, ``None`` where it does not say."""
     try:
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -126,6 +126,9 @@
     def take_entry_hosts(self, count: int) -> None:
         """Take no count; each control host counts its own watchers."""
 
+    def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
+        """Take no crashes; entry hosts report them to every control host."""
+
     async def _handle(self, request: http.Request) -> http.Response:
         handler = self._handler
         if handler is None:
@@ -133,7 +136,12 @@
         return await handler(request)
 
     async def _start_peer_server(self) -> None:
-        methods = (*control.METHODS, orders.ORDER_METHOD, roster_feed.WATCH_METHOD)
+        methods = (
+            *control.METHODS,
+            orders.ORDER_METHOD,
+            roster_feed.WATCH_METHOD,
+            roster_feed.REPORT_METHOD,
+        )
         self._handlers_by_method = {}
         self._handler: http.Handler | None = None
         self._peer_server = peers.PeerServer(
@@ -179,6 +187,7 @@
             **self._host.handlers_by_method,
             orders.ORDER_METHOD: ordering.handle,
             roster_feed.WATCH_METHOD: self._feed.handle,
+            roster_feed.REPORT_METHOD: self._feed.handle_report,
         }
         self._handler = self._doors(ordering, registering)
 
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -10,9 +10,10 @@
 from greengagehaven import exceptions, log
 from greengagehaven.daemons import publisher
 from greengagehaven.protocol import codec, control, watching
-from greengagehaven.state import roster
+from greengagehaven.state import crashes, roster
 
 WATCH_METHOD = "roster/watch"
+REPORT_METHOD = "roster/report-crash"
 MAX_WAIT_S = 5.0
 SWEEP_PERIOD_S = 0.5
 WATCHER_LIFETIME_S = 4.0
@@ -55,6 +56,7 @@
         self._control_addresses = control_addresses
         self._clock = clock
         self._feed = secrets.token_hex(FEED_ID_BYTES)
+        self._crashes = crashes.CrashLog()
         self._watchers_by_host: dict[str, _Watcher] = {}
         self._news = asyncio.Event()
         self._held = asyncio.Event()
@@ -144,10 +146,12 @@
     async def handle(self, body: bytes) -> bytes:
         """Answer a watcher, at once where there is news, else when it comes."""
         request = codec.decode_msgpack(body, watching.WatchRequest)
-        held = request.held_version if request.feed == self._feed else 0
+        is_known = request.feed == self._feed
+        held = request.held_version if is_known else 0
+        held_crashes = request.held_crashes if is_known else 0
         self._note_watcher(request, held)
         wait = min(request.wait_ms / 1000, MAX_WAIT_S)
-        if wait > 0 and not self._has_news(request, held):
+        if wait > 0 and not self._has_news(request, held, held_crashes):
             news = self._news
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
@@ -165,12 +169,32 @@
             configuration=await self._configuration.handle(
                 codec.encode_msgpack(follow)
             ),
+            crashes=self._crashes.since(held_crashes) if request.is_entry else (),
+            crash_version=self._crashes.version,
         )
         return codec.encode_msgpack(reply)
 
-    def _has_news(self, request: watching.WatchRequest, held: int) -> bool:
+    async def handle_report(self, body: bytes) -> bytes:
+        """Take a crash that an entry host saw, and tell the others."""
+        crash = codec.decode_msgpack(body, watching.Crash)
+        self._crashes.add(crash, self._clock.monotonic())
+        log.info(
+            "crash_reported",
+            fingerprint=crash.fingerprint,
+            service=crash.service,
+            upstream=crash.upstream_id,
+            version=self._crashes.version,
+        )
+        self.notify()
+        return b""
+
+    def _has_news(
+        self, request: watching.WatchRequest, held: int, held_crashes: int
+    ) -> bool:
         if self.roster.version > held or request.whole:
             return True
+        if request.is_entry and self._crashes.version > held_crashes:
+            return True
         return self._configuration.revision > request.held_revision
 
     def _note_watcher(self, request: watching.WatchRequest, held: int) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -15,6 +15,7 @@
 MARGIN_S = 0.7
 FIRST_WAIT_S = 0.0
 RETRY_PAUSE_S = 0.15
+REPORT_TIMEOUT_S = 1.0
 LOST_AFTER_S = 3.0
 COUNT_LIFETIME_S = 15.0
 MAX_REVISION = 2**62
@@ -32,6 +33,9 @@
     def take_entry_hosts(self, count: int) -> None:
         """Note how many entry hosts there are."""
 
+    def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
+        """Take crashes that other entry hosts saw."""
+
 
 class Watcher:
     """Asks every control host at once and holds what the newest of them knows.
@@ -76,6 +80,7 @@
         self._counts_by_address: dict[str, tuple[float, int]] = {}
         self._seeds = tuple(control_addresses)
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
+        self._reports: set[asyncio.Task[None]] = set()
 
     def start(self) -> None:
         """Begin to ask."""
@@ -89,12 +94,28 @@
 
     async def close(self) -> None:
         """Stop asking."""
-        tasks = list(self._tasks_by_address.values())
+        tasks = [*self._tasks_by_address.values(), *self._reports]
         self._tasks_by_address.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def report_crash(self, crash: watching.Crash) -> None:
+        """Tell every control host of a crash, which tells the other hosts."""
+        body = codec.encode_msgpack(crash)
+        for address in self._tasks_by_address:
+            task = asyncio.ensure_future(self._report(address, body))
+            self._reports.add(task)
+            task.add_done_callback(self._reports.discard)
+
+    async def _report(self, address: str, body: bytes) -> None:
+        try:
+            await self._channel.call(
+                address, roster_feed.REPORT_METHOD, body, timeout=REPORT_TIMEOUT_S
+            )
+        except exceptions.PeerError as error:
+            log.debug("report_failed", address=address, error=error.detail)
+
     def _watch(self, address: str) -> None:
         if address == self._own_address or address in self._tasks_by_address:
             return
@@ -102,7 +123,7 @@
         self._tasks_by_address[address] = task
 
     async def _watch_forever(self, address: str) -> None:
-        feed, version = "", 0
+        feed, version, crash_version = "", 0, 0
         wait = FIRST_WAIT_S
         heard_at: float | None = None
         is_lost = False
@@ -118,6 +139,7 @@
                 else MAX_REVISION,
                 whole=self._needs_whole,
                 wait_ms=round(wait * 1000),
+                held_crashes=crash_version,
             )
             try:
                 reply = await self._ask(address, request, wait + MARGIN_S)
@@ -140,6 +162,7 @@
             is_lost = False
             heard_at = self._clock.monotonic()
             feed, version = reply.feed, reply.version
+            crash_version = reply.crash_version
             # The next call tells at once that this news is held; only then may
             # an upstream that wants to leave be told that it can.
             wait = FIRST_WAIT_S if is_news and reply.entries else WAIT_S
@@ -162,6 +185,8 @@
         if reply.configuration:
             follow = codec.decode_msgpack(reply.configuration, control.FollowReply)
             is_news = self._take_configuration(follow) or is_news
+        if reply.crashes:
+            self._sink.take_crashes(reply.crashes)
         self._take_count(address, reply.entry_hosts)
         for other in reply.control_addresses:
             self._watch(other)
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -251,6 +251,12 @@
     status = 422
 
 
+class SuspendedError(QuarantinedError):
+    """A request on which upstreams crashed; it was not run and may come again."""
+
+    status = 503
+
+
 class OutcomeUnknownError(RequestError):
     """A non-idempotent request may have run; it will not be sent again."""
 
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -104,6 +104,18 @@
     )
 
 
+class Crash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An upstream that stopped listening while it ran a request.
+
+    :param fingerprint: of the request.
+    """
+
+    fingerprint: str
+    service: str
+    upstream_id: str
+    incarnation: int
+
+
 class WatchRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Ask a control host for what changed.
 
@@ -114,6 +126,7 @@
     :param held_revision: the newest configuration held; deltas follow it.
     :param whole: ask for the whole configuration.
     :param wait_ms: how long to wait for news where there is none.
+    :param held_crashes: the newest crash of the feed that was taken here.
     """
 
     host_id: str
@@ -124,6 +137,7 @@
     held_revision: int = 0
     whole: bool = False
     wait_ms: int = 0
+    held_crashes: int = 0
 
 
 class WatchReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -132,6 +146,8 @@
     :param entry_hosts: entry hosts that this control host heard of lately.
     :param control_addresses: peer addresses of the members of the log.
     :param configuration: a ``FollowReply``, encoded.
+    :param crashes: what entry hosts reported after ``held_crashes``.
+    :param crash_version: of the newest crash known there.
     """
 
     feed: str
@@ -140,3 +156,5 @@
     entry_hosts: int = 0
     control_addresses: tuple[str, ...] = ()
     configuration: bytes = b""
+    crashes: tuple[Crash, ...] = ()
+    crash_version: int = 0
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -55,6 +55,12 @@
         self._chunks: list[bytes] = []
         self._reply_bytes = 0
         self._awaits_reply = False
+        self._is_mute = True
+
+    @property
+    def is_mute(self) -> bool:
+        """Tell whether not a byte came since the last request was sent."""
+        return self._is_mute
 
     @property
     def is_open(self) -> bool:
@@ -96,11 +102,13 @@
             data += self._codec.send(h11.Data(data=body)) or b""
         data += self._codec.send(h11.EndOfMessage()) or b""
         self._awaits_reply = True
+        self._is_mute = True
         self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a reply."""
         self.last_progress = self._clock.monotonic()
+        self._is_mute = False
         if not self._awaits_reply:
             # The next exchange would take these bytes for its own reply.
             self.abort("bytes that nobody asked for")
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -81,13 +81,7 @@
         :param connections: how many connections may be open to its upstream.
         """
         self._exchanges_by_attempt[exchange.attempt] = exchange
-        pool = self._pools_by_address.get(exchange.address)
-        if pool is None:
-            pool = _Pool(address=exchange.address, channel=self, clock=self._clock)
-            self._pools_by_address[exchange.address] = pool
-        if self._sweeper is None:
-            self._sweep_later()
-        pool.submit(exchange, connections)
+        self._pool_of(exchange.address).submit(exchange, connections)
 
     def release(self, attempt: int, *, may_cut: bool) -> None:
         """Note that nobody waits for an attempt.
@@ -105,6 +99,12 @@
             loop = asyncio.get_running_loop()
             loop.call_later(RELEASE_GRACE_S, self._cut, exchange)
 
+    def check_listener(
+        self, address: str, on_checked: typing.Callable[[bool], None]
+    ) -> None:
+        """Tell whether an address still listens, by a connection that is kept."""
+        self._pool_of(address).check_listener(on_checked)
+
     def forget(self, address: str) -> None:
         """Close idle connections to an address and reuse none in use."""
         pool = self._pools_by_address.get(address)
@@ -154,6 +154,15 @@
         )
         return outcome, True
 
+    def _pool_of(self, address: str) -> "_Pool":
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = _Pool(address=address, channel=self, clock=self._clock)
+            self._pools_by_address[address] = pool
+        if self._sweeper is None:
+            self._sweep_later()
+        return pool
+
     def _cut(self, exchange: Exchange) -> None:
         if not exchange.is_over and exchange.connection is not None:
             self.end(exchange, events.Failed(fault=events.Fault.SILENT))
@@ -200,6 +209,11 @@
         self._waiting.append(exchange)
         self._pump()
 
+    def check_listener(self, on_checked: typing.Callable[[bool], None]) -> None:
+        """Open a connection and tell whether that worked."""
+        task = asyncio.get_running_loop().create_task(self._connect(on_checked))
+        self._opening.add(task)
+
     def withdraw(self, exchange: Exchange) -> None:
         """Forget an exchange that waits."""
         if exchange in self._waiting:
@@ -259,7 +273,9 @@
         self._expiry_by_connection.pop(connection, None)
         exchange, connection.exchange = connection.exchange, None
         if exchange is not None:
-            lost = events.Failed(fault=events.Fault.LOST, detail=detail)
+            lost = events.Failed(
+                fault=events.Fault.LOST, detail=detail, is_mute=connection.is_mute
+            )
             self._channel.end(exchange, lost)
         self._pump()
 
@@ -294,7 +310,9 @@
         headers = [*exchange.headers, (self._channel.names.time_left, str(left_ms))]
         connection.send(exchange.method, exchange.target, headers, exchange.body)
 
-    async def _connect(self) -> None:
+    async def _connect(
+        self, on_checked: typing.Callable[[bool], None] | None = None
+    ) -> None:
         loop = asyncio.get_running_loop()
         connection = client_connection.ClientConnection(owner=self, clock=self._clock)
         detail = ""
@@ -311,10 +329,12 @@
         if connection.is_open:
             self._open.add(connection)
             self._idle.append(connection)
-        elif self._waiting:
+        elif self._waiting and on_checked is None:
             exchange = self._waiting.popleft()
             failed = events.Failed(fault=events.Fault.CONNECT, detail=detail)
             self._channel.end(exchange, failed)
+        if on_checked is not None:
+            on_checked(connection.is_open)
         self._pump()
 
 
