--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -94,6 +94,7 @@
         self.forgotten = []
         self.checked = []
         self.reported = []
+        self.probed = []
         self.endings_by_number = {}
         self.wake_at = None
         self.next_number = 1
@@ -109,6 +110,8 @@
                     self.forgotten.append(address)
                 case events.CheckListener():
                     self.checked.append(action)
+                case events.ProbeUpstream(upstream_id=upstream_id):
+                    self.probed.append(upstream_id)
                 case events.ReportCrash(crash=crash):
                     self.reported.append(crash)
                 case events.WakeAt(moment=moment):
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -44,9 +44,49 @@
     Given a router with a sweep over 4 shards of 3 upstreams each
     When a sweep arrives
     And all its attempts but the first are answered
-    And 90 ms pass
+    And 95 ms pass
     Then it is answered with 3 parts and 1 missing
 
+  Scenario: A caller's time began before its request came here
+    It connected first, or another host refused it, and the answer has its way to
+    go. An answer that leaves at the objective comes after it.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    And callers who wait for 500 ms, of whom most have just connected in 6 ms
+    When a sweep arrives whose caller has waited 60 ms
+    And all its attempts but the first are answered
+    And 34 ms pass
+    Then it is answered with 3 parts and 1 missing
+
+  Scenario: A partition takes every upstream of a shard away
+    No reset says so. Each sweep would wait for its deadline, though nothing can
+    answer it, and its caller could not ask elsewhere in time.
+
+    Given a router with a sweep over 4 shards of 3 upstreams each
+    And the first two shards answer nothing from now on
+    When 40 sweeps arrive 50 ms apart
+    Then the last 10 of them were refused at once and told when to come back
+    When the upstreams of the first two shards can be reached again
+    And 40 sweeps arrive 50 ms apart
+    Then the last 10 of them were answered in full
+
+  Scenario: A request that runs once waits for an upstream out of reach
+    It may have run, and its answer may still come when the partition heals.
+
+    Given a router with requests that run once
+    When a request that runs once arrives
+    And 900 ms pass
+    Then 1 attempt was sent
+    And the request is not over
+
+  Scenario: An upstream rejects requests with slots free
+    It says that it ran nothing and looks idle. Taken at its word it would get
+    most requests, and reject them.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When the first upstream rejects 60 sweeps 20 ms apart with slots free
+    Then it got at most 20 attempts
+
   Scenario: Too few parts can still come
     Two of four shards have no upstream at all. A caller that were left waiting
     until its deadline could not ask another host.
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -459,3 +459,102 @@
 @behave.when("{count:d} seconds pass")
 def when_seconds(context, count):
     context.tier.pass_time(float(count))
+
+
+@behave.given(
+    "callers who wait for {whole:d} ms, of whom most have just connected in {ms:d} ms"
+)
+def given_callers(context, whole, ms):
+    context.whole = whole
+    for left in [whole, *[whole - ms] * 60]:
+        number = context.tier.request("/sweep/1", time_left=left / 1000)
+        for send in context.tier.attempts_of(number):
+            context.tier.reply(send)
+
+
+@behave.when("a sweep arrives whose caller has waited {ms:d} ms")
+def when_waited(context, ms):
+    left = (context.whole - ms) / 1000
+    context.number = context.tier.request("/sweep/1", time_left=left)
+
+
+@behave.when(
+    "the first upstream rejects {count:d} sweeps {gap:d} ms apart with slots free"
+)
+def when_first_rejects(context, count, gap):
+    idle = events.Load(running=0, waiting=0, slots=2)
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        context.tier.pass_time(0.001)
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            done += 1
+            if send.upstream_id == "shard-0-u0":
+                context.tier.reply(send, status=503, not_run=True, load=idle)
+            else:
+                context.tier.reply(send)
+        context.tier.pass_time(gap / 1000)
+
+
+@behave.given("the first two shards answer nothing from now on")
+def given_silent(context):
+    context.silent = ("shard-0", "shard-1")
+
+
+@behave.when("the upstreams of the first two shards can be reached again")
+def when_reached(context):
+    context.silent = ()
+
+
+@behave.when("{count:d} sweeps arrive {gap:d} ms apart")
+def when_sweeps_apart(context, count, gap):
+    context.numbers = []
+    context.moments = []
+    answered = set()
+    for _ in range(count):
+        before = context.tier.clock.monotonic()
+        number = context.tier.request("/sweep/1")
+        context.numbers.append(number)
+        context.moments.append(before)
+        answer_audible(context, answered)
+        context.tier.pass_time(gap / 1000)
+        answer_audible(context, answered)
+
+
+def answer_audible(context, answered):
+    """Reply for every upstream that is not silent, and to its probes."""
+    for send in list(context.tier.sent):
+        is_silent = send.upstream_id.startswith(tuple(context.silent) or ("none",))
+        if send.attempt not in answered and not is_silent:
+            answered.add(send.attempt)
+            context.tier.reply(send)
+    probed, context.tier.probed = context.tier.probed, []
+    for upstream_id in probed:
+        is_silent = upstream_id.startswith(tuple(context.silent) or ("none",))
+        context.tier.step(
+            events.UpstreamProbed(upstream_id=upstream_id, is_listening=not is_silent)
+        )
+
+
+@behave.then(
+    "the last {count:d} of them were refused at once and told when to come back"
+)
+def then_refused_at_once(context, count):
+    for number in context.numbers[-count:]:
+        ending = context.tier.endings_by_number[number]
+        assert isinstance(ending, events.Refuse), ending
+        assert ending.error.code in ("incomplete", "upstreams_failed"), ending
+        assert ending.error.retry_after > 0
+
+
+@behave.then("the last {count:d} of them were answered in full")
+def then_answered_in_full(context, count):
+    for number in context.numbers[-count:]:
+        ending = context.tier.endings_by_number[number]
+        assert isinstance(ending, events.AnswerParts) and not ending.missing, ending
+
+
+@behave.then("the request is not over")
+def then_not_over(context):
+    assert context.number not in context.tier.endings_by_number
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -133,6 +133,14 @@
     is_listening: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamProbed:
+    """Whether an upstream that was out of reach can be connected to."""
+
+    upstream_id: str
+    is_listening: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CrashesReported:
     """Other entry hosts saw upstreams crash."""
@@ -154,6 +162,7 @@
     | UpstreamsChanged
     | HostsCounted
     | ListenerChecked
+    | UpstreamProbed
     | CrashesReported
     | TimeReached
 )
@@ -227,6 +236,14 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeUpstream:
+    """Find out whether an upstream can be connected to again."""
+
+    upstream_id: str
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ReportCrash:
     """Tell the other entry hosts of a crash."""
@@ -249,6 +266,7 @@
     | Refuse
     | ForgetUpstream
     | CheckListener
+    | ProbeUpstream
     | ReportCrash
     | WakeAt
 )
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -20,10 +20,16 @@
 EJECT_FAULTS = 2
 EJECT_FIRST_S = 0.4
 EJECT_MOST_S = 4.0
-GREY_RATE = 0.3
-GREY_FACTOR = 6.0
-REJECTED_FAULT = 0.5
+GREY_RATE = 0.15
+GREY_COST_S = 0.04
+FAULT_LIFETIME_S = 3.0
+FULL_FAULT = 0.2
 NOISE = 0.1
+SILENCE_S = 0.6
+SILENCE_FACTOR = 8.0
+HEARD_LATELY_S = 0.5
+SENT_LATELY_S = 1.0
+PROBE_PERIOD_S = 0.5
 OVERDUE_FACTOR = 2.0
 OVERDUE_LEAST_S = 0.02
 FORGET_AFTER_S = 60.0
@@ -43,13 +49,46 @@
         self.sent_at_by_attempt: dict[int, float] = {}
         self.slowness = 1.0
         self.slowness_at = now
-        self.fault_rate = 0.0
+        self._fault_rate = 0.0
+        self._fault_rate_at = now
         self.faults_in_row = 0
         self.ejected_until = -math.inf
+        self.heard_at = now
+        self._waiting_since = now
+        self._sent_at = -math.inf
+        self.is_reachable = True
+        self.probe_at = math.inf
         self.load: events.Load | None = None
         self.load_at = -math.inf
         self.cold_sent: collections.deque[float] = collections.deque()
 
+    def is_silent(self, usual: float, now: float) -> bool:
+        """Tell whether nothing at all has come from it for too long.
+
+        One that is slow answers something now and then. One behind a partition
+        answers nothing, and no reset says so: each request sent to it would wait
+        for its deadline.
+
+        :param usual: seconds that its oldest request usually takes.
+        """
+        silence = now - max(self._waiting_since, self.heard_at)
+        return silence > max(SILENCE_S, SILENCE_FACTOR * usual)
+
+    def note_sent(self, attempt: int, now: float) -> None:
+        """Count an attempt that is sent."""
+        if now - self._sent_at > SENT_LATELY_S or self.heard_at > self._waiting_since:
+            # Attempts that were cut off count on, those of long ago do not.
+            self._waiting_since = now
+        self._sent_at = now
+        self.sent_at_by_attempt[attempt] = now
+        if now < self.cold_until:
+            self.cold_sent.append(now)
+
+    def lose(self, now: float) -> None:
+        """Note that it is out of reach until a probe gets through."""
+        self.is_reachable = False
+        self.probe_at = now + PROBE_PERIOD_S
+
     def expected(self, usual: float, now: float) -> float:
         """Return the seconds that a request sent now is likely to take.
 
@@ -89,16 +128,36 @@
         self.slowness = faded + SLOWNESS_WEIGHT * (min(ratio, 20.0) - faded)
         self.slowness_at = now
 
-    def note_success(self) -> None:
+    def fault_rate(self, now: float) -> float:
+        """Return the part of its requests that failed lately.
+
+        It fades, or one that is avoided for it would never show that it is well.
+        """
+        age = now - self._fault_rate_at
+        return self._fault_rate * 0.5 ** (age / FAULT_LIFETIME_S)
+
+    def _note_rate(self, weight: float, now: float) -> None:
+        rate = self.fault_rate(now)
+        self._fault_rate = rate + FAULT_WEIGHT * (weight - rate)
+        self._fault_rate_at = now
+
+    def note_success(self, now: float) -> None:
         """Take in a reply that counts."""
         self.faults_in_row = 0
-        self.fault_rate *= 1.0 - FAULT_WEIGHT
+        self._note_rate(0.0, now)
+
+    def note_rejection(self, load: events.Load | None, now: float) -> None:
+        """Take in that it did not run a request.
+
+        One that is full says so truly and will have room soon. One that rejects
+        with slots free would go on rejecting while it looks idle and quick.
+        """
+        is_full = load is not None and load.running >= load.slots
+        self._note_rate(FULL_FAULT if is_full else 1.0, now)
 
-    def note_fault(self, weight: float, now: float) -> bool:
+    def note_fault(self, now: float) -> bool:
         """Take in a failure; return whether it is ejected for it."""
-        self.fault_rate += FAULT_WEIGHT * (weight - self.fault_rate)
-        if weight < 1.0:
-            return False
+        self._note_rate(1.0, now)
         self.faults_in_row += 1
         if self.faults_in_row < EJECT_FAULTS:
             return False
@@ -215,19 +274,13 @@
             return DEFAULT_CONNECTIONS
         return max(2, limits.connections // (self._hosts + 1))
 
-    def note_sent(self, upstream: Upstream, attempt: int) -> None:
-        """Count an attempt that is sent."""
-        now = self._clock.monotonic()
-        upstream.sent_at_by_attempt[attempt] = now
-        if now < upstream.cold_until:
-            upstream.cold_sent.append(now)
-
     def _usable(self, service: str) -> list[Upstream]:
         return [
             upstream
             for upstream_id in self._ids_by_service.get(service, ())
             if (upstream := self.upstreams_by_id[upstream_id]).entry.stage
             is not watching.Stage.DRAINING
+            and upstream.is_reachable
             and upstream.entry.availability_zone not in self._drained_zones
         ]
 
@@ -257,8 +310,9 @@
         cost = upstream.expected(usual, now)
         if upstream.entry.availability_zone != self._zone:
             cost += CROSS_ZONE_S
-        if upstream.fault_rate > GREY_RATE:
-            cost *= 1.0 + GREY_FACTOR * upstream.fault_rate
+        fault_rate = upstream.fault_rate(now)
+        if fault_rate > GREY_RATE:
+            cost += GREY_COST_S * fault_rate
         return cost * (1.0 + NOISE * self._rng.random())
 
     def _add(self, entry: watching.UpstreamEntry, now: float) -> None:
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -16,6 +16,7 @@
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
+    callers,
     events,
     extra,
     fleet,
@@ -30,10 +31,11 @@
 FIRST_HEDGE_SHARE = 0.25
 LEAST_HEDGE_S = 0.006
 HEDGE_KEEP = 0.2
-ANSWER_SHARE = 0.85
 DEADLINE_MARGIN_S = 0.01
 RETRY_AFTER_RANGE_S = (0.03, 0.12)
 SLOW_RATIO = 4.0
+WATCH_PERIOD_S = 0.1
+WATCH_NUMBER = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,6 +72,7 @@
         self._extra = extra.ExtraAttempts(
             ratio=options.retry_ratio, burst=options.retry_burst
         )
+        self._callers = callers.CallerTimes()
         self._suspects = suspects.Suspects(clock=clock)
         self._lost_by_attempt: dict[int, request.Attempt] = {}
         self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
@@ -77,6 +80,7 @@
         self._attempts_by_id: dict[int, request.Attempt] = {}
         self._attempt_ids = itertools.count(1)
         self._timers: list[tuple[float, int]] = []
+        self._is_watching = False
         self._debts_by_route: dict[str, dict[str, float]] = {}
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
@@ -87,6 +91,7 @@
             events.UpstreamsChanged: self._on_upstreams,
             events.HostsCounted: self._on_hosts_counted,
             events.ListenerChecked: self._on_listener_checked,
+            events.UpstreamProbed: self._on_probed,
             events.CrashesReported: self._on_crashes,
             events.TimeReached: self._on_time,
         }
@@ -113,7 +118,8 @@
             name for route in in_force.table.routes for name in route.service_names
         )
         self._extra.retain(services)
-        names = {route.name for route in in_force.table.routes}
+        names = frozenset(route.name for route in in_force.table.routes)
+        self._callers.retain(names)
         for name in set(self._debts_by_route) - names:
             del self._debts_by_route[name]
 
@@ -184,10 +190,11 @@
         Requests of this host ahead, multiple of the usual time, rate of faults,
         and the age in ms of what it said of its load.
         """
-        age_ms = _age_ms(self._clock.monotonic(), chosen.load_at)
+        now = self._clock.monotonic()
         return (
             f"{chosen.entry.id}:{len(chosen.sent_at_by_attempt)}"
-            f":{chosen.slowness:.1f}:{chosen.fault_rate:.1f}:{age_ms}"
+            f":{chosen.slowness:.1f}:{chosen.fault_rate(now):.1f}"
+            f":{_age_ms(now, chosen.load_at)}"
         )
 
     def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
@@ -200,6 +207,7 @@
             raise exceptions.NotFoundError("no route matches host and path")
         self._check_suspect(arrived.fingerprint)
         now = self._clock.monotonic()
+        waited = self._callers.observe(route, arrived.time_left)
         left = route.timeout
         if arrived.time_left is not None:
             left = min(left, arrived.time_left)
@@ -212,7 +220,7 @@
             services=services,
             started=now,
             deadline=now + left - DEADLINE_MARGIN_S,
-            answer_by=now + route.objective * ANSWER_SHARE,
+            answer_by=now + self._callers.answer_within(route, waited),
         )
 
     def _check_suspect(self, fingerprint: str) -> None:
@@ -282,7 +290,8 @@
                 upstream=self._describe(chosen),
                 after_ms=_age_ms(now, routed.started),
             )
-        self.fleet.note_sent(chosen, attempt.id)
+        self._watch_silence(now)
+        chosen.note_sent(attempt.id, now)
         self._attempts_by_id[attempt.id] = attempt
         shard.attempts.append(attempt)
         shard.tried.add(chosen.entry.id)
@@ -316,7 +325,8 @@
         if attempt is None:
             return
         attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
-        attempt.shard.attempts.remove(attempt)
+        if attempt in attempt.shard.attempts:
+            attempt.shard.attempts.remove(attempt)
         self._observe(attempt, ended.outcome, actions)
         if not attempt.is_wanted or attempt.request.is_over:
             return
@@ -340,18 +350,19 @@
         upstream = attempt.upstream
         took = now - attempt.sent_at
         if isinstance(outcome, events.Replied):
+            upstream.heard_at = now
             if outcome.load is not None:
                 upstream.load = outcome.load
                 upstream.load_at = now
             if outcome.status == MISDIRECTED:
                 self._forget(attempt, actions)
             elif outcome.is_success:
-                upstream.note_success()
+                upstream.note_success(now)
                 upstream.note_latency(took / attempt.usual, now)
                 key = _latency_class(attempt.request.route)
                 self._latencies.observe(key, took, now)
             elif outcome.not_run:
-                upstream.note_fault(fleet.REJECTED_FAULT, now)
+                upstream.note_rejection(outcome.load, now)
             else:
                 self._note_fault(attempt, outcome, now)
         elif outcome.fault is events.Fault.LOST and outcome.is_mute:
@@ -362,9 +373,85 @@
             upstream.note_latency(ratio, now)
             if ratio > SLOW_RATIO:
                 self._note_fault(attempt, outcome, now)
+        elif outcome.fault is events.Fault.CONNECT:
+            self._note_fault(attempt, outcome, now)
+            if now - upstream.heard_at > fleet.HEARD_LATELY_S:
+                self._lose(upstream, now, "connect")
         elif outcome.fault is not events.Fault.UNSENT:
             self._note_fault(attempt, outcome, now)
 
+    def _lose(self, upstream: fleet.Upstream, now: float, reason: str) -> None:
+        if not upstream.is_reachable:
+            return
+        upstream.lose(now)
+        self._watch_silence(now)
+        log.warning(
+            "upstream_out_of_reach",
+            upstream=upstream.entry.id,
+            service=upstream.entry.service,
+            zone=upstream.entry.availability_zone,
+            reason=reason,
+            silent_ms=_age_ms(now, upstream.heard_at),
+        )
+
+    def _watch_silence(self, now: float) -> None:
+        """Look at upstreams now and then while one may be out of reach."""
+        if not self._is_watching:
+            self._is_watching = True
+            heapq.heappush(self._timers, (now + WATCH_PERIOD_S, WATCH_NUMBER))
+
+    def _look_for_silence(self, now: float, actions: list[events.Action]) -> None:
+        self._is_watching = False
+        for attempt in list(self._attempts_by_id.values()):
+            if attempt.upstream.is_silent(attempt.usual, now):
+                self._lose(attempt.upstream, now, "silence")
+        for attempt in list(self._attempts_by_id.values()):
+            is_lost = not attempt.upstream.is_reachable and attempt.is_wanted
+            if is_lost and attempt.request.route.is_idempotent:
+                self._give_up(attempt, actions)
+        lost = [
+            upstream
+            for upstream in self.fleet.upstreams_by_id.values()
+            if not upstream.is_reachable
+        ]
+        for upstream in lost:
+            if now >= upstream.probe_at:
+                upstream.probe_at = now + fleet.PROBE_PERIOD_S
+                probe = events.ProbeUpstream(
+                    upstream_id=upstream.entry.id, address=upstream.entry.address
+                )
+                actions.append(probe)
+        if lost or self._attempts_by_id:
+            self._watch_silence(now)
+
+    def _give_up(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
+        """Fail an attempt at an upstream that is out of reach."""
+        self._release([attempt], actions)
+        if attempt.request.is_over:
+            return
+        attempt.shard.attempts.remove(attempt)
+        failed = events.Failed(fault=events.Fault.SILENT, detail="out of reach")
+        self._take_failure(attempt, failed, actions)
+        self._settle(attempt.request, actions)
+
+    def _on_probed(
+        self, probed: events.UpstreamProbed, actions: list[events.Action]
+    ) -> None:
+        upstream = self.fleet.upstreams_by_id.get(probed.upstream_id)
+        if upstream is None or upstream.is_reachable or not probed.is_listening:
+            return
+        now = self._clock.monotonic()
+        upstream.is_reachable = True
+        upstream.heard_at = now
+        upstream.faults_in_row = 0
+        upstream.ejected_until = now
+        log.info(
+            "upstream_reached",
+            upstream=upstream.entry.id,
+            service=upstream.entry.service,
+            zone=upstream.entry.availability_zone,
+        )
+
     def _note_fault(
         self,
         attempt: request.Attempt,
@@ -372,7 +459,7 @@
         now: float,
     ) -> None:
         upstream = attempt.upstream
-        if upstream.note_fault(1.0, now):
+        if upstream.note_fault(now):
             log.warning(
                 "upstream_ejected",
                 upstream=upstream.entry.id,
@@ -668,6 +755,9 @@
         now = self._clock.monotonic()
         while self._timers and self._timers[0][0] <= now:
             _, number = heapq.heappop(self._timers)
+            if number == WATCH_NUMBER:
+                self._look_for_silence(now, actions)
+                continue
             routed = self._requests_by_number.get(number)
             if routed is None:
                 continue
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -222,6 +222,8 @@
                 self._channel.forget(address)
             case events.CheckListener():
                 self._check_listener(action)
+            case events.ProbeUpstream():
+                self._probe(action)
             case events.ReportCrash(crash=crash):
                 self._watcher.report_crash(crash)
             case events.WakeAt(moment=moment):
@@ -270,6 +272,16 @@
 
         self._channel.check_listener(check.address, on_checked)
 
+    def _probe(self, probe: events.ProbeUpstream) -> None:
+        def on_checked(is_listening: bool) -> None:
+            self._submit(
+                events.UpstreamProbed(
+                    upstream_id=probe.upstream_id, is_listening=is_listening
+                )
+            )
+
+        self._channel.check_listener(probe.address, on_checked)
+
     def _passed_on(self, attempt: int) -> http.Response:
         reply = self._replies_by_attempt[attempt].reply
         assert reply is not None
