--- a/features/fakes/leafs.py
+++ b/features/fakes/leafs.py
@@ -116,11 +116,12 @@
     def __init__(self):
         self.clock = clock.SystemClock()
         self.folder = tempfile.TemporaryDirectory()
-        ports = free_ports(2 * CONTROLS + 2)
+        ports = free_ports(2 * CONTROLS + 4)
         self.doors = [f"127.0.0.1:{port}" for port in ports[:CONTROLS]]
         peers = [f"127.0.0.1:{port}" for port in ports[CONTROLS : 2 * CONTROLS]]
+        last = (f"127.0.0.1:{port}" for port in ports[-4:])
+        self.front, self.ready, self.front_metrics, self.control_metrics = last
         self.controls = [self.make_control(n, peers) for n in range(CONTROLS)]
-        self.front, self.ready = (f"127.0.0.1:{port}" for port in ports[-2:])
         self.gateway = gateway.Gateway(
             settings=gateway.GatewaySettings(
                 host_id="front-1",
@@ -131,6 +132,7 @@
                 control_addresses=tuple(peers),
                 grace=datetime.timedelta(seconds=6),
                 router=router.Options(zone="midt-a"),
+                metrics_listen=self.front_metrics,
             ),
             names=names.HEADERS,
             read_document=documents.read,
@@ -157,6 +159,7 @@
             listen=self.doors[number],
             zone="midt-a",
             announce_period=PERIOD_S * 20,
+            metrics_listen=None if number else self.control_metrics,
             doors=lambda orders, registrar: (
                 control_doors.ControlDoors(orders=orders, registrar=registrar).handle
             ),
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -75,6 +75,7 @@
     When the operator puts a configuration with a sweep over both shards
     Then a client's sweep is answered with both parts
     And the configuration is read back at every control host
+    And the metrics of an entry host and of a control host tell of both
     When a leaf of each shard drains
     Then the beat that says so is acknowledged
     And no further sweep reaches those leafs
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -317,3 +317,15 @@
     reply = play(context, context.platform.sweep())
     assert reply.status == 200 and reply.body == leafs.RECORD * 2, reply
     assert reply.headers["connection"] == "close"
+
+
+@behave.then("the metrics of an entry host and of a control host tell of both")
+def then_metrics(context):
+    platform = context.platform
+    texts = [
+        play(context, platform.call(address, "GET", "/metrics", b"")).body.decode()
+        for address in (platform.front_metrics, platform.control_metrics)
+    ]
+    assert 'routed_requests_total{outcome="answered",route="r-1"}' in texts[0], texts
+    assert 'routed_seconds_bucket{le="+Inf",route="r-1"}' in texts[0], texts
+    assert "greengagehaven_control_log_bytes" in texts[1], texts
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -17,6 +17,7 @@
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
     callers,
+    counts,
     events,
     extra,
     fleet,
@@ -33,6 +34,8 @@
 HEDGE_KEEP = 0.2
 DEADLINE_MARGIN_S = 0.01
 RETRY_AFTER_RANGE_S = (0.03, 0.12)
+NO_UPSTREAM_RETRY_AFTER_RANGE_S = (0.3, 0.7)
+NO_TABLE_RETRY_AFTER_RANGE_S = (0.7, 1.3)
 SLOW_RATIO = 4.0
 WATCH_PERIOD_S = 0.1
 WATCH_NUMBER = 0
@@ -67,6 +70,7 @@
             zone=options.zone, cold_bound=options.cold_bound, clock=clock, rng=rng
         )
         self.table: routes.RoutingTable | None = None
+        self.counts = counts.Counts()
         self._clock = clock
         self._rng = rng
         self._extra = extra.ExtraAttempts(
@@ -200,7 +204,8 @@
     def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
         if self.table is None:
             raise exceptions.NotConfiguredError(
-                "no table of routes is in force yet", retry_after=self._retry_after()
+                "no table of routes is in force yet",
+                retry_after=self._rng.uniform(*NO_TABLE_RETRY_AFTER_RANGE_S),
             )
         route = self.table.find(arrived.host, arrived.path)
         if route is None:
@@ -282,6 +287,7 @@
             sent_at=now,
             usual=self._usual(routed),
         )
+        self.counts.attempts[purpose] += 1
         if purpose != "primary":
             log.info(
                 purpose,
@@ -384,6 +390,7 @@
         if not upstream.is_reachable:
             return
         upstream.lose(now)
+        self.counts.upstream_changes["out_of_reach"] += 1
         self._watch_silence(now)
         log.warning(
             "upstream_out_of_reach",
@@ -441,6 +448,7 @@
         if upstream is None or upstream.is_reachable or not probed.is_listening:
             return
         now = self._clock.monotonic()
+        self.counts.upstream_changes["reached"] += 1
         upstream.is_reachable = True
         upstream.heard_at = now
         upstream.faults_in_row = 0
@@ -460,6 +468,7 @@
     ) -> None:
         upstream = attempt.upstream
         if upstream.note_fault(now):
+            self.counts.upstream_changes["ejected"] += 1
             log.warning(
                 "upstream_ejected",
                 upstream=upstream.entry.id,
@@ -496,6 +505,7 @@
             upstream_id=entry.id,
             incarnation=entry.incarnation,
         )
+        self.counts.upstream_changes["crashed"] += 1
         log.warning(
             "upstream_crashed",
             request=attempt.request.request_id,
@@ -551,6 +561,7 @@
         if isinstance(outcome, events.Replied) and not did_not_run:
             shard.reply = attempt
         shard.failure = request.kind_of_failure(outcome)
+        self.counts.failures[shard.failure] += 1
         if shard.attempts:
             return
         if self._is_final(outcome) or not self._retry(attempt, did_not_run, actions):
@@ -578,6 +589,8 @@
             return False
         chosen = self._choose(routed, shard)
         if chosen is None or not self._extra.spend(shard.service):
+            if chosen is not None:
+                self.counts.extra_refused += 1
             shard.failure += "_no_budget" if chosen is not None else "_no_upstream"
             return False
         self._send_to(chosen, routed, shard, "retry", actions)
@@ -607,6 +620,7 @@
             return
         keep = HEDGE_KEEP if routed.route.priority > 1 else 0.0
         if not self._extra.spend(shard.service, keep=keep):
+            self.counts.extra_refused += 1
             log.info("hedge_refused", request=routed.request_id, service=shard.service)
             return
         self._send_to(chosen, routed, shard, "hedge", actions)
@@ -680,7 +694,12 @@
             return exceptions.UpstreamsFailedError(
                 detail, ran=exceptions.Ran.UNKNOWN, retry_after=self._retry_after()
             )
-        return exceptions.IncompleteError(detail, retry_after=self._retry_after())
+        # An upstream that is out of reach is probed twice a second; who comes
+        # back sooner is refused again.
+        retry_after = self._rng.uniform(*NO_UPSTREAM_RETRY_AFTER_RANGE_S)
+        if any(shard.sends for shard in routed.shards):
+            retry_after = self._retry_after()
+        return exceptions.IncompleteError(detail, retry_after=retry_after)
 
     def _late_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
         return exceptions.DeadlineExceededError(
@@ -712,6 +731,8 @@
         self._requests_by_number.pop(routed.number, None)
         parts = routed.parts
         took = self._clock.monotonic() - routed.started
+        missing = len(routed.shards) - len(parts)
+        self.counts.end(routed.route.name, outcome, took, missing)
         log.info(
             "ended",
             request=routed.request_id,
--- /dev/null
+++ b/src/greengagehaven/daemons/exposition.py
@@ -0,0 +1,123 @@
+"""Metrics in Prometheus' text format, made when somebody asks for them."""
+
+import typing
+from collections import abc
+
+from greengagehaven import exceptions, log
+from greengagehaven.coordination.routing import counts
+from greengagehaven.transport import http, http_server
+
+PATH = "/metrics"
+TEXT = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "greengagehaven"
+
+
+class GatewayCollector:
+    """Families of an entry host that passes requests on by routes.
+
+    :param counted: what its router counted.
+    :param gauges: current values by name, with their help.
+    """
+
+    def __init__(
+        self,
+        *,
+        counted: counts.Counts,
+        gauges: abc.Mapping[str, tuple[str, abc.Callable[[], float]]],
+    ) -> None:
+        self._counted = counted
+        self._gauges = gauges
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield every family; the library is loaded here."""
+        from prometheus_client import core
+
+        counted = self._counted
+        family = core.CounterMetricFamily(
+            f"{PREFIX}_routed_requests",
+            "Requests that got their answer",
+            labels=("route", "outcome"),
+        )
+        for (route, outcome), count in counted.requests.items():
+            family.add_metric((route, outcome), count)
+        yield family
+        labelled = (
+            ("attempts", "purpose", "Attempts sent", counted.attempts),
+            ("attempt_failures", "reason", "Attempts failed", counted.failures),
+            (
+                "upstream_changes",
+                "change",
+                "Upstreams ejected, out of reach, reached again or crashed",
+                counted.upstream_changes,
+            ),
+        )
+        for name, label, text, values in labelled:
+            family = core.CounterMetricFamily(
+                f"{PREFIX}_routed_{name}", text, labels=(label,)
+            )
+            for value, count in values.items():
+                family.add_metric((value,), count)
+            yield family
+        yield core.CounterMetricFamily(
+            f"{PREFIX}_routed_extra_refused",
+            "Hedges and retries that the shared budget refused",
+            value=counted.extra_refused,
+        )
+        yield core.CounterMetricFamily(
+            f"{PREFIX}_routed_missing_parts",
+            "Shards that answers left out",
+            value=counted.missing_parts,
+        )
+        histogram = core.HistogramMetricFamily(
+            f"{PREFIX}_routed_seconds",
+            "Time from a request's arrival to its answer",
+            labels=("route",),
+        )
+        for route, latencies in counted.latencies_by_route.items():
+            histogram.add_metric((route,), latencies.cumulated(), latencies.total)
+        yield histogram
+        for name, (text, read) in self._gauges.items():
+            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", text, value=read())
+
+    def describe(self) -> list[typing.Any]:
+        """Return nothing, so that registering does not collect."""
+        return []
+
+
+class MetricsServer:
+    """Serves the metrics of one process.
+
+    :param registry: gives the registry at each request.
+    """
+
+    def __init__(self, *, registry: abc.Callable[[], typing.Any]) -> None:
+        self._registry = registry
+        self._server = http_server.HttpServer(handler=self._handle)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; a port that is taken costs the metrics, not the host."""
+        try:
+            await self._server.start(host, port)
+        except exceptions.SettingError as error:
+            log.warning("metrics_not_served", error=error.detail)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def _handle(self, request: http.Request) -> http.Response:
+        if request.path != PATH:
+            raise exceptions.NotFoundError("no such path")
+        import prometheus_client
+
+        body = prometheus_client.generate_latest(self._registry())
+        return http.Response(status=200, body=body, content_type=TEXT)
+
+
+def registry_of(collector: typing.Any) -> typing.Any:
+    """Return a registry with one collector."""
+    import prometheus_client
+
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(collector)
+    return registry
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import itertools
+import typing
 from collections import abc
 
 import xxhash
@@ -13,7 +14,7 @@
 from greengagehaven import rng as rngs
 from greengagehaven import settings as checks
 from greengagehaven.coordination.routing import events, merging, router
-from greengagehaven.daemons import watcher
+from greengagehaven.daemons import exposition, watcher
 from greengagehaven.protocol import exchange as names_module
 from greengagehaven.protocol import watching
 from greengagehaven.state import configuration, routes
@@ -35,6 +36,7 @@
     :param ready_listen: ``IP:PORT`` where the balancer asks.
     :param ready_path: path that the balancer asks for.
     :param control_addresses: peer addresses of control hosts.
+    :param metrics_listen: ``IP:PORT`` for metrics, ``None`` for none.
     :param grace: time from the order to stop to the end of the process.
     """
 
@@ -46,6 +48,7 @@
     control_addresses: tuple[str, ...]
     grace: datetime.timedelta
     router: router.Options
+    metrics_listen: str | None = None
 
 
 class Gateway:
@@ -91,6 +94,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
         self._is_stopping = False
+        self._revision = 0
+        self._metrics = exposition.MetricsServer(registry=self._make_registry)
         self._server = http_server.HttpServer(handler=self._handle, clock=clock)
         self._ready_server = http_server.HttpServer(
             handler=self._handle_ready, clock=clock
@@ -110,6 +115,9 @@
         await self._server.start(*listen)
         ready = checks.parse_address("ready listen", self._settings.ready_listen)
         await self._ready_server.start(*ready)
+        if self._settings.metrics_listen is not None:
+            bind = checks.parse_address("metrics", self._settings.metrics_listen)
+            await self._metrics.start(*bind)
         self._watcher.start()
 
     def set_seeds(self, addresses: abc.Iterable[str]) -> None:
@@ -130,6 +138,7 @@
         await self._watcher.close()
         await self._server.close()
         await self._ready_server.close()
+        await self._metrics.close()
         await self._channel.close()
         await self._client.close()
 
@@ -155,6 +164,7 @@
             number = table.number
             self._server.limits = _limits_of(table.caller_limits)
             self._submit(events.TableInForce(table=table))
+        self._revision = state.revision
         log.info(
             "configuration_in_force",
             revision=state.revision,
@@ -170,6 +180,29 @@
         """Take crashes that other entry hosts saw."""
         self._submit(events.CrashesReported(crashes=crashes))
 
+    def _make_registry(self) -> typing.Any:
+        gauges: dict[str, tuple[str, abc.Callable[[], float]]] = {
+            "routed_in_flight": (
+                "Requests without an answer yet",
+                lambda: self._router.in_flight,
+            ),
+            "routed_revision": (
+                "Revision of the configuration in force",
+                lambda: self._revision,
+            ),
+            "routed_upstreams": (
+                "Upstreams that are known",
+                lambda: len(self._router.fleet.upstreams_by_id),
+            ),
+            "routed_connections_opened": (
+                "Connections opened to upstreams since the start",
+                lambda: self._channel.connections_opened,
+            ),
+        }
+        return exposition.registry_of(
+            exposition.GatewayCollector(counted=self._router.counts, gauges=gauges)
+        )
+
     async def _handle_ready(self, request: http.Request) -> http.Response:
         if request.path != self._settings.ready_path:
             raise exceptions.NotFoundError("no such path")
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -5,10 +5,19 @@
 import typing
 from collections import abc
 
+import prometheus_client
+
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
 from greengagehaven import rng as rngs
-from greengagehaven.daemons import control, orders, registrar, roster_feed, watcher
+from greengagehaven.daemons import (
+    control,
+    exposition,
+    orders,
+    registrar,
+    roster_feed,
+    watcher,
+)
 from greengagehaven.protocol import watching
 from greengagehaven.state import configuration, roster
 from greengagehaven.transport import http, http_peers, http_server
@@ -28,6 +37,7 @@
     :param listen: ``IP:PORT`` for upstreams and operators.
     :param zone: availability zone of this host.
     :param announce_period: seconds between two announcements of an upstream.
+    :param metrics_listen: ``IP:PORT`` for metrics, ``None`` for none.
     :param doors: makes the handler of calls at ``listen``.
     :param clock: source of time.
     :param rng: source of election timeouts.
@@ -40,12 +50,16 @@
         listen: str,
         zone: str,
         announce_period: float,
+        metrics_listen: str | None = None,
         doors: Doors,
         clock: clocks.Clock,
         rng: rngs.Rng,
     ) -> None:
         self._settings = settings
         self._listen = listen
+        self._metrics_listen = metrics_listen
+        self._registry = prometheus_client.CollectorRegistry()
+        self._metrics = exposition.MetricsServer(registry=lambda: self._registry)
         self._doors = doors
         self._clock = clock
         self._rng = rng
@@ -89,6 +103,9 @@
             limits=http_server.Limits(body_bytes=BODY_BYTES),
         )
         await self._http_server.start(*settings.parse_address("listen", self._listen))
+        if self._metrics_listen is not None:
+            bind = settings.parse_address("metrics", self._metrics_listen)
+            await self._metrics.start(*bind)
         await self._open()
         self._watcher.start()
 
@@ -110,6 +127,7 @@
         await self._watcher.close()
         if self._http_server is not None:
             await self._http_server.close()
+        await self._metrics.close()
         await self._close_host()
         if self._peer_server is not None:
             await self._peer_server.stop(STOP_GRACE)
@@ -162,11 +180,14 @@
 
     async def _open(self) -> None:
         """Read the disk and take part in the log."""
+        # A host that starts over registers its metrics anew.
+        self._registry = prometheus_client.CollectorRegistry()
         self._host = control.ControlHost(
             settings=self._settings,
             channel=self._client,
             clock=self._clock,
             rng=self._rng,
+            registry=self._registry,
             on_failure=self._on_failure,
         )
         self._feed = roster_feed.RosterFeed(
--- a/src/greengagehaven/platform/__main__.py
+++ b/src/greengagehaven/platform/__main__.py
@@ -11,6 +11,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
+from greengagehaven import settings as checks
 from greengagehaven.coordination.routing import fleet, router
 from greengagehaven.daemons import gateway, lifecycle
 from greengagehaven.platform import documents, names, settings
@@ -19,6 +20,7 @@
 EXIT_BAD_SETTINGS = 2
 LEAST_VOTERS = 3
 RELOAD_PERIOD_S = 1.0
+METRICS_PORT = 9464
 
 
 @click.group()
@@ -102,6 +104,7 @@
             control_addresses=node.control_addresses,
             grace=datetime.timedelta(seconds=node.grace_s),
             router=options,
+            metrics_listen=checks.format_address(node.ip, METRICS_PORT),
         ),
         names=names.HEADERS,
         read_document=documents.read,
@@ -131,6 +134,7 @@
         listen=node.door("control"),
         zone=node.zone,
         announce_period=node.heartbeat_ms / 1000,
+        metrics_listen=checks.format_address(node.ip, METRICS_PORT),
         doors=lambda orders, registrar: (
             control_doors.ControlDoors(orders=orders, registrar=registrar).handle
         ),
