Remove voters that are gone for good; say 503 before the first document

Cause: each replaced control host stayed a voter, so that after the second one two of four voters were dead and no quorum was left, though three hosts were well. Ruled out: the joining of the successors (both opened the log within 1 s). The leader now removes a voter that has answered nothing for 4 s while more than three are left; a host that was removed while away asks to join again.

--- a/features/fakes/raft.py
+++ b/features/fakes/raft.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 
 from fakes import control as fakes
@@ -66,13 +67,15 @@
     :param seed: source of every choice that the caller does not make.
     :param size: hosts that begin as voters.
     :param faults: names of faults that are planted, to see that they are found.
+    :param dead_after: seconds after which the leader removes a silent voter.
     """
 
-    def __init__(self, *, seed=0, size=3, faults=()):
+    def __init__(self, *, seed=0, size=3, faults=(), dead_after=math.inf):
         self.rng = random.Random(seed)
         self.faults = frozenset(faults)
         # Elections that begin at nearly the same moment split the votes.
-        self.timing = CLOSE_TIMING if seed % 4 == 0 else TIMING
+        usual = CLOSE_TIMING if seed % 4 == 0 else TIMING
+        self.timing = dataclasses.replace(usual, dead_after=dead_after)
         self.size = size
         self.in_flight = []
         self.cut = set()
@@ -652,10 +655,10 @@
             cluster.fill_disk(choice, sync_fails=True)
 
 
-def walk(seed, *, size=3, steps=160, faults=()):
+def walk(seed, *, size=3, steps=160, faults=(), dead_after=math.inf):
     """Run the schedule that a seed names, and end with a repair."""
     rng = random.Random(seed * 7919 + size)
-    cluster = Cluster(seed=seed, size=size, faults=faults)
+    cluster = Cluster(seed=seed, size=size, faults=faults, dead_after=dead_after)
     names = [name for name, _ in ACTIONS]
     weights = [weight for _, weight in ACTIONS]
     for _ in range(3):
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -93,3 +93,18 @@
       | failure           |
       | the disk is full  |
       | the sync fails    |
+
+  Scenario: Hosts that are replaced one after the other
+    Each successor joins while its predecessor, gone for good, still counts for the
+    quorum. With two such among four voters nothing can be changed or read again.
+
+    Given a log of 4 control hosts whose dead are removed after 2 seconds
+    When one control host after the other is gone for good, 5 seconds apart
+    Then the 2 control hosts that are left accept a change
+
+  Scenario: Dead voters are removed in random schedules
+    Given control hosts whose dead are removed after 1 second
+    When 40 such schedules over 4 control hosts run from seed 500
+    Then every invariant of the log held and a last change was accepted in each
+    When 20 such schedules over 5 control hosts run from seed 900
+    Then every invariant of the log held and a last change was accepted in each
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -10,6 +10,7 @@
 from greengagehaven.state import records, storage, wal
 
 SEEDS_FOR_A_FAULT = 20
+CALM_STEP_S = 0.05
 
 
 @behave.when("{count:d} schedules over {size:d} control hosts run from seed {seed:d}")
@@ -133,3 +134,56 @@
     cluster.propose(0, again=True)
     assert cluster.acknowledged == 1
     assert cluster.hosts[0].replica.machine.audit.count == 1
+
+
+@behave.given("control hosts whose dead are removed after {seconds:d} second")
+def given_dead_after(context, seconds):
+    context.dead_after = float(seconds)
+
+
+@behave.when(
+    "{count:d} such schedules over {size:d} control hosts run from seed {seed:d}"
+)
+def when_such_schedules(context, count, size, seed):
+    context.broken = []
+    for number in range(seed, seed + count):
+        try:
+            raft.walk(number, size=size, dead_after=context.dead_after)
+        except raft.InvariantBrokenError as error:
+            context.broken.append((number, error))
+
+
+def run_calmly(cluster, seconds):
+    for _ in range(round(seconds / CALM_STEP_S)):
+        cluster.advance(CALM_STEP_S)
+        cluster.deliver_all(4, late=0.0)
+
+
+@behave.given(
+    "a log of {size:d} control hosts whose dead are removed after {seconds:d} seconds"
+)
+def given_log(context, size, seconds):
+    context.cluster = raft.Cluster(seed=1, size=size, dead_after=float(seconds))
+    run_calmly(context.cluster, 5.0)
+
+
+@behave.when(
+    "one control host after the other is gone for good, {seconds:d} seconds apart"
+)
+def when_gone(context, seconds):
+    for number in (0, 1):
+        context.cluster.crash(number)
+        run_calmly(context.cluster, seconds)
+
+
+@behave.then("the {count:d} control hosts that are left accept a change")
+def then_accept(context, count):
+    cluster = context.cluster
+    before = cluster.acknowledged
+    living = [number for number, host in enumerate(cluster.hosts) if host.is_up]
+    assert len(living) == count, living
+    for number in living:
+        if cluster.hosts[number].replica.is_leader:
+            cluster.propose(number)
+    run_calmly(cluster, 1.0)
+    assert cluster.acknowledged > before, cluster.describe()
--- a/src/greengagehaven/coordination/raft/leadership.py
+++ b/src/greengagehaven/coordination/raft/leadership.py
@@ -78,6 +78,21 @@
         """
         return self._raft.commit_index >= self._first_index
 
+    def dead_voters(self) -> list[str]:
+        """Return other voters that have answered nothing for long, longest first."""
+        now = self._raft.clock.monotonic()
+        silent_at_by_id = {
+            member_id: max(progress.answered_at, self._began_at)
+            for member_id, progress in self._progress_by_id.items()
+            if member_id in self._raft.log.membership.voter_ids
+        }
+        dead = [
+            member_id
+            for member_id, silent_at in silent_at_by_id.items()
+            if now - silent_at > self._raft.timing.dead_after
+        ]
+        return sorted(dead, key=lambda member_id: silent_at_by_id[member_id])
+
     def begin(self) -> None:
         """Open the term with an empty entry, which settles older ones."""
         self._first_index = self._raft.log.last.index + 1
--- a/src/greengagehaven/coordination/raft/steward.py
+++ b/src/greengagehaven/coordination/raft/steward.py
@@ -27,7 +27,22 @@
         change = _advance(membership, office, candidate)
         if change is not None:
             return change
-    return None
+    return _without_dead(raft, membership, office)
+
+
+def _without_dead(
+    raft: core.Raft, membership: records.Membership, office: leadership.Leadership
+) -> records.Membership | None:
+    """Return the membership without a dead voter, ``None`` where none goes.
+
+    Hosts that are replaced one after the other leave dead voters behind. With two
+    of them among four voters no quorum is left, though two hosts are well, and
+    nothing can be changed or read any more.
+    """
+    dead = office.dead_voters()
+    if not dead or len(membership.voter_ids) <= raft.timing.least_voters:
+        return None
+    return membership.without(dead[0])
 
 
 def _advance(
--- a/src/greengagehaven/coordination/raft/timing.py
+++ b/src/greengagehaven/coordination/raft/timing.py
@@ -1,6 +1,7 @@
 """How long members of a replicated log wait for each other."""
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -15,6 +16,9 @@
         is shortened by it on both sides.
     :param append_bytes: payload of one message of entries.
     :param chunk_bytes: part of a snapshot in one message.
+    :param dead_after: a voter that has answered nothing for so long is removed
+        while more than ``least_voters`` are left; infinite for never.
+    :param least_voters: voters that are never removed for being dead.
     :param trailing_entries: entries kept behind a snapshot, so that a member
         that is a little late needs no snapshot.
     """
@@ -26,6 +30,8 @@
     append_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
     trailing_entries: int = 1000
+    dead_after: float = math.inf
+    least_voters: int = 3
 
     @property
     def lease(self) -> float:
--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -344,7 +344,9 @@
                 return
         while True:
             raft = self.driver.replica.raft
-            if not self._admission.is_admitted(raft.log.membership):
+            # A host that was away may have been removed and not have heard of it.
+            is_lost = raft.leader_id is None
+            if is_lost or not self._admission.is_admitted(raft.log.membership):
                 if self.is_leader:
                     self._admission.add_candidate(_join_request(self._admission.own))
                 else:
--- a/src/greengagehaven/daemons/orders.py
+++ b/src/greengagehaven/daemons/orders.py
@@ -86,11 +86,11 @@
         """Return the document that nobody else can have replaced.
 
         :raises QuorumLostError: no quorum confirmed it in time.
-        :raises NotFoundError: there is none yet.
+        :raises NotConfiguredError: there is none yet.
         """
         reply = await self._carry_out(ReadDocument())
         if not reply.document:
-            raise exceptions.NotFoundError("no document is in force yet")
+            raise exceptions.NotConfiguredError("no document is in force yet")
         return reply.document
 
     async def handle(self, body: bytes) -> bytes:
--- a/src/greengagehaven/platform/__main__.py
+++ b/src/greengagehaven/platform/__main__.py
@@ -21,6 +21,7 @@
 LEAST_VOTERS = 3
 RELOAD_PERIOD_S = 1.0
 METRICS_PORT = 9464
+DEAD_AFTER_S = 4.0
 
 
 @click.group()
@@ -115,6 +116,7 @@
 
 def _make_control(node: settings.NodeSettings):
     # Only here: an entry host would pay for the memory of what it never uses.
+    from greengagehaven.coordination.raft import timing
     from greengagehaven.daemons import control as control_host
     from greengagehaven.daemons import register
     from greengagehaven.platform import control_doors
@@ -130,6 +132,7 @@
             bootstrap=node.bootstrap and own in node.control_addresses,
             least_voters=min(LEAST_VOTERS, len(node.seeds)),
             check_document=documents.read,
+            raft_timing=timing.Timing(dead_after=DEAD_AFTER_S),
         ),
         listen=node.door("control"),
         zone=node.zone,
