--- a/features/routing.feature
+++ b/features/routing.feature
@@ -31,7 +31,7 @@
     Given a router with a sweep over 4 shards of 3 upstreams each
     When a sweep arrives
     And all its attempts but the first are answered
-    And 30 ms pass
+    And 45 ms pass
     Then a second attempt of the first shard went to another upstream
     When the second attempt is answered
     Then it is answered with 4 parts and 0 missing
