--- a/features/routing.feature
+++ b/features/routing.feature
@@ -87,6 +87,15 @@
     When the first upstream rejects 60 sweeps 20 ms apart with slots free
     Then it got at most 20 attempts
 
+  Scenario: Two of three upstreams reject every other request
+    They reject with slots free. Each rejection takes a token of the budget that all
+    entry hosts share; once none is left, sweeps fail although the third upstream,
+    in another zone and a little crowded, answers all.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When two upstreams reject every other of 100 sweeps and the third is crowded
+    Then these two got at most 25 attempts
+
   Scenario: Too few parts can still come
     Two of four shards have no upstream at all. A caller that were left waiting
     until its deadline could not ask another host.
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -497,6 +497,37 @@
         context.tier.pass_time(gap / 1000)
 
 
+@behave.when(
+    "two upstreams reject every other of {count:d} sweeps and the third is crowded"
+)
+def when_two_reject(context, count):
+    idle = events.Load(running=0, waiting=0, slots=2)
+    crowded = events.Load(running=2, waiting=1, slots=2)
+    context.asked_of_two = 0
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            done += 1
+            if send.upstream_id == "shard-0-u2":
+                context.tier.pass_time(0.012)
+                context.tier.reply(send, load=crowded)
+                continue
+            context.asked_of_two += 1
+            if context.asked_of_two % 2:
+                context.tier.reply(send, status=503, not_run=True, load=idle)
+            else:
+                context.tier.pass_time(0.012)
+                context.tier.reply(send)
+        context.tier.pass_time(0.012)
+
+
+@behave.then("these two got at most {count:d} attempts")
+def then_two_got(context, count):
+    assert context.asked_of_two <= count, context.asked_of_two
+
+
 @behave.given("the first two shards answer nothing from now on")
 def given_silent(context):
     context.silent = ("shard-0", "shard-1")
