Count the time that a host stands still in every age

Cause: ages, leases included, were read from CLOCK_MONOTONIC, which does not run while a machine is suspended. A leader that is woken would hold its lease for fresh and answer a read without asking a majority.

--- a/src/greengagehaven/clock.py
+++ b/src/greengagehaven/clock.py
@@ -20,12 +20,18 @@
         """Return the wall-clock time in UTC; it may jump."""
 
 
+# A host may stand still for seconds, during which CLOCK_MONOTONIC does not run.
+# A leader that wakes would take its lease for fresh and answer a read with a
+# document that was replaced meanwhile. CLOCK_BOOTTIME counts that time.
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock:
     """Clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Return seconds on the system's monotonic clock."""
-        return time.monotonic()
+        """Return seconds since the system started, time it stood still included."""
+        return time.clock_gettime(_STEADY_CLOCK)
 
     def now(self) -> datetime.datetime:
         """Return the system's wall-clock time in UTC."""
