Probe an upstream that says nothing before it counts as out of reach

It is now probed after 300 ms and counts as out of reach only where no connection opens. (2) After a loss of power upstreams still hold their old connections and reset new ones above the cap. A reset counted as a fault (ejections up to 4 s), and as a crash where the look at its listener was reset too. (3) A retry took a token of the budget also where nothing had been sent. Ruled out: upstreams that were really gone (they answered others meanwhile).

The router lost two jobs to modules of their own: reachability and weights.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -51,6 +51,25 @@
     When an exchange is made
     Then it fails as connect
 
+  Scenario Outline: What an attempt to connect shows of an upstream
+    One that is over its cap resets what it accepted. Taken for one that no longer
+    listens, it would count as crashed by the request that was sent last.
+
+    Given <upstream>
+    When it is looked at whether it listens
+    Then its listener is <listener>
+
+    Examples:
+      | upstream                                    | listener |
+      | an upstream that replies well               | open     |
+      | an upstream that resets each new connection | open     |
+      | an address where nothing listens            | closed   |
+
+  Scenario: An upstream resets a connection that has brought no reply
+    Given an upstream that resets each new connection
+    When an exchange is made
+    Then it fails without a reply over a fresh connection
+
   Scenario: An upstream that refuses without running
     Given an upstream that is full
     When an exchange is made
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -152,18 +152,16 @@
         )
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
-    def fail(self, send, fault):
-        outcome = events.Failed(fault=fault)
+    def fail(self, send, fault, *, is_fresh=False):
+        outcome = events.Failed(fault=fault, is_fresh=is_fresh)
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
-    def lose(self, send, *, is_listening):
+    def lose(self, send, *, listener):
         """End a connection without a byte of reply, and look at the listener."""
         outcome = events.Failed(fault=events.Fault.LOST, is_mute=True)
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
         check = self.checked.pop()
-        self.step(
-            events.ListenerChecked(attempt=check.attempt, is_listening=is_listening)
-        )
+        self.step(events.ListenerChecked(attempt=check.attempt, listener=listener))
 
     def pass_time(self, seconds):
         end = self.clock.monotonic() + seconds
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -70,6 +70,17 @@
     And 40 sweeps arrive 50 ms apart
     Then the last 10 of them were answered in full
 
+  Scenario: A request lasts long at an upstream that is otherwise idle
+    Nothing comes from it for a while, since it works. Counted as out of reach, its
+    caller would get an error, and the upstream no work for half a second.
+
+    Given a router with single requests
+    When a single request arrives
+    And 900 ms pass while its upstream can be connected to
+    Then the request is not over
+    When its attempt is answered
+    Then the reply is passed on
+
   Scenario: A request that runs once waits for an upstream out of reach
     It may have run, and its answer may still come when the partition heals.
 
@@ -256,6 +267,37 @@
     And a sweep with that fingerprint arrives
     Then 1 attempt was sent for it
 
+  Scenario: A partition swallows the answers to a request
+    Its upstreams answer nothing any more, not even an attempt to connect. Held for
+    crashed, a good request of this caller would be refused for a minute.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a partition swallows the answers to 5 sweeps with one fingerprint
+    And a sweep with that fingerprint arrives
+    Then 1 attempt was sent for it
+
+  Scenario: Upstreams reset connections above their cap
+    Hosts lost their power, and upstreams still hold their old connections. A new
+    one is reset at once. Ejected for that, they would take nothing for seconds.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When all upstreams reset the fresh connections of 3 sweeps
+    And a sweep arrives
+    And all its attempts are answered
+    Then it is answered with 1 parts and 0 missing
+    And no upstream was ejected
+
+  Scenario: Nothing was sent to an upstream that went away
+    It takes no connection any more. The next upstream is the first that the
+    request reaches, so it needs no token of the budget, of which none is left.
+
+    Given a router without any budget for extra attempts
+    When a sweep arrives
+    And its attempt finds no connection
+    Then 2 attempts were sent
+    When the second attempt is lost
+    Then the request is refused with upstreams_failed
+
   Scenario: A conviction ends
     A coincidence must not keep a good query away for good.
 
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import behave
 
@@ -35,6 +36,9 @@
         self.ended = asyncio.Event()
 
     async def serve(self, reader, writer):
+        if self.answer is reset_at_once:
+            reset_at_once(writer)
+            return
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -117,7 +121,15 @@
     return True
 
 
+def reset_at_once(writer):
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 ANSWERS = {
+    "that resets each new connection": reset_at_once,
     "that replies well": reply_well,
     "that echoes another request's id": reply_to_another,
     "that signs nothing": reply_unsigned,
@@ -199,6 +211,28 @@
     run(context, scenario)
 
 
+@behave.when("it is looked at whether it listens")
+def when_looked_at(context):
+    async def scenario(caller, upstream):
+        future = asyncio.get_running_loop().create_future()
+        caller.channel.check_listener(caller.address, future.set_result)
+        return [await asyncio.wait_for(future, PATIENCE_S)]
+
+    run(context, scenario)
+
+
+@behave.then("its listener is {listener}")
+def then_listener(context, listener):
+    assert context.outcomes == [events.Listener(listener)], context.outcomes
+
+
+@behave.then("it fails without a reply over a fresh connection")
+def then_fresh(context):
+    (outcome,) = context.outcomes
+    is_crowded = outcome.fault is events.Fault.CROWDED
+    assert is_crowded or (outcome.is_mute and outcome.is_fresh), outcome
+
+
 @behave.when("2 exchanges are made one after the other")
 def when_two(context):
     async def scenario(caller, upstream):
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -387,7 +387,7 @@
         done = 0
         while done < len(context.tier.attempts_of(number)):
             send = context.tier.attempts_of(number)[done]
-            context.tier.lose(send, is_listening=False)
+            context.tier.lose(send, listener=events.Listener.CLOSED)
             done += 1
         context.tier.pass_time(gap / 1000)
 
@@ -446,13 +446,24 @@
 
 @behave.when("the answers to {count:d} sweeps with one fingerprint are lost")
 def when_answers_lost(context, count):
+    lose_sweeps(context, count, listener=events.Listener.OPEN)
+
+
+@behave.when(
+    "a partition swallows the answers to {count:d} sweeps with one fingerprint"
+)
+def when_answers_swallowed(context, count):
+    lose_sweeps(context, count, listener=events.Listener.SILENT)
+
+
+def lose_sweeps(context, count, *, listener):
     context.fingerprint = "good"
     for _ in range(count):
         number = context.tier.request("/sweep/1", fingerprint=context.fingerprint)
         done = 0
         while done < len(context.tier.attempts_of(number)):
             send = context.tier.attempts_of(number)[done]
-            context.tier.lose(send, is_listening=True)
+            context.tier.lose(send, listener=listener)
             done += 1
 
 
@@ -560,11 +571,17 @@
         if send.attempt not in answered and not is_silent:
             answered.add(send.attempt)
             context.tier.reply(send)
+    answer_probes(context)
+
+
+def answer_probes(context):
+    """Answer the probes of upstreams that are not silent."""
     probed, context.tier.probed = context.tier.probed, []
     for upstream_id in probed:
         is_silent = upstream_id.startswith(tuple(context.silent) or ("none",))
+        listener = events.Listener.SILENT if is_silent else events.Listener.OPEN
         context.tier.step(
-            events.UpstreamProbed(upstream_id=upstream_id, is_listening=not is_silent)
+            events.UpstreamProbed(upstream_id=upstream_id, listener=listener)
         )
 
 
@@ -586,6 +603,67 @@
         assert isinstance(ending, events.AnswerParts) and not ending.missing, ending
 
 
+@behave.given("a router with single requests")
+def given_single(context):
+    context.tier = routing.RoutingTier()
+    route = routing.single_route(("one", 1.0), attempts=1)
+    context.tier.put_table(routing.table(1, route))
+    context.tier.put(*upstreams_of("one", 3))
+
+
+@behave.when("a single request arrives")
+def when_single(context):
+    context.number = context.tier.request("/single/1")
+
+
+@behave.when("{count:d} ms pass while its upstream can be connected to")
+def when_time_probed(context, count):
+    context.silent = ()
+    for _ in range(count // 50):
+        context.tier.pass_time(0.05)
+        answer_probes(context)
+
+
+@behave.when("its attempt is answered")
+def when_attempt_answered(context):
+    context.tier.reply(context.tier.attempts_of(context.number)[0])
+
+
+@behave.when("all upstreams reset the fresh connections of {count:d} sweeps")
+def when_fresh_reset(context, count):
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        done = 0
+        while done < len(context.tier.attempts_of(number)):
+            send = context.tier.attempts_of(number)[done]
+            context.tier.fail(send, events.Fault.LOST, is_fresh=True)
+            done += 1
+
+
+@behave.then("no upstream was ejected")
+def then_none_ejected(context):
+    assert not context.tier.router.counts.upstream_changes["ejected"]
+
+
+@behave.given("a router without any budget for extra attempts")
+def given_no_budget(context):
+    context.tier = routing.RoutingTier(burst=0.0, ratio=0.0)
+    context.tier.put_table(routing.table(1, routing.sweep_route(["shard-0"])))
+    context.tier.put(*upstreams_of("shard-0", 3))
+
+
+@behave.when("its attempt finds no connection")
+def when_no_connection(context):
+    send = context.tier.attempts_of(context.number)[0]
+    context.tier.fail(send, events.Fault.CONNECT)
+
+
+@behave.when("the second attempt is lost")
+def when_second_lost(context):
+    send = context.tier.attempts_of(context.number)[1]
+    context.tier.fail(send, events.Fault.LOST)
+
+
 @behave.then("the request is not over")
 def then_not_over(context):
     assert context.number not in context.tier.endings_by_number
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -11,20 +11,34 @@
 class Fault(enum.StrEnum):
     """Why an attempt brought no reply that counts.
 
-    ``CONNECT``: no connection, nothing was sent. ``UNSENT``: the connection had
+    ``CONNECT``: no connection, nothing was sent. ``CROWDED``: the upstream takes
+    no further connection, nothing was sent. ``UNSENT``: the connection had
     ended before anything was sent. ``LOST``: it ended after the request was
     sent. ``GARBLED``: what came is no reply to this request. ``SILENT``: it was
     cut since nobody waited for it any more.
     """
 
     CONNECT = "connect"
+    CROWDED = "crowded"
     UNSENT = "unsent"
     LOST = "lost"
     GARBLED = "garbled"
     SILENT = "silent"
 
 
-NOT_SENT = frozenset({Fault.CONNECT, Fault.UNSENT})
+NOT_SENT = frozenset({Fault.CONNECT, Fault.CROWDED, Fault.UNSENT})
+
+
+class Listener(enum.StrEnum):
+    """What an attempt to connect shows of an upstream.
+
+    ``OPEN``: it listens, also where it resets a connection above its cap.
+    ``CLOSED``: its host answers that nothing listens. ``SILENT``: no answer came.
+    """
+
+    OPEN = "open"
+    CLOSED = "closed"
+    SILENT = "silent"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,11 +69,13 @@
     """An attempt got no reply that counts.
 
     :param is_mute: not a byte of a reply came.
+    :param is_fresh: its connection never brought a reply before.
     """
 
     fault: Fault
     detail: str = ""
     is_mute: bool = False
+    is_fresh: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,15 +146,15 @@
     """Whether the upstream of a lost attempt still listens."""
 
     attempt: int
-    is_listening: bool
+    listener: Listener
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamProbed:
-    """Whether an upstream that was out of reach can be connected to."""
+    """Whether an upstream that said nothing for a while can be connected to."""
 
     upstream_id: str
-    is_listening: bool
+    listener: Listener
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -238,7 +254,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ProbeUpstream:
-    """Find out whether an upstream can be connected to again."""
+    """Find out whether an upstream can be connected to."""
 
     upstream_id: str
     address: str
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -24,15 +24,15 @@
 GREY_COST_S = 0.3
 FAULT_LIFETIME_S = 3.0
 FULL_FAULT = 0.2
+CROWD_FAULT = 0.6
 NOISE = 0.1
-SILENCE_S = 0.6
+SILENCE_S = 0.3
 SILENCE_FACTOR = 8.0
 HEARD_LATELY_S = 0.5
 SENT_LATELY_S = 1.0
 PROBE_PERIOD_S = 0.5
 OVERDUE_FACTOR = 2.0
 OVERDUE_LEAST_S = 0.02
-FORGET_AFTER_S = 60.0
 DEFAULT_CONNECTIONS = 8
 
 
@@ -57,7 +57,7 @@
         self._waiting_since = now
         self._sent_at = -math.inf
         self.is_reachable = True
-        self.probe_at = math.inf
+        self.probe_at = -math.inf
         self.load: events.Load | None = None
         self.load_at = -math.inf
         self.cold_sent: collections.deque[float] = collections.deque()
@@ -65,9 +65,8 @@
     def is_silent(self, usual: float, now: float) -> bool:
         """Tell whether nothing at all has come from it for too long.
 
-        One that is slow answers something now and then. One behind a partition
-        answers nothing, and no reset says so: each request sent to it would wait
-        for its deadline.
+        One that is slow answers something now and then, or at least takes a
+        connection, which counts as heard.
 
         :param usual: seconds that its oldest request usually takes.
         """
@@ -89,6 +88,12 @@
         self.is_reachable = False
         self.probe_at = now + PROBE_PERIOD_S
 
+    def regain(self, now: float) -> None:
+        """Note that a probe got through."""
+        self.is_reachable = True
+        self.faults_in_row = 0
+        self.ejected_until = now
+
     def expected(self, usual: float, now: float) -> float:
         """Return the seconds that a request sent now is likely to take.
 
@@ -155,6 +160,14 @@
         is_full = load is not None and load.running >= load.slots
         self._note_rate(FULL_FAULT if is_full else 1.0, now)
 
+    def note_crowd(self, now: float) -> None:
+        """Take in that it reset a connection that had brought no reply yet.
+
+        It holds as many as it bears, often those of hosts that lost their power.
+        To eject it for that would take a sound upstream away for seconds.
+        """
+        self._note_rate(CROWD_FAULT, now)
+
     def note_fault(self, now: float) -> bool:
         """Take in a failure; return whether it is ejected for it."""
         self._note_rate(1.0, now)
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -28,6 +28,7 @@
     """What a request has of one service.
 
     :param runs: attempts that ran or may have.
+    :param arrivals: attempts that reached the service or may have.
     :param part: the attempt whose reply counts.
     :param is_failed: no part will come.
     :param reply: the last whole reply that is no success.
@@ -37,6 +38,7 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
     runs: int = 0
+    arrivals: int = 0
     sends: int = 0
     hedge_at: float = math.inf
     part: Attempt | None = None
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -21,8 +21,10 @@
     events,
     extra,
     fleet,
+    reachability,
     request,
     suspects,
+    weights,
 )
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
@@ -37,7 +39,6 @@
 NO_UPSTREAM_RETRY_AFTER_RANGE_S = (0.3, 0.7)
 NO_TABLE_RETRY_AFTER_RANGE_S = (0.7, 1.3)
 SLOW_RATIO = 4.0
-WATCH_PERIOD_S = 0.1
 WATCH_NUMBER = 0
 
 
@@ -84,8 +85,13 @@
         self._attempts_by_id: dict[int, request.Attempt] = {}
         self._attempt_ids = itertools.count(1)
         self._timers: list[tuple[float, int]] = []
-        self._is_watching = False
-        self._debts_by_route: dict[str, dict[str, float]] = {}
+        self._weights = weights.Weights(rng=rng)
+        self._reach = reachability.Reachability(
+            of_fleet=self.fleet,
+            counted=self.counts,
+            clock=clock,
+            wake_at=lambda moment: heapq.heappush(self._timers, (moment, WATCH_NUMBER)),
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
@@ -124,8 +130,7 @@
         self._extra.retain(services)
         names = frozenset(route.name for route in in_force.table.routes)
         self._callers.retain(names)
-        for name in set(self._debts_by_route) - names:
-            del self._debts_by_route[name]
+        self._weights.retain(names)
 
     def _on_zones_drained(
         self, drained: events.ZonesDrained, actions: list[events.Action]
@@ -216,7 +221,7 @@
         left = route.timeout
         if arrived.time_left is not None:
             left = min(left, arrived.time_left)
-        services = route.shards or (self._pick_service(route),)
+        services = route.shards or (self._weights.pick(route),)
         return request.RoutedRequest(
             number=arrived.number,
             request_id=arrived.request_id,
@@ -240,26 +245,6 @@
                 retry_after=self._retry_after(),
             )
 
-    def _pick_service(self, route: routes.Route) -> str:
-        """Return the service whose weight's part is owed most.
-
-        Drawn at random the parts of a few hundred requests would stray from
-        their weights by several in a hundred.
-        """
-        if len(route.services) == 1:
-            return route.services[0].service
-        total = sum(weighted.weight for weighted in route.services)
-        owed = self._debts_by_route.setdefault(route.name, {})
-        for weighted in route.services:
-            known = owed.get(weighted.service)
-            if known is None:
-                # All hosts would begin with the same service otherwise.
-                known = self._rng.random()
-            owed[weighted.service] = known + weighted.weight / total
-        chosen = max(route.services, key=lambda weighted: owed[weighted.service])
-        owed[chosen.service] -= 1.0
-        return chosen.service
-
     def _choose(
         self, routed: request.RoutedRequest, shard: request.ShardState
     ) -> fleet.Upstream | None:
@@ -296,12 +281,13 @@
                 upstream=self._describe(chosen),
                 after_ms=_age_ms(now, routed.started),
             )
-        self._watch_silence(now)
+        self._reach.watch()
         chosen.note_sent(attempt.id, now)
         self._attempts_by_id[attempt.id] = attempt
         shard.attempts.append(attempt)
         shard.tried.add(chosen.entry.id)
         shard.sends += 1
+        shard.arrivals += 1
         shard.runs += 1
         shard.hedge_at = self._hedge_moment(routed, now)
         actions.append(
@@ -382,54 +368,24 @@
         elif outcome.fault is events.Fault.CONNECT:
             self._note_fault(attempt, outcome, now)
             if now - upstream.heard_at > fleet.HEARD_LATELY_S:
-                self._lose(upstream, now, "connect")
+                self._reach.lose(upstream, "connect")
+        elif outcome.fault is events.Fault.CROWDED or outcome.is_fresh:
+            upstream.note_crowd(now)
         elif outcome.fault is not events.Fault.UNSENT:
             self._note_fault(attempt, outcome, now)
 
-    def _lose(self, upstream: fleet.Upstream, now: float, reason: str) -> None:
-        if not upstream.is_reachable:
-            return
-        upstream.lose(now)
-        self.counts.upstream_changes["out_of_reach"] += 1
-        self._watch_silence(now)
-        log.warning(
-            "upstream_out_of_reach",
-            upstream=upstream.entry.id,
-            service=upstream.entry.service,
-            zone=upstream.entry.availability_zone,
-            reason=reason,
-            silent_ms=_age_ms(now, upstream.heard_at),
-        )
-
-    def _watch_silence(self, now: float) -> None:
-        """Look at upstreams now and then while one may be out of reach."""
-        if not self._is_watching:
-            self._is_watching = True
-            heapq.heappush(self._timers, (now + WATCH_PERIOD_S, WATCH_NUMBER))
+    def _on_probed(
+        self, probed: events.UpstreamProbed, actions: list[events.Action]
+    ) -> None:
+        if self._reach.take(probed):
+            self._give_up_unreachable(actions)
 
-    def _look_for_silence(self, now: float, actions: list[events.Action]) -> None:
-        self._is_watching = False
-        for attempt in list(self._attempts_by_id.values()):
-            if attempt.upstream.is_silent(attempt.usual, now):
-                self._lose(attempt.upstream, now, "silence")
+    def _give_up_unreachable(self, actions: list[events.Action]) -> None:
+        """Fail what may be sent again and waits for upstreams out of reach."""
         for attempt in list(self._attempts_by_id.values()):
             is_lost = not attempt.upstream.is_reachable and attempt.is_wanted
             if is_lost and attempt.request.route.is_idempotent:
                 self._give_up(attempt, actions)
-        lost = [
-            upstream
-            for upstream in self.fleet.upstreams_by_id.values()
-            if not upstream.is_reachable
-        ]
-        for upstream in lost:
-            if now >= upstream.probe_at:
-                upstream.probe_at = now + fleet.PROBE_PERIOD_S
-                probe = events.ProbeUpstream(
-                    upstream_id=upstream.entry.id, address=upstream.entry.address
-                )
-                actions.append(probe)
-        if lost or self._attempts_by_id:
-            self._watch_silence(now)
 
     def _give_up(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         """Fail an attempt at an upstream that is out of reach."""
@@ -441,25 +397,6 @@
         self._take_failure(attempt, failed, actions)
         self._settle(attempt.request, actions)
 
-    def _on_probed(
-        self, probed: events.UpstreamProbed, actions: list[events.Action]
-    ) -> None:
-        upstream = self.fleet.upstreams_by_id.get(probed.upstream_id)
-        if upstream is None or upstream.is_reachable or not probed.is_listening:
-            return
-        now = self._clock.monotonic()
-        self.counts.upstream_changes["reached"] += 1
-        upstream.is_reachable = True
-        upstream.heard_at = now
-        upstream.faults_in_row = 0
-        upstream.ejected_until = now
-        log.info(
-            "upstream_reached",
-            upstream=upstream.entry.id,
-            service=upstream.entry.service,
-            zone=upstream.entry.availability_zone,
-        )
-
     def _note_fault(
         self,
         attempt: request.Attempt,
@@ -495,7 +432,9 @@
         attempt = self._lost_by_attempt.pop(checked.attempt, None)
         if attempt is None:
             return
-        if checked.is_listening:
+        if checked.listener is not events.Listener.CLOSED:
+            # One that resets connections above its cap is full, and one that
+            # does not answer may be behind a partition: neither has crashed.
             self._suspects.note_listening(attempt.request.fingerprint)
             return
         entry = attempt.upstream.entry
@@ -558,6 +497,8 @@
         did_not_run = _did_not_run(outcome)
         if did_not_run:
             shard.runs -= 1
+        if isinstance(outcome, events.Failed) and outcome.fault in events.NOT_SENT:
+            shard.arrivals -= 1
         if isinstance(outcome, events.Replied) and not did_not_run:
             shard.reply = attempt
         shard.failure = request.kind_of_failure(outcome)
@@ -588,10 +529,13 @@
         if self._clock.monotonic() >= routed.deadline:
             return False
         chosen = self._choose(routed, shard)
-        if chosen is None or not self._extra.spend(shard.service):
-            if chosen is not None:
-                self.counts.extra_refused += 1
-            shard.failure += "_no_budget" if chosen is not None else "_no_upstream"
+        if chosen is None:
+            shard.failure += "_no_upstream"
+            return False
+        # The first that reaches the service is no extra one.
+        if shard.arrivals and not self._extra.spend(shard.service):
+            self.counts.extra_refused += 1
+            shard.failure += "_no_budget"
             return False
         self._send_to(chosen, routed, shard, "retry", actions)
         return True
@@ -777,7 +721,8 @@
         while self._timers and self._timers[0][0] <= now:
             _, number = heapq.heappop(self._timers)
             if number == WATCH_NUMBER:
-                self._look_for_silence(now, actions)
+                self._reach.look(self._attempts_by_id.values(), actions)
+                self._give_up_unreachable(actions)
                 continue
             routed = self._requests_by_number.get(number)
             if routed is None:
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -298,19 +298,17 @@
         self._submit(events.AttemptEnded(attempt=exchange.attempt, outcome=outcome))
 
     def _check_listener(self, check: events.CheckListener) -> None:
-        def on_checked(is_listening: bool) -> None:
+        def on_checked(listener: events.Listener) -> None:
             self._submit(
-                events.ListenerChecked(attempt=check.attempt, is_listening=is_listening)
+                events.ListenerChecked(attempt=check.attempt, listener=listener)
             )
 
         self._channel.check_listener(check.address, on_checked)
 
     def _probe(self, probe: events.ProbeUpstream) -> None:
-        def on_checked(is_listening: bool) -> None:
+        def on_checked(listener: events.Listener) -> None:
             self._submit(
-                events.UpstreamProbed(
-                    upstream_id=probe.upstream_id, is_listening=is_listening
-                )
+                events.UpstreamProbed(upstream_id=probe.upstream_id, listener=listener)
             )
 
         self._channel.check_listener(probe.address, on_checked)
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -38,11 +38,16 @@
 
     :param owner: what hears of replies and of the end.
     :param clock: source of time for ``last_progress``.
+
+    ``has_replied`` tells whether it ever brought a reply, ``was_reset`` whether
+    the other side ended it by a reset.
     """
 
     def __init__(self, *, owner: Owner, clock: clocks.Clock) -> None:
         self.exchange: typing.Any = None
         self.reusable = True
+        self.has_replied = False
+        self.was_reset = False
         self.last_progress = -math.inf
         self._owner = owner
         self._clock = clock
@@ -76,6 +81,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end."""
         if exc is not None:
+            self.was_reset = isinstance(exc, ConnectionResetError)
             self._detail = str(exc) or type(exc).__name__
         elif self._head is not None:
             self._end_reply_by_close()
@@ -187,6 +193,7 @@
         if head is None:
             return None
         body = b"".join(self._chunks)
+        self.has_replied = True
         self._head = None
         self._chunks = []
         self._reply_bytes = 0
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -17,6 +17,7 @@
 DEFAULT_KEEP_ALIVE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 0.7
 SWEEP_PERIOD_S = 1.0
+CROWDED_S = 0.5
 NOT_FORWARDED = frozenset(
     {
         "connection",
@@ -35,6 +36,7 @@
 _NO_ENCODING = ("", "identity")
 
 OnEnd = typing.Callable[["Exchange", events.Replied | events.Failed], None]
+OnChecked = typing.Callable[[events.Listener], None]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -99,9 +101,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(RELEASE_GRACE_S, self._cut, exchange)
 
-    def check_listener(
-        self, address: str, on_checked: typing.Callable[[bool], None]
-    ) -> None:
+    def check_listener(self, address: str, on_checked: OnChecked) -> None:
         """Tell whether an address still listens, by a connection that is kept."""
         self._pool_of(address).check_listener(on_checked)
 
@@ -192,6 +192,7 @@
         self._channel = channel
         self._clock = clock
         self._limit = 1
+        self._crowded_until = -math.inf
         self._idle: list[client_connection.ClientConnection] = []
         self._expiry_by_connection: dict[client_connection.ClientConnection, float] = {}
         self._open: set[client_connection.ClientConnection] = set()
@@ -209,7 +210,7 @@
         self._waiting.append(exchange)
         self._pump()
 
-    def check_listener(self, on_checked: typing.Callable[[bool], None]) -> None:
+    def check_listener(self, on_checked: OnChecked) -> None:
         """Open a connection and tell whether that worked."""
         task = asyncio.get_running_loop().create_task(self._connect(on_checked))
         self._opening.add(task)
@@ -272,9 +273,15 @@
         self._open.discard(connection)
         self._expiry_by_connection.pop(connection, None)
         exchange, connection.exchange = connection.exchange, None
+        is_fresh = connection.is_mute and not connection.has_replied
+        if is_fresh and connection.was_reset:
+            self._note_crowd()
         if exchange is not None:
             lost = events.Failed(
-                fault=events.Fault.LOST, detail=detail, is_mute=connection.is_mute
+                fault=events.Fault.LOST,
+                detail=detail,
+                is_mute=connection.is_mute,
+                is_fresh=is_fresh,
             )
             self._channel.end(exchange, lost)
         self._pump()
@@ -285,7 +292,10 @@
             if connection is None:
                 break
             self._start(self._waiting.popleft(), connection)
-        room = self._limit - len(self._open) - len(self._opening)
+        limit = self._limit
+        if self._clock.monotonic() < self._crowded_until:
+            limit = min(1, limit)
+        room = limit - len(self._open) - len(self._opening)
         wanted = len(self._waiting) - len(self._opening)
         for _ in range(min(room, wanted)):
             task = asyncio.get_running_loop().create_task(self._connect())
@@ -310,31 +320,51 @@
         headers = [*exchange.headers, (self._channel.names.time_left, str(left_ms))]
         connection.send(exchange.method, exchange.target, headers, exchange.body)
 
-    async def _connect(
-        self, on_checked: typing.Callable[[bool], None] | None = None
-    ) -> None:
+    async def _connect(self, on_checked: OnChecked | None = None) -> None:
         loop = asyncio.get_running_loop()
         connection = client_connection.ClientConnection(owner=self, clock=self._clock)
-        detail = ""
+        listener, detail = events.Listener.OPEN, ""
         self._channel.connections_opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection, self._host, self._port)
         except OSError as error:
+            listener = _listener_of(error)
             detail = str(error) or type(error).__name__
         finally:
             self._opening.discard(typing.cast(asyncio.Task, asyncio.current_task()))
         if connection.is_open:
             self._open.add(connection)
             self._idle.append(connection)
-        elif self._waiting and on_checked is None:
-            exchange = self._waiting.popleft()
-            failed = events.Failed(fault=events.Fault.CONNECT, detail=detail)
-            self._channel.end(exchange, failed)
+        elif on_checked is None:
+            self._connect_failed(listener, detail)
         if on_checked is not None:
-            on_checked(connection.is_open)
+            on_checked(listener)
         self._pump()
 
+    def _connect_failed(self, listener: events.Listener, detail: str) -> None:
+        """Fail the exchange that waits longest, unless a connection will be free."""
+        fault = events.Fault.CONNECT
+        if listener is events.Listener.OPEN:
+            fault = events.Fault.CROWDED
+            self._note_crowd()
+        if self._waiting and not (self._open and fault is events.Fault.CROWDED):
+            failed = events.Failed(fault=fault, detail=detail)
+            self._channel.end(self._waiting.popleft(), failed)
+
+    def _note_crowd(self) -> None:
+        """Open no further connection for a while: the upstream resets them."""
+        self._crowded_until = self._clock.monotonic() + CROWDED_S
+
+
+def _listener_of(error: OSError) -> events.Listener:
+    """Return what a failure to connect shows of the other side."""
+    if isinstance(error, ConnectionResetError):
+        return events.Listener.OPEN
+    if isinstance(error, ConnectionRefusedError):
+        return events.Listener.CLOSED
+    return events.Listener.SILENT
+
 
 def _read_keep_alive(value: str | None) -> float:
     """Return how many seconds an idle connection may be used."""
