--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -153,7 +153,7 @@
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
     def fail(self, send, fault, *, is_fresh=False):
-        outcome = events.Failed(fault=fault, is_fresh=is_fresh)
+        outcome = events.Failed(fault=fault, is_fresh=is_fresh, is_mute=is_fresh)
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
     def lose(self, send, *, listener):
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -267,6 +267,32 @@
     And a sweep with that fingerprint arrives
     Then 1 attempt was sent for it
 
+  Scenario: All upstreams of a shard crash at once
+    Another cause took them. The sweep that was lost with the first is sent to the
+    next before the end of its connection is seen, and is lost again.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a sweep arrives
+    And its attempt is lost without a byte of reply
+    Then 1 attempt was sent
+    When its upstream is found to listen no more
+    Then 2 attempts were sent
+
+  Scenario: A lost attempt is looked into for too long
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a sweep arrives
+    And its attempt is lost without a byte of reply
+    And 40 ms pass
+    Then 2 attempts were sent
+
+  Scenario: Many upstreams refuse connections at one moment
+    A cut refuses what goes to its far side. The sweeps that were on their way
+    there did not crash anything; convicted, each would be refused for a minute.
+
+    Given a router with a sweep over 10 shards of 3 upstreams each
+    When other hosts report that each of 8 sweeps was lost with 2 upstreams
+    Then none of these sweeps is refused
+
   Scenario: A partition swallows the answers to a request
     Its upstreams answer nothing any more, not even an attempt to connect. Held for
     crashed, a good request of this caller would be refused for a minute.
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -637,6 +637,7 @@
         while done < len(context.tier.attempts_of(number)):
             send = context.tier.attempts_of(number)[done]
             context.tier.fail(send, events.Fault.LOST, is_fresh=True)
+            context.tier.pass_time(0.03)
             done += 1
 
 
@@ -645,6 +646,45 @@
     assert not context.tier.router.counts.upstream_changes["ejected"]
 
 
+@behave.when("its attempt is lost without a byte of reply")
+def when_mute(context):
+    send = context.tier.attempts_of(context.number)[0]
+    outcome = events.Failed(fault=events.Fault.LOST, is_mute=True)
+    context.tier.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+
+
+@behave.when("its upstream is found to listen no more")
+def when_closed(context):
+    check = context.tier.checked.pop()
+    closed = events.Listener.CLOSED
+    context.tier.step(events.ListenerChecked(attempt=check.attempt, listener=closed))
+
+
+@behave.when(
+    "other hosts report that each of {count:d} sweeps was lost with 2 upstreams"
+)
+def when_many_crashes(context, count):
+    context.fingerprints = [f"cut-{number}" for number in range(count)]
+    for number, fingerprint in enumerate(context.fingerprints):
+        crashes = tuple(
+            watching.Crash(
+                fingerprint=fingerprint,
+                service=f"shard-{number}",
+                upstream_id=f"shard-{number}-u{upstream}",
+                incarnation=1,
+            )
+            for upstream in range(2)
+        )
+        context.tier.step(events.CrashesReported(crashes=crashes))
+
+
+@behave.then("none of these sweeps is refused")
+def then_none_refused(context):
+    for fingerprint in context.fingerprints:
+        number = context.tier.request("/sweep/1", fingerprint=fingerprint)
+        assert context.tier.attempts_of(number), fingerprint
+
+
 @behave.given("a router without any budget for extra attempts")
 def given_no_budget(context):
     context.tier = routing.RoutingTier(burst=0.0, ratio=0.0)
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -32,6 +32,7 @@
     :param part: the attempt whose reply counts.
     :param is_failed: no part will come.
     :param reply: the last whole reply that is no success.
+    :param held: a lost attempt; it is sent again once the loss is looked into.
     """
 
     service: str
@@ -45,6 +46,18 @@
     is_failed: bool = False
     reply: Attempt | None = None
     failure: str = ""
+    held: Attempt | None = None
+    held_until: float = math.inf
+
+    def hold(self, attempt: Attempt, *, until: float) -> None:
+        """Wait with the next attempt, at most until a moment."""
+        self.held = attempt
+        self.held_until = until
+
+    def resume(self) -> None:
+        """Wait no more."""
+        self.held = None
+        self.held_until = math.inf
 
     @property
     def is_pending(self) -> bool:
@@ -110,8 +123,12 @@
 
     def next_moment(self) -> float:
         """Return when this request has to be looked at again."""
-        hedges = [shard.hedge_at for shard in self.shards if shard.is_pending]
-        moment = min(hedges, default=math.inf)
+        moments = [
+            min(shard.hedge_at, shard.held_until)
+            for shard in self.shards
+            if shard.is_pending
+        ]
+        moment = min(moments, default=math.inf)
         if self.is_sweep and len(self.parts) >= self.route.least_parts:
             moment = min(moment, self.answer_by)
         return min(moment, self.deadline)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -35,6 +35,7 @@
 LEAST_HEDGE_S = 0.006
 HEDGE_KEEP = 0.2
 DEADLINE_MARGIN_S = 0.01
+HOLD_S = 0.03
 RETRY_AFTER_RANGE_S = (0.03, 0.12)
 NO_UPSTREAM_RETRY_AFTER_RANGE_S = (0.3, 0.7)
 NO_TABLE_RETRY_AFTER_RANGE_S = (0.7, 1.3)
@@ -358,7 +359,10 @@
             else:
                 self._note_fault(attempt, outcome, now)
         elif outcome.fault is events.Fault.LOST and outcome.is_mute:
-            self._note_fault(attempt, outcome, now)
+            if outcome.is_fresh:
+                upstream.note_crowd(now)
+            else:
+                self._note_fault(attempt, outcome, now)
             self._look_into(attempt, actions)
         elif outcome.fault is events.Fault.SILENT:
             ratio = took / attempt.usual
@@ -369,7 +373,7 @@
             self._note_fault(attempt, outcome, now)
             if now - upstream.heard_at > fleet.HEARD_LATELY_S:
                 self._reach.lose(upstream, "connect")
-        elif outcome.fault is events.Fault.CROWDED or outcome.is_fresh:
+        elif outcome.fault is events.Fault.CROWDED:
             upstream.note_crowd(now)
         elif outcome.fault is not events.Fault.UNSENT:
             self._note_fault(attempt, outcome, now)
@@ -432,11 +436,17 @@
         attempt = self._lost_by_attempt.pop(checked.attempt, None)
         if attempt is None:
             return
-        if checked.listener is not events.Listener.CLOSED:
+        if checked.listener is events.Listener.CLOSED:
+            self._note_crash(attempt, actions)
+        else:
             # One that resets connections above its cap is full, and one that
             # does not answer may be behind a partition: neither has crashed.
             self._suspects.note_listening(attempt.request.fingerprint)
-            return
+        self._resume(attempt, actions)
+
+    def _note_crash(
+        self, attempt: request.Attempt, actions: list[events.Action]
+    ) -> None:
         entry = attempt.upstream.entry
         crash = watching.Crash(
             fingerprint=attempt.request.fingerprint,
@@ -505,8 +515,28 @@
         self.counts.failures[shard.failure] += 1
         if shard.attempts:
             return
-        if self._is_final(outcome) or not self._retry(attempt, did_not_run, actions):
+        if attempt.id in self._lost_by_attempt and routed.route.is_idempotent:
+            shard.hold(attempt, until=self._clock.monotonic() + HOLD_S)
+            return
+        if self._is_final(outcome) or not self._retry(
+            routed, shard, did_not_run, actions
+        ):
+            self._fail_shard(shard, shard.failure)
+
+    def _resume(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
+        """Send a request again that was held while its loss was looked into.
+
+        Where all upstreams of a service crash at once, the next one would be
+        lost too if it were asked at once, before the ends of its connections
+        are seen, and a good request be convicted of both crashes.
+        """
+        routed, shard = attempt.request, attempt.shard
+        if shard.held is not attempt or routed.is_over:
+            return
+        shard.resume()
+        if not self._retry(routed, shard, False, actions):
             self._fail_shard(shard, shard.failure)
+        self._settle(routed, actions)
 
     def _is_final(self, outcome: events.Replied | events.Failed) -> bool:
         """Tell whether another upstream would say the same."""
@@ -515,11 +545,11 @@
 
     def _retry(
         self,
-        attempt: request.Attempt,
+        routed: request.RoutedRequest,
+        shard: request.ShardState,
         did_not_run: bool,
         actions: list[events.Action],
     ) -> bool:
-        routed, shard = attempt.request, attempt.shard
         if not (routed.route.is_idempotent or did_not_run):
             return False
         if shard.runs >= routed.route.attempts:
@@ -729,6 +759,8 @@
                 continue
             routed.wake_at = float("inf")
             for shard in routed.pending:
+                if shard.held is not None and shard.held_until <= now:
+                    self._resume(shard.held, actions)
                 if shard.hedge_at <= now:
                     self._hedge(routed, shard, now, actions)
             self._settle(routed, actions)
