Begin an election within 0.25 s of a start where reads ask a majority

Cause: after a loss of all power no control host led for 0.5 to 1.0 s, in which entry hosts had no configuration and refused every request: a member that has started gives no vote until a lease that it may have answered is over. On the platform reads now ask a majority each time (an operator's few), so nobody counts on that silence. The scenario of all hosts without power is red without the change.

--- a/features/fakes/raft.py
+++ b/features/fakes/raft.py
@@ -68,14 +68,19 @@
     :param size: hosts that begin as voters.
     :param faults: names of faults that are planted, to see that they are found.
     :param dead_after: seconds after which the leader removes a silent voter.
+    :param lease_reads: whether leaders answer reads under their lease.
     """
 
-    def __init__(self, *, seed=0, size=3, faults=(), dead_after=math.inf):
+    def __init__(
+        self, *, seed=0, size=3, faults=(), dead_after=math.inf, lease_reads=True
+    ):
         self.rng = random.Random(seed)
         self.faults = frozenset(faults)
         # Elections that begin at nearly the same moment split the votes.
         usual = CLOSE_TIMING if seed % 4 == 0 else TIMING
-        self.timing = dataclasses.replace(usual, dead_after=dead_after)
+        self.timing = dataclasses.replace(
+            usual, dead_after=dead_after, lease_reads=lease_reads
+        )
         self.size = size
         self.in_flight = []
         self.cut = set()
@@ -655,10 +660,16 @@
             cluster.fill_disk(choice, sync_fails=True)
 
 
-def walk(seed, *, size=3, steps=160, faults=(), dead_after=math.inf):
+def walk(seed, *, size=3, steps=160, faults=(), dead_after=math.inf, lease_reads=True):
     """Run the schedule that a seed names, and end with a repair."""
     rng = random.Random(seed * 7919 + size)
-    cluster = Cluster(seed=seed, size=size, faults=faults, dead_after=dead_after)
+    cluster = Cluster(
+        seed=seed,
+        size=size,
+        faults=faults,
+        dead_after=dead_after,
+        lease_reads=lease_reads,
+    )
     names = [name for name, _ in ACTIONS]
     weights = [weight for _, weight in ACTIONS]
     for _ in range(3):
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -102,6 +102,24 @@
     When one control host after the other is gone for good, 5 seconds apart
     Then the 2 control hosts that are left accept a change
 
+  Scenario: Reads ask a majority in random schedules
+    A member that starts again begins an election at once. Without leases no leader
+    counts on its silence; a read that nobody confirms must still not be answered.
+
+    Given control hosts that ask a majority before each read
+    When 60 such schedules over 3 control hosts run from seed 1500
+    Then every invariant of the log held and a last change was accepted in each
+    When 30 such schedules over 4 control hosts run from seed 1900
+    Then every invariant of the log held and a last change was accepted in each
+
+  Scenario: All control hosts lose their power
+    Entry hosts know no configuration until one of them leads again, and refuse
+    every request until then.
+
+    Given 3 control hosts that had a leader and lost their power
+    When they start again and 400 ms pass
+    Then one of them leads
+
   Scenario: Dead voters are removed in random schedules
     Given control hosts whose dead are removed after 1 second
     When 40 such schedules over 4 control hosts run from seed 500
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -38,6 +38,11 @@
     assert not context.broken, context.broken
 
 
+@behave.given("control hosts that ask a majority before each read")
+def given_no_leases(context):
+    context.walk_options = {"lease_reads": False}
+
+
 @behave.when('the fault "{fault}" is planted and schedules run from seed {seed:d}')
 def when_planted(context, fault, seed):
     context.broken = None
@@ -138,7 +143,7 @@
 
 @behave.given("control hosts whose dead are removed after {seconds:d} second")
 def given_dead_after(context, seconds):
-    context.dead_after = float(seconds)
+    context.walk_options = {"dead_after": float(seconds)}
 
 
 @behave.when(
@@ -148,7 +153,7 @@
     context.broken = []
     for number in range(seed, seed + count):
         try:
-            raft.walk(number, size=size, dead_after=context.dead_after)
+            raft.walk(number, size=size, **context.walk_options)
         except raft.InvariantBrokenError as error:
             context.broken.append((number, error))
 
@@ -159,6 +164,33 @@
         cluster.deliver_all(4, late=0.0)
 
 
+@behave.given("{size:d} control hosts that had a leader and lost their power")
+def given_power_lost(context, size):
+    context.cluster = raft.Cluster(seed=1, size=size, lease_reads=False)
+    run_calmly(context.cluster, 3.0)
+    assert leaders(context.cluster)
+    for number in range(size):
+        context.cluster.crash(number)
+
+
+@behave.when("they start again and {ms:d} ms pass")
+def when_started_again(context, ms):
+    for number in range(len(context.cluster.hosts)):
+        context.cluster.restart(number)
+    for _ in range(ms // 10):
+        context.cluster.advance(0.01)
+        context.cluster.deliver_all(4, late=0.0)
+
+
+@behave.then("one of them leads")
+def then_one_leads(context):
+    assert len(leaders(context.cluster)) == 1
+
+
+def leaders(cluster):
+    return [host for host in cluster.hosts if host.is_up and host.replica.is_leader]
+
+
 @behave.given(
     "a log of {size:d} control hosts whose dead are removed after {seconds:d} seconds"
 )
--- a/src/greengagehaven/coordination/raft/candidacy.py
+++ b/src/greengagehaven/coordination/raft/candidacy.py
@@ -1,5 +1,6 @@
 """Elections: when to ask for votes, and when to give one."""
 
+import math
 import typing
 
 from greengagehaven import rng as rngs
@@ -40,7 +41,11 @@
 
     def reset_timer(self) -> None:
         """Begin to wait for a leader anew."""
-        low, high = self._raft.timing.election_min, self._raft.timing.election_max
+        timing = self._raft.timing
+        low, high = timing.election_min, timing.election_max
+        if self._raft.heard_leader_at == -math.inf:
+            # After a loss of power nobody leads, and all callers wait for it.
+            low, high = timing.start_min, timing.start_max
         self.election_at = self._raft.clock.monotonic() + self._rng.uniform(low, high)
 
     def on_request(self, request: messages.VoteRequest) -> None:
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -1,5 +1,6 @@
 """One member of a replicated log: terms, votes, and following a leader."""
 
+import math
 import typing
 
 from greengagehaven import clock as clocks
@@ -53,7 +54,7 @@
         # A host that restarts may have answered a leader just before, and the
         # leader counts on it to give no vote until its lease ends. Without
         # this, two hosts could answer reads in the same moment.
-        self.heard_leader_at = clock.monotonic()
+        self.heard_leader_at = clock.monotonic() if timing.lease_reads else -math.inf
         self.current_at = float("-inf")
         self._actions: list[events.Action] = []
         self._saved_vote = stored.vote
--- a/src/greengagehaven/coordination/raft/timing.py
+++ b/src/greengagehaven/coordination/raft/timing.py
@@ -12,6 +12,12 @@
     :param election_min: a member that heard from a leader within this time
         gives no vote, and starts no election.
     :param election_max: elections start at random up to this time.
+    :param lease_reads: whether a leader answers reads under its lease. Without,
+        each read asks a majority, and a member that has just started need not
+        keep still for ``election_min``.
+    :param start_min: without ``lease_reads``, a member that has heard of no
+        leader since it started begins an election after this time.
+    :param start_max: it begins one at random up to this time.
     :param max_drift: bound on how much a clock's rate may be wrong; the lease
         is shortened by it on both sides.
     :param append_bytes: payload of one message of entries.
@@ -26,6 +32,9 @@
     heartbeat: float = 0.1
     election_min: float = 0.5
     election_max: float = 1.0
+    lease_reads: bool = True
+    start_min: float = 0.05
+    start_max: float = 0.25
     max_drift: float = 0.1
     append_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
@@ -40,4 +49,6 @@
         A member that answered gives no vote for ``election_min`` on its
         clock, which may run fast, while the leader's clock may run slow.
         """
+        if not self.lease_reads:
+            return 0.0
         return self.election_min * (1 - self.max_drift) / (1 + self.max_drift)
--- a/src/greengagehaven/platform/__main__.py
+++ b/src/greengagehaven/platform/__main__.py
@@ -132,7 +132,7 @@
             bootstrap=node.bootstrap and own in node.control_addresses,
             least_voters=min(LEAST_VOTERS, len(node.seeds)),
             check_document=documents.read,
-            raft_timing=timing.Timing(dead_after=DEAD_AFTER_S),
+            raft_timing=timing.Timing(dead_after=DEAD_AFTER_S, lease_reads=False),
         ),
         listen=node.door("control"),
         zone=node.zone,
