Open few connections after a start; send nothing where too few shards can answer

Causes: (1) a host that has just started knew of no other host and opened up to 13 connections to each upstream, which after a loss of power still held the 18 old ones of its 26: 368 were reset with their requests. It now takes its share of half the cap for 6 s, by at least 8 hosts. The scenario of too few parts now loses two shards' answers instead of their upstreams; the case of missing upstreams has a stricter one of its own.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -108,14 +108,34 @@
     Then these two got at most 25 attempts
 
   Scenario: Too few parts can still come
-    Two of four shards have no upstream at all. A caller that were left waiting
-    until its deadline could not ask another host.
+    Two of four shards lose their answers and have no budget for another try. A
+    caller that were left waiting until its deadline could not ask another host.
+
+    Given a router without any budget and a sweep over 4 shards
+    When a sweep arrives
+    And its first 2 attempts are lost and the others answered
+    Then the request is refused with upstreams_failed and told when to come back
+
+  Scenario: Too many shards have no upstream
+    What the others would run is thrown away, and the caller could not be promised
+    that nothing ran.
 
     Given a router with a sweep over 4 shards of 3 upstreams each
     And all upstreams of 2 shards are gone
     When a sweep arrives
-    And all its attempts are answered
-    Then the request is refused with upstreams_failed and told when to come back
+    Then the request is refused with incomplete and told when to come back
+    And nothing of it was sent
+
+  Scenario: A host that has just started opens few connections
+    All hosts lost their power. Upstreams still hold their old connections, and
+    reset new ones above the cap of 26 together with the requests on them.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a sweep arrives
+    Then its upstream may get 1 connection
+    When 7 seconds pass
+    And a sweep arrives
+    Then its upstream may get 13 connections
 
   Scenario: No shard has an upstream
     Given a router with a sweep over 4 shards of 3 upstreams each
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -692,6 +692,31 @@
     context.tier.put(*upstreams_of("shard-0", 3))
 
 
+@behave.given("a router without any budget and a sweep over {count:d} shards")
+def given_no_budget_for(context, count):
+    names = SHARD_NAMES[:count]
+    context.tier = routing.RoutingTier(burst=0.0, ratio=0.0)
+    context.tier.put_table(routing.table(1, routing.sweep_route(names)))
+    for name in names:
+        context.tier.put(*upstreams_of(name, 3))
+
+
+@behave.when("its first {count:d} attempts are lost and the others answered")
+def when_some_lost(context, count):
+    sent = context.tier.attempts_of(context.number)
+    for send in sent[:count]:
+        context.tier.fail(send, events.Fault.LOST)
+    for send in sent[count:]:
+        context.tier.reply(send)
+
+
+@behave.then("its upstream may get {count:d} connection")
+@behave.then("its upstream may get {count:d} connections")
+def then_connections(context, count):
+    (send,) = context.tier.attempts_of(context.number)
+    assert send.connections == count, send.connections
+
+
 @behave.when("its attempt finds no connection")
 def when_no_connection(context):
     send = context.tier.attempts_of(context.number)[0]
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -34,6 +34,9 @@
 OVERDUE_FACTOR = 2.0
 OVERDUE_LEAST_S = 0.02
 DEFAULT_CONNECTIONS = 8
+SETTLE_S = 6.0
+ASSUMED_HOSTS = 8
+OLD_CONNECTIONS_FACTOR = 2
 
 
 class Upstream:
@@ -215,6 +218,10 @@
         self._drained_zones: frozenset[str] = frozenset()
         self._limits_by_service: abc.Mapping[str, routes.ServiceLimits] = {}
         self._hosts = 1
+        # A host that has just started may not have heard of the others, and after
+        # a loss of power upstreams hold its old connections until they find them
+        # idle. With too many new ones they reset whatever is above their cap.
+        self._settles_at = clock.monotonic() + SETTLE_S
 
     def set_limits(
         self, limits_by_service: abc.Mapping[str, routes.ServiceLimits]
@@ -285,6 +292,9 @@
         limits = self._limits_by_service.get(upstream.entry.service)
         if limits is None or limits.connections <= 0:
             return DEFAULT_CONNECTIONS
+        if self._clock.monotonic() < self._settles_at:
+            hosts = OLD_CONNECTIONS_FACTOR * (max(self._hosts, ASSUMED_HOSTS) + 1)
+            return max(1, limits.connections // hosts)
         return max(2, limits.connections // (self._hosts + 1))
 
     def _usable(self, service: str) -> list[Upstream]:
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -116,6 +116,12 @@
         """Return the shards whose parts may still come."""
         return [shard for shard in self.shards if shard.is_pending]
 
+    @property
+    def can_be_complete_enough(self) -> bool:
+        """Tell whether enough shards have a part or may still get one."""
+        least = self.route.least_parts if self.is_sweep else 1
+        return sum(not shard.is_failed for shard in self.shards) >= least
+
     @property
     def may_have_run(self) -> bool:
         """Tell whether any upstream may have run it."""
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -169,22 +169,35 @@
             actions.append(events.Refuse(number=arrived.number, error=error))
             return
         self._requests_by_number[routed.number] = routed
-        plan = []
+        chosen_by_service = {}
         for shard in routed.shards:
             self._extra.earn(shard.service)
             chosen = self._choose(routed, shard)
             if chosen is None:
                 self._fail_shard(shard, "no_upstream")
-                plan.append(f"{shard.service}>none")
-                continue
-            plan.append(f"{shard.service}>{self._describe(chosen)}")
-            self._send_to(chosen, routed, shard, "primary", actions)
-        self._log_plan(routed, plan)
+            else:
+                chosen_by_service[shard.service] = chosen
+        self._log_plan(routed, chosen_by_service)
+        # Where too many shards have no upstream nothing is sent: what the others
+        # run would be thrown away, and the caller be told that it may have run.
+        if routed.can_be_complete_enough:
+            for shard in routed.pending:
+                chosen = chosen_by_service[shard.service]
+                self._send_to(chosen, routed, shard, "primary", actions)
         self._settle(routed, actions)
 
-    def _log_plan(self, routed: request.RoutedRequest, plan: list[str]) -> None:
+    def _log_plan(
+        self,
+        routed: request.RoutedRequest,
+        chosen_by_service: abc.Mapping[str, fleet.Upstream],
+    ) -> None:
         """Log a request's route and its first choices, all in one line."""
         assert self.table is not None
+        plan = []
+        for shard in routed.shards:
+            chosen = chosen_by_service.get(shard.service)
+            described = "none" if chosen is None else self._describe(chosen)
+            plan.append(f"{shard.service}>{described}")
         log.info(
             "planned",
             request=routed.request_id,
@@ -642,7 +655,7 @@
         parts = routed.parts
         pending = routed.pending
         least = routed.route.least_parts
-        if len(parts) + len(pending) < least:
+        if not routed.can_be_complete_enough:
             self._refuse(routed, self._failure_error(routed), actions)
             return
         is_due = len(parts) >= least and now >= min(routed.answer_by, routed.deadline)
