Recall known upstreams from disk after a loss of power

Control hosts now keep the ready ones in a file of their own, at most each 2 s, and take it as a hint for 3 s: less than it takes a host to be in touch again, so one that left meanwhile gets nothing that counts. Ruled out: keeping them in the log, which would sync each change of 40 upstreams at a majority.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -60,6 +60,48 @@
     When the host stands still for 6 seconds
     Then the roster has u-1 as ready
 
+  Scenario: All hosts lose their power
+    Upstreams announce themselves about once a second. Until each shard has, every
+    request would be refused.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And the roster heard u-2 draining in incarnation 5 with sequence 4
+    When its host keeps it for 3 seconds and starts anew
+    Then the roster has u-1 as ready
+    And the roster does not know u-2
+    When the roster hears u-1 ready in incarnation 5 with sequence 9
+    Then a watcher that held the last version is told of u-1
+
+  Scenario: An upstream left while all hosts had no power
+    It is taken for ready only until it should have announced itself.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When its host keeps it for 3 seconds and starts anew
+    And 4 seconds pass without an announcement
+    Then the roster has u-1 as silent
+
+  Scenario: A kept roster is older than what others know
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    And another roster that heard u-1 draining in incarnation 5 with sequence 4
+    When its host keeps it for 3 seconds and starts anew
+    And each merges what the other knows
+    Then both rosters have u-1 as draining
+
+  Scenario Outline: The file of the roster is no use: <what>
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When its host keeps it for 3 seconds and starts anew with a file that <what>
+    Then the roster does not know u-1
+
+    Examples:
+      | what           |
+      | was torn       |
+      | is gone        |
+
+  Scenario: The disk is full when the roster is kept
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When its host keeps it for 3 seconds on a full disk
+    Then the roster has u-1 as ready
+
   Scenario: Two control hosts come to the same
     Given a roster that heard u-1 ready in incarnation 5 with sequence 3
     And another roster that heard u-1 draining in incarnation 5 with sequence 4
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -1,12 +1,14 @@
 """Steps about the roster of upstreams and the feed that hands it on."""
 
 import asyncio
+import random
 
 import behave
 
+from fakes import control as control_fakes
 from fakes import routing
 from greengagehaven import clock, exceptions
-from greengagehaven.daemons import publisher, registrar, roster_feed
+from greengagehaven.daemons import publisher, registrar, roster_feed, roster_file
 from greengagehaven.protocol import codec, watching
 from greengagehaven.state import published, roster
 
@@ -163,6 +165,53 @@
     assert len(context.listener.since(0)) == count
 
 
+def keep(listener, seconds, *, is_full=False):
+    disk = control_fakes.MemoryFolder(rng=random.Random(1))
+    disk.is_full = is_full
+    kept = roster_file.RosterFile(held=listener.roster, disk=disk, clock=listener.clock)
+    for _ in range(int(seconds / SWEEP_S)):
+        listener.clock.advance(SWEEP_S)
+        kept.keep()
+    return disk
+
+
+def start_anew(context, disk):
+    context.listener = Listener()
+    roster_file.RosterFile(
+        held=context.listener.roster, disk=disk, clock=context.listener.clock
+    ).load()
+
+
+@behave.when("its host keeps it for {seconds:d} seconds and starts anew")
+def when_kept(context, seconds):
+    start_anew(context, keep(context.listener, seconds))
+
+
+@behave.when(
+    "its host keeps it for {seconds:d} seconds and starts anew with a file that {what}"
+)
+def when_kept_badly(context, seconds, what):
+    disk = keep(context.listener, seconds)
+    data = disk.read(roster_file.FILE_NAME)
+    if what == "is gone":
+        disk.remove(roster_file.FILE_NAME)
+    else:
+        disk.replace(roster_file.FILE_NAME, data[: len(data) // 2])
+    start_anew(context, disk)
+
+
+@behave.when("its host keeps it for {seconds:d} seconds on a full disk")
+def when_kept_full(context, seconds):
+    keep(context.listener, seconds, is_full=True)
+
+
+@behave.then("a watcher that held the last version is told of {upstream_id}")
+def then_told_of(context, upstream_id):
+    listener = context.listener
+    (entry,) = listener.since(listener.held)
+    assert entry.id == upstream_id, entry
+
+
 class Feed:
     """A feed with watchers that hold what they are told when the test says."""
 
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -14,16 +14,18 @@
     orders,
     registrar,
     roster_feed,
+    roster_file,
     watcher,
 )
 from greengagehaven.protocol import watching
-from greengagehaven.state import configuration, roster
+from greengagehaven.state import configuration, folder, roster
 from greengagehaven.transport import http, http_peers, http_server
 
 STOP_GRACE = datetime.timedelta(seconds=1)
 BODY_BYTES = 8_000_000
 REOPEN_PAUSE_S = 1.0
 SILENT_BEATS = 4.5
+ROSTER_FOLDER = "roster"
 
 Doors = abc.Callable[[orders.Orders, registrar.Registrar], http.Handler]
 
@@ -64,6 +66,11 @@
         self._roster = roster.Roster(
             holder=settings.host_id, silence=SILENT_BEATS * announce_period
         )
+        self._roster_file = roster_file.RosterFile(
+            held=self._roster,
+            disk=folder.DiskFolder(path=f"{settings.data_folder}/{ROSTER_FOLDER}"),
+            clock=clock,
+        )
         self._watcher = watcher.Watcher(
             channel=self._client,
             host_id=settings.host_id,
@@ -93,6 +100,7 @@
         :raises SettingError: an address or the data folder cannot be used.
         :raises LogDamagedError: the state on the disk is damaged.
         """
+        self._roster_file.load()
         await self._start_peer_server()
         self._http_server = http_server.HttpServer(
             handler=self._handle,
@@ -194,6 +202,7 @@
             configuration=self._host.publisher,
             control_addresses=self._member_addresses,
             clock=self._clock,
+            keeper=self._roster_file,
         )
         self._host.on_revision = self._feed.notify
         ordering = orders.Orders(host=self._host)
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -8,7 +8,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
-from greengagehaven.daemons import publisher
+from greengagehaven.daemons import publisher, roster_file
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import crashes, roster
 
@@ -41,6 +41,7 @@
     :param configuration: answers what changed in the configuration.
     :param control_addresses: gives the peer addresses of the log's members.
     :param clock: source of time.
+    :param keeper: keeps the roster over a restart.
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         configuration: publisher.Publisher,
         control_addresses: abc.Callable[[], tuple[str, ...]],
         clock: clocks.Clock,
+        keeper: roster_file.Keeper | None = None,
     ) -> None:
         self.roster = roster
         self._configuration = configuration
         self._control_addresses = control_addresses
         self._clock = clock
+        self._keeper = keeper or roster_file.NoKeeper()
         self._feed = secrets.token_hex(FEED_ID_BYTES)
         self._crashes = crashes.CrashLog()
         self._watchers_by_host: dict[str, _Watcher] = {}
@@ -225,3 +228,4 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             for entry in self.roster.sweep(self._clock.monotonic()):
                 self.note_change(entry)
+            self._keeper.keep()
--- a/src/greengagehaven/state/roster.py
+++ b/src/greengagehaven/state/roster.py
@@ -13,6 +13,7 @@
 
 GONE_KEPT_S = 120.0
 MAX_GAP_S = 1.5
+RECALLED_KEPT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,6 +44,7 @@
         self._held_by_id: collections.OrderedDict[str, Held] = collections.OrderedDict()
         self._id_by_address: dict[str, str] = {}
         self._heard_at_by_id: dict[str, float] = {}
+        self._recalled_ids: set[str] = set()
         self._swept_at: float | None = None
 
     @property
@@ -62,7 +64,8 @@
             return False
         self._heard_at_by_id[entry.id] = now
         entry = entry.with_holder(self._holder)
-        if known is not None and known.says_same(entry):
+        is_confirmed = entry.id not in self._recalled_ids
+        if known is not None and known.says_same(entry) and is_confirmed:
             # The sequence is kept without a version: a late older announcement
             # must not win, but nobody else needs to hear of a renewal.
             assert held is not None
@@ -77,6 +80,25 @@
             return False
         return self._put(entry, now)
 
+    def recall(self, entry: watching.UpstreamEntry, now: float) -> None:
+        """Take an entry that was kept over a restart.
+
+        It counts as heard a while ago: an upstream that left meanwhile, or that
+        others know to drain, must not be taken for ready much longer. Its next
+        announcement is news, so that each control host learns who hears it.
+        """
+        if entry.id in self._held_by_id:
+            return
+        if self._put(entry.with_holder(self._holder), now):
+            self._recalled_ids.add(entry.id)
+            self._heard_at_by_id[entry.id] = now - self._silence + RECALLED_KEPT_S
+
+    def ready(self, now: float) -> tuple[watching.UpstreamEntry, ...]:
+        """Return the entries of all upstreams that are ready."""
+        return tuple(
+            entry for entry in self.since(0, now) if entry.stage is watching.Stage.READY
+        )
+
     def since(self, version: int, now: float) -> tuple[watching.UpstreamEntry, ...]:
         """Return the entries that changed after ``version``."""
         changed = []
@@ -134,6 +156,7 @@
 
     def _store(self, entry: watching.UpstreamEntry, now: float) -> None:
         self.version += 1
+        self._recalled_ids.discard(entry.id)
         self._held_by_id[entry.id] = Held(
             entry=entry,
             cold_until=now + entry.cold_left_ms / 1000,
