--- a/features/fakes/crashing.py
+++ b/features/fakes/crashing.py
@@ -144,8 +144,8 @@
     return [fake_core.announce(f"u-{number}", slots=4) for number in range(count)]
 
 
-def sharded(shards):
-    """Return two upstreams for each shard of credits-0, in zones a and b."""
+def sharded(shards, *, zones="ab"):
+    """Return an upstream in each zone for each shard of credits-0."""
     return [
         fake_core.announce(
             f"u-{zone}-{shard}",
@@ -154,5 +154,5 @@
             slots=4,
         )
         for shard in range(shards)
-        for zone in ("a", "b")
+        for zone in zones
     ]
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -53,6 +53,15 @@
     Then at most 2 upstreams were lost to it
     And the later ones were refused as quarantined with ran no
 
+  Scenario: A sweep crashes every shard
+    Its first volley takes one upstream of each shard with it. Sent again and again
+    it would take all three of each, and no other sweep could be answered.
+
+    Given 9 entry hosts and 10 shards in three zones, and a sweep that crashes every shard
+    When the sweep is sent 30 times, every 100 ms, each time through the next host
+    Then no shard lost more than 2 upstreams to it
+    And the later ones were refused as quarantined with ran no
+
   Scenario: A zone goes down under a sweep
     All upstreams of a zone vanish at once. A sweep loses its shards there in the
     same moment; were that taken for its fault, it would be banned for nothing.
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,5 +1,6 @@
 """Steps about requests that crash upstreams."""
 
+import collections
 import random
 
 import behave
@@ -46,6 +47,27 @@
     context.host_ids = sorted(context.tier.hosts.tiers_by_id)
 
 
+@behave.given(
+    "{hosts:d} entry hosts and {shards:d} shards in three zones, and a sweep that "
+    "crashes every shard"
+)
+def given_all_crash(context, hosts, shards):
+    context.tier = crashing.CrashingTier(
+        host_count=hosts,
+        announcements=crashing.sharded(shards, zones="abc"),
+        is_poison=is_poison,
+    )
+    context.host_ids = sorted(context.tier.hosts.tiers_by_id)
+
+
+@behave.then("no shard lost more than {count:d} upstreams to it")
+def then_shard_lost(context, count):
+    lost = collections.Counter(
+        upstream_id.rpartition("-")[2] for upstream_id in context.tier.crashes
+    )
+    assert max(lost.values()) <= count, lost
+
+
 def send(context, number, **fields):
     host_id = context.host_ids[number % len(context.host_ids)]
     context.tier.submit(host_id, f"poison-{number}", **{"query": POISON, **fields})
