Quote log values by one search and one translation

Cause: what logging costs. Each value was made a set of its characters to see whether it needs quotes, and long plans were replaced four times.

--- a/src/greengagehaven/log.py
+++ b/src/greengagehaven/log.py
@@ -1,13 +1,15 @@
 """Logs: one line of key=value pairs for each event, by loguru."""
 
 import datetime
+import re
 import sys
 import typing
 from collections import abc
 
 from loguru import logger as _logger
 
-_QUOTED = frozenset(' "=\n\r\t')
+_NEEDS_QUOTES = re.compile(r'[ "=\n\r\t]').search
+_ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r"})
 
 
 def configure(*, level: str = "INFO", sink: typing.Any = None) -> None:
@@ -39,10 +41,8 @@
 def format_value(value: object) -> str:
     """Return a value as it stands behind ``key=``, quoted where needed."""
     text = "" if value is None else str(value)
-    if not text or _QUOTED & set(text):
-        escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-        escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
-        return f'"{escaped}"'
+    if not text or _NEEDS_QUOTES(text):
+        return f'"{text.translate(_ESCAPES)}"'
     return text
 
 
