--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -18,15 +18,14 @@
 from greengagehaven.coordination.routing import (
     callers,
     counts,
+    crashes,
     events,
     extra,
     fleet,
     reachability,
     request,
-    suspects,
     weights,
 )
-from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
 MISDIRECTED = 421
@@ -79,8 +78,7 @@
             ratio=options.retry_ratio, burst=options.retry_burst
         )
         self._callers = callers.CallerTimes()
-        self._suspects = suspects.Suspects(clock=clock)
-        self._lost_by_attempt: dict[int, request.Attempt] = {}
+        self._crashes = crashes.Crashes(clock=clock, counted=self.counts)
         self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
         self._attempts_by_id: dict[int, request.Attempt] = {}
@@ -229,7 +227,7 @@
         route = self.table.find(arrived.host, arrived.path)
         if route is None:
             raise exceptions.NotFoundError("no route matches host and path")
-        self._check_suspect(arrived.fingerprint)
+        self._crashes.check(arrived.fingerprint, retry_after=self._retry_after())
         now = self._clock.monotonic()
         waited = self._callers.observe(route, arrived.time_left)
         left = route.timeout
@@ -247,18 +245,6 @@
             answer_by=now + self._callers.answer_within(route, waited),
         )
 
-    def _check_suspect(self, fingerprint: str) -> None:
-        """Refuse a request that crashes upstreams, or that may just have."""
-        if self._suspects.is_convicted(fingerprint):
-            raise exceptions.SuspendedError(
-                "upstreams crashed on it", retry_after=suspects.CONVICTION_S
-            )
-        if self._suspects.is_pending(fingerprint):
-            raise exceptions.SuspendedError(
-                "an upstream was lost with it a moment ago",
-                retry_after=self._retry_after(),
-            )
-
     def _choose(
         self, routed: request.RoutedRequest, shard: request.ShardState
     ) -> fleet.Upstream | None:
@@ -376,7 +362,7 @@
                 upstream.note_crowd(now)
             else:
                 self._note_fault(attempt, outcome, now)
-            self._look_into(attempt, actions)
+            self._crashes.look_into(attempt, actions)
         elif outcome.fault is events.Fault.SILENT:
             ratio = took / attempt.usual
             upstream.note_latency(ratio, now)
@@ -432,66 +418,17 @@
                 for_ms=round((upstream.ejected_until - now) * 1000),
             )
 
-    def _look_into(
-        self, attempt: request.Attempt, actions: list[events.Action]
-    ) -> None:
-        """Find out whether an upstream crashed on an attempt."""
-        self._suspects.note_loss(attempt.request.fingerprint)
-        self._lost_by_attempt[attempt.id] = attempt
-        check = events.CheckListener(
-            attempt=attempt.id, address=attempt.upstream.entry.address
-        )
-        actions.append(check)
-
     def _on_listener_checked(
         self, checked: events.ListenerChecked, actions: list[events.Action]
     ) -> None:
-        attempt = self._lost_by_attempt.pop(checked.attempt, None)
-        if attempt is None:
-            return
-        if checked.listener is events.Listener.CLOSED:
-            self._note_crash(attempt, actions)
-        else:
-            # One that resets connections above its cap is full, and one that
-            # does not answer may be behind a partition: neither has crashed.
-            self._suspects.note_listening(attempt.request.fingerprint)
-        self._resume(attempt, actions)
-
-    def _note_crash(
-        self, attempt: request.Attempt, actions: list[events.Action]
-    ) -> None:
-        entry = attempt.upstream.entry
-        crash = watching.Crash(
-            fingerprint=attempt.request.fingerprint,
-            service=entry.service,
-            upstream_id=entry.id,
-            incarnation=entry.incarnation,
-        )
-        self.counts.upstream_changes["crashed"] += 1
-        log.warning(
-            "upstream_crashed",
-            request=attempt.request.request_id,
-            fingerprint=crash.fingerprint,
-            service=crash.service,
-            upstream=crash.upstream_id,
-        )
-        self._take_crash(crash)
-        actions.append(events.ReportCrash(crash=crash))
+        attempt = self._crashes.take_listener(checked, actions)
+        if attempt is not None:
+            self._resume(attempt, actions)
 
     def _on_crashes(
         self, reported: events.CrashesReported, actions: list[events.Action]
     ) -> None:
-        for crash in reported.crashes:
-            self._take_crash(crash)
-
-    def _take_crash(self, crash: watching.Crash) -> None:
-        if self._suspects.take_crash(crash):
-            log.warning(
-                "request_convicted",
-                fingerprint=crash.fingerprint,
-                service=crash.service,
-                for_s=suspects.CONVICTION_S,
-            )
+        self._crashes.take_reports(reported.crashes)
 
     def _forget(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         entry = attempt.upstream.entry
@@ -528,7 +465,7 @@
         self.counts.failures[shard.failure] += 1
         if shard.attempts:
             return
-        if attempt.id in self._lost_by_attempt and routed.route.is_idempotent:
+        if self._crashes.is_looked_into(attempt) and routed.route.is_idempotent:
             shard.hold(attempt, until=self._clock.monotonic() + HOLD_S)
             return
         if self._is_final(outcome) or not self._retry(
@@ -567,7 +504,7 @@
             return False
         if shard.runs >= routed.route.attempts:
             return False
-        if self._suspects.is_convicted(routed.fingerprint):
+        if self._crashes.is_convicted(routed):
             return False
         if self._clock.monotonic() >= routed.deadline:
             return False
@@ -595,7 +532,7 @@
         actions: list[events.Action],
     ) -> None:
         shard.hedge_at = float("inf")
-        if self._suspects.is_convicted(routed.fingerprint):
+        if self._crashes.is_convicted(routed):
             return
         if shard.runs >= routed.route.attempts or not shard.attempts:
             return
