Promise that a request did not run where no byte of it left by its deadline

The router now hears when the first byte is about to be written, and what was withdrawn in the turn in which it was to start is not started.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -84,6 +84,14 @@
     And another exchange is made after it
     Then both succeed over 1 connection
 
+  Scenario: An attempt is withdrawn before it is sent
+    Its caller was promised that it did not run.
+
+    Given an upstream that replies well
+    When an exchange that was withdrawn is made
+    Then it fails as unsent
+    And nothing was started
+
   Scenario: Nobody waits for an attempt that lasts
     The caller left. The upstream would work on for nobody.
 
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -98,12 +98,16 @@
         self.endings_by_number = {}
         self.wake_at = None
         self.next_number = 1
+        self.starts = True
 
     def step(self, event):
         for action in self.router.step(event):
             match action:
                 case events.Send():
                     self.sent.append(action)
+                    if self.starts:
+                        started = events.AttemptStarted(attempt=action.attempt)
+                        self.router.step(started)
                 case events.Release(attempts=attempts):
                     self.released.extend(attempts)
                 case events.ForgetUpstream(address=address):
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -186,6 +186,17 @@
     When the second attempt is answered
     Then the reply is passed on
 
+  Scenario: A request waits for a connection until its deadline
+    Not a byte of it left. Told that it may have run, its caller could not send it
+    again.
+
+    Given a router with requests that run once
+    And upstreams that take no connection for a while
+    When a request that runs once arrives
+    And 1100 ms pass
+    Then the request is refused with incomplete and told when to come back
+    And its attempt is released
+
   Scenario: A request that ran nowhere may be promised not to have run
     Given a router with requests that run once
     When a request that runs once arrives
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -151,8 +151,9 @@
         self.channel = exchanges.ExchangeChannel(names=NAMES, clock=self.clock)
         self.address = address
         self.count = 0
+        self.started = []
 
-    def begin(self):
+    def begin(self, *, is_over=False):
         self.count += 1
         future = asyncio.get_running_loop().create_future()
         exchange = exchanges.Exchange(
@@ -164,7 +165,9 @@
             headers=[("Host", "h"), ("Request-Id", f"r-{self.count}")],
             body=b"",
             send_by=self.clock.monotonic() + FAR_S,
+            on_start=self.started.append,
             on_end=lambda _, outcome: future.set_result(outcome),
+            is_over=is_over,
         )
         self.channel.send(exchange, connections=3)
         return self.count, future
@@ -211,6 +214,21 @@
     run(context, scenario)
 
 
+@behave.when("an exchange that was withdrawn is made")
+def when_withdrawn(context):
+    async def scenario(caller, upstream):
+        _, future = caller.begin(is_over=True)
+        context.started = caller.started
+        return [await asyncio.wait_for(future, PATIENCE_S)]
+
+    run(context, scenario)
+
+
+@behave.then("nothing was started")
+def then_nothing_started(context):
+    assert context.started == [] and context.opened == 0
+
+
 @behave.when("it is looked at whether it listens")
 def when_looked_at(context):
     async def scenario(caller, upstream):
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -765,6 +765,17 @@
     assert send.connections == count, send.connections
 
 
+@behave.given("upstreams that take no connection for a while")
+def given_no_connection(context):
+    context.tier.starts = False
+
+
+@behave.then("its attempt is released")
+def then_released(context):
+    (send,) = context.tier.attempts_of(context.number)
+    assert send.attempt in context.tier.released
+
+
 @behave.when("its attempt finds no connection")
 def when_no_connection(context):
     send = context.tier.attempts_of(context.number)[0]
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -105,6 +105,13 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptStarted:
+    """A byte of an attempt is about to be written; until then nothing can run."""
+
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptEnded:
     """An attempt ended, one way or another."""
@@ -172,6 +179,7 @@
 Event = (
     RequestArrived
     | RequestAbandoned
+    | AttemptStarted
     | AttemptEnded
     | TableInForce
     | ZonesDrained
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -12,6 +12,7 @@
     """One sending of a request to one upstream.
 
     :param is_wanted: whether the request still waits for it.
+    :param is_started: whether a byte of it may have left.
     """
 
     id: int
@@ -21,6 +22,7 @@
     sent_at: float
     usual: float
     is_wanted: bool = True
+    is_started: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -59,6 +61,12 @@
         self.held = None
         self.held_until = math.inf
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether an attempt ran, or may have."""
+        waiting = sum(not attempt.is_started for attempt in self.attempts)
+        return self.runs > waiting
+
     @property
     def is_pending(self) -> bool:
         """Tell whether a part may still come."""
@@ -125,7 +133,7 @@
     @property
     def may_have_run(self) -> bool:
         """Tell whether any upstream may have run it."""
-        return any(shard.runs for shard in self.shards)
+        return any(shard.may_have_run for shard in self.shards)
 
     def next_moment(self) -> float:
         """Return when this request has to be looked at again."""
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -94,6 +94,7 @@
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
+            events.AttemptStarted: self._on_started,
             events.AttemptEnded: self._on_ended,
             events.TableInForce: self._on_table,
             events.ZonesDrained: self._on_zones_drained,
@@ -310,6 +311,13 @@
             delay = route.objective * FIRST_HEDGE_SHARE
         return now + max(LEAST_HEDGE_S, delay)
 
+    def _on_started(
+        self, started: events.AttemptStarted, actions: list[events.Action]
+    ) -> None:
+        attempt = self._attempts_by_id.get(started.attempt)
+        if attempt is not None:
+            attempt.is_started = True
+
     def _on_ended(
         self, ended: events.AttemptEnded, actions: list[events.Action]
     ) -> None:
@@ -626,10 +634,11 @@
         return exceptions.IncompleteError(detail, retry_after=retry_after)
 
     def _late_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
-        return exceptions.DeadlineExceededError(
-            f"{len(routed.parts)} of {len(routed.shards)} shards in time",
-            ran=exceptions.Ran.UNKNOWN,
-        )
+        detail = f"{len(routed.parts)} of {len(routed.shards)} shards in time"
+        if not routed.may_have_run:
+            # What waits for a connection is withdrawn with this answer.
+            return exceptions.IncompleteError(detail, retry_after=self._retry_after())
+        return exceptions.DeadlineExceededError(detail, ran=exceptions.Ran.UNKNOWN)
 
     def _retry_after(self) -> float:
         return self._rng.uniform(*RETRY_AFTER_RANGE_S)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -244,7 +244,7 @@
                 self._send(action)
             case events.Release(attempts=attempts, may_cut=may_cut):
                 for attempt in attempts:
-                    self._channel.release(attempt, may_cut=may_cut)
+                    self._release(attempt, may_cut=may_cut)
             case events.PassOn(number=number, attempt=attempt):
                 self._answer(number, self._passed_on(attempt))
             case events.AnswerParts():
@@ -281,6 +281,7 @@
             headers=headers,
             body=request.body,
             send_by=self._clock.monotonic() + send.time_left,
+            on_start=self._on_start,
             on_end=self._on_end,
         )
         self._attempts_by_number.setdefault(send.number, []).append(send.attempt)
@@ -292,6 +293,17 @@
     def _start(self, exchange: exchanges.Exchange, connections: int) -> None:
         self._channel.send(exchange, connections=connections)
 
+    def _release(self, attempt: int, *, may_cut: bool) -> None:
+        exchange = self._replies_by_attempt.get(attempt)
+        if exchange is not None and not self._channel.holds(attempt):
+            # It starts later in this turn. Its caller may be promised meanwhile
+            # that it did not run.
+            exchange.is_over = True
+        self._channel.release(attempt, may_cut=may_cut)
+
+    def _on_start(self, exchange: exchanges.Exchange) -> None:
+        self._submit(events.AttemptStarted(attempt=exchange.attempt))
+
     def _on_end(
         self, exchange: exchanges.Exchange, outcome: events.Replied | events.Failed
     ) -> None:
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -36,6 +36,7 @@
 _NO_ENCODING = ("", "identity")
 
 OnEnd = typing.Callable[["Exchange", events.Replied | events.Failed], None]
+OnStart = typing.Callable[["Exchange"], None]
 OnChecked = typing.Callable[[events.Listener], None]
 
 
@@ -45,6 +46,7 @@
 
     :param request_id: what the reply has to echo.
     :param send_by: monotonic seconds after which nobody waits.
+    :param on_start: called before its first byte is written.
     :param reply: once it is in.
     """
 
@@ -56,6 +58,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     send_by: float
+    on_start: OnStart
     on_end: OnEnd
     connection: client_connection.ClientConnection | None = None
     reply: client_connection.Reply | None = None
@@ -82,9 +85,17 @@
 
         :param connections: how many connections may be open to its upstream.
         """
+        if exchange.is_over:
+            # It was withdrawn before it came here.
+            exchange.on_end(exchange, events.Failed(fault=events.Fault.UNSENT))
+            return
         self._exchanges_by_attempt[exchange.attempt] = exchange
         self._pool_of(exchange.address).submit(exchange, connections)
 
+    def holds(self, attempt: int) -> bool:
+        """Tell whether an exchange was sent here and is not over."""
+        return attempt in self._exchanges_by_attempt
+
     def release(self, attempt: int, *, may_cut: bool) -> None:
         """Note that nobody waits for an attempt.
 
@@ -318,6 +329,7 @@
         exchange.connection = connection
         left_ms = max(1, round((exchange.send_by - self._clock.monotonic()) * 1000))
         headers = [*exchange.headers, (self._channel.names.time_left, str(left_ms))]
+        exchange.on_start(exchange)
         connection.send(exchange.method, exchange.target, headers, exchange.body)
 
     async def _connect(self, on_checked: OnChecked | None = None) -> None:
