--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -19,8 +19,11 @@
     ]
 
 
-def start_sweeps(context, shards, upstreams, *, cold_rate=0.0, **fields):
-    context.tier = routing.RoutingTier()
+def start_sweeps(
+    context, shards, upstreams, *, cold_rate=0.0, has_budget=True, **fields
+):
+    budget = {} if has_budget else {"burst": 0.0, "ratio": 0.0}
+    context.tier = routing.RoutingTier(**budget)
     names = SHARD_NAMES[:shards]
     route = routing.sweep_route(names)
     context.tier.put_table(routing.table(1, route, cold_rate=cold_rate))
@@ -735,18 +738,12 @@
 
 @behave.given("a router without any budget for extra attempts")
 def given_no_budget(context):
-    context.tier = routing.RoutingTier(burst=0.0, ratio=0.0)
-    context.tier.put_table(routing.table(1, routing.sweep_route(["shard-0"])))
-    context.tier.put(*upstreams_of("shard-0", 3))
+    start_sweeps(context, 1, 3, has_budget=False)
 
 
 @behave.given("a router without any budget and a sweep over {count:d} shards")
 def given_no_budget_for(context, count):
-    names = SHARD_NAMES[:count]
-    context.tier = routing.RoutingTier(burst=0.0, ratio=0.0)
-    context.tier.put_table(routing.table(1, routing.sweep_route(names)))
-    for name in names:
-        context.tier.put(*upstreams_of(name, 3))
+    start_sweeps(context, count, 3, has_budget=False)
 
 
 @behave.when("its first {count:d} attempts are lost and the others answered")
