Judge a request anew that was let off beside many crashes

Found in reading: one that was let off, since many upstreams crashed at that moment, stayed let off for a minute, however many it crashed afterwards.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -337,6 +337,16 @@
     When other hosts report that each of 8 sweeps was lost with 2 upstreams
     Then none of these sweeps is refused
 
+  Scenario: One of the requests at such a moment crashes upstreams
+    It was let off with the others, and goes on to take one upstream after another.
+
+    Given a router with a sweep over 10 shards of 3 upstreams each
+    When other hosts report that each of 8 sweeps was lost with 2 upstreams
+    And 3 seconds pass
+    And another host reports that the first of them was lost with a third upstream
+    And that sweep arrives here
+    Then the request is refused with quarantined and told when to come back
+
   Scenario: A partition swallows the answers to a request
     Its upstreams answer nothing any more, not even an attempt to connect. Held for
     crashed, a good request of this caller would be refused for a minute.
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -729,6 +729,20 @@
         context.tier.step(events.CrashesReported(crashes=crashes))
 
 
+@behave.when(
+    "another host reports that the first of them was lost with a third upstream"
+)
+def when_third_crash(context):
+    context.fingerprint = context.fingerprints[0]
+    crash = watching.Crash(
+        fingerprint=context.fingerprint,
+        service="shard-0",
+        upstream_id="shard-0-u2",
+        incarnation=1,
+    )
+    context.tier.step(events.CrashesReported(crashes=(crash,)))
+
+
 @behave.then("none of these sweeps is refused")
 def then_none_refused(context):
     for fingerprint in context.fingerprints:
--- a/src/greengagehaven/coordination/routing/suspects.py
+++ b/src/greengagehaven/coordination/routing/suspects.py
@@ -54,6 +54,15 @@
         own, others = len(self.crashed), len(self.unexplained)
         return own >= LEAST_SHARE * (own + others)
 
+    def is_judged(self, now: float) -> bool:
+        """Tell whether a further crash changes nothing.
+
+        One that was let off, since many upstreams crashed beside it, is judged
+        anew when it is there at another crash afterwards.
+        """
+        is_fresh = now - self.convicted_at < TOGETHER_S
+        return now < self.convicted_until and (self.explains_crashes or is_fresh)
+
 
 class Suspects:
     """Fingerprints of requests that upstreams crashed on.
@@ -110,7 +119,7 @@
         crashed = suspect.crashed_by_service.setdefault(crash.service, set())
         crashed.add(upstream)
         self._note_crashed(upstream, now)
-        if len(crashed) < CONVICTING_UPSTREAMS or now < suspect.convicted_until:
+        if len(crashed) < CONVICTING_UPSTREAMS or suspect.is_judged(now):
             return False
         suspect.convicted_at = now
         suspect.convicted_until = now + CONVICTION_S
