Start a control host also where its disk takes no folder for the roster

Found in reading: the folder was made when the process starts, and a full disk that refuses it would have ended the process.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -102,6 +102,13 @@
     When its host keeps it for 3 seconds on a full disk
     Then the roster has u-1 as ready
 
+  Scenario: The disk takes no new folder when a control host starts
+    It is full. The host must start all the same, and keep the roster later.
+
+    Given a roster that heard u-1 ready in incarnation 5 with sequence 3
+    When its host starts on a disk that takes no new folder, and then does
+    Then the roster has u-1 as ready
+
   Scenario: Two control hosts come to the same
     Given a roster that heard u-1 ready in incarnation 5 with sequence 3
     And another roster that heard u-1 draining in incarnation 5 with sequence 4
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -168,7 +168,9 @@
 def keep(listener, seconds, *, is_full=False):
     disk = control_fakes.MemoryFolder(rng=random.Random(1))
     disk.is_full = is_full
-    kept = roster_file.RosterFile(held=listener.roster, disk=disk, clock=listener.clock)
+    kept = roster_file.RosterFile(
+        held=listener.roster, open_disk=lambda: disk, clock=listener.clock
+    )
     for _ in range(int(seconds / SWEEP_S)):
         listener.clock.advance(SWEEP_S)
         kept.keep()
@@ -178,10 +180,33 @@
 def start_anew(context, disk):
     context.listener = Listener()
     roster_file.RosterFile(
-        held=context.listener.roster, disk=disk, clock=context.listener.clock
+        held=context.listener.roster,
+        open_disk=lambda: disk,
+        clock=context.listener.clock,
     ).load()
 
 
+@behave.when("its host starts on a disk that takes no new folder, and then does")
+def when_no_folder(context):
+    disk = control_fakes.MemoryFolder(rng=random.Random(1))
+    refusals = [exceptions.StorageError("No space left on device", path="roster")]
+
+    def open_disk():
+        if refusals:
+            raise refusals.pop()
+        return disk
+
+    listener = context.listener
+    kept = roster_file.RosterFile(
+        held=listener.roster, open_disk=open_disk, clock=listener.clock
+    )
+    kept.load()
+    for _ in range(8):
+        listener.clock.advance(SWEEP_S)
+        kept.keep()
+    start_anew(context, disk)
+
+
 @behave.when("its host keeps it for {seconds:d} seconds and starts anew")
 def when_kept(context, seconds):
     start_anew(context, keep(context.listener, seconds))
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -68,7 +68,9 @@
         )
         self._roster_file = roster_file.RosterFile(
             held=self._roster,
-            disk=folder.DiskFolder(path=f"{settings.data_folder}/{ROSTER_FOLDER}"),
+            open_disk=lambda: folder.DiskFolder(
+                path=f"{settings.data_folder}/{ROSTER_FOLDER}"
+            ),
             clock=clock,
         )
         self._watcher = watcher.Watcher(
--- a/src/greengagehaven/daemons/roster_file.py
+++ b/src/greengagehaven/daemons/roster_file.py
@@ -6,6 +6,7 @@
 """
 
 import typing
+from collections import abc
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
@@ -37,15 +38,20 @@
     """The file that a roster is kept in.
 
     :param held: the roster.
-    :param disk: folder of the file, which is its own.
+    :param open_disk: opens the folder of the file, which is its own.
     :param clock: monotonic time.
     """
 
     def __init__(
-        self, *, held: roster.Roster, disk: folder.Folder, clock: clocks.Clock
+        self,
+        *,
+        held: roster.Roster,
+        open_disk: abc.Callable[[], folder.Folder],
+        clock: clocks.Clock,
     ) -> None:
         self._roster = held
-        self._disk = disk
+        self._open_disk = open_disk
+        self._disk: folder.Folder | None = None
         self._clock = clock
         self._kept: frozenset[tuple] = frozenset()
         self._keep_after = clock.monotonic() + SAVE_PERIOD_S
@@ -53,7 +59,7 @@
     def load(self) -> None:
         """Recall what the file holds; one that cannot be read is no roster."""
         try:
-            data = self._disk.read(FILE_NAME)
+            data = self._folder().read(FILE_NAME)
             entries = codec.decode_msgpack(data, _Entries) if data else ()
         except (exceptions.StorageError, exceptions.InvalidRequestError) as error:
             log.warning("roster_not_recalled", error=error.detail)
@@ -74,13 +80,20 @@
             return
         self._keep_after = now + SAVE_PERIOD_S
         try:
-            self._disk.replace(FILE_NAME, codec.encode_msgpack(entries))
+            self._folder().replace(FILE_NAME, codec.encode_msgpack(entries))
         except exceptions.StorageError as error:
             self._keep_after = now + FAILURE_PAUSE_S
             log.warning("roster_not_kept", path=error.path, error=error.detail)
             return
         self._kept = wanted
 
+    def _folder(self) -> folder.Folder:
+        # A disk that is full refuses a new folder too; a control host must start
+        # all the same.
+        if self._disk is None:
+            self._disk = self._open_disk()
+        return self._disk
+
 
 def _identity_of(entry: watching.UpstreamEntry) -> tuple:
     return entry.id, entry.incarnation, entry.address, entry.service
