Report crashes and fail attempts in one place in the scenarios of routing

Crashes were built in three steps, attempts failed in four, and one given step was a special case of another. No assertion changed: 46 scenarios as before.

--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -156,14 +156,13 @@
         )
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
-    def fail(self, send, fault, *, is_fresh=False):
-        outcome = events.Failed(fault=fault, is_fresh=is_fresh, is_mute=is_fresh)
+    def fail(self, send, fault, **fields):
+        outcome = events.Failed(fault=fault, **fields)
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
     def lose(self, send, *, listener):
         """End a connection without a byte of reply, and look at the listener."""
-        outcome = events.Failed(fault=events.Fault.LOST, is_mute=True)
-        self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+        self.fail(send, events.Fault.LOST, is_mute=True)
         check = self.checked.pop()
         self.step(events.ListenerChecked(attempt=check.attempt, listener=listener))
 
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -371,7 +371,7 @@
     It takes no connection any more. The next upstream is the first that the
     request reaches, so it needs no token of the budget, of which none is left.
 
-    Given a router without any budget for extra attempts
+    Given a router without any budget and a sweep over 1 shards
     When a sweep arrives
     And its attempt finds no connection
     Then 2 attempts were sent
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -155,8 +155,12 @@
 
 @behave.when("its attempt is lost")
 def when_lost(context):
-    send = context.tier.attempts_of(context.number)[0]
-    context.tier.fail(send, events.Fault.LOST)
+    fail_attempt(context, 0, events.Fault.LOST)
+
+
+def fail_attempt(context, place, fault, **fields):
+    send = context.tier.attempts_of(context.number)[place]
+    context.tier.fail(send, fault, **fields)
 
 
 @behave.when("its attempt is rejected as not run")
@@ -424,14 +428,18 @@
 @behave.given("another host reported that a sweep crashed 2 upstreams of a shard")
 def given_reported(context):
     context.fingerprint = "crashing"
+    report_crashes(context, context.fingerprint, "shard-3", range(2))
+
+
+def report_crashes(context, fingerprint, service, upstreams):
     crashes = tuple(
         watching.Crash(
-            fingerprint=context.fingerprint,
-            service="shard-3",
-            upstream_id=f"shard-3-u{number}",
+            fingerprint=fingerprint,
+            service=service,
+            upstream_id=f"{service}-u{number}",
             incarnation=1,
         )
-        for number in range(2)
+        for number in upstreams
     )
     context.tier.step(events.CrashesReported(crashes=crashes))
 
@@ -687,7 +695,7 @@
         done = 0
         while done < len(context.tier.attempts_of(number)):
             send = context.tier.attempts_of(number)[done]
-            context.tier.fail(send, events.Fault.LOST, is_fresh=True)
+            context.tier.fail(send, events.Fault.LOST, is_mute=True, is_fresh=True)
             context.tier.pass_time(0.03)
             done += 1
 
@@ -699,9 +707,7 @@
 
 @behave.when("its attempt is lost without a byte of reply")
 def when_mute(context):
-    send = context.tier.attempts_of(context.number)[0]
-    outcome = events.Failed(fault=events.Fault.LOST, is_mute=True)
-    context.tier.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
+    fail_attempt(context, 0, events.Fault.LOST, is_mute=True)
 
 
 @behave.when("its upstream is found to listen no more")
@@ -717,16 +723,7 @@
 def when_many_crashes(context, count):
     context.fingerprints = [f"cut-{number}" for number in range(count)]
     for number, fingerprint in enumerate(context.fingerprints):
-        crashes = tuple(
-            watching.Crash(
-                fingerprint=fingerprint,
-                service=f"shard-{number}",
-                upstream_id=f"shard-{number}-u{upstream}",
-                incarnation=1,
-            )
-            for upstream in range(2)
-        )
-        context.tier.step(events.CrashesReported(crashes=crashes))
+        report_crashes(context, fingerprint, f"shard-{number}", range(2))
 
 
 @behave.when(
@@ -734,13 +731,7 @@
 )
 def when_third_crash(context):
     context.fingerprint = context.fingerprints[0]
-    crash = watching.Crash(
-        fingerprint=context.fingerprint,
-        service="shard-0",
-        upstream_id="shard-0-u2",
-        incarnation=1,
-    )
-    context.tier.step(events.CrashesReported(crashes=(crash,)))
+    report_crashes(context, context.fingerprint, "shard-0", [2])
 
 
 @behave.then("none of these sweeps is refused")
@@ -750,11 +741,6 @@
         assert context.tier.attempts_of(number), fingerprint
 
 
-@behave.given("a router without any budget for extra attempts")
-def given_no_budget(context):
-    start_sweeps(context, 1, 3, has_budget=False)
-
-
 @behave.given("a router without any budget and a sweep over {count:d} shards")
 def given_no_budget_for(context, count):
     start_sweeps(context, count, 3, has_budget=False)
@@ -789,14 +775,12 @@
 
 @behave.when("its attempt finds no connection")
 def when_no_connection(context):
-    send = context.tier.attempts_of(context.number)[0]
-    context.tier.fail(send, events.Fault.CONNECT)
+    fail_attempt(context, 0, events.Fault.CONNECT)
 
 
 @behave.when("the second attempt is lost")
 def when_second_lost(context):
-    send = context.tier.attempts_of(context.number)[1]
-    context.tier.fail(send, events.Fault.LOST)
+    fail_attempt(context, 1, events.Fault.LOST)
 
 
 @behave.then("the request is not over")
