--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -302,6 +302,14 @@
             return max(1, limits.connections // hosts)
         return max(1, limits.connections // (self._hosts + 1))
 
+    def is_out_of_reach(self, service: str) -> bool:
+        """Tell whether a service has upstreams and none of them can be reached."""
+        known = [
+            self.upstreams_by_id[upstream_id]
+            for upstream_id in self._ids_by_service.get(service, ())
+        ]
+        return bool(known) and not any(upstream.is_reachable for upstream in known)
+
     def _usable(self, service: str) -> list[Upstream]:
         return [
             upstream
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -22,8 +22,10 @@
     events,
     extra,
     fleet,
+    isolation,
     reachability,
     request,
+    returns,
     weights,
 )
 from greengagehaven.state import routes
@@ -35,9 +37,6 @@
 HEDGE_KEEP = 0.2
 DEADLINE_MARGIN_S = 0.01
 HOLD_S = 0.03
-RETRY_AFTER_RANGE_S = (0.03, 0.12)
-NO_UPSTREAM_RETRY_AFTER_RANGE_S = (0.3, 0.7)
-NO_TABLE_RETRY_AFTER_RANGE_S = (0.7, 1.3)
 SLOW_RATIO = 4.0
 WATCH_NUMBER = 0
 
@@ -73,7 +72,6 @@
         self.table: routes.RoutingTable | None = None
         self.counts = counts.Counts()
         self._clock = clock
-        self._rng = rng
         self._extra = extra.ExtraAttempts(
             ratio=options.retry_ratio, burst=options.retry_burst
         )
@@ -85,12 +83,16 @@
         self._attempt_ids = itertools.count(1)
         self._timers: list[tuple[float, int]] = []
         self._weights = weights.Weights(rng=rng)
+        self._returns = returns.Returns(rng=rng)
         self._reach = reachability.Reachability(
             of_fleet=self.fleet,
             counted=self.counts,
             clock=clock,
             wake_at=lambda moment: heapq.heappush(self._timers, (moment, WATCH_NUMBER)),
         )
+        self._isolation = isolation.Isolation(
+            of_fleet=self.fleet, zone=options.zone, clock=clock
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
@@ -111,6 +113,11 @@
         """Return how many requests have no answer yet."""
         return len(self._requests_by_number)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether callers are better served by a host of another zone."""
+        return self._isolation.is_cut_off
+
     def step(self, event: events.Event) -> list[events.Action]:
         """Take one event and return what is to be done, in order."""
         actions: list[events.Action] = []
@@ -223,12 +230,12 @@
         if self.table is None:
             raise exceptions.NotConfiguredError(
                 "no table of routes is in force yet",
-                retry_after=self._rng.uniform(*NO_TABLE_RETRY_AFTER_RANGE_S),
+                retry_after=self._returns.without_table(),
             )
         route = self.table.find(arrived.host, arrived.path)
         if route is None:
             raise exceptions.NotFoundError("no route matches host and path")
-        self._crashes.check(arrived.fingerprint, retry_after=self._retry_after())
+        self._crashes.check(arrived.fingerprint, retry_after=self._returns.at_once())
         now = self._clock.monotonic()
         waited = self._callers.observe(route, arrived.time_left)
         left = route.timeout
@@ -624,25 +631,23 @@
         )
         if routed.may_have_run:
             return exceptions.UpstreamsFailedError(
-                detail, ran=exceptions.Ran.UNKNOWN, retry_after=self._retry_after()
+                detail, ran=exceptions.Ran.UNKNOWN, retry_after=self._returns.at_once()
             )
-        # An upstream that is out of reach is probed twice a second; who comes
-        # back sooner is refused again.
-        retry_after = self._rng.uniform(*NO_UPSTREAM_RETRY_AFTER_RANGE_S)
         if any(shard.sends for shard in routed.shards):
-            retry_after = self._retry_after()
+            retry_after = self._returns.at_once()
+        else:
+            retry_after = self._returns.out_of_reach(self._isolation.seconds())
         return exceptions.IncompleteError(detail, retry_after=retry_after)
 
     def _late_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
         detail = f"{len(routed.parts)} of {len(routed.shards)} shards in time"
         if not routed.may_have_run:
             # What waits for a connection is withdrawn with this answer.
-            return exceptions.IncompleteError(detail, retry_after=self._retry_after())
+            return exceptions.IncompleteError(
+                detail, retry_after=self._returns.at_once()
+            )
         return exceptions.DeadlineExceededError(detail, ran=exceptions.Ran.UNKNOWN)
 
-    def _retry_after(self) -> float:
-        return self._rng.uniform(*RETRY_AFTER_RANGE_S)
-
     def _refuse(
         self,
         routed: request.RoutedRequest,
@@ -711,6 +716,7 @@
             _, number = heapq.heappop(self._timers)
             if number == WATCH_NUMBER:
                 self._reach.look(self._attempts_by_id.values(), actions)
+                self._isolation.look(self.table, actions)
                 self._give_up_unreachable(actions)
                 continue
             routed = self._requests_by_number.get(number)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -206,7 +206,8 @@
     async def _handle_ready(self, request: http.Request) -> http.Response:
         if request.path != self._settings.ready_path:
             raise exceptions.NotFoundError("no such path")
-        is_ready = self._router.table is not None and not self._is_stopping
+        has_table = self._router.table is not None
+        is_ready = has_table and not (self._is_stopping or self._router.is_cut_off)
         return http.Response(status=200 if is_ready else 503, content_type=None)
 
     async def _handle(self, request: http.Request) -> http.Response:
@@ -237,6 +238,8 @@
     def _submit(self, event: events.Event) -> None:
         for action in self._router.step(event):
             self._carry_out(action)
+        # An open connection stays with its host whatever the balancer is told.
+        self._server.sends_away = self._router.is_cut_off
 
     def _carry_out(self, action: events.Action) -> None:
         match action:
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -55,6 +55,7 @@
     :param handler: coroutine function from request to response.
     :param clock: source of time for every bound.
     :param limits: the bounds.
+    :ivar sends_away: whether each answer asks its caller to connect anew.
     :param tls: server context; ``None`` for plain TCP.
     """
 
@@ -71,6 +72,7 @@
         self.limits = limits or Limits()
         self.buffered_bytes = 0
         self.draining = False
+        self.sends_away = False
         self._tls = tls
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -263,7 +263,7 @@
         self._respond(to_response(error))
 
     def _respond(self, response: http.Response) -> None:
-        if self._owner.draining:
+        if self._owner.draining or self._owner.sends_away:
             self._closes_after_write = True
         try:
             data = self._encode(response)
