--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from fakes import routing
+from fakes import load, routing
 from greengagehaven.coordination.routing import events, merging
 from greengagehaven.protocol import watching
 
@@ -536,14 +536,13 @@
 def take_slow_sweeps(context, count, usual, ms, *, slow):
     for _ in range(count):
         answer_sweep(context, usual / 1000)
-    for _ in range(slow):
-        number = context.tier.request("/sweep/1")
-        (send,) = context.tier.attempts_of(number)
-        context.tier.pass_time(ms / 1000)
-        context.tier.reply(send)
-        for other in context.tier.attempts_of(number)[1:]:
-            context.tier.reply(other)
-        context.tier.pass_time(0.05)
+
+    def work_of(send, now):
+        is_first = send.upstream_id == "shard-0-u0"
+        return (ms if is_first else usual) / 1000
+
+    played = load.Load(tier=context.tier, work_of=work_of)
+    played.play(count=slow, gap_s=(ms + 50) / 1000)
 
 
 def answer_sweep(context, seconds):
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -7,17 +7,12 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import rng as rngs
-from greengagehaven.coordination.routing import events
+from greengagehaven.coordination.routing import events, pace
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
 CROSS_ZONE_S = 0.008
 COLD_FACTOR = 2.0
-SLOWNESS_WEIGHT = 0.2
-SLOWNESS_LIFETIME_S = 2.0
-# A pause of 120 ms is nine times the usual: taken whole, one would outweigh the way
-# to another zone for seconds, though the upstream is well again.
-MOST_RATIO = 3.0
 LOAD_LIFETIME_S = 0.25
 FAULT_WEIGHT = 0.15
 EJECT_FAULTS = 2
@@ -53,8 +48,7 @@
         self.entry = entry
         self.cold_until = now + entry.cold_left_ms / 1000
         self.sent_at_by_attempt: dict[int, float] = {}
-        self.slowness = 1.0
-        self.slowness_at = now
+        self._pace = pace.Pace(now=now)
         self._fault_rate = 0.0
         self._fault_rate_at = now
         self.faults_in_row = 0
@@ -105,7 +99,7 @@
 
         :param usual: seconds that such a request takes at a usual upstream.
         """
-        faded = self._faded_slowness(now)
+        faded = self._pace.faded(now)
         if now < self.cold_until:
             faded = max(faded, COLD_FACTOR)
         own = len(self.sent_at_by_attempt)
@@ -131,15 +125,14 @@
         late = now - oldest - max(OVERDUE_LEAST_S, OVERDUE_FACTOR * usual)
         return max(0.0, late)
 
+    @property
+    def slowness(self) -> float:
+        """Return its latency as a multiple of the usual one, as last judged."""
+        return self._pace.slowness
+
     def note_latency(self, ratio: float, now: float) -> None:
         """Take in a latency as a multiple of the usual one."""
-        faded = self._faded_slowness(now)
-        self.slowness = faded + SLOWNESS_WEIGHT * (min(ratio, MOST_RATIO) - faded)
-        self.slowness_at = now
-
-    def _faded_slowness(self, now: float) -> float:
-        age = now - self.slowness_at
-        return 1.0 + (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_LIFETIME_S)
+        self._pace.note(ratio, now)
 
     def fault_rate(self, now: float) -> float:
         """Return the part of its requests that failed lately.
