--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -3,7 +3,15 @@
 import click
 
 from greengagehaven import exceptions
-from greengagehaven.commands import control, daemons, document, measure, replay, zone
+from greengagehaven.commands import (
+    control,
+    daemons,
+    document,
+    explain,
+    measure,
+    replay,
+    zone,
+)
 
 
 class _Group(click.Group):
@@ -38,6 +46,7 @@
     document.apply,
     document.prove,
     document.promote,
+    explain.explain,
     zone.zone,
 ):
     greengagehaven.add_command(_command)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -210,6 +210,7 @@
             route=routed.route.name,
             table=self.table.number,
             left_ms=round((routed.deadline - routed.started) * 1000),
+            objective_ms=round(routed.route.objective * 1000),
             plan=" ".join(plan),
         )
 
