--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -10,6 +10,7 @@
 HOST = "register.example"
 OBJECTIVE_S = 0.1
 TIMEOUT_S = 1.0
+UPTIME_S = 30.0
 ZONE = "a"
 
 
@@ -83,12 +84,14 @@
 class RoutingTier:
     """One entry host's router on a manual clock; every action is kept."""
 
-    def __init__(self, *, burst=20.0, ratio=0.2, seed=1):
+    def __init__(self, *, burst=20.0, ratio=0.2, seed=1, uptime=UPTIME_S):
         self.clock = clock.ManualClock()
         options = router.Options(zone=ZONE, retry_ratio=ratio, retry_burst=burst)
         self.router = router.Router(
             options=options, clock=self.clock, rng=random.Random(seed)
         )
+        # Most scenarios are about a host that has been up for a while.
+        self.clock.advance(uptime)
         self.sent = []
         self.released = []
         self.forgotten = []
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -143,7 +143,7 @@
     All hosts lost their power. Upstreams still hold their old connections, and
     reset new ones above the cap of 26 together with the requests on them.
 
-    Given a router with a sweep over 1 shards of 3 upstreams each
+    Given a router that has just started, with a sweep over 1 shard
     When a sweep arrives
     Then its upstream may get 1 connection
     When 7 seconds pass
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -23,6 +23,7 @@
 heartbeatMs=1200
 bounds.retryRatio=0.2
 bounds.retryBurst=58
+bounds.budgetWindowS=10
 bounds.graceS=6
 bounds.coldFactor=1.5
 bounds.coldSlack=5
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -20,10 +20,17 @@
 
 
 def start_sweeps(
-    context, shards, upstreams, *, cold_rate=0.0, has_budget=True, **fields
+    context,
+    shards,
+    upstreams,
+    *,
+    cold_rate=0.0,
+    has_budget=True,
+    uptime=routing.UPTIME_S,
+    **fields,
 ):
     budget = {} if has_budget else {"burst": 0.0, "ratio": 0.0}
-    context.tier = routing.RoutingTier(**budget)
+    context.tier = routing.RoutingTier(uptime=uptime, **budget)
     names = SHARD_NAMES[:shards]
     route = routing.sweep_route(names)
     context.tier.put_table(routing.table(1, route, cold_rate=cold_rate))
@@ -54,6 +61,11 @@
     start_sweeps(context, shards, count)
 
 
+@behave.given("a router that has just started, with a sweep over 1 shard")
+def given_just_started(context):
+    start_sweeps(context, 1, 3, uptime=0.0)
+
+
 @behave.given(
     "a router with a sweep over {shards:d} shards of {count:d} cold upstreams "
     "that bear {rate:d} a second"
--- a/src/greengagehaven/coordination/routing/extra.py
+++ b/src/greengagehaven/coordination/routing/extra.py
@@ -1,56 +1,105 @@
 """Attempts beyond the first of each request, bounded over all entry hosts.
 
-A service bears ``ratio`` of its requests and ``burst`` more in any window. Each
-host uses the ratio of its own requests and its part of the burst, so that the
-sum holds without a message for each attempt.
+In any window a service bears ``ratio`` of its requests and ``burst`` more. Each host
+uses the ratio of its own requests and its part of the burst, so that the sum holds
+without a message for each attempt.
+
+The load it answers: sweeps over many shards at many hosts. A part of the burst is two
+attempts for each host there; a bucket that is filled by requests alone gives them out
+once, and a host that gets a sweep a second then hedges a shard once in six seconds,
+though the bound allows the burst anew in each window. So what was spent is counted
+over the window itself.
 """
 
+import collections
+
+from greengagehaven import clock as clocks
+
 _SAFETY = 0.9
 _MIN_HOSTS = 1
 
+_LATE_S = 1.0
+"""Seconds; an attempt may reach its upstream that much later than it was counted,
+after it has waited for a connection."""
+
+
+class _Window:
+    """Moments of one service's requests and extra attempts, the oldest first."""
+
+    def __init__(self) -> None:
+        self.requests: collections.deque[float] = collections.deque()
+        self.spent: collections.deque[float] = collections.deque()
+
+    def forget(self, before: float) -> None:
+        """Forget what the window has left behind."""
+        for moments in (self.requests, self.spent):
+            while moments and moments[0] <= before:
+                moments.popleft()
+
 
 class ExtraAttempts:
-    """Tokens of each service for hedges and retries.
+    """What hedges and retries of each service may still spend.
 
     :param ratio: extra attempts allowed for each request.
     :param burst: extra attempts allowed besides, over all hosts.
+    :param window: seconds over which both are counted.
+    :param clock: monotonic time.
     """
 
-    def __init__(self, *, ratio: float, burst: float) -> None:
+    def __init__(
+        self, *, ratio: float, burst: float, window: float, clock: clocks.Clock
+    ) -> None:
         self._ratio = ratio * _SAFETY
         self._burst = burst * _SAFETY
-        self._most = 0.0
-        self._tokens_by_service: dict[str, float] = {}
+        self._window = window + _LATE_S
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._part = 0.0
+        self._windows_by_service: dict[str, _Window] = {}
         self.set_hosts(_MIN_HOSTS)
 
     def set_hosts(self, count: int) -> None:
         """Take this host's part of the burst.
 
-        One more host than is known gets a part: one that has just started has
-        tokens before the others have heard of it.
+        One more host than is known gets a part: one that has just started spends
+        some before the others have heard of it.
         """
-        self._most = self._burst / (max(_MIN_HOSTS, count) + 1)
-        for service, tokens in self._tokens_by_service.items():
-            self._tokens_by_service[service] = min(tokens, self._most)
+        self._part = self._burst / (max(_MIN_HOSTS, count) + 1)
 
     def earn(self, service: str) -> None:
         """Count a request for a service."""
-        # A host that has just restarted may have spent its part a moment ago.
-        tokens = self._tokens_by_service.get(service, self._most / 2)
-        self._tokens_by_service[service] = min(self._most, tokens + self._ratio)
+        now = self._clock.monotonic()
+        window = self._windows_by_service.setdefault(service, _Window())
+        window.requests.append(now)
+        window.forget(now - self._window)
 
     def spend(self, service: str, *, keep: float = 0.0) -> bool:
-        """Take a token; return whether there was one.
+        """Count an extra attempt if there is room for it; return whether there is.
 
-        :param keep: part of the most tokens that is left to others.
+        :param keep: part of the burst that is left to others.
         """
-        tokens = self._tokens_by_service.get(service, 0.0)
-        if tokens - 1.0 < keep * self._most:
+        window = self._windows_by_service.get(service)
+        if window is None:
+            return False
+        now = self._clock.monotonic()
+        window.forget(now - self._window)
+        part = self._part_now(now)
+        left = part + self._ratio * len(window.requests) - len(window.spent)
+        if left - 1.0 < keep * part:
             return False
-        self._tokens_by_service[service] = tokens - 1.0
+        window.spent.append(now)
         return True
 
     def retain(self, services: frozenset[str]) -> None:
         """Forget services that no route names any more."""
-        for service in set(self._tokens_by_service) - services:
-            del self._tokens_by_service[service]
+        for service in set(self._windows_by_service) - services:
+            del self._windows_by_service[service]
+
+    def _part_now(self, now: float) -> float:
+        """Return the part of the burst that this host has by now.
+
+        A host that has just restarted may have spent its part a moment ago. Where
+        all are killed at once the sum would hold the burst twice, so it comes back
+        over a window.
+        """
+        return self._part * min(1.0, (now - self._started_at) / self._window)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -48,12 +48,14 @@
     :param zone: availability zone of this host.
     :param retry_ratio: extra attempts allowed for each request of a service.
     :param retry_burst: extra attempts allowed besides, over all hosts.
+    :param retry_window: seconds over which they are counted.
     :param cold_bound: how the rate of cold upstreams is widened.
     """
 
     zone: str
     retry_ratio: float = 0.1
     retry_burst: float = 20.0
+    retry_window: float = 10.0
     cold_bound: fleet.ColdBound = fleet.ColdBound()
 
 
@@ -73,7 +75,10 @@
         self.counts = counts.Counts()
         self._clock = clock
         self._extra = extra.ExtraAttempts(
-            ratio=options.retry_ratio, burst=options.retry_burst
+            ratio=options.retry_ratio,
+            burst=options.retry_burst,
+            window=options.retry_window,
+            clock=clock,
         )
         self._callers = callers.CallerTimes()
         self._crashes = crashes.Crashes(clock=clock, counted=self.counts)
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -93,6 +93,7 @@
         zone=node.zone,
         retry_ratio=node.retry_ratio,
         retry_burst=node.retry_burst,
+        retry_window=node.retry_window,
         cold_bound=fleet.ColdBound(factor=node.cold_factor, slack=node.cold_slack),
     )
     return gateway.Gateway(
--- a/src/greengagehaven/platform/settings.py
+++ b/src/greengagehaven/platform/settings.py
@@ -32,6 +32,7 @@
     heartbeat_ms: int
     retry_ratio: float
     retry_burst: float
+    retry_window: float
     grace_s: float
     cold_factor: float
     cold_slack: float
@@ -105,6 +106,7 @@
         heartbeat_ms=round(fields.number("heartbeatMs")),
         retry_ratio=fields.number("bounds.retryRatio"),
         retry_burst=fields.number("bounds.retryBurst"),
+        retry_window=fields.number("bounds.budgetWindowS"),
         grace_s=fields.number("bounds.graceS"),
         cold_factor=fields.number("bounds.coldFactor"),
         cold_slack=fields.number("bounds.coldSlack"),
