--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -169,6 +169,10 @@
         check = self.checked.pop()
         self.step(events.ListenerChecked(attempt=check.attempt, listener=listener))
 
+    def wake_now(self):
+        """Let the router look at what is due."""
+        self.step(events.TimeReached())
+
     def pass_time(self, seconds):
         end = self.clock.monotonic() + seconds
         while self.wake_at is not None and self.wake_at <= end:
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -135,6 +135,11 @@
         """Tell whether any upstream may have run it."""
         return any(shard.may_have_run for shard in self.shards)
 
+    def is_answer_due(self, now: float) -> bool:
+        """Tell whether a sweep has enough parts and may wait no longer."""
+        is_enough = len(self.parts) >= self.route.least_parts
+        return is_enough and now >= min(self.answer_by, self.deadline)
+
     def next_moment(self) -> float:
         """Return when this request has to be looked at again."""
         moments = [
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -610,15 +610,12 @@
         now: float,
         actions: list[events.Action],
     ) -> None:
-        parts = routed.parts
-        pending = routed.pending
-        least = routed.route.least_parts
         if not routed.can_be_complete_enough:
             self._refuse(routed, self._failure_error(routed), actions)
             return
-        is_due = len(parts) >= least and now >= min(routed.answer_by, routed.deadline)
-        if pending and not is_due:
+        if routed.pending and not routed.is_answer_due(now):
             return
+        parts = routed.parts
         missing = len(routed.shards) - len(parts)
         actions.append(
             events.AnswerParts(
@@ -729,6 +726,8 @@
             if routed is None:
                 continue
             routed.wake_at = float("inf")
+            if routed.is_answer_due(now):
+                self._callers.note_lag(now - routed.answer_by)
             for shard in routed.pending:
                 if shard.held is not None and shard.held_until <= now:
                     self._resume(shard.held, actions)
