--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -22,23 +22,32 @@
     events,
     extra,
     fleet,
+    hedging,
     isolation,
+    narration,
+    observation,
     reachability,
+    refusals,
     request,
     returns,
     weights,
 )
 from greengagehaven.state import routes
 
-MISDIRECTED = 421
 HEDGE_QUANTILE = 0.95
-FIRST_HEDGE_SHARE = 0.4
-LEAST_HEDGE_S = 0.006
-HEDGE_KEEP = 0.2
+"""Latency above which a sub-request counts as straggling: one in twenty, which is
+half of the extra attempts that operators allow at least."""
+
 DEADLINE_MARGIN_S = 0.01
+"""Seconds before a caller's deadline at which it gets its final answer; the way to
+callers takes 1 to 3 ms, timers fire up to 1 ms late."""
+
 HOLD_S = 0.03
-SLOW_RATIO = 4.0
+"""Seconds that a lost attempt waits at most for a look at its upstream, which takes
+one connection, 6 ms at most where it listens."""
+
 WATCH_NUMBER = 0
+"""Stands among the numbers of requests for the look at silent upstreams."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +107,18 @@
         self._isolation = isolation.Isolation(
             of_fleet=self.fleet, zone=options.zone, clock=clock
         )
+        self._observer = observation.Observer(
+            of_fleet=self.fleet,
+            latencies=self._latencies,
+            reach=self._reach,
+            of_crashes=self._crashes,
+            counted=self.counts,
+            clock=clock,
+        )
+        self._hedging = hedging.Hedging(latencies=self._latencies)
+        self._refusals = refusals.Refusals(
+            of_returns=self._returns, of_isolation=self._isolation
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
@@ -118,6 +139,10 @@
         """Return how many requests have no answer yet."""
         return len(self._requests_by_number)
 
+    @property
+    def _table_number(self) -> int:
+        return 0 if self.table is None else self.table.number
+
     @property
     def is_cut_off(self) -> bool:
         """Tell whether callers are better served by a host of another zone."""
@@ -170,13 +195,7 @@
         try:
             routed = self._admit(arrived)
         except exceptions.RequestError as error:
-            log.info(
-                "refused",
-                request=arrived.request_id,
-                code=error.code,
-                host=arrived.host,
-                table=0 if self.table is None else self.table.number,
-            )
+            narration.tell_refusal(arrived, error.code, table=self._table_number)
             actions.append(events.Refuse(number=arrived.number, error=error))
             return
         self._requests_by_number[routed.number] = routed
@@ -188,7 +207,12 @@
                 self._fail_shard(shard, "no_upstream")
             else:
                 chosen_by_service[shard.service] = chosen
-        self._log_plan(routed, chosen_by_service)
+        narration.tell_plan(
+            routed,
+            chosen_by_service,
+            table=self._table_number,
+            now=self._clock.monotonic(),
+        )
         # Where too many shards have no upstream nothing is sent: what the others
         # run would be thrown away, and the caller be told that it may have run.
         if routed.can_be_complete_enough:
@@ -197,41 +221,6 @@
                 self._send_to(chosen, routed, shard, "primary", actions)
         self._settle(routed, actions)
 
-    def _log_plan(
-        self,
-        routed: request.RoutedRequest,
-        chosen_by_service: abc.Mapping[str, fleet.Upstream],
-    ) -> None:
-        """Log a request's route and its first choices, all in one line."""
-        assert self.table is not None
-        plan = []
-        for shard in routed.shards:
-            chosen = chosen_by_service.get(shard.service)
-            described = "none" if chosen is None else self._describe(chosen)
-            plan.append(f"{shard.service}>{described}")
-        log.info(
-            "planned",
-            request=routed.request_id,
-            route=routed.route.name,
-            table=self.table.number,
-            left_ms=round((routed.deadline - routed.started) * 1000),
-            objective_ms=round(routed.route.objective * 1000),
-            plan=" ".join(plan),
-        )
-
-    def _describe(self, chosen: fleet.Upstream) -> str:
-        """Return an upstream with what is known of it, for the log.
-
-        Requests of this host ahead, multiple of the usual time, rate of faults,
-        and the age in ms of what it said of its load.
-        """
-        now = self._clock.monotonic()
-        return (
-            f"{chosen.entry.id}:{len(chosen.sent_at_by_attempt)}"
-            f":{chosen.slowness:.1f}:{chosen.fault_rate(now):.1f}"
-            f":{_age_ms(now, chosen.load_at)}"
-        )
-
     def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
         if self.table is None:
             raise exceptions.NotConfiguredError(
@@ -267,7 +256,7 @@
         return self.fleet.choose(shard.service, usual, tried=shard.tried)
 
     def _usual(self, routed: request.RoutedRequest) -> float:
-        return self._latencies.usual(_latency_class(routed.route))
+        return self._latencies.usual(observation.latency_class(routed.route))
 
     def _send_to(
         self,
@@ -288,13 +277,7 @@
         )
         self.counts.attempts[purpose] += 1
         if purpose != "primary":
-            log.info(
-                purpose,
-                request=routed.request_id,
-                service=shard.service,
-                upstream=self._describe(chosen),
-                after_ms=_age_ms(now, routed.started),
-            )
+            narration.tell_extra(purpose, routed, shard, chosen, now)
         self._reach.watch()
         chosen.note_sent(attempt.id, now)
         self._attempts_by_id[attempt.id] = attempt
@@ -303,7 +286,7 @@
         shard.sends += 1
         shard.arrivals += 1
         shard.runs += 1
-        shard.hedge_at = self._hedge_moment(routed, now)
+        shard.hedge_at = self._hedging.moment(routed, now)
         actions.append(
             events.Send(
                 attempt=attempt.id,
@@ -315,15 +298,6 @@
             )
         )
 
-    def _hedge_moment(self, routed: request.RoutedRequest, now: float) -> float:
-        route = routed.route
-        if not route.is_idempotent or route.attempts < 2:
-            return float("inf")
-        delay = self._latencies.straggling_after(_latency_class(route))
-        if delay is None:
-            delay = route.objective * FIRST_HEDGE_SHARE
-        return now + max(LEAST_HEDGE_S, delay)
-
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
@@ -340,7 +314,7 @@
         attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
         if attempt in attempt.shard.attempts:
             attempt.shard.attempts.remove(attempt)
-        self._observe(attempt, ended.outcome, actions)
+        self._observer.take(attempt, ended.outcome, actions)
         if not attempt.is_wanted or attempt.request.is_over:
             return
         routed, shard = attempt.request, attempt.shard
@@ -352,52 +326,6 @@
             self._take_failure(attempt, outcome, actions)
         self._settle(routed, actions)
 
-    def _observe(
-        self,
-        attempt: request.Attempt,
-        outcome: events.Replied | events.Failed,
-        actions: list[events.Action],
-    ) -> None:
-        """Learn about the upstream from the end of an attempt."""
-        now = self._clock.monotonic()
-        upstream = attempt.upstream
-        took = now - attempt.sent_at
-        if isinstance(outcome, events.Replied):
-            upstream.heard_at = now
-            if outcome.load is not None:
-                upstream.load = outcome.load
-                upstream.load_at = now
-            if outcome.status == MISDIRECTED:
-                self._forget(attempt, actions)
-            elif outcome.is_success:
-                upstream.note_success(now)
-                upstream.note_latency(took / attempt.usual, now)
-                key = _latency_class(attempt.request.route)
-                self._latencies.observe(key, took, now)
-            elif outcome.not_run:
-                upstream.note_rejection(outcome.load, now)
-            else:
-                self._note_fault(attempt, outcome, now)
-        elif outcome.fault is events.Fault.LOST and outcome.is_mute:
-            if outcome.is_fresh:
-                upstream.note_crowd(now)
-            else:
-                self._note_fault(attempt, outcome, now)
-            self._crashes.look_into(attempt, actions)
-        elif outcome.fault is events.Fault.SILENT:
-            ratio = took / attempt.usual
-            upstream.note_latency(ratio, now)
-            if ratio > SLOW_RATIO:
-                self._note_fault(attempt, outcome, now)
-        elif outcome.fault is events.Fault.CONNECT:
-            self._note_fault(attempt, outcome, now)
-            if now - upstream.heard_at > fleet.HEARD_LATELY_S:
-                self._reach.lose(upstream, "connect")
-        elif outcome.fault is events.Fault.CROWDED:
-            upstream.note_crowd(now)
-        elif outcome.fault is not events.Fault.UNSENT:
-            self._note_fault(attempt, outcome, now)
-
     def _on_probed(
         self, probed: events.UpstreamProbed, actions: list[events.Action]
     ) -> None:
@@ -421,24 +349,6 @@
         self._take_failure(attempt, failed, actions)
         self._settle(attempt.request, actions)
 
-    def _note_fault(
-        self,
-        attempt: request.Attempt,
-        outcome: events.Replied | events.Failed,
-        now: float,
-    ) -> None:
-        upstream = attempt.upstream
-        if upstream.note_fault(now):
-            self.counts.upstream_changes["ejected"] += 1
-            log.warning(
-                "upstream_ejected",
-                upstream=upstream.entry.id,
-                service=upstream.entry.service,
-                reason=request.kind_of_failure(outcome),
-                in_row=upstream.faults_in_row,
-                for_ms=round((upstream.ejected_until - now) * 1000),
-            )
-
     def _on_listener_checked(
         self, checked: events.ListenerChecked, actions: list[events.Action]
     ) -> None:
@@ -451,14 +361,6 @@
     ) -> None:
         self._crashes.take_reports(reported.crashes)
 
-    def _forget(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
-        entry = attempt.upstream.entry
-        left = self.fleet.upstreams_by_id.get(entry.id)
-        if left is attempt.upstream:
-            log.warning("address_reused", upstream=entry.id, address=entry.address)
-            self.fleet.forget(entry.id)
-            actions.append(events.ForgetUpstream(address=entry.address))
-
     def _take_failure(
         self,
         attempt: request.Attempt,
@@ -466,15 +368,7 @@
         actions: list[events.Action],
     ) -> None:
         routed, shard = attempt.request, attempt.shard
-        log.info(
-            "attempt_failed",
-            request=routed.request_id,
-            service=shard.service,
-            upstream=attempt.upstream.entry.id,
-            reason=request.kind_of_failure(outcome),
-            detail=getattr(outcome, "detail", ""),
-            took_ms=_age_ms(self._clock.monotonic(), attempt.sent_at),
-        )
+        narration.tell_failed(attempt, outcome, self._clock.monotonic())
         did_not_run = _did_not_run(outcome)
         if did_not_run:
             shard.runs -= 1
@@ -563,7 +457,7 @@
         expected = self.fleet.expected(chosen, self._usual(routed))
         if now + expected >= routed.deadline:
             return
-        keep = HEDGE_KEEP if routed.route.priority > 1 else 0.0
+        keep = self._hedging.keep(routed)
         if not self._extra.spend(shard.service, keep=keep):
             self.counts.extra_refused += 1
             log.info("hedge_refused", request=routed.request_id, service=shard.service)
@@ -584,7 +478,7 @@
         if routed.is_over:
             return
         if now >= routed.deadline:
-            self._refuse(routed, self._late_error(routed), actions)
+            self._refuse(routed, self._refusals.late(routed), actions)
             return
         moment = routed.next_moment()
         if moment < routed.wake_at:
@@ -602,7 +496,7 @@
             actions.append(events.PassOn(number=routed.number, attempt=whole.id))
             self._end(routed, "answered" if shard.part else "upstream_error", actions)
             return
-        self._refuse(routed, self._failure_error(routed), actions)
+        self._refuse(routed, self._refusals.failed(routed), actions)
 
     def _settle_sweep(
         self,
@@ -611,7 +505,7 @@
         actions: list[events.Action],
     ) -> None:
         if not routed.can_be_complete_enough:
-            self._refuse(routed, self._failure_error(routed), actions)
+            self._refuse(routed, self._refusals.failed(routed), actions)
             return
         if routed.pending and not routed.is_answer_due(now):
             return
@@ -627,30 +521,6 @@
         )
         self._end(routed, "answered" if not missing else "partial", actions)
 
-    def _failure_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
-        reasons = sorted({shard.failure for shard in routed.shards if shard.failure})
-        detail = f"{len(routed.parts)} of {len(routed.shards)} shards: " + ", ".join(
-            reasons
-        )
-        if routed.may_have_run:
-            return exceptions.UpstreamsFailedError(
-                detail, ran=exceptions.Ran.UNKNOWN, retry_after=self._returns.at_once()
-            )
-        if any(shard.sends for shard in routed.shards):
-            retry_after = self._returns.at_once()
-        else:
-            retry_after = self._returns.out_of_reach(self._isolation.seconds())
-        return exceptions.IncompleteError(detail, retry_after=retry_after)
-
-    def _late_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
-        detail = f"{len(routed.parts)} of {len(routed.shards)} shards in time"
-        if not routed.may_have_run:
-            # What waits for a connection is withdrawn with this answer.
-            return exceptions.IncompleteError(
-                detail, retry_after=self._returns.at_once()
-            )
-        return exceptions.DeadlineExceededError(detail, ran=exceptions.Ran.UNKNOWN)
-
     def _refuse(
         self,
         routed: request.RoutedRequest,
@@ -670,26 +540,10 @@
     ) -> None:
         routed.is_over = True
         self._requests_by_number.pop(routed.number, None)
-        parts = routed.parts
         took = self._clock.monotonic() - routed.started
-        missing = len(routed.shards) - len(parts)
+        missing = len(routed.shards) - len(routed.parts)
         self.counts.end(routed.route.name, outcome, took, missing)
-        log.info(
-            "ended",
-            request=routed.request_id,
-            route=routed.route.name,
-            outcome=outcome,
-            parts=len(parts),
-            missing=",".join(
-                f"{shard.service}:{shard.failure or 'waiting'}"
-                for shard in routed.shards
-                if shard.part is None
-            ),
-            sends=sum(shard.sends for shard in routed.shards),
-            took_ms=round(took * 1000),
-            detail=detail,
-            is_urgent=outcome != "answered" or took > routed.route.objective,
-        )
+        narration.tell_end(routed, outcome, took=took, detail=detail)
         left = [attempt for shard in routed.shards for attempt in shard.attempts]
         self._release(left, actions)
 
@@ -739,12 +593,4 @@
 def _did_not_run(outcome: events.Replied | events.Failed) -> bool:
     if isinstance(outcome, events.Failed):
         return outcome.fault in events.NOT_SENT
-    return outcome.not_run or outcome.status == MISDIRECTED
-
-
-def _latency_class(route: routes.Route) -> latency.LatencyClass:
-    return latency.LatencyClass(service="", kind=route.name)
-
-
-def _age_ms(now: float, moment: float) -> int | None:
-    return None if moment == float("-inf") else round((now - moment) * 1000)
+    return outcome.not_run or outcome.status == observation.MISDIRECTED
