--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -3,7 +3,7 @@
 import random
 
 from greengagehaven import clock
-from greengagehaven.coordination.routing import events, router
+from greengagehaven.coordination.routing import events, mechanisms, router
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
@@ -84,9 +84,19 @@
 class RoutingTier:
     """One entry host's router on a manual clock; every action is kept."""
 
-    def __init__(self, *, burst=20.0, ratio=0.2, seed=1, uptime=UPTIME_S):
+    def __init__(
+        self,
+        *,
+        burst=20.0,
+        ratio=0.2,
+        seed=1,
+        uptime=UPTIME_S,
+        used=mechanisms.Mechanisms(),  # noqa: B008
+    ):
         self.clock = clock.ManualClock()
-        options = router.Options(zone=ZONE, retry_ratio=ratio, retry_burst=burst)
+        options = router.Options(
+            zone=ZONE, retry_ratio=ratio, retry_burst=burst, used=used
+        )
         self.router = router.Router(
             options=options, clock=self.clock, rng=random.Random(seed)
         )
--- a/src/greengagehaven/coordination/routing/crashes.py
+++ b/src/greengagehaven/coordination/routing/crashes.py
@@ -9,7 +9,13 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
-from greengagehaven.coordination.routing import counts, events, request, suspects
+from greengagehaven.coordination.routing import (
+    counts,
+    events,
+    mechanisms,
+    request,
+    suspects,
+)
 from greengagehaven.protocol import watching
 
 
@@ -18,9 +24,17 @@
 
     :param clock: monotonic time.
     :param counted: counts crashes.
+    :param used: mechanisms that are used.
     """
 
-    def __init__(self, *, clock: clocks.Clock, counted: counts.Counts) -> None:
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        counted: counts.Counts,
+        used: mechanisms.Mechanisms,
+    ) -> None:
+        self._used = used
         self._suspects = suspects.Suspects(clock=clock)
         self._counts = counted
         self._lost_by_attempt: dict[int, request.Attempt] = {}
@@ -46,6 +60,8 @@
 
     def look_into(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         """Find out whether an upstream crashed on an attempt."""
+        if not self._used.crash_checks:
+            return
         self._suspects.note_loss(attempt.request.fingerprint)
         self._lost_by_attempt[attempt.id] = attempt
         check = events.CheckListener(
--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -5,7 +5,7 @@
 """
 
 from greengagehaven.coordination import latency
-from greengagehaven.coordination.routing import observation, request
+from greengagehaven.coordination.routing import mechanisms, observation, request
 
 FIRST_SHARE = 0.4
 """Share of the objective after which to hedge where no latency is known yet: the
@@ -26,10 +26,14 @@
     """Decides when to hedge.
 
     :param latencies: of each kind of request.
+    :param used: mechanisms that are used.
     """
 
-    def __init__(self, *, latencies: latency.LatencyBook) -> None:
+    def __init__(
+        self, *, latencies: latency.LatencyBook, used: mechanisms.Mechanisms
+    ) -> None:
         self._latencies = latencies
+        self._used = used
 
     def moment(self, routed: request.RoutedRequest, now: float) -> float:
         """Return when a shard that is sent now counts as straggling.
@@ -37,7 +41,8 @@
         :param now: monotonic seconds.
         """
         route = routed.route
-        if not route.is_idempotent or route.attempts < 2:
+        may_hedge = route.is_idempotent and route.attempts > 1
+        if not (may_hedge and self._used.hedging):
             return float("inf")
         key = observation.latency_class(route)
         delay = self._latencies.straggling_after(key)
--- a/src/greengagehaven/coordination/routing/isolation.py
+++ b/src/greengagehaven/coordination/routing/isolation.py
@@ -15,7 +15,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import log
-from greengagehaven.coordination.routing import events, fleet
+from greengagehaven.coordination.routing import events, fleet, upstreams
 from greengagehaven.state import routes
 
 ALIVE_S = 0.5
@@ -87,8 +87,8 @@
             if shards
         )
 
-    def _upstreams_by_other_zone(self) -> dict[str, list[fleet.Upstream]]:
-        known: dict[str, list[fleet.Upstream]] = {}
+    def _upstreams_by_other_zone(self) -> dict[str, list[upstreams.Upstream]]:
+        known: dict[str, list[upstreams.Upstream]] = {}
         for upstream in self._fleet.upstreams_by_id.values():
             zone = upstream.entry.availability_zone
             if zone != self._zone and upstream.entry.is_live:
@@ -97,7 +97,7 @@
 
     def _probe(
         self,
-        known: abc.Iterable[fleet.Upstream],
+        known: abc.Iterable[upstreams.Upstream],
         now: float,
         actions: list[events.Action],
     ) -> None:
@@ -106,7 +106,7 @@
         untried.sort(key=lambda upstream: upstream.heard_at, reverse=True)
         for upstream in untried[:PROBES_A_ZONE]:
             if now >= upstream.probe_at:
-                upstream.probe_at = now + fleet.PROBE_PERIOD_S
+                upstream.probe_at = now + upstreams.PROBE_PERIOD_S
                 probe = events.ProbeUpstream(
                     upstream_id=upstream.entry.id, address=upstream.entry.address
                 )
@@ -121,7 +121,7 @@
         log.warning(event, zone=self._zone, lasted_ms=round(lasted * 1000))
 
 
-def _is_alive(known: abc.Iterable[fleet.Upstream], now: float) -> bool:
+def _is_alive(known: abc.Iterable[upstreams.Upstream], now: float) -> bool:
     return any(
         upstream.is_reachable and now - upstream.heard_at < ALIVE_S
         for upstream in known
--- a/src/greengagehaven/coordination/routing/narration.py
+++ b/src/greengagehaven/coordination/routing/narration.py
@@ -3,12 +3,12 @@
 from collections import abc
 
 from greengagehaven import log
-from greengagehaven.coordination.routing import events, fleet, request
+from greengagehaven.coordination.routing import events, request, upstreams
 
 
 def tell_plan(
     routed: request.RoutedRequest,
-    chosen_by_service: abc.Mapping[str, fleet.Upstream],
+    chosen_by_service: abc.Mapping[str, upstreams.Upstream],
     *,
     table: int,
     now: float,
@@ -45,7 +45,7 @@
     purpose: str,
     routed: request.RoutedRequest,
     shard: request.ShardState,
-    chosen: fleet.Upstream,
+    chosen: upstreams.Upstream,
     now: float,
 ) -> None:
     """Log an attempt beyond the first."""
@@ -100,7 +100,7 @@
     return None if moment == float("-inf") else round((now - moment) * 1000)
 
 
-def _described(chosen: fleet.Upstream, now: float) -> str:
+def _described(chosen: upstreams.Upstream, now: float) -> str:
     """Return an upstream with what is known of it, for the log.
 
     Requests of this host ahead, multiple of the usual time, rate of faults,
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -10,6 +10,7 @@
     fleet,
     reachability,
     request,
+    upstreams,
 )
 from greengagehaven.state import routes
 
@@ -105,7 +106,7 @@
                 self._note_fault(attempt, failed, now)
         elif failed.fault is events.Fault.CONNECT:
             self._note_fault(attempt, failed, now)
-            if now - upstream.heard_at > fleet.HEARD_LATELY_S:
+            if now - upstream.heard_at > upstreams.HEARD_LATELY_S:
                 self._reach.lose(upstream, "connect")
         elif failed.fault is events.Fault.CROWDED:
             upstream.note_crowd(now)
--- a/src/greengagehaven/coordination/routing/reachability.py
+++ b/src/greengagehaven/coordination/routing/reachability.py
@@ -9,7 +9,13 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import log
-from greengagehaven.coordination.routing import counts, events, fleet, request
+from greengagehaven.coordination.routing import (
+    counts,
+    events,
+    fleet,
+    request,
+    upstreams,
+)
 
 WATCH_PERIOD_S = 0.1
 
@@ -64,7 +70,7 @@
         }
         for upstream in (suspects | lost).values():
             if now >= upstream.probe_at:
-                upstream.probe_at = now + fleet.PROBE_PERIOD_S
+                upstream.probe_at = now + upstreams.PROBE_PERIOD_S
                 probe = events.ProbeUpstream(
                     upstream_id=upstream.entry.id, address=upstream.entry.address
                 )
@@ -85,7 +91,7 @@
         upstream.heard_at = now
         return False
 
-    def lose(self, upstream: fleet.Upstream, reason: str) -> bool:
+    def lose(self, upstream: upstreams.Upstream, reason: str) -> bool:
         """Count an upstream as out of reach; return whether that is news."""
         if not upstream.is_reachable:
             return False
@@ -104,7 +110,7 @@
         )
         return True
 
-    def _regain(self, upstream: fleet.Upstream, now: float) -> None:
+    def _regain(self, upstream: upstreams.Upstream, now: float) -> None:
         self._counts.upstream_changes["reached"] += 1
         upstream.regain(now)
         log.info(
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from greengagehaven.coordination.routing import events, fleet
+from greengagehaven.coordination.routing import events, upstreams
 from greengagehaven.state import routes
 
 
@@ -18,7 +18,7 @@
     id: int
     request: "RoutedRequest"
     shard: "ShardState"
-    upstream: fleet.Upstream
+    upstream: upstreams.Upstream
     sent_at: float
     usual: float
     is_wanted: bool = True
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -24,12 +24,15 @@
     fleet,
     hedging,
     isolation,
+    mechanisms,
     narration,
     observation,
+    placement,
     reachability,
     refusals,
     request,
     returns,
+    upstreams,
     weights,
 )
 from greengagehaven.state import routes
@@ -59,6 +62,7 @@
     :param retry_burst: extra attempts allowed besides, over all hosts.
     :param retry_window: seconds over which they are counted.
     :param cold_bound: how the rate of cold upstreams is widened.
+    :param used: mechanisms that are used, all but in trials.
     """
 
     zone: str
@@ -66,6 +70,7 @@
     retry_burst: float = 20.0
     retry_window: float = 10.0
     cold_bound: fleet.ColdBound = fleet.ColdBound()
+    used: mechanisms.Mechanisms = mechanisms.Mechanisms()
 
 
 class Router:
@@ -77,8 +82,13 @@
     """
 
     def __init__(self, *, options: Options, clock: clocks.Clock, rng: rngs.Rng) -> None:
+        used = options.used
+        self._used = used
         self.fleet = fleet.Fleet(
-            zone=options.zone, cold_bound=options.cold_bound, clock=clock, rng=rng
+            cold_bound=options.cold_bound,
+            placed_by=placement.ExpectedLatency(zone=options.zone, used=used, rng=rng),
+            used=used,
+            clock=clock,
         )
         self.table: routes.RoutingTable | None = None
         self.counts = counts.Counts()
@@ -90,7 +100,7 @@
             clock=clock,
         )
         self._callers = callers.CallerTimes()
-        self._crashes = crashes.Crashes(clock=clock, counted=self.counts)
+        self._crashes = crashes.Crashes(clock=clock, counted=self.counts, used=used)
         self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
         self._attempts_by_id: dict[int, request.Attempt] = {}
@@ -115,7 +125,7 @@
             counted=self.counts,
             clock=clock,
         )
-        self._hedging = hedging.Hedging(latencies=self._latencies)
+        self._hedging = hedging.Hedging(latencies=self._latencies, used=used)
         self._refusals = refusals.Refusals(
             of_returns=self._returns, of_isolation=self._isolation
         )
@@ -146,7 +156,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Tell whether callers are better served by a host of another zone."""
-        return self._isolation.is_cut_off
+        return self._used.sending_away and self._isolation.is_cut_off
 
     def step(self, event: events.Event) -> list[events.Action]:
         """Take one event and return what is to be done, in order."""
@@ -215,7 +225,7 @@
         )
         # Where too many shards have no upstream nothing is sent: what the others
         # run would be thrown away, and the caller be told that it may have run.
-        if routed.can_be_complete_enough:
+        if routed.can_be_complete_enough or not self._used.early_refusal:
             for shard in routed.pending:
                 chosen = chosen_by_service[shard.service]
                 self._send_to(chosen, routed, shard, "primary", actions)
@@ -245,12 +255,17 @@
             services=services,
             started=now,
             deadline=now + left - DEADLINE_MARGIN_S,
-            answer_by=now + self._callers.answer_within(route, waited),
+            answer_by=self._answer_by(route, now, waited),
         )
 
+    def _answer_by(self, route: routes.Route, now: float, waited: float) -> float:
+        if not self._used.partial_answers:
+            return float("inf")
+        return now + self._callers.answer_within(route, waited)
+
     def _choose(
         self, routed: request.RoutedRequest, shard: request.ShardState
-    ) -> fleet.Upstream | None:
+    ) -> upstreams.Upstream | None:
         """Return an upstream that has not had this request yet."""
         usual = self._usual(routed)
         return self.fleet.choose(shard.service, usual, tried=shard.tried)
@@ -260,7 +275,7 @@
 
     def _send_to(
         self,
-        chosen: fleet.Upstream,
+        chosen: upstreams.Upstream,
         routed: request.RoutedRequest,
         shard: request.ShardState,
         purpose: str,
@@ -415,6 +430,8 @@
         did_not_run: bool,
         actions: list[events.Action],
     ) -> bool:
+        if not self._used.retrying:
+            return False
         if not (routed.route.is_idempotent or did_not_run):
             return False
         if shard.runs >= routed.route.attempts:
@@ -572,7 +589,8 @@
         while self._timers and self._timers[0][0] <= now:
             _, number = heapq.heappop(self._timers)
             if number == WATCH_NUMBER:
-                self._reach.look(self._attempts_by_id.values(), actions)
+                if self._used.probing:
+                    self._reach.look(self._attempts_by_id.values(), actions)
                 self._isolation.look(self.table, actions)
                 self._give_up_unreachable(actions)
                 continue
@@ -580,7 +598,7 @@
             if routed is None:
                 continue
             routed.wake_at = float("inf")
-            if routed.is_answer_due(now):
+            if self._used.lag and routed.is_answer_due(now):
                 self._callers.note_lag(now - routed.answer_by)
             for shard in routed.pending:
                 if shard.held is not None and shard.held_until <= now:
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -12,7 +12,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import settings as checks
-from greengagehaven.coordination.routing import fleet, router
+from greengagehaven.coordination.routing import fleet, mechanisms, router
 from greengagehaven.daemons import gateway, lifecycle
 from greengagehaven.platform import documents, names, settings
 from greengagehaven.transport import log_output
@@ -30,9 +30,19 @@
 
 
 @main.command()
-def front() -> None:
+@click.option(
+    "--without",
+    default="",
+    envvar="GREENGAGEHAVEN_WITHOUT",
+    help="Mechanisms to leave out in a trial, parted by commas.",
+)
+def front(without: str) -> None:
     """Run an entry host."""
-    sys.exit(_run(_make_front))
+    try:
+        used = mechanisms.without(without)
+    except exceptions.SettingError as error:
+        raise click.UsageError(error.detail) from error
+    sys.exit(_run(lambda node: _make_front(node, used)))
 
 
 @main.command()
@@ -88,13 +98,16 @@
             daemon.set_seeds(fresh.control_addresses)
 
 
-def _make_front(node: settings.NodeSettings) -> gateway.Gateway:
+def _make_front(
+    node: settings.NodeSettings, used: mechanisms.Mechanisms
+) -> gateway.Gateway:
     options = router.Options(
         zone=node.zone,
         retry_ratio=node.retry_ratio,
         retry_burst=node.retry_burst,
         retry_window=node.retry_window,
         cold_bound=fleet.ColdBound(factor=node.cold_factor, slack=node.cold_slack),
+        used=used,
     )
     return gateway.Gateway(
         settings=gateway.GatewaySettings(
