--- a/features/routing.feature
+++ b/features/routing.feature
@@ -392,3 +392,41 @@
 
     When parts with records 5 1, 9 5 and 2 with a remainder are merged for the top 3
     Then the merged records are 9 5 5
+
+  Scenario: Connections above the cap are reset while no token is left
+    All hosts lost their power. Upstreams still hold their old connections, and reset
+    fresh ones at once. No request reached them, and callers would be refused for
+    want of tokens beside upstreams with room.
+
+    Given a router without any budget and a sweep over 1 shards
+    When a sweep arrives
+    And its attempt is reset on a fresh connection after 2 ms
+    Then 2 attempts were sent
+
+  Scenario: A reply is lost on a fresh connection while no token is left
+    The upstream has run it; one more attempt is an extra one.
+
+    Given a router without any budget and a sweep over 1 shards
+    When a sweep arrives
+    And its attempt is reset on a fresh connection after 19 ms
+    Then 1 attempt was sent
+
+  Scenario: An upstream that resets connections gets none for a moment
+    Each further one would be reset as well, and its request with it.
+
+    Given a router with a sweep over 1 shards of 3 upstreams each
+    When a sweep arrives
+    And its attempt is reset on a fresh connection after 2 ms
+    Then none of the next 5 sweeps goes to that upstream
+    When 600 ms pass
+    Then one of the next 5 sweeps goes to that upstream
+
+  Scenario: An upstream is looked at once for all that it lost
+    It resets connections above its cap, and each look is one more.
+
+    Given a router with a sweep over 1 shards of 1 upstreams each
+    When 3 sweeps are lost at it without a byte of reply
+    Then it is looked at once
+    When the look shows that it listens
+    And 3 sweeps are lost at it without a byte of reply
+    Then it is looked at once more
--- a/src/greengagehaven/coordination/routing/crashes.py
+++ b/src/greengagehaven/coordination/routing/crashes.py
@@ -15,6 +15,7 @@
     mechanisms,
     request,
     suspects,
+    upstreams,
 )
 from greengagehaven.protocol import watching
 
@@ -38,6 +39,7 @@
         self._suspects = suspects.Suspects(clock=clock)
         self._counts = counted
         self._lost_by_attempt: dict[int, request.Attempt] = {}
+        self._looks_by_upstream: dict[upstreams.Upstream, list[int]] = {}
 
     def check(self, fingerprint: str, *, retry_after: float) -> None:
         """Let a request pass that crashes nothing.
@@ -64,6 +66,13 @@
             return
         self._suspects.note_loss(attempt.request.fingerprint)
         self._lost_by_attempt[attempt.id] = attempt
+        looked_at = self._looks_by_upstream.get(attempt.upstream)
+        if looked_at is not None:
+            # An upstream that resets connections above its cap would reset one
+            # more for each request that it has reset.
+            looked_at.append(attempt.id)
+            return
+        self._looks_by_upstream[attempt.upstream] = [attempt.id]
         check = events.CheckListener(
             attempt=attempt.id, address=attempt.upstream.entry.address
         )
@@ -75,18 +84,31 @@
 
     def take_listener(
         self, checked: events.ListenerChecked, actions: list[events.Action]
-    ) -> request.Attempt | None:
-        """Take in what a look showed; return the attempt that waited for it."""
-        attempt = self._lost_by_attempt.pop(checked.attempt, None)
-        if attempt is None:
-            return None
+    ) -> list[request.Attempt]:
+        """Take in what a look showed; return the attempts that waited for it."""
+        first = self._lost_by_attempt.get(checked.attempt)
+        if first is None:
+            return []
+        waiting = [
+            self._lost_by_attempt.pop(attempt_id)
+            for attempt_id in self._looks_by_upstream.pop(first.upstream)
+        ]
+        for attempt in waiting:
+            self._judge(attempt, checked, actions)
+        return waiting
+
+    def _judge(
+        self,
+        attempt: request.Attempt,
+        checked: events.ListenerChecked,
+        actions: list[events.Action],
+    ) -> None:
         if checked.listener is events.Listener.CLOSED:
             self._note_crash(attempt, actions)
         else:
             # One that resets connections above its cap is full, and one that
             # does not answer may be behind a partition: neither has crashed.
             self._suspects.note_listening(attempt.request.fingerprint)
-        return attempt
 
     def take_reports(self, reported: abc.Iterable[watching.Crash]) -> None:
         """Take in crashes that other entry hosts saw."""
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -26,6 +26,9 @@
     SILENT = "silent"
 
 
+AT_ONCE_SHARE = 0.5
+"""Share of the usual latency; one request in forty runs in less."""
+
 NOT_SENT = frozenset({Fault.CONNECT, Fault.CROWDED, Fault.UNSENT})
 
 
@@ -77,6 +80,23 @@
     is_mute: bool = False
     is_fresh: bool = False
 
+    def is_turned_away(self, took: float, usual: float) -> bool:
+        """Tell whether the upstream never read the request, as far as can be known.
+
+        After a loss of power all hosts open connections at once, beside their old
+        ones that upstreams still hold, and those above the cap are reset as soon
+        as they are there. Counted as arrivals, they would take the tokens that the
+        requests need to go elsewhere. An upstream that ran the request first takes
+        longer. Whether it has run is a promise to the caller, and this no proof.
+
+        :param took: seconds from sending to the end.
+        :param usual: seconds that such a request usually takes.
+        """
+        if self.fault in NOT_SENT:
+            return True
+        is_at_once = took < AT_ONCE_SHARE * usual
+        return self.fault is Fault.LOST and self.is_fresh and is_at_once
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestArrived:
--- a/src/greengagehaven/coordination/routing/extra.py
+++ b/src/greengagehaven/coordination/routing/extra.py
@@ -18,6 +18,9 @@
 _SAFETY = 0.9
 _MIN_HOSTS = 1
 
+AT_ONCE = 0.1
+"""Share of its part that a host has at its start: what ``_SAFETY`` leaves unused."""
+
 _LATE_S = 1.0
 """Seconds; an attempt may reach its upstream that much later than it was counted,
 after it has waited for a connection."""
@@ -102,4 +105,5 @@
         all are killed at once the sum would hold the burst twice, so it comes back
         over a window.
         """
-        return self._part * min(1.0, (now - self._started_at) / self._window)
+        come_back = (now - self._started_at) / self._window
+        return self._part * min(1.0, AT_ONCE + come_back)
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -123,7 +123,7 @@
                 key=lambda upstream: self._placement.cost(upstream, usual, now),
             )
         # All look unfit: a bad signal must not empty a shard.
-        return min(usable, key=lambda upstream: upstream.ejected_until, default=None)
+        return min(usable, key=upstreams.Upstream.unfit_until, default=None)
 
     def expected(self, upstream: upstreams.Upstream, usual: float) -> float:
         """Return the seconds that a request to an upstream is likely to take."""
@@ -176,7 +176,7 @@
             return False
         if not self._used.ejection:
             return True
-        if now < upstream.ejected_until:
+        if now < upstream.unfit_until():
             return False
         # One request tells whether it is back.
         return not (upstream.was_ejected and upstream.sent_at_by_attempt)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -367,8 +367,7 @@
     def _on_listener_checked(
         self, checked: events.ListenerChecked, actions: list[events.Action]
     ) -> None:
-        attempt = self._crashes.take_listener(checked, actions)
-        if attempt is not None:
+        for attempt in self._crashes.take_listener(checked, actions):
             self._resume(attempt, actions)
 
     def _on_crashes(
@@ -387,7 +386,7 @@
         did_not_run = _did_not_run(outcome)
         if did_not_run:
             shard.runs -= 1
-        if isinstance(outcome, events.Failed) and outcome.fault in events.NOT_SENT:
+        if not self._has_arrived(attempt, outcome):
             shard.arrivals -= 1
         if isinstance(outcome, events.Replied) and not did_not_run:
             shard.reply = attempt
@@ -403,6 +402,15 @@
         ):
             self._fail_shard(shard, shard.failure)
 
+    def _has_arrived(
+        self, attempt: request.Attempt, outcome: events.Replied | events.Failed
+    ) -> bool:
+        """Tell whether an attempt counts as one that reached its service."""
+        if isinstance(outcome, events.Replied):
+            return True
+        took = self._clock.monotonic() - attempt.sent_at
+        return not outcome.is_turned_away(took, attempt.usual)
+
     def _resume(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         """Send a request again that was held while its loss was looked into.
 
--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -20,6 +20,10 @@
 CROWD_FAULT = 0.6
 """Weight as a fault of a connection that was reset at once."""
 
+CROWDED_S = 0.5
+"""Seconds that it gets nothing then where others can answer; what holds its
+connections ends them within some seconds."""
+
 EJECT_FAULTS = 2
 """Faults in a row that eject; a single one may be the request's own."""
 
@@ -62,6 +66,7 @@
         self._fault_rate_at = now
         self.faults_in_row = 0
         self.ejected_until = -math.inf
+        self.crowded_until = -math.inf
         self.heard_at = now
         self._waiting_since = now
         self._sent_at = -math.inf
@@ -97,6 +102,10 @@
         self.is_reachable = False
         self.probe_at = now + PROBE_PERIOD_S
 
+    def unfit_until(self) -> float:
+        """Return until when it should get nothing where others can answer."""
+        return max(self.ejected_until, self.crowded_until)
+
     def regain(self, now: float) -> None:
         """Note that a probe got through."""
         self.is_reachable = True
@@ -156,9 +165,11 @@
         """Take in that it reset a connection that had brought no reply yet.
 
         It holds as many as it bears, often those of hosts that lost their power.
-        To eject it for that would take a sound upstream away for seconds.
+        To eject it for that would take a sound upstream away for seconds; but it
+        gets no further connection for a moment where others can answer.
         """
         self._note_rate(CROWD_FAULT, now)
+        self.crowded_until = now + CROWDED_S
 
     def note_fault(self, now: float) -> bool:
         """Take in a failure; return whether it is ejected for it."""
