--- a/features/http_peers.feature
+++ b/features/http_peers.feature
@@ -54,13 +54,3 @@
     Given an HTTP peer server that echoes bodies
     When a host calls it over HTTP for 10 s
     Then the call waited for a connection for at most 250 ms
-
-  Scenario: All hosts start within some tenths of a second
-    Each refuses its callers until it has reached another one that is back. One that
-    has been up is patient, as links may be slow.
-
-    Given an HTTP peer server that echoes bodies
-    When a host calls it over HTTP for 10 s
-    Then the call waited for a connection for 100 ms
-    When a host that has been up for 60 s calls it over HTTP for 10 s
-    Then the call waited for a connection for 250 ms
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -15,7 +15,6 @@
 MARGIN_S = 0.7
 FIRST_WAIT_S = 0.0
 RETRY_PAUSE_S = 0.15
-FIRST_RETRY_PAUSE_S = 0.05
 REPORT_TIMEOUT_S = 1.0
 LOST_AFTER_S = 3.0
 COUNT_LIFETIME_S = 15.0
@@ -160,11 +159,7 @@
                     is_lost = True
                     log.warning("control_lost", address=address, error=error.detail)
                 wait = FIRST_WAIT_S
-                # Until a host that has just started has heard of any other, its
-                # callers are refused.
-                is_first = not self._counts_by_address
-                pause = FIRST_RETRY_PAUSE_S if is_first else RETRY_PAUSE_S
-                await asyncio.sleep(pause)
+                await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if is_lost or heard_at is None:
                 log.info("control_reached", address=address, feed=reply.feed)
--- a/src/greengagehaven/transport/http_client.py
+++ b/src/greengagehaven/transport/http_client.py
@@ -38,7 +38,7 @@
         self._host, self._port = settings.parse_address("address", address)
         self._tls = tls
         self._clock = clock or clocks.SystemClock()
-        self.connect_timeout = connect_timeout
+        self._connect_timeout = connect_timeout
         self._idle: list[client_connection.ClientConnection] = []
         self._open: set[client_connection.ClientConnection] = set()
 
@@ -150,7 +150,7 @@
         self, timeout: datetime.timedelta
     ) -> client_connection.ClientConnection:
         loop = asyncio.get_running_loop()
-        bound = min(timeout, self.connect_timeout).total_seconds()
+        bound = min(timeout, self._connect_timeout).total_seconds()
         try:
             async with asyncio.timeout(bound):
                 _, connection = await loop.create_connection(
--- a/src/greengagehaven/transport/http_peers.py
+++ b/src/greengagehaven/transport/http_peers.py
@@ -19,10 +19,6 @@
 # The opening packet to a host that has no power yet is lost and sent again after
 # a second. A new attempt after this time reaches a host as soon as it is back.
 CONNECT_TIMEOUT = datetime.timedelta(seconds=0.25)
-# After a loss of all power every host starts within some tenths of a second, and
-# callers are refused until this one has reached another that is back.
-FIRST_CONNECT_TIMEOUT = datetime.timedelta(seconds=0.1)
-FIRST_S = 3.0
 
 
 class HttpPeerServer:
@@ -87,7 +83,6 @@
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._started_at = clock.monotonic()
         self._clients_by_address: dict[str, http_client.HttpClient] = {}
 
     async def call(
@@ -125,8 +120,8 @@
             if len(self._clients_by_address) >= MAX_CLIENTS:
                 unused = next(iter(self._clients_by_address))
                 self._clients_by_address.pop(unused).close()
-            client = http_client.HttpClient(address=address, clock=self._clock)
+            client = http_client.HttpClient(
+                address=address, clock=self._clock, connect_timeout=CONNECT_TIMEOUT
+            )
             self._clients_by_address[address] = client
-        is_first = self._clock.monotonic() - self._started_at < FIRST_S
-        client.connect_timeout = FIRST_CONNECT_TIMEOUT if is_first else CONNECT_TIMEOUT
         return client
