--- /dev/null
+++ b/features/steps/experiment_steps.py
@@ -0,0 +1,407 @@
+"""Steps about experiments in simulated time."""
+
+import dataclasses
+import pathlib
+import tomllib
+from unittest import mock
+
+import behave
+import hypothesis
+import msgspec
+from click import testing
+from hypothesis import strategies
+
+from greengagehaven import cli
+from greengagehaven.coordination.routing import events, extra, mechanisms, router
+from greengagehaven.experiment import (
+    checks,
+    drawing,
+    environment,
+    events_loop,
+    host,
+    report,
+    running,
+    upstreams,
+    world,
+)
+
+SERVICE = environment.Service(name="s", slots=1, queue=18)
+
+
+def make_upstream(loop, service=SERVICE):
+    return upstreams.Upstream(
+        id="s-0-u0",
+        service=service,
+        zone="a",
+        speed=1.0,
+        pause_phase=0.0,
+        loop=loop,
+        draw=lambda: 1.0,
+    )
+
+
+@behave.given("a simulated upstream of 1 slot and a queue of 18 for work of 10 ms")
+def given_one_slot(context):
+    context.loop = events_loop.Loop()
+    context.upstream = make_upstream(context.loop)
+
+
+@behave.when("{count:d} jobs arrive at once")
+def when_jobs(context, count):
+    context.ended = []
+
+    def on_end(outcome):
+        context.ended.append((round(context.loop.time * 1000), outcome.status))
+
+    for _ in range(count):
+        context.upstream.take(upstreams.Job(work=0.01, on_end=on_end))
+    context.loop.run(10.0)
+
+
+@behave.then("19 end 10 ms apart from 10 ms on, and 1 is rejected")
+def then_ended(context):
+    assert context.ended[0] == (0, 503), context.ended
+    assert context.ended[1:] == [(10 * (n + 1), 200) for n in range(19)], context.ended
+
+
+@behave.given(
+    "a simulated upstream that stands still for 100 ms each 1000 ms from its start"
+)
+def given_pausing(context):
+    service = environment.Service(name="s", pause_ms=100.0, pause_every_s=1.0)
+    context.upstream = make_upstream(events_loop.Loop(), service)
+
+
+@behave.then("work of {work:d} ms that begins at {start:d} ms ends at {end:d} ms")
+def then_work_ends(context, work, start, end):
+    ended = context.upstream.end_of(start / 1000, work / 1000)
+    assert abs(ended - end / 1000) < 1e-9, ended
+
+
+@behave.given("events at any moments")
+def given_any(context):
+    context.moments = strategies.lists(
+        strategies.floats(0, 10, allow_nan=False), max_size=30
+    )
+
+
+@behave.then("they are called in the order of their moments, and of their asking")
+def then_in_order(context):
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=200, deadline=None
+    )
+    @hypothesis.given(context.moments)
+    def check(moments):
+        loop = events_loop.Loop()
+        called = []
+        for number, moment in enumerate(moments):
+            loop.at(moment, lambda *pair: called.append(pair), moment, number)
+        loop.run(20.0)
+        assert called == sorted(zip(moments, range(len(moments)), strict=True))
+
+    check()
+
+
+@behave.given("the environment {name:w}")
+def given_environment(context, name):
+    context.declared = environment.load(pathlib.Path(name))
+    context.patches = []
+
+
+@behave.given("the environment that is drawn by {seed:d}")
+def given_drawn(context, seed):
+    context.declared = environment.read(tomllib.loads(drawing.draw(seed)))
+    context.patches = []
+
+
+@behave.given("an environment of two zones whose second has no upstreams")
+def given_two_zones(context):
+    context.declared = environment.read(
+        {
+            "name": "two",
+            "zones": ["a", "b"],
+            "hosts_by_zone": {"a": 1, "b": 1},
+            "per_s_by_zone": {"a": 20.0, "b": 20.0},
+            "services": [{"name": "s", "shards": 3, "replicas": 1, "slots": 8}],
+            "kinds": [
+                {
+                    "name": "sweep",
+                    "service": "s",
+                    "is_sweep": True,
+                    "deadline_ms": 400.0,
+                    "attempts": 1,
+                    "returns": 0,
+                }
+            ],
+            "days": [
+                {
+                    "name": "cut",
+                    "seconds": 10.0,
+                    "troubles": [
+                        {"kind": "zone_cut", "at": 3.0, "for_s": 4.0, "zone": "b"}
+                    ],
+                }
+            ],
+        }
+    )
+
+
+def make_world(context, day, seed, without=""):
+    return world.World(
+        declared=context.declared,
+        day=context.declared.day(day),
+        seed=seed,
+        used=mechanisms.without(without),
+    )
+
+
+@behave.when(
+    "its day is played in which the second zone is cut off for {seconds:d} seconds"
+)
+def when_cut(context, seconds):
+    context.world = make_world(context, "cut", 1, "sending_away")
+    for each in context.world.upstreams_by_id.values():
+        each.zone = "a"
+    context.world.play()
+
+
+@behave.then("only callers of the second zone are refused, and in those seconds alone")
+def then_only_second(context):
+    lost = [each for each in context.world.callers if each.earned < 1.0]
+    assert {each.zone for each in lost} == {"b"}, lost
+    moments = [each.sent_at - world.LEAD_S for each in lost]
+    # One that is cut off while its answer is on the way began a little before; a
+    # probe finds out within half a second that the way is free again.
+    assert min(moments) > 2.9 and max(moments) < 7.6, (min(moments), max(moments))
+    during = [
+        each
+        for each in context.world.callers
+        if each.zone == "b" and 3.0 < each.sent_at - world.LEAD_S < 6.9
+    ]
+    assert all(each.earned < 1.0 for each in during)
+
+
+@behave.when("its {day} day is played twice with seed {seed:d}")
+def when_twice(context, day, seed):
+    context.day = context.declared.day(day)
+    context.results = [make_world(context, day, seed).play() for _ in range(2)]
+
+
+@behave.then("both results are the same bytes")
+def then_same(context):
+    first, second = map(msgspec.json.encode, context.results)
+    assert first == second
+
+
+@behave.when("its {day} day is played with and without {mechanism}")
+def when_with_and_without(context, day, mechanism):
+    context.worlds = [make_world(context, day, 1, name) for name in ("", mechanism)]
+    for each in context.worlds:
+        each.play()
+
+
+@behave.then("the callers' kinds, zones and moments are the same")
+def then_same_callers(context):
+    first, second = (
+        [(each.kind.name, each.zone, each.sent_at) for each in played.callers]
+        for played in context.worlds
+    )
+    assert first == second
+
+
+@behave.given("a wrong router that {wrong}")
+def given_wrong(context, wrong):
+    context.patches = [
+        mock.patch.object(*patched) for patched in WRONG_BY_TEXT[wrong]()
+    ]
+
+
+def no_budget():
+    return [(extra.ExtraAttempts, "spend", lambda *_, **__: True)]
+
+
+def no_attempts():
+    return [(router.Router, "_on_arrived", sending_more("/sweep/"))]
+
+
+def no_idempotence():
+    return [(router.Router, "_on_arrived", sending_more("/order/"))]
+
+
+def sending_more(prefix):
+    """Return a router's step that sends requests of one kind to two more."""
+    original = router.Router._on_arrived
+
+    def on_arrived(self, arrived, actions):
+        original(self, arrived, actions)
+        if not arrived.path.startswith(prefix):
+            return
+        for send in [each for each in actions if isinstance(each, events.Send)]:
+            service = send.upstream_id.rpartition("-")[0]
+            for number in range(2):
+                other = f"{service}-u{number}"
+                actions.append(
+                    dataclasses.replace(
+                        send,
+                        attempt=send.attempt * 10 + 10**9 + number,
+                        upstream_id=other,
+                        address=other,
+                    )
+                )
+
+    return on_arrived
+
+
+def false_coverage():
+    original = host.Host._carry_out
+
+    def carry_out(self, action):
+        if isinstance(action, events.AnswerParts):
+            action = events.AnswerParts(
+                number=action.number,
+                attempts=action.attempts,
+                missing=action.missing + 1,
+                top_records=action.top_records,
+            )
+        original(self, action)
+
+    return [(host.Host, "_carry_out", carry_out)]
+
+
+def twice():
+    original = host.Host._carry_out
+
+    def carry_out(self, action):
+        original(self, action)
+        if isinstance(action, events.AnswerParts):
+            original(self, action)
+
+    return [(host.Host, "_carry_out", carry_out)]
+
+
+WRONG_BY_TEXT = {
+    "keeps no budget": no_budget,
+    "sends to all upstreams": no_attempts,
+    "sends orders to all upstreams": no_idempotence,
+    "tells a false coverage": false_coverage,
+    "answers twice": twice,
+}
+
+
+@behave.when("its {day} day is played with seed {seed:d}")
+def when_played(context, day, seed):
+    for patch in context.patches:
+        patch.start()
+    try:
+        context.result = make_world(context, day, seed).play()
+        context.error = None
+    except checks.PromiseBrokenError as error:
+        context.error = error
+    finally:
+        for patch in context.patches:
+            patch.stop()
+
+
+@behave.then("the run ends and tells {promise} and the seed")
+def then_told(context, promise):
+    assert context.error is not None, "nothing was noticed"
+    assert promise in context.error.detail, context.error.detail
+    assert "seed 1" in context.error.detail, context.error.detail
+
+
+@behave.given(
+    "an environment with an unknown field, an impossible share and an unknown zone"
+)
+def given_mistakes(context):
+    text = (environment.SHIPPED / "small.toml").read_text()
+    text = text.replace("way_ms = 1.0\n", "way_ms = 1.0\ncolour = 3\n", 1)
+    text = text.replace("least_coverage = 0.8", "least_coverage = 8.0")
+    context.declared_text = text.replace("c = 10.0", "x = 10.0")
+
+
+@behave.then("reading it tells all three with their places")
+def then_all_three(context):
+    seen = []
+    for text in (
+        context.declared_text,
+        context.declared_text.replace("colour = 3", ""),
+    ):
+        try:
+            environment.read(tomllib.loads(text))
+        except environment.EnvironmentError as error:
+            seen += error.mistakes
+    told = "\n".join(seen)
+    assert "environment.colour: unknown field" in told, told
+    assert "kinds[0].least_coverage: expected a share up to 1" in told, told
+    assert "per_s_by_zone.x: unknown zone" in told, told
+
+
+@behave.then("callers got more than {share:g} of their worth")
+def then_earned(context, share):
+    assert context.error is None, context.error
+    assert context.result.earned > share, context.result.earned
+
+
+@behave.when("its {day} day is played with 2 seeds with and without {mechanism}")
+def when_paired(context, day, mechanism):
+    earned = {
+        name: [make_world(context, day, seed, name).play().earned for seed in (1, 2)]
+        for name in ("", mechanism)
+    }
+    context.gains = [
+        with_it - without
+        for with_it, without in zip(earned[""], earned[mechanism], strict=True)
+    ]
+
+
+@behave.then("callers got at least {gain:g} more of their worth with it")
+def then_gain(context, gain):
+    assert sum(context.gains) / len(context.gains) >= gain, context.gains
+
+
+@behave.when("the experiment command {words} is given")
+def when_command(context, words):
+    context.printed = testing.CliRunner().invoke(
+        cli.greengagehaven, ["experiment", *words.split()]
+    )
+
+
+@behave.then("it prints one result of the calm day as JSON")
+def then_result(context):
+    (result,) = msgspec.json.decode(context.printed.stdout)
+    assert result["day"] == "calm" and result["callers"] > 300, result
+
+
+@behave.then("it prints one difference as JSON")
+def then_difference(context):
+    difference = msgspec.json.decode(context.printed.stdout)[0]
+    assert difference["seeds"] == 2, difference
+    assert difference["low"] <= difference["mean"] <= difference["high"], difference
+
+
+@behave.then("it fails with {code}")
+def then_fails(context, code):
+    assert context.printed.exit_code == 1, context.printed.output
+    assert code in context.printed.output, context.printed.output
+
+
+@behave.then("what it prints is an environment")
+def then_environment(context):
+    declared = environment.read(tomllib.loads(context.printed.stdout))
+    assert declared.name == "drawn-5"
+
+
+@behave.when("a page is made of each")
+def when_page(context):
+    differences = [running.compare("same", context.results, context.results)]
+    context.pages = [
+        report.render([each], differences, context.day) for each in context.results
+    ]
+
+
+@behave.then("both pages are the same, hold two plots and ask for nothing elsewhere")
+def then_pages(context):
+    first, second = context.pages
+    assert first == second
+    assert first.count("data:image/png;base64,") == 2
+    assert "http" not in first.replace("data:image", "")
--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -7,6 +7,7 @@
     control,
     daemons,
     document,
+    experiment,
     explain,
     measure,
     replay,
@@ -46,6 +47,7 @@
     document.apply,
     document.prove,
     document.promote,
+    experiment.experiment,
     explain.explain,
     zone.zone,
 ):
--- /dev/null
+++ b/src/greengagehaven/commands/experiment.py
@@ -0,0 +1,218 @@
+"""``greengagehaven experiment``: weigh a policy in simulated time."""
+
+import contextlib
+import importlib
+import pathlib
+import typing
+from collections import abc
+
+import click
+import msgspec
+
+from greengagehaven import exceptions
+from greengagehaven.coordination.routing import mechanisms
+
+SEEDS = 4
+
+
+def _experiment(module: str) -> typing.Any:
+    """Return a module of the extra, which no daemon needs."""
+    try:
+        return importlib.import_module(f"greengagehaven.experiment.{module}")
+    except ModuleNotFoundError as error:
+        raise exceptions.SettingError(
+            place="greengagehaven[experiment]",
+            value=str(error.name),
+            expected="the extra to be installed",
+        ) from error
+
+
+@click.group()
+def experiment() -> None:
+    """Weigh policies of the router in simulated time."""
+
+
+def _common(command: typing.Any) -> typing.Any:
+    for option in (
+        click.option("--json", "as_json", is_flag=True, help="Print one JSON object."),
+        click.option(
+            "--jobs",
+            type=click.IntRange(1, 64),
+            default=1,
+            show_default=True,
+            help="Cores to use.",
+        ),
+        click.option(
+            "--seeds",
+            type=click.IntRange(1, 1000),
+            default=SEEDS,
+            show_default=True,
+            help="How many, from 1 on.",
+        ),
+        click.option("--day", default="calm", show_default=True, help="Which to play."),
+    ):
+        command = option(command)
+    return command
+
+
+@experiment.command()
+@click.argument("environment")
+@_common
+@click.option("--without", default="", help="Mechanisms to leave out.")
+@click.option(
+    "--report", type=click.Path(path_type=pathlib.Path), help="Write an HTML page."
+)
+def run(
+    environment: str,
+    day: str,
+    seeds: int,
+    jobs: int,
+    as_json: bool,
+    without: str,
+    report: pathlib.Path | None,
+) -> None:
+    """Play a day of ENVIRONMENT: a file, or the name of a shipped one."""
+    results = _play(environment, day, seeds, jobs, without=without)
+    if report is not None:
+        declared = _experiment("environment").load(pathlib.Path(environment))
+        page = _experiment("report").render(results, [], declared.day(day))
+        report.write_text(page, encoding="utf-8")
+    if as_json:
+        click.echo(msgspec.json.encode(results))
+        return
+    for result in results:
+        _print_result(result)
+    first = results[0]
+    for row in (*first.kinds, *first.zones):
+        click.echo(
+            f"  {row.key:16} asked {row.asked:6} earned {row.earned:.4f} "
+            f"late {row.late} partial {row.partial} refused {row.refused} "
+            f"failed {row.failed}"
+        )
+    for loss in first.losses:
+        click.echo(
+            f"  lost by {loss.cause:14} {loss.lost:.4f} ({loss.callers} callers)"
+        )
+
+
+@experiment.command()
+@click.argument("first")
+@click.argument("second")
+@_common
+def compare(
+    first: str, second: str, day: str, seeds: int, jobs: int, as_json: bool
+) -> None:
+    """Compare two policies seed by seed.
+
+    FIRST and SECOND are ENVIRONMENT or ENVIRONMENT:MECHANISM,..., the mechanisms
+    that are left out.
+    """
+    running = _experiment("running")
+    base = _play(*_policy(first, day), seeds, jobs, without=_left_out(first))
+    other = _play(*_policy(second, day), seeds, jobs, without=_left_out(second))
+    _print_differences([running.compare(second, base, other)], as_json)
+
+
+@experiment.command()
+@click.argument("environment")
+@_common
+def ablate(environment: str, day: str, seeds: int, jobs: int, as_json: bool) -> None:
+    """Leave out each mechanism, one by one, and tell what it is worth."""
+    running = _experiment("running")
+    base = _play(environment, day, seeds, jobs)
+    differences = []
+    for name in mechanisms.NAMES:
+        other = _play(environment, day, seeds, jobs, without=name)
+        differences.append(running.compare(f"without {name}", base, other))
+    _print_differences(differences, as_json)
+
+
+@experiment.command()
+@click.argument("environment")
+@_common
+@click.option("--load", "loads", multiple=True, type=float, help="Multiples of it.")
+@click.option("--hosts", "hosts", multiple=True, type=float, help="Multiples of them.")
+def sweep(
+    environment: str,
+    day: str,
+    seeds: int,
+    jobs: int,
+    as_json: bool,
+    loads: tuple[float, ...],
+    hosts: tuple[float, ...],
+) -> None:
+    """Play a day at several loads, or with several numbers of entry hosts."""
+    told = []
+    for name, value in [*(("load", v) for v in loads), *(("hosts", v) for v in hosts)]:
+        results = _play(environment, day, seeds, jobs, **{name: value})
+        told.append({"setting": name, "value": value, "results": results})
+        if not as_json:
+            earned = sum(each.earned for each in results) / len(results)
+            tail = sum(each.tail_ms[2] for each in results) / len(results)
+            click.echo(f"{name} x {value:<6g} earned {earned:.4f} p99 {tail:.1f} ms")
+    if as_json:
+        click.echo(msgspec.json.encode(told))
+
+
+@experiment.command()
+@click.argument("seed", type=int)
+def draw(seed: int) -> None:
+    """Print an environment that is drawn by SEED."""
+    click.echo(_experiment("drawing").draw(seed), nl=False)
+
+
+def _policy(text: str, day: str) -> tuple[str, str]:
+    return text.partition(":")[0], day
+
+
+def _left_out(text: str) -> str:
+    return text.partition(":")[2]
+
+
+def _play(
+    environment: str,
+    day: str,
+    seeds: int,
+    jobs: int,
+    **changes: typing.Any,
+) -> list[typing.Any]:
+    running = _experiment("running")
+    asked = [
+        running.Play(path=environment, day=day, seed=seed, **changes)
+        for seed in range(1, seeds + 1)
+    ]
+    label = f"{environment} {day} {changes.get('without') or ''}".strip()
+    with _progress(label, len(asked)) as on_done:
+        return running.play_all(asked, jobs=jobs, on_done=on_done)
+
+
+@contextlib.contextmanager
+def _progress(label: str, count: int) -> abc.Iterator[abc.Callable[[], None]]:
+    """Show how many days are played, on a terminal only."""
+    from rich import console, progress
+
+    shown = console.Console(stderr=True)
+    with progress.Progress(console=shown, disable=not shown.is_terminal) as bar:
+        task = bar.add_task(label, total=count)
+        yield lambda: bar.advance(task)
+
+
+def _print_result(result: typing.Any) -> None:
+    p50, p95, p99 = result.tail_ms
+    click.echo(
+        f"{result.environment} {result.day} seed {result.seed}: {result.callers} "
+        f"callers, earned {result.earned:.4f}, worst windows "
+        f"{result.worst_windows:.4f}, p50 {p50} p95 {p95} p99 {p99} ms, coverage "
+        f"{result.coverage:.4f}, extra load {result.extra_load:.4f}"
+    )
+
+
+def _print_differences(differences: list[typing.Any], as_json: bool) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(differences))
+        return
+    for each in differences:
+        click.echo(
+            f"{each.label:28} earned {each.earned:.4f} difference {each.mean:+.4f} "
+            f"({each.low:+.4f} to {each.high:+.4f}, {each.seeds} seeds)"
+        )
--- /dev/null
+++ b/src/greengagehaven/experiment/outcomes.py
@@ -0,0 +1,174 @@
+"""What became of the callers of a day, and how it is summed up."""
+
+import collections
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+import numpy
+
+from greengagehaven.experiment import environment
+from greengagehaven.explain import causes
+
+WINDOW_S = 2.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Caller:
+    """One caller's request, from its first attempt to its last.
+
+    :param sent_at: when it began, in simulated seconds.
+    :param ended_at: when its last answer was there.
+    :param coverage: share of the shards that are in the answer.
+    :param refusals: how often it was refused before.
+    """
+
+    number: int
+    kind: environment.Kind
+    zone: str
+    sent_at: float
+    ended_at: float = 0.0
+    fate: causes.Fate | None = None
+    cause: causes.Cause = causes.Cause.UNKNOWN
+    coverage: float = 0.0
+    refusals: int = 0
+
+    @property
+    def earned(self) -> float:
+        """Return the share of its worth that it got."""
+        if self.fate in (causes.Fate.REFUSED, causes.Fate.FAILED, None):
+            return 0.0
+        is_late = self.ended_at - self.sent_at > self.kind.objective_ms / 1000
+        return self.coverage**2 * (self.kind.late_worth if is_late else 1.0)
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """Callers of one kind, zone or window.
+
+    :param earned: share of their worth that they got.
+    """
+
+    key: str
+    asked: int
+    earned: float
+    on_time: int
+    late: int
+    partial: int
+    refused: int
+    failed: int
+
+
+class Loss(msgspec.Struct, frozen=True, kw_only=True):
+    """Worth that was lost by one cause, as a share of all worth."""
+
+    cause: str
+    callers: int
+    lost: float
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """A day's outcome; the same seed gives the same bytes.
+
+    :param earned: share of the worth that callers got.
+    :param worst_windows: mean of the two worst windows of two seconds.
+    :param tail_ms: 50th, 95th and 99th percentile of answered sweeps' latency.
+    :param coverage: mean share of the shards in answers to sweeps.
+    :param extra_load: runs beyond one for each request and shard, as a share.
+    """
+
+    environment: str
+    day: str
+    seed: int
+    callers: int
+    earned: float
+    worst_windows: float
+    tail_ms: tuple[float, float, float]
+    coverage: float
+    extra_load: float
+    connections: int
+    kinds: tuple[Row, ...]
+    zones: tuple[Row, ...]
+    windows: tuple[Row, ...]
+    losses: tuple[Loss, ...]
+    latencies_ms: tuple[float, ...] = ()
+
+
+def sum_up(callers: abc.Sequence[Caller], **facts: typing.Any) -> Result:
+    """Return the result of all callers of a day.
+
+    :param facts: the fields that are not worked out of callers.
+    """
+    windows = _rows(callers, lambda each: f"{each.sent_at // WINDOW_S * WINDOW_S:.0f}")
+    windows.sort(key=lambda row: float(row.key))
+    sweeps = [each for each in callers if each.kind.is_sweep]
+    answered = [each for each in sweeps if each.coverage > 0]
+    latencies = [1000 * (each.ended_at - each.sent_at) for each in answered]
+    tail = numpy.percentile(latencies or [0.0], (50, 95, 99))
+    worst = sorted(row.earned for row in windows)[:2] or [0.0]
+    return Result(
+        callers=len(callers),
+        earned=_round(_earned(callers)),
+        worst_windows=_round(sum(worst) / len(worst)),
+        tail_ms=tuple(round(float(each), 1) for each in tail),
+        coverage=_round(_mean([each.coverage for each in answered])),
+        kinds=tuple(_rows(callers, lambda each: each.kind.name)),
+        zones=tuple(_rows(callers, lambda each: each.zone)),
+        windows=tuple(windows),
+        losses=_losses(callers),
+        latencies_ms=tuple(round(each, 1) for each in latencies),
+        **facts,
+    )
+
+
+def _rows(
+    callers: abc.Iterable[Caller], key_of: abc.Callable[[Caller], str]
+) -> list[Row]:
+    grouped: dict[str, list[Caller]] = collections.defaultdict(list)
+    for each in callers:
+        grouped[key_of(each)].append(each)
+    return [_row(key, group) for key, group in sorted(grouped.items())]
+
+
+def _row(key: str, group: abc.Sequence[Caller]) -> Row:
+    fates = collections.Counter(each.fate for each in group)
+    return Row(
+        key=key,
+        asked=len(group),
+        earned=_round(_earned(group)),
+        on_time=fates[causes.Fate.ON_TIME],
+        late=fates[causes.Fate.LATE],
+        partial=fates[causes.Fate.PARTIAL],
+        refused=fates[causes.Fate.REFUSED],
+        failed=fates[causes.Fate.FAILED] + fates[None],
+    )
+
+
+def _losses(callers: abc.Sequence[Caller]) -> tuple[Loss, ...]:
+    owed = sum(each.kind.worth for each in callers) or 1.0
+    lost: collections.Counter[str] = collections.Counter()
+    counts: collections.Counter[str] = collections.Counter()
+    for each in callers:
+        if each.earned < 1.0:
+            lost[str(each.cause)] += (1.0 - each.earned) * each.kind.worth
+            counts[str(each.cause)] += 1
+    return tuple(
+        Loss(cause=cause, callers=counts[cause], lost=_round(loss / owed))
+        for cause, loss in sorted(lost.items(), key=lambda pair: (-pair[1], pair[0]))
+    )
+
+
+def _earned(callers: abc.Iterable[Caller]) -> float:
+    owed = earned = 0.0
+    for each in callers:
+        owed += each.kind.worth
+        earned += each.kind.worth * each.earned
+    return earned / owed if owed else 1.0
+
+
+def _mean(values: abc.Sequence[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _round(value: float) -> float:
+    return round(value, 4)
