--- a/features/roster.feature
+++ b/features/roster.feature
@@ -169,6 +169,14 @@
     When 40 upstreams start one after the other
     Then the host is told of all 40 in at most 2 replies
 
+  Scenario: A control host starts over while hosts go on asking it
+    Its disk failed for a moment, connections stay. Hosts that count in the versions of
+    its earlier run must hear at once of what it knows, not when something changes.
+
+    Given a feed whose roster has 20 upstreams
+    When a host asks on that counts in the versions of an earlier run
+    Then it is told of all 20 upstreams at once
+
   Scenario: An upstream leaves while others start
     It may stop as soon as it is told that it can. News of it that waited for the
     others would come after its end, and requests be lost on it.
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -521,3 +521,33 @@
 @behave.then("the other hosts are told")
 def then_told(context):
     assert context.is_news
+
+
+@behave.when("a host asks on that counts in the versions of an earlier run")
+def when_earlier_run(context):
+    request = watching.WatchRequest(
+        host_id="entry-1",
+        availability_zone="a",
+        is_entry=True,
+        feed="earlier",
+        held_version=500,
+        wait_ms=1500,
+    )
+
+    async def ask():
+        # A turn of the loop or two, no time that passes.
+        answer = asyncio.ensure_future(
+            context.feed.feed.handle(codec.encode_msgpack(request))
+        )
+        for _ in range(5):
+            await asyncio.sleep(0)
+        context.is_answered = answer.done()
+        return await answer
+
+    context.reply = codec.decode_msgpack(asyncio.run(ask()), watching.WatchReply)
+
+
+@behave.then("it is told of all {count:d} upstreams at once")
+def then_told_at_once(context, count):
+    assert context.is_answered
+    assert len(watching.unpack_entries(context.reply.packed_entries)) == count
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -70,7 +70,7 @@
         self._watchers_by_host: dict[str, _Watcher] = {}
         self._packed: tuple[object, bytes] = (None, b"")
         self._news = asyncio.Event()
-        self._told_version = 0
+        self._told_version = roster.version
         self._telling: asyncio.TimerHandle | None = None
         self._held = asyncio.Event()
         self._sweeper: asyncio.Task[None] | None = None
@@ -178,7 +178,9 @@
         held_crashes = request.held_crashes if is_known else 0
         self._note_watcher(request, held)
         wait = min(request.wait_ms / 1000, MAX_WAIT_S)
-        if wait > 0 and not self._has_news(request, held, held_crashes):
+        # Who counts in another run's versions has not heard of what this one knows.
+        may_wait = is_known and not self._has_news(request, held, held_crashes)
+        if wait > 0 and may_wait:
             news = self._news
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
