--- a/src/greengagehaven/coordination/routing/isolation.py
+++ b/src/greengagehaven/coordination/routing/partition.py
@@ -29,7 +29,7 @@
 """Upstreams of each other zone that are probed; one may have crashed itself."""
 
 
-class Isolation:
+class Partition:
     """Whether this host reaches nothing outside its own availability zone.
 
     :param of_fleet: the upstreams that are known.
--- a/src/greengagehaven/coordination/routing/refusals.py
+++ b/src/greengagehaven/coordination/routing/refusals.py
@@ -5,21 +5,21 @@
 """
 
 from greengagehaven import exceptions
-from greengagehaven.coordination.routing import isolation, request, returns
+from greengagehaven.coordination.routing import partition, request, returns
 
 
 class Refusals:
     """Makes the error that ends a request.
 
     :param of_returns: when the caller is to come back.
-    :param of_isolation: whether this host is cut off.
+    :param of_partition: whether this host is cut off.
     """
 
     def __init__(
-        self, *, of_returns: returns.Returns, of_isolation: isolation.Isolation
+        self, *, of_returns: returns.Returns, of_partition: partition.Partition
     ) -> None:
         self._returns = of_returns
-        self._isolation = of_isolation
+        self._partition = of_partition
 
     def failed(self, routed: request.RoutedRequest) -> exceptions.RequestError:
         """Return the error where too few shards can still answer."""
@@ -33,7 +33,7 @@
         if any(shard.sends for shard in routed.shards):
             retry_after = self._returns.at_once()
         else:
-            retry_after = self._returns.out_of_reach(self._isolation.seconds())
+            retry_after = self._returns.out_of_reach(self._partition.seconds())
         return exceptions.IncompleteError(detail, retry_after=retry_after)
 
     def late(self, routed: request.RoutedRequest) -> exceptions.RequestError:
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -23,10 +23,10 @@
     extra,
     fleet,
     hedging,
-    isolation,
     mechanisms,
     narration,
     observation,
+    partition,
     placement,
     reachability,
     refusals,
@@ -114,7 +114,7 @@
             clock=clock,
             wake_at=lambda moment: heapq.heappush(self._timers, (moment, WATCH_NUMBER)),
         )
-        self._isolation = isolation.Isolation(
+        self._partition = partition.Partition(
             of_fleet=self.fleet, zone=options.zone, clock=clock
         )
         self._observer = observation.Observer(
@@ -127,7 +127,7 @@
         )
         self._hedging = hedging.Hedging(latencies=self._latencies, used=used)
         self._refusals = refusals.Refusals(
-            of_returns=self._returns, of_isolation=self._isolation
+            of_returns=self._returns, of_partition=self._partition
         )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
@@ -156,7 +156,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Tell whether callers are better served by a host of another zone."""
-        return self._used.sending_away and self._isolation.is_cut_off
+        return self._used.sending_away and self._partition.is_cut_off
 
     def step(self, event: events.Event) -> list[events.Action]:
         """Take one event and return what is to be done, in order."""
@@ -599,7 +599,7 @@
             if number == WATCH_NUMBER:
                 if self._used.probing:
                     self._reach.look(self._attempts_by_id.values(), actions)
-                self._isolation.look(self.table, actions)
+                self._partition.look(self.table, actions)
                 self._give_up_unreachable(actions)
                 continue
             routed = self._requests_by_number.get(number)
