--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -328,7 +328,7 @@
     ):
         try:
             environment.read(tomllib.loads(text))
-        except environment.EnvironmentError as error:
+        except environment.InvalidEnvironmentError as error:
             seen += error.mistakes
     told = "\n".join(seen)
     assert "environment.colour: unknown field" in told, told
--- a/src/greengagehaven/experiment/environment.py
+++ b/src/greengagehaven/experiment/environment.py
@@ -26,7 +26,7 @@
 )
 
 
-class EnvironmentError(exceptions.GreengagehavenError):
+class InvalidEnvironmentError(exceptions.GreengagehavenError):
     """A declared environment has mistakes; all of them are told.
 
     :param mistakes: place, value and what is expected, a line each.
@@ -164,13 +164,13 @@
     def day(self, name: str) -> Day:
         """Return a day by name.
 
-        :raises EnvironmentError: there is none of that name.
+        :raises InvalidEnvironmentError: there is none of that name.
         """
         for day in self.days:
             if day.name == name:
                 return day
         known = ", ".join(day.name for day in self.days)
-        raise EnvironmentError([f"day: {name!r}, expected one of {known}"])
+        raise InvalidEnvironmentError([f"day: {name!r}, expected one of {known}"])
 
     @property
     def host_count(self) -> int:
@@ -181,7 +181,7 @@
 def load(path: pathlib.Path) -> Environment:
     """Read an environment from a file, or a shipped one by its name.
 
-    :raises EnvironmentError: with every mistake.
+    :raises InvalidEnvironmentError: with every mistake.
     """
     shipped = SHIPPED / f"{path}.toml"
     if not path.exists() and shipped.exists():
@@ -189,14 +189,14 @@
     try:
         declared = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise EnvironmentError([f"{path}: {error}"]) from error
+        raise InvalidEnvironmentError([f"{path}: {error}"]) from error
     return read(declared)
 
 
 def read(declared: abc.Mapping[str, typing.Any]) -> Environment:
     """Make an environment of what a file declares.
 
-    :raises EnvironmentError: with every mistake.
+    :raises InvalidEnvironmentError: with every mistake.
     """
     reader = _Reader()
     fields = dict(declared)
@@ -216,7 +216,7 @@
     if made is not None:
         _check(made, reader.mistakes)
     if reader.mistakes or made is None:
-        raise EnvironmentError(reader.mistakes)
+        raise InvalidEnvironmentError(reader.mistakes)
     return made
 
 
