--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -48,6 +48,7 @@
       | sends orders to all upstreams | that may run once ran twice           |
       | tells a false coverage      | a coverage that is not true            |
       | answers twice               | answered twice                         |
+      | refuses what has run        | refused as not run and had run         |
 
   Scenario: A declared environment has mistakes
     All of them are told at once, each with its place.
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -11,8 +11,14 @@
 from click import testing
 from hypothesis import strategies
 
-from greengagehaven import cli
-from greengagehaven.coordination.routing import events, extra, mechanisms, router
+from greengagehaven import cli, exceptions
+from greengagehaven.coordination.routing import (
+    events,
+    extra,
+    mechanisms,
+    refusals,
+    router,
+)
 from greengagehaven.experiment import (
     checks,
     drawing,
@@ -279,12 +285,23 @@
     return [(host.Host, "_carry_out", carry_out)]
 
 
+def false_refusal():
+    def refuse(self, routed):
+        return exceptions.IncompleteError("as if nothing had run", retry_after=0.1)
+
+    return [
+        (refusals.Refusals, "failed", refuse),
+        (refusals.Refusals, "late", refuse),
+    ]
+
+
 WRONG_BY_TEXT = {
     "keeps no budget": no_budget,
     "sends to all upstreams": no_attempts,
     "sends orders to all upstreams": no_idempotence,
     "tells a false coverage": false_coverage,
     "answers twice": twice,
+    "refuses what has run": false_refusal,
 }
 
 
--- a/src/greengagehaven/experiment/checks.py
+++ b/src/greengagehaven/experiment/checks.py
@@ -38,6 +38,7 @@
         self._declared = declared
         self._seed = seed
         self._answered: set[int] = set()
+        self._ran: set[int] = set()
         self._arrivals: collections.Counter[tuple[int, str]] = collections.Counter()
         self._runs: collections.Counter[tuple[int, str]] = collections.Counter()
         self._requests_by_service: dict[str, list[float]] = collections.defaultdict(
@@ -60,6 +61,7 @@
         self, number: int, service: str, kind: environment.Kind, now: float
     ) -> None:
         """Count a request that an upstream runs."""
+        self._ran.add(number)
         self._runs[number, service] += 1
         runs = self._runs[number, service]
         if runs > 1 and not kind.is_idempotent:
@@ -81,7 +83,7 @@
 
     def note_refusal(self, number: int, now: float) -> None:
         """Hold a refusal that says not run to what ran."""
-        if any(runs for (known, _), runs in self._runs.items() if known == number):
+        if number in self._ran:
             self._break("a request was refused as not run and had run", now)
 
     def _check_budget(self, service: str, now: float) -> None:
--- a/src/greengagehaven/experiment/randomness.py
+++ b/src/greengagehaven/experiment/randomness.py
@@ -7,7 +7,7 @@
 
 T = typing.TypeVar("T")
 
-PARTS = ("places", "arrivals", "troubles", "hosts", "callers")
+PARTS = ("places", "arrivals", "troubles", "hosts")
 
 
 def stream(seed: int, part: str, number: int = 0) -> numpy.random.Generator:
