--- a/src/greengagehaven/cli.py
+++ b/src/greengagehaven/cli.py
@@ -11,6 +11,7 @@
     explain,
     measure,
     replay,
+    soak,
     zone,
 )
 
@@ -37,6 +38,7 @@
     daemons.entry,
     daemons.standin,
     measure.measure,
+    soak.soak,
     control.control,
     control.status,
     control.history,
--- /dev/null
+++ b/src/greengagehaven/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real processes, faults from outside, promises checked."""
