--- /dev/null
+++ b/features/fakes/sweeps.py
@@ -0,0 +1,46 @@
+"""Sweeps over shards of several upstreams, played against one router."""
+
+from fakes import routing
+
+ZONES = "abc"
+SHARD_NAMES = [f"shard-{number}" for number in range(10)]
+
+
+def upstreams_of(service, count, **fields):
+    return [
+        routing.entry(f"{service}-u{number}", service, zone=ZONES[number], **fields)
+        for number in range(count)
+    ]
+
+
+def start_sweeps(
+    context,
+    shards,
+    upstreams,
+    *,
+    cold_rate=0.0,
+    has_budget=True,
+    uptime=routing.UPTIME_S,
+    **fields,
+):
+    budget = {} if has_budget else {"burst": 0.0, "ratio": 0.0}
+    context.tier = routing.RoutingTier(uptime=uptime, **budget)
+    names = SHARD_NAMES[:shards]
+    route = routing.sweep_route(names)
+    context.tier.put_table(routing.table(1, route, cold_rate=cold_rate))
+    for name in names:
+        context.tier.put(*upstreams_of(name, upstreams, **fields))
+
+
+def fail_attempt(context, place, fault, **fields):
+    send = context.tier.attempts_of(context.number)[place]
+    context.tier.fail(send, fault, **fields)
+
+
+def answer_sweep(context, seconds):
+    number = context.tier.request("/sweep/1")
+    (send,) = context.tier.attempts_of(number)
+    context.tier.pass_time(seconds)
+    context.tier.reply(send)
+    context.tier.pass_time(0.01)
+    return send.upstream_id
