--- a/features/soak.feature
+++ b/features/soak.feature
@@ -35,6 +35,7 @@
     Given the schedules of 200 seeds
     Then each is the same when it is drawn again
     And no two control hosts are struck within the time that one needs to be back
+    And no entry host is stopped, killed or paused while it stops or starts
 
   Scenario Outline: A link harms what passes
     Given a link to a service that echoes
--- a/src/greengagehaven/soak/schedule.py
+++ b/src/greengagehaven/soak/schedule.py
@@ -11,6 +11,13 @@
 MOST_GAP_S = 2.0
 QUIET_START_S = 2.0
 
+CATCH_UP_S = 6.0
+"""Seconds that a control host is left alone after it is back."""
+
+RESTART_S = 6.0
+"""Seconds that a stop in order and a start take at most; a host that is told to stop
+twice ends at once, as it should, and one that is started twice cannot bind."""
+
 
 class Kind(enum.StrEnum):
     """What a fault does; each ends after its time but the planned stop."""
@@ -41,6 +48,7 @@
     Kind.RESET_CALLERS,
     Kind.DELAY_CALLERS,
 )
+_LIFE_KINDS = (Kind.KILL_ENTRY, Kind.PAUSE_ENTRY, Kind.STOP_ENTRY)
 _CONTROL_KINDS = (Kind.KILL_CONTROL, Kind.PAUSE_CONTROL, Kind.WIPE_CONTROL)
 _PLANNED = (Kind.NEW_DOCUMENT, Kind.STOP_ENTRY, Kind.DRAIN_UPSTREAM)
 
@@ -74,13 +82,14 @@
 def draw(seed: int, *, seconds: float, entries: int, upstreams: int) -> Schedule:
     """Draw a schedule; the same arguments give the same one.
 
-    One control host at a time is down, since three bear the loss of one; all else
-    overlaps as it comes.
+    One control host at a time is down, since three bear the loss of one, and no host
+    is struck again while it stops or starts; all else overlaps as it comes.
     """
     rng = random.Random(f"{seed}/{entries}/{upstreams}")
     faults = []
     moment = QUIET_START_S
     control_free_at = 0.0
+    free_at_by_entry: dict[str, float] = {}
     kinds = [kind for kind in Kind for _ in range(2 if kind in _PLANNED else 1)]
     while moment < seconds:
         kind = rng.choice(kinds)
@@ -89,8 +98,13 @@
             if moment < control_free_at:
                 continue
             # It has to be caught up again before another one goes.
-            control_free_at = moment + for_s + 6.0
+            control_free_at = moment + for_s + CATCH_UP_S
         target = _target(kind, rng, entries, upstreams)
+        if kind in _LIFE_KINDS:
+            if moment < free_at_by_entry.get(target, 0.0):
+                moment += LEAST_GAP_S
+                continue
+            free_at_by_entry[target] = moment + for_s + RESTART_S
         faults.append(Fault(at=round(moment, 2), kind=kind, target=target, for_s=for_s))
         moment += rng.uniform(LEAST_GAP_S, MOST_GAP_S)
     return Schedule(
