--- a/features/routing.feature
+++ b/features/routing.feature
@@ -139,16 +139,14 @@
     Then the request is refused with incomplete and told when to come back
     And nothing of it was sent
 
-  Scenario: A host that has just started opens few connections
-    All hosts lost their power. Upstreams still hold their old connections, and
-    reset new ones above the cap of 26 together with the requests on them.
+  Scenario: Hosts share the connections of an upstream
+    It resets those above its cap of 26, together with the requests on them. One host
+    more than is known gets a part, as it may just have started.
 
     Given a router that has just started, with a sweep over 1 shard
+    And 9 entry hosts share them
     When a sweep arrives
-    Then its upstream may get 1 connection
-    When 7 seconds pass
-    And a sweep arrives
-    Then its upstream may get 13 connections
+    Then its upstream may get 2 connections
 
   Scenario: No shard has an upstream
     Given a router with a sweep over 4 shards of 3 upstreams each
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -11,16 +11,6 @@
 DEFAULT_CONNECTIONS = 8
 """Connections to an upstream whose service has no limits yet."""
 
-SETTLE_S = 6.0
-"""Seconds after a start in which few connections are opened; upstreams find those of
-processes that are gone idle by then."""
-
-ASSUMED_HOSTS = 8
-"""Entry hosts that share an upstream, until more are heard of."""
-
-OLD_CONNECTIONS_FACTOR = 2
-"""Part of an upstream's connections that old ones of ours may hold: half."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ColdBound:
@@ -57,10 +47,6 @@
         self._drained_zones: frozenset[str] = frozenset()
         self._limits_by_service: abc.Mapping[str, routes.ServiceLimits] = {}
         self._hosts = 1
-        # A host that has just started may not have heard of the others, and after
-        # a loss of power upstreams hold its old connections until they find them
-        # idle. With too many new ones they reset whatever is above their cap.
-        self._settles_at = clock.monotonic() + SETTLE_S
 
     def set_limits(
         self, limits_by_service: abc.Mapping[str, routes.ServiceLimits]
@@ -134,10 +120,6 @@
         limits = self._limits_by_service.get(upstream.entry.service)
         if limits is None or limits.connections <= 0:
             return DEFAULT_CONNECTIONS
-        is_settling = self._clock.monotonic() < self._settles_at
-        if is_settling and self._used.few_connections:
-            hosts = OLD_CONNECTIONS_FACTOR * (max(self._hosts, ASSUMED_HOSTS) + 1)
-            return max(1, limits.connections // hosts)
         return max(1, limits.connections // (self._hosts + 1))
 
     def is_out_of_reach(self, service: str) -> bool:
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -26,7 +26,6 @@
     :param grey: avoid an upstream that fails some of its requests.
     :param ejection: set one aside that fails several in a row.
     :param crash_checks: find out which requests crash upstreams.
-    :param few_connections: open few connections after a start.
     """
 
     hedging: bool = True
@@ -43,7 +42,6 @@
     grey: bool = True
     ejection: bool = True
     crash_checks: bool = True
-    few_connections: bool = True
 
 
 NAMES = tuple(field.name for field in dataclasses.fields(Mechanisms))
