--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -225,15 +225,13 @@
             self._loop.after(2 * way, self._refused, boot, upstream, pool, limit)
         else:
             seconds = 2 * way + upstream.service.handshake_ms / 1000
-            self._loop.after(seconds, self._opened, boot, upstream, pool, limit)
+            self._loop.after(seconds, self._opened, boot, upstream, pool)
 
     def _is_silent(self, upstream: upstreams.Upstream) -> bool:
         is_dark = upstream.state is upstreams.State.DARK
         return is_dark or self._network.is_cut(self.zone, upstream.zone)
 
-    def _opened(
-        self, boot: int, upstream: upstreams.Upstream, pool: _Pool, limit: int
-    ) -> None:
+    def _opened(self, boot: int, upstream: upstreams.Upstream, pool: _Pool) -> None:
         if boot != self._boot:
             return
         pool.opening -= 1
--- a/src/greengagehaven/explain/beliefs.py
+++ b/src/greengagehaven/explain/beliefs.py
@@ -32,7 +32,8 @@
         fields = line.fields
         match line.event:
             case "started":
-                self.__init__(zone=fields.get("zone", ""))
+                self._forget()
+                self.zone = fields.get("zone", "")
             case "configuration_in_force":
                 self.revision = fields.get("revision", "none")
                 self.drained = fields.get("drained", "")
@@ -54,6 +55,14 @@
             case "cut_off_ended":
                 self.is_cut_off = False
 
+    def _forget(self) -> None:
+        """Believe nothing, as a host does that has just started."""
+        self.revision, self.drained, self.is_cut_off = "none", "", False
+        for known in (self.lost_by_id, self.ejected_by_id):
+            known.clear()
+        for names in (self.lost_controls, self.convicted):
+            names.clear()
+
     def described(self, moment: datetime.datetime) -> list[str]:
         """Return what differs from a calm host, a line each."""
         told = [f"zone {self.zone or 'unknown'}, configuration {self.revision}"]
