--- a/src/greengagehaven/soak/fleet.py
+++ b/src/greengagehaven/soak/fleet.py
@@ -7,7 +7,6 @@
 import signal
 import socket
 import sys
-import typing
 
 from greengagehaven import exceptions
 from greengagehaven.soak import schedule
@@ -18,6 +17,12 @@
 CALL_S = 20.0
 PEER_TOKEN = "soak"  # noqa: S105
 
+FIRST_PORT = 12_000
+PORTS = 20_000
+"""Ports from 12,000 on; systems hand out those from 32,768 on by themselves."""
+
+PORTS_A_SOAK = 64
+
 
 class Fleet:
     """Control and entry hosts as processes on loopback.
@@ -189,11 +194,23 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    held: list[typing.Any] = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
+    """Return ports that nobody listens on.
+
+    They lie below those that the system hands out by itself, and begin elsewhere in
+    each process: a port that was free a moment ago is not taken by an outgoing
+    connection or another soak before its host binds it.
+    """
+    first = FIRST_PORT + os.getpid() * PORTS_A_SOAK % PORTS
+    ports: list[int] = []
+    for offset in range(PORTS):
+        port = FIRST_PORT + (first - FIRST_PORT + offset) % PORTS
+        with socket.socket() as tried:
+            tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                tried.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            break
     return ports
