--- a/src/greengagehaven/soak/fleet.py
+++ b/src/greengagehaven/soak/fleet.py
@@ -148,7 +148,7 @@
     async def wait_until_applied(self) -> None:
         """Apply the first document as soon as there is a quorum.
 
-        :raises TimeoutError: there is none in time.
+        :raises QuorumLostError: there is none in time.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + READY_S
@@ -159,7 +159,7 @@
             )
             if code == 0:
                 return
-        raise TimeoutError(f"no document came into force: {printed}")
+        raise exceptions.QuorumLostError(f"no document came into force: {printed}")
 
     def _arguments(self, host_id: str) -> list[str]:
         outer, peer = self._addresses_by_id[host_id]
