--- a/src/greengagehaven/coordination/routing/partition.py
+++ b/src/greengagehaven/coordination/routing/partition.py
@@ -15,7 +15,12 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import log
-from greengagehaven.coordination.routing import events, fleet, upstreams
+from greengagehaven.coordination.routing import (
+    events,
+    fleet,
+    reachability,
+    upstreams,
+)
 from greengagehaven.state import routes
 
 ALIVE_S = 0.5
@@ -80,6 +85,10 @@
 
     def _lacks_shards(self, table: routes.RoutingTable) -> bool:
         """Tell whether some sweep can reach too few of its shards."""
+        known = self._fleet.upstreams_by_id.values()
+        if all(upstream.is_reachable for upstream in known):
+            # Nearly always so; hundreds of routes need not be gone through for it.
+            return False
         needs = {(route.shards, route.least_parts) for route in table.routes}
         return any(
             sum(not self._fleet.is_out_of_reach(shard) for shard in shards) < least
@@ -105,12 +114,7 @@
         untried = [upstream for upstream in known if upstream.is_reachable]
         untried.sort(key=lambda upstream: upstream.heard_at, reverse=True)
         for upstream in untried[:PROBES_A_ZONE]:
-            if now >= upstream.probe_at:
-                upstream.probe_at = now + upstreams.PROBE_PERIOD_S
-                probe = events.ProbeUpstream(
-                    upstream_id=upstream.entry.id, address=upstream.entry.address
-                )
-                actions.append(probe)
+            reachability.probe(upstream, now, actions)
 
     def _set(self, is_cut_off: bool, now: float) -> None:
         if is_cut_off == self.is_cut_off:
--- a/src/greengagehaven/coordination/routing/reachability.py
+++ b/src/greengagehaven/coordination/routing/reachability.py
@@ -69,12 +69,7 @@
             if not upstream.is_reachable
         }
         for upstream in (suspects | lost).values():
-            if now >= upstream.probe_at:
-                upstream.probe_at = now + upstreams.PROBE_PERIOD_S
-                probe = events.ProbeUpstream(
-                    upstream_id=upstream.entry.id, address=upstream.entry.address
-                )
-                actions.append(probe)
+            probe(upstream, now, actions)
         if lost or attempts:
             self.watch()
 
@@ -119,3 +114,16 @@
             service=upstream.entry.service,
             zone=upstream.entry.availability_zone,
         )
+
+
+def probe(
+    upstream: upstreams.Upstream, now: float, actions: list[events.Action]
+) -> None:
+    """Ask whether an upstream can be connected to, unless that was asked lately."""
+    if now < upstream.probe_at:
+        return
+    upstream.probe_at = now + upstreams.PROBE_PERIOD_S
+    asked = events.ProbeUpstream(
+        upstream_id=upstream.entry.id, address=upstream.entry.address
+    )
+    actions.append(asked)
--- a/src/greengagehaven/soak/fleet.py
+++ b/src/greengagehaven/soak/fleet.py
@@ -187,12 +187,6 @@
         return arguments
 
 
-def split(address: str) -> tuple[str, int]:
-    """Return an ``IP:PORT`` as a pair."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _free_ports(count: int) -> list[int]:
     """Return ports that nobody listens on.
 
--- a/src/greengagehaven/soak/runner.py
+++ b/src/greengagehaven/soak/runner.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from greengagehaven import exceptions
+from greengagehaven import exceptions, settings
 from greengagehaven.protocol import upstream as messages
 from greengagehaven.soak import callers, fleet, judge, links, plants, schedule
 from greengagehaven.standin import upstream
@@ -146,7 +146,7 @@
             tally=self._tally,
         )
         address = await one.start()
-        link = links.Link(target=fleet.split(address))
+        link = links.Link(target=settings.parse_address("upstream", address))
         # The first announcement goes out in the next turn of the loop at the
         # earliest; what it says then is the way through the link.
         one.address = await link.start()
@@ -157,7 +157,7 @@
     async def _play(self) -> None:
         rewrite = plants.REWRITES_BY_PLANT.get(self._plant)
         for host_id in self._fleet.entry_ids:
-            target = fleet.split(self._fleet.address(host_id))
+            target = settings.parse_address("entry", self._fleet.address(host_id))
             link = links.Link(target=target, rewrite=rewrite, refusal=REFUSAL)
             await link.start()
             self._links_by_id[host_id] = link
