--- a/features/fakes/load.py
+++ b/features/fakes/load.py
@@ -6,17 +6,37 @@
 from greengagehaven.coordination.routing import events
 
 
+class Link:
+    """A host's own link: replies come over it one after the other.
+
+    :param size: bytes of a reply.
+    :param rate: bytes a second.
+    """
+
+    def __init__(self, *, size, rate):
+        self.size = size
+        self._seconds = size / rate
+        self._free_at = 0.0
+
+    def carry(self, moment):
+        """Return when a reply is in that reaches the link at a moment."""
+        self._free_at = max(moment, self._free_at) + self._seconds
+        return self._free_at
+
+
 class Load:
     """Requests that arrive apart, and upstreams that work on them.
 
     :param tier: the router that is played against.
     :param work_of: gives the seconds that a send takes at its upstream, ``None``
         where no reply comes.
+    :param link: that replies come over, ``None`` for one without bounds.
     """
 
-    def __init__(self, *, tier, work_of):
+    def __init__(self, *, tier, work_of, link=None):
         self.tier = tier
         self.work_of = work_of
+        self.link = link
         self.started_by_number = {}
         self.latencies = []
         self.partial = 0
@@ -26,6 +46,7 @@
         self._order = itertools.count()
         self._seen = len(tier.sent)
         self._ended = set()
+        self._carried = set()
 
     @property
     def now(self):
@@ -49,7 +70,11 @@
             self.tier.pass_time(max(0.0, moment - self.now))
             while self._due and self._due[0][0] <= self.now:
                 _, _, send = heapq.heappop(self._due)
-                self.tier.reply(send)
+                if self.link is not None and send.attempt not in self._carried:
+                    self._carried.add(send.attempt)
+                    self._expect(send, self.link.carry(self.now))
+                    continue
+                self.tier.reply(send, size=self.link.size if self.link else 0)
             self._take_sends()
             self._take_endings()
             if self.now >= end:
@@ -60,9 +85,12 @@
             self.sends.append((self.now, send))
             work = self.work_of(send, self.now)
             if work is not None:
-                heapq.heappush(self._due, (self.now + work, next(self._order), send))
+                self._expect(send, self.now + work)
         self._seen = len(self.tier.sent)
 
+    def _expect(self, send, moment):
+        heapq.heappush(self._due, (moment, next(self._order), send))
+
     def _take_endings(self):
         for number, ending in self.tier.endings_by_number.items():
             if number in self._ended or number not in self.started_by_number:
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -160,12 +160,13 @@
     def attempts_of(self, number):
         return [send for send in self.sent if send.number == number]
 
-    def reply(self, send, *, status=200, not_run=False, load=None):
+    def reply(self, send, *, status=200, not_run=False, load=None, size=0):
         outcome = events.Replied(
             status=status,
             is_success=200 <= status < 300,
             not_run=not_run,
             load=load,
+            size=size,
         )
         self.step(events.AttemptEnded(attempt=send.attempt, outcome=outcome))
 
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -59,11 +59,13 @@
 
     :param is_success: a 2xx with a signature, for this request.
     :param not_run: the upstream says that it did not run the request.
+    :param size: bytes of the reply with its head, 0 where nobody counted.
     """
 
     status: int
     is_success: bool
     not_run: bool = False
+    size: int = 0
     load: Load | None = None
 
 
--- a/src/greengagehaven/coordination/routing/narration.py
+++ b/src/greengagehaven/coordination/routing/narration.py
@@ -1,5 +1,6 @@
 """The lines that a router logs of a request, with what it knew then."""
 
+import math
 from collections import abc
 
 from greengagehaven import log
@@ -74,9 +75,17 @@
 
 
 def tell_end(
-    routed: request.RoutedRequest, outcome: str, *, took: float, detail: str
+    routed: request.RoutedRequest,
+    outcome: str,
+    *,
+    took: float,
+    lag: float,
+    detail: str,
 ) -> None:
-    """Log what became of a request."""
+    """Log what became of a request.
+
+    :param lag: seconds by which answers were last seen to leave late.
+    """
     log.info(
         "ended",
         request=routed.request_id,
@@ -90,6 +99,9 @@
         ),
         sends=sum(shard.sends for shard in routed.shards),
         took_ms=round(took * 1000),
+        due_ms=_due_ms(routed),
+        lag_ms=round(lag * 1000, 1),
+        **_arrivals(routed),
         detail=detail,
         is_urgent=outcome != "answered" or took > routed.route.objective,
     )
@@ -100,6 +112,33 @@
     return None if moment == float("-inf") else round((now - moment) * 1000)
 
 
+def _due_ms(routed: request.RoutedRequest) -> int | None:
+    """Return the ms after which an answer with enough parts leaves."""
+    left = routed.answer_by - routed.started
+    return round(left * 1000) if routed.is_sweep and left < math.inf else None
+
+
+def _arrivals(routed: request.RoutedRequest) -> dict[str, object]:
+    """Return when the parts of a sweep came, and how much they were.
+
+    They tell apart upstreams that take long, attempts that wait for a connection,
+    and parts that wait for each other on this host's link: those come evenly, in
+    ``bytes`` by the time between the first and the last.
+    """
+    parts = routed.parts
+    if not routed.is_sweep or not parts:
+        return {}
+    came = sorted(part.replied_at or routed.started for part in parts)
+    connected = [(part.started_at or part.sent_at) - part.sent_at for part in parts]
+    return {
+        "first_ms": age_ms(came[0], routed.started),
+        "half_ms": age_ms(came[len(came) // 2], routed.started),
+        "last_ms": age_ms(came[-1], routed.started),
+        "connected_ms": round(max(connected) * 1000),
+        "bytes": sum(part.size for part in parts),
+    }
+
+
 def _described(chosen: upstreams.Upstream, now: float) -> str:
     """Return an upstream with what is known of it, for the log.
 
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -12,7 +12,10 @@
     """One sending of a request to one upstream.
 
     :param is_wanted: whether the request still waits for it.
-    :param is_started: whether a byte of it may have left.
+    :param started_at: monotonic seconds at which it got its connection and a byte
+        of it may have left, ``None`` while it waits for one.
+    :param replied_at: monotonic seconds at which its reply was read.
+    :param size: bytes of that reply.
     """
 
     id: int
@@ -22,7 +25,9 @@
     sent_at: float
     usual: float
     is_wanted: bool = True
-    is_started: bool = False
+    started_at: float | None = None
+    replied_at: float | None = None
+    size: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -64,7 +69,7 @@
     @property
     def may_have_run(self) -> bool:
         """Tell whether an attempt ran, or may have."""
-        waiting = sum(not attempt.is_started for attempt in self.attempts)
+        waiting = sum(attempt.started_at is None for attempt in self.attempts)
         return self.runs > waiting
 
     @property
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -318,7 +318,7 @@
     ) -> None:
         attempt = self._attempts_by_id.get(started.attempt)
         if attempt is not None:
-            attempt.is_started = True
+            attempt.started_at = self._clock.monotonic()
 
     def _on_ended(
         self, ended: events.AttemptEnded, actions: list[events.Action]
@@ -335,6 +335,8 @@
         routed, shard = attempt.request, attempt.shard
         outcome = ended.outcome
         if isinstance(outcome, events.Replied) and outcome.is_success:
+            attempt.replied_at = self._clock.monotonic()
+            attempt.size = outcome.size
             shard.part = attempt
             self._release(shard.attempts, actions)
         else:
@@ -568,7 +570,9 @@
         took = self._clock.monotonic() - routed.started
         missing = len(routed.shards) - len(routed.parts)
         self.counts.end(routed.route.name, outcome, took, missing)
-        narration.tell_end(routed, outcome, took=took, detail=detail)
+        narration.tell_end(
+            routed, outcome, took=took, lag=self._callers.lag, detail=detail
+        )
         left = [attempt for shard in routed.shards for attempt in shard.attempts]
         self._release(left, actions)
 
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -16,11 +16,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
-    """A response that was read whole."""
+    """A response that was read whole.
+
+    :param size: bytes that came for it, with its head.
+    """
 
     status: int
     headers: http.Headers
     body: bytes
+    size: int = 0
 
 
 class Owner(typing.Protocol):
@@ -59,6 +63,7 @@
         self._head: h11.Response | None = None
         self._chunks: list[bytes] = []
         self._reply_bytes = 0
+        self._received_bytes = 0
         self._awaits_reply = False
         self._is_mute = True
 
@@ -109,6 +114,7 @@
         data += self._codec.send(h11.EndOfMessage()) or b""
         self._awaits_reply = True
         self._is_mute = True
+        self._received_bytes = 0
         self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
@@ -119,6 +125,7 @@
             # The next exchange would take these bytes for its own reply.
             self.abort("bytes that nobody asked for")
             return
+        self._received_bytes += len(data)
         try:
             self._codec.receive_data(data)
             self._read_events()
@@ -198,4 +205,9 @@
         self._chunks = []
         self._reply_bytes = 0
         headers = http.Headers.from_wire(head.headers)
-        return Reply(status=head.status_code, headers=headers, body=body)
+        return Reply(
+            status=head.status_code,
+            headers=headers,
+            body=body,
+            size=self._received_bytes,
+        )
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -162,6 +162,7 @@
             is_success=is_2xx,
             not_run=names.not_run in headers,
             load=_read_load(headers.get(names.load)),
+            size=reply.size,
         )
         return outcome, True
 
