Keep the upstreams of a service in the order of their coming

`experiment run` with one seed gave other results in each process, so two policies that were compared differed by more than their policy. Cause: the upstreams of a service stood in a set of strings, and each choice draws a number for every one of them in its order; entry hosts share that code. Jobs at a simulated upstream stood in a set too. Ruled out: random streams (numbers alone), the order of events (a counter). Three processes that hash differently gave three results before and give one now.

--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -23,6 +23,16 @@
     When its troubled day is played twice with seed 3
     Then both results are the same bytes
 
+  Scenario: The same seed gives the same bytes in every process
+    The upstreams of a service stood in a set of strings, whose order differs from
+    process to process. Each choice draws a number for every one of them in that
+    order, so the same seed placed the same requests elsewhere, and two policies that
+    were compared differed by more than their policy.
+
+    Given the environment small
+    When its troubled day is played in 3 processes that hash differently
+    Then all results are the same bytes
+
   Scenario: Two policies meet the same callers
     Given the environment small
     When its calm day is played with and without hedging
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -1,7 +1,10 @@
 """Steps about experiments in simulated time."""
 
 import dataclasses
+import os
 import pathlib
+import subprocess
+import sys
 import tomllib
 from unittest import mock
 
@@ -199,6 +202,28 @@
     assert first == second
 
 
+@behave.when("its {day} day is played in {count:d} processes that hash differently")
+def when_played_in_processes(context, day, count):
+    program = str(pathlib.Path(sys.executable).parent / "greengagehaven")
+    command = [program, "experiment", "run", "small", "--day", day]
+    command += ["--seeds", "1", "--json"]
+    context.results = [
+        subprocess.run(
+            command,
+            capture_output=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": str(number + 1)},
+        ).stdout
+        for number in range(count)
+    ]
+
+
+@behave.then("all results are the same bytes")
+def then_all_same(context):
+    assert len(context.results[0]) > 0
+    assert len(set(context.results)) == 1, context.results
+
+
 @behave.when("its {day} day is played with and without {mechanism}")
 def when_with_and_without(context, day, mechanism):
     context.worlds = [make_world(context, day, 1, name) for name in ("", mechanism)]
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -18,12 +18,15 @@
     for name in names:
         for zone in "ab":
             context.tier.put(routing.entry(f"{name}-{zone}", name, zone=zone))
-    context.still = ""
+    context.is_still, context.still = False, ""
     sent = [0]
 
     def work_of(send, now):
-        if send.upstream_id == context.still:
-            return STILL_S
+        if context.is_still and send.upstream_id.startswith("shard-0-"):
+            # The one that is asked first stands still, whichever that is.
+            context.still = context.still or send.upstream_id
+            if send.upstream_id == context.still:
+                return STILL_S
         sent[0] += 1
         return (slow if sent[0] % 10 == 0 else usual) / 1000
 
@@ -33,7 +36,7 @@
 
 @behave.when("one of its upstreams stands still")
 def when_still(context):
-    context.still = "shard-0-a"
+    context.is_still = True
     context.load.play(count=1, gap_s=STILL_S)
 
 
@@ -44,6 +47,7 @@
         for moment, send in context.load.sends
         if send.upstream_id.startswith("shard-0-")
     ][-2:]
-    (first, _), (second, hedge) = sends
-    assert hedge.upstream_id == "shard-0-b", hedge
+    (first, asked), (second, hedge) = sends
+    assert asked.number == hedge.number, sends
+    assert asked.upstream_id == context.still != hedge.upstream_id, sends
     assert least <= 1000 * (second - first) <= most, second - first
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -43,7 +43,10 @@
         self._used = used
         self._clock = clock
         self._orders_by_id: dict[str, tuple] = {}
-        self._ids_by_service: dict[str, set[str]] = {}
+        # In the order of their coming: each choice draws a number for every one of
+        # them, and a set's order differs from process to process, so that the same
+        # seed would place the same requests elsewhere.
+        self._ids_by_service: dict[str, dict[str, None]] = {}
         self._drained_zones: frozenset[str] = frozenset()
         self._limits_by_service: abc.Mapping[str, routes.ServiceLimits] = {}
         self._hosts = 1
@@ -165,13 +168,13 @@
 
     def _add(self, entry: watching.UpstreamEntry, now: float) -> None:
         self.upstreams_by_id[entry.id] = upstreams.Upstream(entry=entry, now=now)
-        self._ids_by_service.setdefault(entry.service, set()).add(entry.id)
+        self._ids_by_service.setdefault(entry.service, {})[entry.id] = None
 
     def _remove(self, upstream_id: str) -> upstreams.Upstream | None:
         upstream = self.upstreams_by_id.pop(upstream_id, None)
         if upstream is not None:
             ids = self._ids_by_service[upstream.entry.service]
-            ids.discard(upstream_id)
+            ids.pop(upstream_id, None)
             if not ids:
                 del self._ids_by_service[upstream.entry.service]
         return upstream
--- a/src/greengagehaven/experiment/upstreams.py
+++ b/src/greengagehaven/experiment/upstreams.py
@@ -64,7 +64,8 @@
         self._phase = pause_phase
         self._loop = loop
         self._draw = draw
-        self._running: set[Job] = set()
+        # In order of their start; a set's order would differ from process to process.
+        self._running: dict[Job, None] = {}
         self._waiting: collections.deque[Job] = collections.deque()
 
     @property
@@ -92,7 +93,7 @@
         job.is_cut = True
         if job in self._running:
             self.cut_runs += 1
-            self._running.discard(job)
+            self._running.pop(job, None)
             self._next()
 
     def fall(self, state: State) -> None:
@@ -123,7 +124,7 @@
             left -= until_pause
 
     def _run(self, job: Job) -> None:
-        self._running.add(job)
+        self._running[job] = None
         self.runs += 1
         work = job.work * self._speed * self.slow_factor
         end = self.end_of(self._loop.time, work)
@@ -133,7 +134,7 @@
     def _finish(self, job: Job) -> None:
         if job not in self._running:
             return
-        self._running.discard(job)
+        self._running.pop(job, None)
         self._next()
         if job.is_cut:
             return
