--- a/features/own_link.feature
+++ b/features/own_link.feature
@@ -9,3 +9,13 @@
     And upstreams that take 11 ms
     When 1 sweep is played
     Then the line of its end tells 46800 bytes between 12 and 48 ms
+
+  Scenario: A sweep's replies come to one host all at once
+    On a calm day callers got late answers, or answers that lacked parts, though every
+    upstream was quick. A sweep asks 36 shards at the same moment and their replies
+    come together; the host that asked has a slow link and half a processor, and takes
+    in one after the other.
+
+    Given the grown environment of norway
+    When its calm day is played with seed 1
+    Then callers got more than 0.95 of their worth
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -117,6 +117,11 @@
     context.patches = []
 
 
+@behave.given("the grown environment of {place:w}")
+def given_grown(context, place):
+    given_environment(context, f"{place}-grown")
+
+
 @behave.given("the environment that is drawn by {seed:d}")
 def given_drawn(context, seed):
     context.declared = environment.read(tomllib.loads(drawing.draw(seed)))
--- a/src/greengagehaven/experiment/environment.py
+++ b/src/greengagehaven/experiment/environment.py
@@ -140,6 +140,8 @@
     :param per_s_by_zone: requests a second of the zone's callers.
     :param swing: share by which the load rises and falls, each ``period_s``.
     :param keep_alive_s: after which an idle connection is closed.
+    :param reply_ms: that a host takes for each reply, one after the other: what its
+        link and its processor bear.
     """
 
     name: str
@@ -160,6 +162,7 @@
     swing: float = 0.15
     period_s: float = 11.0
     restart_s: float = 0.6
+    reply_ms: float = 0.0
 
     def day(self, name: str) -> Day:
         """Return a day by name.
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -88,6 +88,7 @@
         self._loop = loop
         self._rng = rng
         self._boot = 0
+        self._busy_until = 0.0
         self._stalled: list[events.Event] = []
         self._reset()
 
@@ -275,7 +276,14 @@
             if self._network.is_cut(self.zone, upstream.zone):
                 return
             self._loop.after(
-                way, self._replied, boot, upstream, pool, exchange, outcome
+                way,
+                self._take_in,
+                self._replied,
+                boot,
+                upstream,
+                pool,
+                exchange,
+                outcome,
             )
 
         exchange.job = upstreams.Job(work=exchange.work, on_end=ended)
@@ -291,6 +299,12 @@
             is_run = upstream.take(exchange.job)
             self._note_run(exchange.send.number, upstream.id, is_run)
 
+    def _take_in(self, then: abc.Callable[..., None], *arguments: object) -> None:
+        """Do something once this host has taken in all that came before."""
+        self._busy_until = max(self._loop.time, self._busy_until)
+        self._busy_until += self._declared.reply_ms / 1000
+        self._loop.at(self._busy_until, then, *arguments)
+
     def _replied(
         self,
         boot: int,
