--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 from collections import abc
 
@@ -15,26 +16,27 @@
 from greengagehaven import log
 from greengagehaven import rng as rngs
 
-FIRST_REPLY_S = 0.0005
-"""Seconds that this host takes for a reply, until some were measured."""
+FIRST_SHARD_S = 0.0005
+"""Seconds that this host takes for each shard it asks, until some were measured."""
 
-REPLY_WEIGHT = 0.1
+SHARD_WEIGHT = 0.1
 """Weight of each sweep for that time."""
 
 MEASURED_QUANTILE = 0.25
-"""Of the gaps between replies; a reply that waited for no other came after a longer."""
+"""Of the gaps between sends or replies; one that waited for no other came after a
+longer gap."""
 
-LEAST_MEASURED = 5
-"""Replies of a sweep; the gaps of fewer say nothing."""
+LEAST_OWN = 5
+"""Shards that this host asks itself at least: the gaps of fewer say nothing."""
 
-MOST_REPLY_S = 0.004
+MOST_GAP_S = 0.004
 """Seconds; a longer gap is an upstream's."""
 
 HOP_S = 0.002
 """Seconds that the way over another host takes."""
 
-CALL_S = 0.001
-"""Seconds that this host takes for a call to another one and its report."""
+CALL_SHARDS = 1.5
+"""Shards that this host could ask in the time of a call to another one."""
 
 LEAST_GAIN = 0.05
 """Share of the objective that must be won, or shards are asked from here."""
@@ -43,8 +45,7 @@
 """Seconds that a host that failed is not asked; one that restarts is back by then."""
 
 REPORT_S = 0.006
-"""Seconds that a shard asked by another host is hedged later: until that host has the
-call, and until its report is read here."""
+"""Seconds until another host has a call, and until its report is read here."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,7 +83,7 @@
         self._hosts: tuple[ZoneHost, ...] = ()
         self._own_place = 0
         self._helpers_by_address: dict[str, _Helper] = {}
-        self._reply = FIRST_REPLY_S
+        self._shard = FIRST_SHARD_S
 
     def set_hosts(self, hosts: abc.Iterable[ZoneHost]) -> None:
         """Take the entry hosts of the zone, this one among them or not."""
@@ -109,10 +110,18 @@
         count = self._group_count(len(services), objective)
         if count == 1:
             return [""] * len(services)
-        addresses = [self._host_of(group, count) for group in range(count)]
-        return [
-            addresses[place * count // len(services)] for place in range(len(services))
-        ]
+        own = self._own_place % count
+        left = len(services) - _own_size(len(services), count)
+        addresses = []
+        for group in range(count):
+            if group == own:
+                size, address = _own_size(len(services), count), ""
+            else:
+                place = group - (group > own)
+                size = _share(left, place, count - 1)
+                address = self._host_of(group, count)
+            addresses += [address] * size
+        return addresses
 
     def note_asked(self, address: str) -> None:
         """Count a call to a host."""
@@ -133,40 +142,39 @@
             helper.unfit_until = self._clock.monotonic() + UNFIT_S
             log.warning("helper_failed", address=address, reason=failed)
 
-    def note_arrivals(self, moments: abc.Iterable[float]) -> None:
-        """Learn how long this host takes for a reply.
+    def note_times(self, sent: abc.Iterable[float], came: abc.Iterable[float]) -> None:
+        """Learn how long this host takes for a shard.
 
-        :param moments: monotonic seconds at which replies of one sweep were read.
+        :param sent: monotonic seconds at which it sent the attempts of one sweep.
+        :param came: monotonic seconds at which their replies were read.
         """
-        came = sorted(moments)
-        if len(came) < LEAST_MEASURED:
-            return
-        gaps = sorted(later - sooner for sooner, later in zip(came, came[1:]))  # noqa: B905
-        gap = min(MOST_REPLY_S, gaps[int(MEASURED_QUANTILE * len(gaps))])
-        self._reply += REPLY_WEIGHT * (gap - self._reply)
+        gaps = [_usual_gap(sent), _usual_gap(came)]
+        if None not in gaps:
+            self._shard += SHARD_WEIGHT * (sum(filter(None, gaps)) - self._shard)
 
     @property
-    def reply_seconds(self) -> float:
-        """Return the seconds that this host takes for a reply."""
-        return self._reply
+    def shard_seconds(self) -> float:
+        """Return the seconds that this host takes for a shard."""
+        return self._shard
 
     def _group_count(self, shards: int, objective: float) -> int:
         """Return into how many groups a sweep is divided.
 
         More groups make each smaller but cost this host a call each.
         """
-        alone = shards * self._reply
+        alone = shards * self._shard
         best, least = 1, alone - LEAST_GAIN * objective
-        for count in range(2, min(len(self._hosts), shards) + 1):
-            seconds = alone / count + HOP_S + (count - 1) * CALL_S
+        for count in range(2, min(len(self._hosts), shards // LEAST_OWN) + 1):
+            own = _own_size(shards, count)
+            here = own + CALL_SHARDS * (count - 1)
+            there = math.ceil((shards - own) / (count - 1))
+            seconds = max(here, there) * self._shard + HOP_S
             if seconds < least:
                 best, least = count, seconds
         return best
 
     def _host_of(self, group: int, count: int) -> str:
         """Return the address of the host that asks a group of shards."""
-        if self._own_place % count == group:
-            return ""
         now = self._clock.monotonic()
         fit = [
             helper
@@ -178,3 +186,24 @@
         fewest = min(helper.asked for helper in fit)
         idle = [helper for helper in fit if helper.asked == fewest]
         return idle[self._rng.randrange(len(idle))].address
+
+
+def _own_size(shards: int, count: int) -> int:
+    """Return how many shards the host asks itself that makes the calls as well."""
+    calls = CALL_SHARDS * (count - 1)
+    even = (shards + calls) / count
+    return max(LEAST_OWN, round(even - calls))
+
+
+def _share(total: int, place: int, count: int) -> int:
+    """Return the size of one of ``count`` shares that differ by one at most."""
+    return total * (place + 1) // count - total * place // count
+
+
+def _usual_gap(moments: abc.Iterable[float]) -> float | None:
+    """Return the gap between moments that follow each other closely."""
+    ordered = sorted(moments)
+    if len(ordered) < LEAST_OWN:
+        return None
+    gaps = sorted(later - sooner for sooner, later in itertools.pairwise(ordered))
+    return min(MOST_GAP_S, gaps[int(MEASURED_QUANTILE * len(gaps))])
--- a/src/greengagehaven/coordination/routing/narration.py
+++ b/src/greengagehaven/coordination/routing/narration.py
@@ -43,10 +43,19 @@
 
 
 def tell_delegation(
-    routed: request.RoutedRequest, address: str, *, shards: int
+    routed: request.RoutedRequest, address: str, *, shards: int, shard_seconds: float
 ) -> None:
-    """Log that another host asks some shards."""
-    log.info("delegated", request=routed.request_id, helper=address, shards=shards)
+    """Log that another host asks some shards.
+
+    :param shard_seconds: that this host was seen to take for each.
+    """
+    log.info(
+        "delegated",
+        request=routed.request_id,
+        helper=address,
+        shards=shards,
+        shard_us=round(shard_seconds * 1_000_000),
+    )
 
 
 def tell_extra(
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -259,7 +259,12 @@
         # The others first: they begin while this host writes its own.
         for address, sends in sends_by_address.items():
             self._delegation.note_asked(address)
-            narration.tell_delegation(routed, address, shards=len(sends))
+            narration.tell_delegation(
+                routed,
+                address,
+                shards=len(sends),
+                shard_seconds=self._delegation.shard_seconds,
+            )
             actions.append(
                 events.Delegate(
                     number=routed.number,
@@ -656,10 +661,10 @@
         took = self._clock.monotonic() - routed.started
         missing = len(routed.shards) - len(routed.parts)
         self.counts.end(routed.route.name, outcome, took, missing)
-        self._delegation.note_arrivals(
-            part.replied_at
-            for part in routed.parts
-            if part.replied_at is not None and not part.via
+        own = [part for part in routed.parts if not part.via]
+        self._delegation.note_times(
+            sent=(part.started_at for part in own if part.started_at is not None),
+            came=(part.replied_at for part in own if part.replied_at is not None),
         )
         narration.tell_end(
             routed, outcome, took=took, lag=self._callers.lag, detail=detail
