--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -41,6 +41,13 @@
     When a sweep arrives
     Then this host asks all shards
 
+  Scenario: A sweep of one attempt for each shard
+    It is never hedged, so no moment says when others are to report.
+
+    Given a host in a zone of 3 with a sweep over 36 shards of one attempt each
+    When a sweep arrives
+    Then the others are to report within the objective
+
   Scenario: A hedge was sooner than the report
     The report's records were merged: without the part that came second in it, the
     answer would hold records of a part that it does not name.
--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -31,11 +31,11 @@
 
 
 @behave.given("a host in a zone of {hosts:d} with a sweep over {shards:d} shards")
-def given_host(context, hosts, shards, **budget):
+def given_host(context, hosts, shards, *, attempts=2, **budget):
     names = [f"shard-{number}" for number in range(shards)]
     context.names = names
     context.tier = routing.RoutingTier(host_id="h-0", **(budget or {"burst": 500.0}))
-    route = routing.sweep_route(names, least_coverage=0.9)
+    route = routing.sweep_route(names, least_coverage=0.9, attempts=attempts)
     context.tier.put_table(routing.table(1, route))
     for name in names:
         for zone in "ab":
@@ -50,6 +50,21 @@
     given_host(context, hosts, shards, burst=0.0, ratio=0.0)
 
 
+@behave.given(
+    "a host in a zone of {hosts:d} with a sweep over {shards:d} shards of one attempt "
+    "each"
+)
+def given_one_attempt(context, hosts, shards):
+    given_host(context, hosts, shards, attempts=1)
+
+
+@behave.then("the others are to report within the objective")
+def then_report_within(context):
+    assert context.tier.delegated
+    for delegate in context.tier.delegated:
+        assert 0 < delegate.report_after <= routing.OBJECTIVE_S, delegate
+
+
 @behave.when("a sweep arrives and the others refuse to help")
 def when_refused(context):
     arrive(context)
--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -55,20 +55,15 @@
         self._latencies = latencies
         self._used = used
 
-    def moment(self, routed: request.RoutedRequest, now: float) -> float:
-        """Return when a shard that is sent now counts as straggling.
+    def delay(self, routed: request.RoutedRequest) -> float:
+        """Return the seconds after which a shard counts as straggling.
 
-        :param now: monotonic seconds.
+        It is without end where the request may not be hedged.
         """
         route = routed.route
         may_hedge = route.is_idempotent and route.attempts > 1
         if not (may_hedge and self._used.hedging):
             return float("inf")
-        return now + self.delay(routed)
-
-    def delay(self, routed: request.RoutedRequest) -> float:
-        """Return the seconds after which a shard counts as straggling."""
-        route = routed.route
         key = observation.latency_class(route)
         delay = self._latencies.straggling_after(key)
         if delay is None:
--- a/src/greengagehaven/coordination/routing/pace.py
+++ b/src/greengagehaven/coordination/routing/pace.py
@@ -55,6 +55,8 @@
 
     def faded(self, now: float) -> float:
         """Return the slowness that is to be expected now."""
+        if self.slowness == 1.0:
+            return 1.0
         doublings = min(MOST_DOUBLINGS, max(0, self._slow_in_row - 1))
         lifetime = LIFETIME_S * 2.0**doublings
         return 1.0 + (self.slowness - 1.0) * 0.5 ** ((now - self._at) / lifetime)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -220,9 +220,10 @@
             return
         self._requests_by_number[routed.number] = routed
         chosen_by_service = {}
+        usual = self._usual(routed)
         for shard in routed.shards:
             self._extra.earn(shard.service)
-            chosen = self._choose(routed, shard)
+            chosen = self.fleet.choose(shard.service, usual)
             if chosen is None:
                 self._fail_shard(shard, "no_upstream")
             else:
@@ -251,11 +252,23 @@
         if routed.is_sweep and self._used.delegation:
             names = [shard.service for shard in pending]
             addresses = self._delegation.divide(names, routed.route.objective)
+        # Alike for all shards, and reckoned once: with many shards it would be most of
+        # what a plan takes.
+        usual, delay = self._usual(routed), self._hedging.delay(routed)
         sends_by_address: dict[str, list[events.Action]] = {}
         for shard, address in zip(pending, addresses, strict=True):
             chosen = chosen_by_service[shard.service]
             sends = sends_by_address.setdefault(address, [])
-            self._send_to(chosen, routed, shard, "primary", sends, via=address)
+            self._send_to(
+                chosen,
+                routed,
+                shard,
+                "primary",
+                sends,
+                usual=usual,
+                delay=delay,
+                via=address,
+            )
         own = sends_by_address.pop("", [])
         # The others first: they begin while this host writes its own.
         for address, sends in sends_by_address.items():
@@ -271,7 +284,7 @@
                     number=routed.number,
                     address=address,
                     sends=tuple(sends),
-                    report_after=self._hedging.delay(routed),
+                    report_after=min(delay, routed.route.objective),
                     top_records=routed.route.top_records,
                 )
             )
@@ -319,6 +332,25 @@
     def _usual(self, routed: request.RoutedRequest) -> float:
         return self._latencies.usual(observation.latency_class(routed.route))
 
+    def _send_again(
+        self,
+        chosen: upstreams.Upstream,
+        routed: request.RoutedRequest,
+        shard: request.ShardState,
+        purpose: str,
+        actions: list[events.Action],
+    ) -> None:
+        """Send an attempt beyond the first."""
+        self._send_to(
+            chosen,
+            routed,
+            shard,
+            purpose,
+            actions,
+            usual=self._usual(routed),
+            delay=self._hedging.delay(routed),
+        )
+
     def _send_to(
         self,
         chosen: upstreams.Upstream,
@@ -327,6 +359,8 @@
         purpose: str,
         actions: list[events.Action],
         *,
+        usual: float,
+        delay: float,
         via: str = "",
     ) -> None:
         now = self._clock.monotonic()
@@ -336,7 +370,7 @@
             shard=shard,
             upstream=chosen,
             sent_at=now,
-            usual=self._usual(routed),
+            usual=usual,
             via=via,
         )
         self.counts.attempts[purpose] += 1
@@ -350,10 +384,9 @@
         shard.sends += 1
         shard.arrivals += 1
         shard.runs += 1
-        shard.hedge_at = self._hedging.moment(routed, now)
+        shard.hedge_at = now + delay
         if via:
             # Its host says sooner which of its shards straggle, unless it is silent.
-            delay = self._hedging.delay(routed)
             shard.hedge_at += (hedging.MOST_DELAYS - 1) * delay + delegation.REPORT_S
         actions.append(
             events.Send(
@@ -561,7 +594,7 @@
             self.counts.extra_refused += 1
             shard.failure += "_no_budget"
             return False
-        self._send_to(chosen, routed, shard, "retry", actions)
+        self._send_again(chosen, routed, shard, "retry", actions)
         return True
 
     def _fail_shard(self, shard: request.ShardState, reason: str) -> None:
@@ -591,7 +624,7 @@
             self.counts.extra_refused += 1
             log.info("hedge_refused", request=routed.request_id, service=shard.service)
             return
-        self._send_to(chosen, routed, shard, "hedge", actions)
+        self._send_again(chosen, routed, shard, "hedge", actions)
 
     def _settle(
         self, routed: request.RoutedRequest, actions: list[events.Action]
--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -139,6 +139,8 @@
 
         It fades, or one that is avoided for it would never show that it is well.
         """
+        if not self._fault_rate:
+            return 0.0
         age = now - self._fault_rate_at
         return self._fault_rate * 0.5 ** (age / FAULT_LIFETIME_S)
 
