Pass over a host that does not report when its shards are due

Metrics tell delegations and gathers; parts that came in one report share it instead of its bytes' identity.

--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -41,6 +41,14 @@
     When a sweep arrives
     Then this host asks all shards
 
+  Scenario: A host that should help stands still
+    No reset says so, and a call's time is over only when its caller's is. Until then
+    each sweep that asks it would lack a group of its shards.
+
+    Given a host in a zone of 3 with a sweep over 36 shards
+    When a sweep arrives and a helper does not report
+    Then its shards are hedged from here, and the next sweep passes over it
+
   Scenario: A sweep of one attempt for each shard
     It is never hedged, so no moment says when others are to report.
 
--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -165,6 +165,28 @@
     assert firsts and not firsts & own
 
 
+@behave.when("a sweep arrives and a helper does not report")
+def when_no_report(context):
+    arrive(context)
+    context.silent, *others = context.delegates
+    for delegate in others:
+        report(context, delegate.sends, part())
+        context.tier.step(events.HelperEnded(address=delegate.address))
+    for send in context.tier.attempts_of(context.number):
+        context.tier.reply(send)
+    context.tier.pass_time(routing.OBJECTIVE_S)
+
+
+@behave.then("its shards are hedged from here, and the next sweep passes over it")
+def then_passed_over(context):
+    hedged = context.tier.attempts_of(context.number)
+    own = set(services_of(hedged))
+    assert set(services_of(context.silent.sends)) <= own, hedged
+    arrive(context)
+    addresses = {delegate.address for delegate in context.delegates}
+    assert context.silent.address not in addresses, addresses
+
+
 @behave.when("the sweep is answered from here")
 def when_answered(context):
     for send in context.tier.attempts_of(context.number):
@@ -394,8 +416,9 @@
     parts = [context.pair.delegating.part_of(number) for number in range(3)]
     assert [each.signature for each in parts] == ["s-0", "s-1", "s-2"], parts
     merged = bytes([1]) * RECORD_BYTES + bytes([0]) * RECORD_BYTES
-    assert parts[0].records == parts[1].records == merged, parts
-    assert parts[2].records == bytes([2]) * RECORD_BYTES
+    assert parts[0].report is parts[1].report, parts
+    assert parts[0].report.records == merged, parts
+    assert parts[2].report.records == bytes([2]) * RECORD_BYTES
     (end,) = context.pair.told.ends
     assert not end.failed and context.pair.gatherer.in_flight == 0
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -329,4 +329,5 @@
     ]
     assert 'routed_requests_total{outcome="answered",route="r-1"}' in texts[0], texts
     assert 'routed_seconds_bucket{le="+Inf",route="r-1"}' in texts[0], texts
+    assert "greengagehaven_routed_gathers" in texts[0], texts
     assert "greengagehaven_control_log_bytes" in texts[1], texts
--- a/src/greengagehaven/coordination/routing/counts.py
+++ b/src/greengagehaven/coordination/routing/counts.py
@@ -56,6 +56,7 @@
         self.attempts: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
         self.upstream_changes: collections.Counter[str] = collections.Counter()
+        self.delegations: collections.Counter[str] = collections.Counter()
         self.extra_refused = 0
         self.missing_parts = 0
         self.latencies_by_route: dict[str, Histogram] = {}
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -139,8 +139,21 @@
             return
         helper.asked = max(0, helper.asked - 1)
         if failed:
-            helper.unfit_until = self._clock.monotonic() + UNFIT_S
-            log.warning("helper_failed", address=address, reason=failed)
+            self._pass_over(helper, failed)
+
+    def note_silent(self, address: str) -> None:
+        """Take in that a host did not report in time.
+
+        One that stands still or is cut off answers nothing until a call's time is
+        over; each sweep that asks it until then would lack a group of shards.
+        """
+        helper = self._helpers_by_address.get(address)
+        if helper is not None and helper.unfit_until <= self._clock.monotonic():
+            self._pass_over(helper, "no report")
+
+    def _pass_over(self, helper: _Helper, reason: str) -> None:
+        helper.unfit_until = self._clock.monotonic() + UNFIT_S
+        log.warning("helper_failed", address=helper.address, reason=reason)
 
     def note_times(self, sent: abc.Iterable[float], came: abc.Iterable[float]) -> None:
         """Learn how long this host takes for a shard.
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -273,6 +273,7 @@
         # The others first: they begin while this host writes its own.
         for address, sends in sends_by_address.items():
             self._delegation.note_asked(address)
+            self.counts.delegations["asked"] += 1
             narration.tell_delegation(
                 routed,
                 address,
@@ -432,6 +433,7 @@
         self, ended: events.HelperEnded, actions: list[events.Action]
     ) -> None:
         self._delegation.note_ended(ended.address, failed=ended.failed)
+        self.counts.delegations["failed" if ended.failed else "reported"] += 1
 
     def _on_zone_hosts(
         self, changed: events.ZoneHostsChanged, actions: list[events.Action]
@@ -761,9 +763,20 @@
             for shard in routed.pending:
                 if shard.held is not None and shard.held_until <= now:
                     self._resume(shard.held, actions)
+                if shard.hedge_at <= now:
+                    self._note_silent_helpers(shard)
             self._hedge_due(routed, now, actions)
             self._settle(routed, actions)
 
+    def _note_silent_helpers(self, shard: request.ShardState) -> None:
+        """Note hosts that have said nothing of a shard when it is hedged by the clock.
+
+        One that reports makes it be hedged at its report.
+        """
+        for attempt in shard.attempts:
+            if attempt.via:
+                self._delegation.note_silent(attempt.via)
+
     def _hedge_due(
         self,
         routed: request.RoutedRequest,
--- a/src/greengagehaven/daemons/delegating.py
+++ b/src/greengagehaven/daemons/delegating.py
@@ -28,11 +28,11 @@
 class Part:
     """A part that another host merged with others.
 
-    :param records: the greatest records of all parts that came with it.
+    :param report: that it came in; its records are those of all its parts.
     """
 
     signature: str
-    records: bytes
+    report: gathering.Report
 
 
 class Sink(typing.Protocol):
@@ -190,7 +190,7 @@
             self._close_attempt(call, each.attempt)
             if each.signature and each.attempt in self._parts_by_attempt:
                 self._parts_by_attempt[each.attempt] = Part(
-                    signature=each.signature, records=report.records
+                    signature=each.signature, report=report
                 )
         self._sink.take_report(
             events.AttemptsReported(
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -44,6 +44,12 @@
         labelled = (
             ("attempts", "purpose", "Attempts sent", counted.attempts),
             ("attempt_failures", "reason", "Attempts failed", counted.failures),
+            (
+                "delegations",
+                "state",
+                "Calls to other hosts for a part of a sweep's shards",
+                counted.delegations,
+            ),
             (
                 "upstream_changes",
                 "change",
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -16,7 +16,7 @@
 from greengagehaven.coordination.routing import delegation, events, merging, router
 from greengagehaven.daemons import delegating, exposition, gatherer, watcher
 from greengagehaven.protocol import exchange as names_module
-from greengagehaven.protocol import watching
+from greengagehaven.protocol import gathering, watching
 from greengagehaven.state import configuration, routes
 from greengagehaven.transport import exchanges, http, http_peers, http_server
 
@@ -223,6 +223,10 @@
                 "Requests without an answer yet",
                 lambda: self._router.in_flight,
             ),
+            "routed_gathers": (
+                "Calls of other hosts that are not reported whole yet",
+                lambda: self._gatherer.in_flight,
+            ),
             "routed_revision": (
                 "Revision of the configuration in force",
                 lambda: self._revision,
@@ -404,19 +408,21 @@
     def _merged(self, answer: events.AnswerParts) -> http.Response:
         signatures: list[str] = []
         bodies: list[bytes] = []
-        merged: dict[int, bytes] = {}
+        reports: list[gathering.Report] = []
         for attempt in answer.attempts:
             part = self._delegating.part_of(attempt)
             if part is not None:
                 signatures.append(part.signature)
-                # Parts that were merged together hold the same bytes, once.
-                merged[id(part.records)] = part.records
+                # Its records stand for all parts that were merged with it.
+                if not any(part.report is report for report in reports):
+                    reports.append(part.report)
                 continue
             reply = self._replies_by_attempt[attempt].reply
             assert reply is not None
             signatures.append(reply.headers[self._names.signature])
             bodies.append(reply.body)
-        body = merging.greatest_records([*bodies, *merged.values()], answer.top_records)
+        bodies += [report.records for report in reports]
+        body = merging.greatest_records(bodies, answer.top_records)
         return http.Response(
             on_written=self._when_written(answer.due_at),
             status=200,
