--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -44,6 +44,9 @@
 UNFIT_S = 2.0
 """Seconds that a host that failed is not asked; one that restarts is back by then."""
 
+TOGETHER_S = 0.001
+"""Seconds that a late reply waits for others, so that they are reported together."""
+
 REPORT_S = 0.006
 """Seconds until another host has a call, and until its report is read here."""
 
--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -89,6 +89,17 @@
         return KEEP if routed.route.priority > URGENT_PRIORITY else 0.0
 
 
+def report_at(*, started_at: float, replied_at: float, after: float) -> float:
+    """Return when a helper reports what is in, unless all is in sooner.
+
+    :param started_at: monotonic seconds at which it sent the attempts.
+    :param replied_at: monotonic seconds at which it read the last reply to them.
+    :param after: seconds after which the asking host would hedge.
+    """
+    latest = started_at + MOST_DELAYS * after
+    return max(started_at + after, min(latest, replied_at + STILL_S))
+
+
 def factor_of(shards: int) -> float:
     """Return the multiple of the usual latency to hedge after at the latest."""
     part = (shards - FEW_SHARDS) / (MANY_SHARDS - FEW_SHARDS)
--- a/src/greengagehaven/daemons/gatherer.py
+++ b/src/greengagehaven/daemons/gatherer.py
@@ -7,7 +7,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import peers
-from greengagehaven.coordination.routing import events, hedging, merging
+from greengagehaven.coordination.routing import delegation, events, hedging, merging
 from greengagehaven.protocol import codec, gathering
 from greengagehaven.transport import exchanges
 
@@ -15,9 +15,6 @@
 REST_METHOD = "gather/rest"
 RELEASE_METHOD = "gather/release"
 
-TOGETHER_S = 0.001
-"""Seconds that a late reply waits for others, so that they are reported together."""
-
 MAX_GATHERS = 1024
 """Others are told to ask themselves beyond that; a second of work at the most."""
 
@@ -88,10 +85,10 @@
 
     async def first(self, seconds: float) -> gathering.Report:
         """Return what is in once all is, or after some time no reply comes any more."""
-        await self._wait_for_all(seconds)
-        latest = self.started_at + hedging.MOST_DELAYS * seconds
         while self._left:
-            until = min(latest, self._took_at + hedging.STILL_S)
+            until = hedging.report_at(
+                started_at=self.started_at, replied_at=self._took_at, after=seconds
+            )
             wait = until - self._clock.monotonic()
             if wait <= 0:
                 break
@@ -101,7 +98,7 @@
     async def rest(self) -> gathering.Report:
         """Return what came since the last report, once something has."""
         await self._news.wait()
-        await self._wait_for_all(TOGETHER_S)
+        await self._wait_for_all(delegation.TOGETHER_S)
         return self._report()
 
     async def _wait_for_all(self, seconds: float) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -78,7 +78,9 @@
         self._is_entry = is_entry
         self._own_address = own_address
         self._helps_at = helps_at
-        self._hosts_by_control: dict[str, tuple[watching.HostEntry, ...]] = {}
+        self._hosts_by_control: dict[
+            str, tuple[float, tuple[watching.HostEntry, ...]]
+        ] = {}
         self._told_hosts: tuple[watching.HostEntry, ...] = ()
         self._follows = follows
         self._sink = sink
@@ -179,9 +181,8 @@
             crash_version = reply.crash_version
             members = reply.members
             if reply.hosts:
-                self._hosts_by_control[address] = reply.hosts
                 hosts = reply.hosts_digest
-            self._tell_hosts()
+            self._take_hosts(address, reply.hosts)
             # The next call tells at once that this news is held; only then may
             # an upstream that wants to leave be told that it can.
             wait = WAIT_S
@@ -231,14 +232,22 @@
         if self._published.revision != before:
             self._sink.take_state(self._published.state)
 
-    def _tell_hosts(self) -> None:
+    def _take_hosts(self, address: str, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Hand on the hosts that any control host knows.
 
-        A control host that is cut off goes on naming those it last knew; asking one
-        that is gone costs one refused call.
+        A control host that is gone would go on naming those it last knew; each that is
+        gone as well costs a sweep a hedge now and then.
+
+        :param hosts: none where they are those of before.
         """
+        now = self._clock.monotonic()
+        _, known_before = self._hosts_by_control.get(address, (now, ()))
+        self._hosts_by_control[address] = now, hosts or known_before
         known = {
-            host.id: host for hosts in self._hosts_by_control.values() for host in hosts
+            host.id: host
+            for heard_at, named in self._hosts_by_control.values()
+            if now - heard_at < COUNT_LIFETIME_S
+            for host in named
         }
         hosts = tuple(known[host_id] for host_id in sorted(known))
         if hosts != self._told_hosts:
--- a/src/greengagehaven/experiment/gathering.py
+++ b/src/greengagehaven/experiment/gathering.py
@@ -5,12 +5,9 @@
 import typing
 from collections import abc
 
-from greengagehaven.coordination.routing import events, hedging
+from greengagehaven.coordination.routing import delegation, events, hedging
 from greengagehaven.experiment import events_loop
 
-TOGETHER_S = 0.001
-"""Seconds that a late reply waits for others, so that they are reported together."""
-
 
 class Asker(typing.Protocol):
     """The host whose sweep it is."""
@@ -58,11 +55,14 @@
             self._report()
         elif self._reports_late and not self._is_due:
             self._is_due = True
-            self.loop.after(TOGETHER_S, self._report)
+            self.loop.after(delegation.TOGETHER_S, self._report)
 
     def _first_report(self) -> None:
-        latest = self._sent_at + hedging.MOST_DELAYS * self.asked.report_after
-        until = min(latest, self._took_at + hedging.STILL_S)
+        until = hedging.report_at(
+            started_at=self._sent_at,
+            replied_at=self._took_at,
+            after=self.asked.report_after,
+        )
         if self.loop.time < until:
             self.loop.at(until, self._first_report)
             return
