--- /dev/null
+++ b/features/fakes/gathering.py
@@ -0,0 +1,156 @@
+"""A host that asks shards for another one, with upstreams, on loopback."""
+
+import asyncio
+import datetime
+
+from greengagehaven import clock
+from greengagehaven.coordination.routing import events
+from greengagehaven.daemons import delegating, gatherer
+from greengagehaven.protocol import exchange as names_module
+from greengagehaven.transport import exchanges, http, http_peers
+
+NAMES = names_module.HeaderNames()
+RECORD_BYTES = 16
+HEADERS = [("host", "register.example"), ("request-id", "r-1")]
+REPORT_S = 0.3
+LEFT_S = 10.0
+NO_GRACE = datetime.timedelta()
+
+
+class Upstreams:
+    """Upstreams on loopback, the last of which replies late."""
+
+    def __init__(self, count):
+        self.count = count
+        self.asked = 0
+        self.may_reply_late = asyncio.Event()
+        self.addresses = []
+        self.servers = []
+
+    async def start(self):
+        for number in range(self.count):
+            server = await asyncio.start_server(self._serve(number), "127.0.0.1", 0)
+            self.servers.append(server)
+            host, port = server.sockets[0].getsockname()[:2]
+            self.addresses.append(f"{host}:{port}")
+
+    def _serve(self, number):
+        async def serve(reader, writer):
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                self.asked += 1
+                if number == self.count - 1:
+                    await self.may_reply_late.wait()
+                body = bytes([number]) * RECORD_BYTES
+                head = (
+                    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+                    f"Signature: s-{number}\r\nContent-Length: {len(body)}\r\n\r\n"
+                )
+                writer.write(head.encode() + body)
+                await writer.drain()
+                await reader.read()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            except asyncio.CancelledError:
+                return
+            finally:
+                writer.close()
+
+        return serve
+
+    async def stop(self):
+        for server in self.servers:
+            server.close()
+
+
+class Reports:
+    """Keeps what is told of delegated attempts."""
+
+    def __init__(self):
+        self.reports = []
+        self.ends = []
+        self.reported = asyncio.Event()
+        self.over = asyncio.Event()
+
+    def take_started(self, attempt):
+        pass
+
+    def take_report(self, report):
+        self.reports.append({each.attempt: each.outcome for each in report.ended})
+        self.reported.set()
+
+    def take_helper_end(self, ended):
+        self.ends.append(ended)
+        self.over.set()
+
+
+class Pair:
+    """A host that asks and one that gathers, with upstreams."""
+
+    async def start(self, count):
+        self.clock = clock.SystemClock()
+        self.upstreams = Upstreams(count)
+        await self.upstreams.start()
+        self.channel = exchanges.ExchangeChannel(names=NAMES, clock=self.clock)
+        self.gatherer = gatherer.Gatherer(channel=self.channel, clock=self.clock)
+        self.server = http_peers.HttpPeerServer(
+            handlers_by_method=self.gatherer.handlers_by_method, clock=self.clock
+        )
+        self.address = await self.server.start("127.0.0.1", 0)
+        self.client = http_peers.HttpPeerClient(clock=self.clock)
+        self.told = Reports()
+        self.delegating = delegating.Delegating(
+            host_id="h-0", channel=self.client, sink=self.told, clock=self.clock
+        )
+
+    def ask(self, *, left_s=LEFT_S):
+        delegate = events.Delegate(
+            number=1,
+            address=self.address,
+            sends=tuple(
+                events.Send(
+                    attempt=number,
+                    number=1,
+                    upstream_id=f"u-{number}",
+                    address=address,
+                    time_left=left_s,
+                    connections=1,
+                )
+                for number, address in enumerate(self.upstreams.addresses)
+            ),
+            report_after=REPORT_S,
+            top_records=2,
+        )
+        request = http.Request(
+            method="GET",
+            target="/sweep/1",
+            path="/sweep/1",
+            parameters={},
+            headers=http.Headers(),
+            body=b"",
+            peer="",
+        )
+        self.delegating.start(delegate, request, request_id="r-1", headers=HEADERS)
+
+    async def stop(self):
+        await self.delegating.close()
+        await self.client.close()
+        await self.server.stop(NO_GRACE)
+        await self.channel.close()
+        await self.upstreams.stop()
+
+
+NO_GRACE = datetime.timedelta()
+
+
+def play(count, story):
+    async def run():
+        pair = Pair()
+        await pair.start(count)
+        try:
+            await story(pair)
+        finally:
+            await pair.stop()
+        return pair
+
+    return asyncio.run(run())
