--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 import heapq
-import itertools
 import typing
 from collections import abc
 
@@ -33,6 +32,7 @@
     refusals,
     request,
     returns,
+    sending,
     upstreams,
     weights,
 )
@@ -106,8 +106,6 @@
         self._crashes = crashes.Crashes(clock=clock, counted=self.counts, used=used)
         self._latencies = latency.LatencyBook(quantile=HEDGE_QUANTILE)
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
-        self._attempts_by_id: dict[int, request.Attempt] = {}
-        self._attempt_ids = itertools.count(1)
         self._timers: list[tuple[float, int]] = []
         self._weights = weights.Weights(rng=rng)
         self._returns = returns.Returns(rng=rng)
@@ -132,6 +130,17 @@
         self._delegation = delegation.Delegation(
             host_id=options.host_id, clock=clock, rng=rng
         )
+        self._sending = sending.Sending(
+            of_fleet=self.fleet,
+            of_hedging=self._hedging,
+            of_delegation=self._delegation,
+            latencies=self._latencies,
+            reach=self._reach,
+            counted=self.counts,
+            used=used,
+            clock=clock,
+        )
+        self._attempts_by_id = self._sending.attempts_by_id
         self._refusals = refusals.Refusals(
             of_returns=self._returns, of_partition=self._partition
         )
@@ -220,7 +229,7 @@
             return
         self._requests_by_number[routed.number] = routed
         chosen_by_service = {}
-        usual = self._usual(routed)
+        usual = self._sending.usual(routed)
         for shard in routed.shards:
             self._extra.earn(shard.service)
             chosen = self.fleet.choose(shard.service, usual)
@@ -237,60 +246,9 @@
         # Where too many shards have no upstream nothing is sent: what the others
         # run would be thrown away, and the caller be told that it may have run.
         if routed.can_be_complete_enough or not self._used.early_refusal:
-            self._send_first(routed, chosen_by_service, actions)
+            self._sending.first(routed, chosen_by_service, actions)
         self._settle(routed, actions)
 
-    def _send_first(
-        self,
-        routed: request.RoutedRequest,
-        chosen_by_service: dict[str, upstreams.Upstream],
-        actions: list[events.Action],
-    ) -> None:
-        """Send the first attempt of each shard, from here or over other hosts."""
-        pending = routed.pending
-        addresses = [""] * len(pending)
-        if routed.is_sweep and self._used.delegation:
-            names = [shard.service for shard in pending]
-            addresses = self._delegation.divide(names, routed.route.objective)
-        # Alike for all shards, and reckoned once: with many shards it would be most of
-        # what a plan takes.
-        usual, delay = self._usual(routed), self._hedging.delay(routed)
-        sends_by_address: dict[str, list[events.Action]] = {}
-        for shard, address in zip(pending, addresses, strict=True):
-            chosen = chosen_by_service[shard.service]
-            sends = sends_by_address.setdefault(address, [])
-            self._send_to(
-                chosen,
-                routed,
-                shard,
-                "primary",
-                sends,
-                usual=usual,
-                delay=delay,
-                via=address,
-            )
-        own = sends_by_address.pop("", [])
-        # The others first: they begin while this host writes its own.
-        for address, sends in sends_by_address.items():
-            self._delegation.note_asked(address)
-            self.counts.delegations["asked"] += 1
-            narration.tell_delegation(
-                routed,
-                address,
-                shards=len(sends),
-                shard_seconds=self._delegation.shard_seconds,
-            )
-            actions.append(
-                events.Delegate(
-                    number=routed.number,
-                    address=address,
-                    sends=tuple(sends),
-                    report_after=min(delay, routed.route.objective),
-                    top_records=routed.route.top_records,
-                )
-            )
-        actions.extend(own)
-
     def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
         if self.table is None:
             raise exceptions.NotConfiguredError(
@@ -327,79 +285,9 @@
         self, routed: request.RoutedRequest, shard: request.ShardState
     ) -> upstreams.Upstream | None:
         """Return an upstream that has not had this request yet."""
-        usual = self._usual(routed)
+        usual = self._sending.usual(routed)
         return self.fleet.choose(shard.service, usual, tried=shard.tried)
 
-    def _usual(self, routed: request.RoutedRequest) -> float:
-        return self._latencies.usual(observation.latency_class(routed.route))
-
-    def _send_again(
-        self,
-        chosen: upstreams.Upstream,
-        routed: request.RoutedRequest,
-        shard: request.ShardState,
-        purpose: str,
-        actions: list[events.Action],
-    ) -> None:
-        """Send an attempt beyond the first."""
-        self._send_to(
-            chosen,
-            routed,
-            shard,
-            purpose,
-            actions,
-            usual=self._usual(routed),
-            delay=self._hedging.delay(routed),
-        )
-
-    def _send_to(
-        self,
-        chosen: upstreams.Upstream,
-        routed: request.RoutedRequest,
-        shard: request.ShardState,
-        purpose: str,
-        actions: list[events.Action],
-        *,
-        usual: float,
-        delay: float,
-        via: str = "",
-    ) -> None:
-        now = self._clock.monotonic()
-        attempt = request.Attempt(
-            id=next(self._attempt_ids),
-            request=routed,
-            shard=shard,
-            upstream=chosen,
-            sent_at=now,
-            usual=usual,
-            via=via,
-        )
-        self.counts.attempts[purpose] += 1
-        if purpose != "primary":
-            narration.tell_extra(purpose, routed, shard, chosen, now)
-        self._reach.watch()
-        chosen.note_sent(attempt.id, now)
-        self._attempts_by_id[attempt.id] = attempt
-        shard.attempts.append(attempt)
-        shard.tried.add(chosen.entry.id)
-        shard.sends += 1
-        shard.arrivals += 1
-        shard.runs += 1
-        shard.hedge_at = now + delay
-        if via:
-            # Its host says sooner which of its shards straggle, unless it is silent.
-            shard.hedge_at += (hedging.MOST_DELAYS - 1) * delay + delegation.REPORT_S
-        actions.append(
-            events.Send(
-                attempt=attempt.id,
-                number=routed.number,
-                upstream_id=chosen.entry.id,
-                address=chosen.entry.address,
-                time_left=routed.deadline - now,
-                connections=self.fleet.connections(chosen),
-            )
-        )
-
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
@@ -596,7 +484,7 @@
             self.counts.extra_refused += 1
             shard.failure += "_no_budget"
             return False
-        self._send_again(chosen, routed, shard, "retry", actions)
+        self._sending.again(chosen, routed, shard, "retry", actions)
         return True
 
     def _fail_shard(self, shard: request.ShardState, reason: str) -> None:
@@ -618,7 +506,7 @@
         chosen = self._choose(routed, shard)
         if chosen is None:
             return
-        expected = self.fleet.expected(chosen, self._usual(routed))
+        expected = self.fleet.expected(chosen, self._sending.usual(routed))
         if now + expected >= routed.deadline:
             return
         keep = self._hedging.keep(routed)
@@ -626,7 +514,7 @@
             self.counts.extra_refused += 1
             log.info("hedge_refused", request=routed.request_id, service=shard.service)
             return
-        self._send_again(chosen, routed, shard, "hedge", actions)
+        self._sending.again(chosen, routed, shard, "hedge", actions)
 
     def _settle(
         self, routed: request.RoutedRequest, actions: list[events.Action]
