--- a/features/fakes/gathering.py
+++ b/features/fakes/gathering.py
@@ -94,8 +94,13 @@
         self.channel = exchanges.ExchangeChannel(names=NAMES, clock=self.clock)
         self.gatherer = gatherer.Gatherer(channel=self.channel, clock=self.clock)
         self.server = http_peers.HttpPeerServer(
-            handlers_by_method=self.gatherer.handlers_by_method, clock=self.clock
+            handlers_by_method={
+                **self.gatherer.handlers_by_method,
+                gatherer.RELEASE_METHOD: self._release,
+            },
+            clock=self.clock,
         )
+        self.released = asyncio.Event()
         self.address = await self.server.start("127.0.0.1", 0)
         self.client = http_peers.HttpPeerClient(clock=self.clock)
         self.told = Reports()
@@ -132,6 +137,11 @@
         )
         self.delegating.start(delegate, request, request_id="r-1", headers=HEADERS)
 
+    async def _release(self, body):
+        answer = await self.gatherer.handle_release(body)
+        self.released.set()
+        return answer
+
     async def stop(self):
         await self.delegating.close()
         await self.client.close()
--- a/features/steps/gathering_steps.py
+++ b/features/steps/gathering_steps.py
@@ -47,8 +47,7 @@
         pair.ask()
         await pair.told.reported.wait()
         pair.delegating.release([2])
-        while not pair.gatherer.released_count:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
+        await pair.released.wait()
         pair.upstreams.may_reply_late.set()
         await pair.told.over.wait()
 
--- a/src/greengagehaven/daemons/gatherer.py
+++ b/src/greengagehaven/daemons/gatherer.py
@@ -191,11 +191,6 @@
         """Return how many calls have attempts that were not reported."""
         return len(self._gathers_by_key)
 
-    @property
-    def released_count(self) -> int:
-        """Return how many attempts of these calls nobody waits for."""
-        return sum(len(gather.released) for gather in self._gathers_by_key.values())
-
     async def handle_gather(self, body: bytes) -> bytes:
         """Send the attempts and answer with what is in after a while.
 
