Name an entry host of the zone by one type; choose a request's headers once

The name and address of an entry host stood in two types, one for news and one for the decision, and were copied from the first to the second. The headers that go on to upstreams are alike for all shards and were chosen anew for each send. The simulated host released an attempt by a method that only called another.

--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -7,7 +7,7 @@
 
 from fakes import routing
 from greengagehaven import clock
-from greengagehaven.coordination.routing import delegation, events
+from greengagehaven.coordination.routing import events
 from greengagehaven.daemons import publisher, roster_feed
 from greengagehaven.protocol import codec, watching
 from greengagehaven.state import published, roster
@@ -15,7 +15,7 @@
 
 def other_hosts(count):
     return tuple(
-        delegation.ZoneHost(id=f"h-{number}", address=f"h-{number}:1")
+        watching.HostEntry(id=f"h-{number}", address=f"h-{number}:1")
         for number in range(count)
     )
 
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -15,6 +15,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import log
 from greengagehaven import rng as rngs
+from greengagehaven.protocol import watching
 
 FIRST_SHARD_S = 0.0005
 """Seconds that this host takes for each shard it asks, until some were measured."""
@@ -51,17 +52,6 @@
 """Seconds until another host has a call, and until its report is read here."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ZoneHost:
-    """An entry host of this zone.
-
-    :param address: where other hosts call it.
-    """
-
-    id: str
-    address: str
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Helper:
     """Another host as this one sees it."""
@@ -83,17 +73,17 @@
         self._host_id = host_id
         self._clock = clock
         self._rng = rng
-        self._hosts: tuple[ZoneHost, ...] = ()
+        self._hosts: tuple[watching.HostEntry, ...] = ()
         self._own_place = 0
         self._helpers_by_address: dict[str, _Helper] = {}
         self._shard = FIRST_SHARD_S
 
-    def set_hosts(self, hosts: abc.Iterable[ZoneHost]) -> None:
+    def set_hosts(self, hosts: abc.Iterable[watching.HostEntry]) -> None:
         """Take the entry hosts of the zone, this one among them or not."""
         others = {host.id: host for host in hosts if host.id != self._host_id}
         ids = sorted([*others, self._host_id])
         self._own_place = ids.index(self._host_id)
-        own = ZoneHost(id=self._host_id, address="")
+        own = watching.HostEntry(id=self._host_id, address="")
         self._hosts = tuple(others.get(host_id, own) for host_id in ids)
         self._helpers_by_address = {
             host.address: self._helpers_by_address.get(host.address)
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -4,7 +4,6 @@
 import enum
 
 from greengagehaven import exceptions
-from greengagehaven.coordination.routing import delegation
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
@@ -189,7 +188,7 @@
 class ZoneHostsChanged:
     """The entry hosts of this zone, in touch with control hosts."""
 
-    hosts: tuple[delegation.ZoneHost, ...]
+    hosts: tuple[watching.HostEntry, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -13,7 +13,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
 from greengagehaven import settings as checks
-from greengagehaven.coordination.routing import delegation, events, merging, router
+from greengagehaven.coordination.routing import events, merging, router
 from greengagehaven.daemons import delegating, exposition, gatherer, watcher
 from greengagehaven.protocol import exchange as names_module
 from greengagehaven.protocol import gathering, watching
@@ -99,6 +99,7 @@
         )
         self._numbers = itertools.count(1)
         self._requests_by_number: dict[int, http.Request] = {}
+        self._headers_by_number: dict[int, list[tuple[str, str]]] = {}
         self._futures_by_number: dict[int, asyncio.Future[http.Response]] = {}
         self._replies_by_attempt: dict[int, exchanges.Exchange] = {}
         self._attempts_by_number: dict[int, list[int]] = {}
@@ -200,10 +201,7 @@
     def take_zone_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take the entry hosts of this zone."""
         log.info("zone_hosts", count=len(hosts))
-        named = (
-            delegation.ZoneHost(id=host.id, address=host.address) for host in hosts
-        )
-        self._submit(events.ZoneHostsChanged(hosts=tuple(named)))
+        self._submit(events.ZoneHostsChanged(hosts=hosts))
 
     def take_started(self, attempt: int) -> None:
         """Note that a byte of a delegated attempt may leave from now on."""
@@ -272,6 +270,7 @@
             raise
         finally:
             del self._requests_by_number[number]
+            self._headers_by_number.pop(number, None)
             del self._futures_by_number[number]
             for attempt in self._attempts_by_number.pop(number, ()):
                 self._replies_by_attempt.pop(attempt, None)
@@ -311,8 +310,15 @@
             case events.WakeAt(moment=moment):
                 self._arm(moment)
 
-    def _forwarded(self, request: http.Request) -> list[tuple[str, str]]:
-        """Return the headers of a request that go on to upstreams."""
+    def _forwarded(self, number: int) -> list[tuple[str, str]]:
+        """Return the headers of a request that go on to upstreams, alike for all."""
+        headers = self._headers_by_number.get(number)
+        if headers is None:
+            headers = self._choose_headers(self._requests_by_number[number])
+            self._headers_by_number[number] = headers
+        return headers
+
+    def _choose_headers(self, request: http.Request) -> list[tuple[str, str]]:
         left_out = {
             self._names.time_left,
             self._names.expected_upstream,
@@ -332,13 +338,13 @@
             delegate,
             request,
             request_id=request.headers.get(self._names.request_id) or "",
-            headers=self._forwarded(request),
+            headers=self._forwarded(delegate.number),
         )
 
     def _send(self, send: events.Send) -> None:
         request = self._requests_by_number[send.number]
-        headers = self._forwarded(request)
-        headers.append((self._names.expected_upstream, send.upstream_id))
+        expected = (self._names.expected_upstream, send.upstream_id)
+        headers = [*self._forwarded(send.number), expected]
         exchange = exchanges.Exchange(
             attempt=send.attempt,
             address=send.address,
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -7,7 +7,6 @@
 from collections import abc
 
 from greengagehaven.coordination.routing import (
-    delegation,
     events,
     fleet,
     mechanisms,
@@ -114,7 +113,7 @@
         self.is_up = True
         self.step(events.HostsCounted(count=self._declared.host_count))
         own_zone = (
-            delegation.ZoneHost(id=each.id, address=each.id)
+            watching.HostEntry(id=each.id, address=each.id)
             for each in self.hosts_by_id.values()
             if each.zone == self.zone
         )
@@ -445,15 +444,12 @@
         if helper is not None:
             other, key = helper
             way = self._network.way(self.zone, other.zone)
-            self._loop.after(way, other.release_for_other, key, may_cut)
+            self._loop.after(way, other.release_key, key, may_cut)
             return
-        self._release_key(attempt, may_cut)
+        self.release_key(attempt, may_cut)
 
-    def release_for_other(self, key: int, may_cut: bool) -> None:
-        """Note that another host waits for an attempt no more."""
-        self._release_key(key, may_cut)
-
-    def _release_key(self, key: int, may_cut: bool) -> None:
+    def release_key(self, key: int, may_cut: bool) -> None:
+        """Note that nobody waits for an attempt here, own or another host's."""
         exchange = self._exchanges.get(key)
         if exchange is None:
             return
