--- a/features/http_peers.feature
+++ b/features/http_peers.feature
@@ -4,6 +4,7 @@
     Given an HTTP peer server that echoes bodies
     When a host calls it over HTTP
     Then the HTTP call returns the body
+    And 1 call is counted with more bytes than its bodies have
 
   Scenario: A handler fails
     Given an HTTP peer server whose handler fails with quorum_lost
--- a/features/steps/http_peers_steps.py
+++ b/features/steps/http_peers_steps.py
@@ -168,3 +168,11 @@
 @behave.then("the call waited for a connection for at most {ms:d} ms")
 def then_connect_bound(context, ms):
     assert min(context.bounds) <= ms / 1000, context.bounds
+
+
+@behave.then("{count:d} call is counted with more bytes than its bodies have")
+def then_counted(context, count):
+    traffic = context.client.traffic
+    assert traffic.calls[METHOD] == count, traffic.calls
+    assert traffic.sent_bytes[METHOD] > len(BODY), traffic.sent_bytes
+    assert traffic.received_bytes[METHOD] > len(BODY), traffic.received_bytes
--- /dev/null
+++ b/features/steps/news_steps.py
@@ -0,0 +1,304 @@
+"""Steps about control hosts that tell entry hosts the news, in simulated time."""
+
+import asyncio
+import random
+
+import behave
+
+from fakes import control as control_fakes
+from fakes import routing
+from greengagehaven import exceptions
+from greengagehaven.coordination import sources
+from greengagehaven.daemons import publisher, registrar, roster_feed, watcher
+from greengagehaven.protocol import codec, watching
+from greengagehaven.state import published, roster
+
+SILENCE_S = 1000.0
+START_S = 3.0
+STEP_S = 0.05
+
+
+class ControlHost:
+    """A roster with its feed, which watches the other control hosts."""
+
+    def __init__(self, fleet, zone):
+        self.address = f"control-{zone}:1"
+        self.age = 0.0
+        self.is_deaf = False
+        self.told_entries = 0
+        self._channel = fleet.network.channel_of(self.address)
+        clock = fleet.loop.clock
+        self.roster = roster.Roster(holder=self.address, silence=SILENCE_S)
+        self.feed = roster_feed.RosterFeed(
+            roster=self.roster,
+            configuration=publisher.Publisher(
+                published=published.Published(), age=lambda: self.age, clock=clock
+            ),
+            control_addresses=lambda: tuple(fleet.addresses),
+            clock=clock,
+            zone=zone,
+        )
+        self.registrar = registrar.Registrar(feed=self.feed, least_controls=lambda: 1)
+        self.watcher = watcher.Watcher(
+            channel=self._channel,
+            host_id=self.address,
+            availability_zone=zone,
+            is_entry=False,
+            control_addresses=fleet.addresses,
+            own_address=self.address,
+            follows=False,
+            followed_sources=sources.EverySource(),
+            sink=self,
+            clock=clock,
+            rng=random.Random(zone),
+        )
+        fleet.network.handlers_by_address[self.address] = {
+            roster_feed.WATCH_METHOD: self._handle
+        }
+
+    async def _handle(self, body):
+        data = await self.feed.handle(body)
+        if codec.decode_msgpack(body, watching.WatchRequest).is_entry:
+            reply = codec.decode_msgpack(data, watching.WatchReply)
+            self.told_entries += len(reply.entries) + len(reply.packed_entries)
+        return data
+
+    def take_entries(self, entries):
+        if not self.is_deaf:
+            self.feed.merge(entries)
+
+    def take_entry_hosts(self, count):
+        """A control host counts its own watchers."""
+
+
+class EntryHost:
+    """Keeps what its watcher hands on."""
+
+    def __init__(self, fleet, zone, number):
+        host_id = f"entry-{zone}-{number}"
+        self.stages_by_id = {}
+        self.host_count = 0
+        clock = fleet.loop.clock
+        self.watcher = watcher.Watcher(
+            channel=fleet.network.channel_of(host_id),
+            host_id=host_id,
+            availability_zone=zone,
+            is_entry=True,
+            control_addresses=fleet.addresses[:2],
+            followed_sources=sources.NearestSource(zone=zone, clock=clock),
+            sink=self,
+            clock=clock,
+            rng=random.Random(number),
+        )
+
+    def take_entries(self, entries):
+        self.stages_by_id |= {entry.id: entry.stage for entry in entries}
+
+    def take_entry_hosts(self, count):
+        self.host_count = count
+
+    def take_zone_hosts(self, hosts):
+        """Nobody delegates here."""
+
+    def take_crashes(self, crashes):
+        """Nothing crashes here."""
+
+
+class Fleet:
+    """Control hosts of some zones, and entry hosts of one."""
+
+    def __init__(self, control_zones, zone, count):
+        self.loop = control_fakes.VirtualLoop()
+        self.network = control_fakes.Network()
+        self.addresses = [f"control-{name}:1" for name in control_zones]
+        self.controls_by_zone = {
+            name: ControlHost(self, name) for name in control_zones
+        }
+        self.entries = [EntryHost(self, zone, number) for number in range(count)]
+        self.loop.run_until_complete(self._start())
+
+    async def _start(self):
+        for control in self.controls_by_zone.values():
+            control.watcher.start()
+        for entry in self.entries:
+            entry.watcher.start()
+        await asyncio.sleep(START_S)
+
+    def play(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def announce(self, zone, upstream_id, *, sequence=1, stage=watching.Stage.READY):
+        said = routing.entry(
+            upstream_id, "service", zone=zone, sequence=sequence, stage=stage
+        )
+        registering = self.controls_by_zone[zone].registrar
+        return self.loop.create_task(registering.announce(said))
+
+    def wait_for(self, seconds, is_true):
+        """Play until all entry hosts know something, for so long at most."""
+        end = self.loop.time() + seconds
+        while self.loop.time() < end:
+            if all(is_true(entry) for entry in self.entries):
+                return
+            self.play(STEP_S)
+        raise AssertionError([entry.stages_by_id for entry in self.entries])
+
+    def close(self):
+        self.loop.run_until_complete(self._close())
+        self.loop.close()
+
+    async def _close(self):
+        for host in (*self.controls_by_zone.values(), *self.entries):
+            await host.watcher.close()
+
+
+@behave.given(
+    "control hosts in zones {first}, {second} and {third}, "
+    "and {count:d} entry hosts in zone {zone}"
+)
+def given_fleet(context, first, second, third, count, zone):
+    context.fleet = Fleet((first, second, third), zone, count)
+    context.add_cleanup(context.fleet.close)
+
+
+@behave.given("{count:d} upstreams announce themselves in zone {zone} over 1 second")
+def given_announced(context, count, zone):
+    announce_all(context, count, zone, 1)
+    context.fleet.play(1.0)
+
+
+@behave.when(
+    "{count:d} upstreams announce themselves in zone {zone} over {seconds:d} seconds"
+)
+def when_announced(context, count, zone, seconds):
+    announce_all(context, count, zone, seconds)
+
+
+def announce_all(context, count, zone, seconds):
+    for number in range(count):
+        context.fleet.announce(zone, f"u-{number}")
+        context.fleet.play(seconds / count)
+
+
+@behave.when("the control host of zone {zone} is cut off")
+def when_control_cut(context, zone):
+    context.fleet.network.cut_off(context.fleet.controls_by_zone[zone].address)
+
+
+@behave.when("the control host of zone {zone} loses touch with the others")
+def when_out_of_touch(context, zone):
+    control = context.fleet.controls_by_zone[zone]
+    control.age = 5.0
+    control.is_deaf = True
+
+
+@behave.when("the control host of zone {zone} hears of no upstream any more")
+def when_deaf(context, zone):
+    context.fleet.controls_by_zone[zone].is_deaf = True
+
+
+@behave.when("every control host loses touch with the others")
+def when_all_out_of_touch(context):
+    for control in context.fleet.controls_by_zone.values():
+        control.age = 5.0
+
+
+@behave.when("an upstream of zone {zone} drains")
+def when_drains(context, zone):
+    context.drained_at = context.fleet.loop.time()
+    context.draining = context.fleet.announce(
+        zone, "u-0", sequence=2, stage=watching.Stage.DRAINING
+    )
+
+
+@behave.when("the fleet runs for {seconds:d} seconds")
+def when_seconds_pass(context, seconds):
+    context.fleet.play(seconds)
+
+
+@behave.then("within {seconds:d} seconds every entry host knows {count:d} upstreams")
+def then_known(context, seconds, count):
+    context.fleet.wait_for(seconds, lambda entry: len(entry.stages_by_id) == count)
+
+
+@behave.then("within {seconds:d} seconds every entry host knows that it drains")
+def then_drains(context, seconds):
+    drains = watching.Stage.DRAINING
+    context.fleet.wait_for(
+        seconds, lambda entry: entry.stages_by_id.get("u-0") is drains
+    )
+    with_error = context.draining.done() and context.draining.exception()
+    assert not with_error or isinstance(with_error, exceptions.QuorumLostError)
+
+
+@behave.then(
+    "the control hosts of zones {first} and {second} told the entry hosts "
+    "of no upstream"
+)
+def then_told_nothing(context, first, second):
+    controls = context.fleet.controls_by_zone
+    told = {zone: controls[zone].told_entries for zone in (first, second)}
+    assert not any(told.values()), told
+
+
+@behave.then("{count:d} control host told the entry hosts of upstreams")
+def then_count_told(context, count):
+    told = [host.told_entries for host in context.fleet.controls_by_zone.values()]
+    assert sum(number > 0 for number in told) == count, told
+
+
+@behave.then("every entry host knows of {count:d} entry hosts")
+def then_hosts_counted(context, count):
+    counted = [entry.host_count for entry in context.fleet.entries]
+    assert counted == [count] * len(counted), counted
+
+
+@behave.then("it is told within {seconds:f} seconds that it may leave")
+def then_told_to_leave(context, seconds):
+    context.fleet.loop.run_until_complete(context.draining)
+    taken = context.fleet.loop.time() - context.drained_at
+    assert taken <= seconds, taken
+
+
+@behave.given("2 rosters that heard of the same {count:d} upstreams in another order")
+def given_rosters(context, count):
+    entries = [routing.entry(f"u-{number}", "s").as_news() for number in range(count)]
+    context.rosters = []
+    for order in (entries, entries[::-1]):
+        held = roster.Roster(holder="c", silence=SILENCE_S)
+        for entry in order:
+            held.merge(entry, 0.0)
+        context.rosters.append(held)
+
+
+@behave.when("the first hears a renewal of one upstream")
+def when_renewed(context):
+    held = context.rosters[0].held_by_id["u-3"].entry
+    renewal = routing.entry("u-3", "s", sequence=2).with_holder(held.holder)
+    # The roster that hears it is not the one that heard it first.
+    context.rosters[0].merge(renewal.as_renewal_of(held), 1.0)
+
+
+@behave.when("the first hears that one upstream drains")
+def when_one_drains(context):
+    context.drained = routing.entry(
+        "u-4", "s", sequence=5, stage=watching.Stage.DRAINING
+    ).as_news()
+    context.rosters[0].merge(context.drained, 2.0)
+
+
+@behave.when("the second is told so")
+def when_second_told(context):
+    context.rosters[1].merge(context.drained, 3.0)
+
+
+@behave.then("their digests are the same")
+def then_same(context):
+    first, second = context.rosters
+    assert first.digest == second.digest != 0
+
+
+@behave.then("their digests differ")
+def then_differ(context):
+    first, second = context.rosters
+    assert first.digest != second.digest
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -331,3 +331,5 @@
     assert 'routed_seconds_bucket{le="+Inf",route="r-1"}' in texts[0], texts
     assert "greengagehaven_routed_gathers" in texts[0], texts
     assert "greengagehaven_control_log_bytes" in texts[1], texts
+    received = 'peer_bytes_total{direction="received",method="roster/watch"}'
+    assert received in texts[0], texts
--- /dev/null
+++ b/src/greengagehaven/coordination/sources.py
@@ -0,0 +1,121 @@
+"""Which control host tells an entry host the news, decided without I/O.
+
+The load it answers: hundreds of entry hosts that each hear every change from every
+control host. Most of those bytes cross the border of an availability zone, and all
+but the first telling are of no use. A host therefore follows one control host, of
+its own zone where there is one, and compares digests with the others now and then.
+It follows all of them while none is known to be in touch with a majority.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven.coordination import rendezvous
+
+SETTLE_S = 1.0
+"""Seconds from the first reply during which a control host of the own zone is waited
+for; all hosts start together, and some take longer."""
+
+
+class Sources(typing.Protocol):
+    """Says which control hosts are asked for all their news."""
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the choice waits for nothing more."""
+
+    def followed(self, known: abc.Iterable[str]) -> frozenset[str]:
+        """Return those of the ``known`` addresses to ask for all their news."""
+
+    def on_reply(self, address: str, *, zone: str, in_touch: bool) -> None:
+        """Take what a control host said of itself."""
+
+    def on_failure(self, address: str) -> None:
+        """Note that a control host did not answer."""
+
+
+class EverySource:
+    """Follows every control host; for control hosts themselves."""
+
+    is_settled = True
+
+    def followed(self, known: abc.Iterable[str]) -> frozenset[str]:
+        """Return all of them."""
+        return frozenset(known)
+
+    def on_reply(self, address: str, *, zone: str, in_touch: bool) -> None:
+        """Take what a control host said of itself."""
+
+    def on_failure(self, address: str) -> None:
+        """Note that a control host did not answer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Source:
+    zone: str
+    in_touch: bool
+
+
+class NearestSource:
+    """Follows one control host that is in touch, of the own zone if there is one.
+
+    All hosts of a zone choose the same one, which then knows all of them.
+
+    :param zone: availability zone of this host.
+    :param clock: monotonic time.
+    """
+
+    def __init__(self, *, zone: str, clock: clocks.Clock) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._sources_by_address: dict[str, _Source] = {}
+        self._settled_at = float("inf")
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the choice waits for nothing more."""
+        return self._clock.monotonic() >= self._settled_at
+
+    def followed(self, known: abc.Iterable[str]) -> frozenset[str]:
+        """Return those of the ``known`` addresses to ask for all their news."""
+        in_touch = self._replying(in_touch=True)
+        near = self._near(in_touch)
+        if not near and not self.is_settled:
+            near = self._near(self._replying())
+        if near:
+            return frozenset({self._first(near)})
+        if not self.is_settled:
+            return frozenset()
+        if in_touch:
+            return frozenset({self._first(in_touch)})
+        return frozenset(known)
+
+    def on_reply(self, address: str, *, zone: str, in_touch: bool) -> None:
+        """Take what a control host said of itself."""
+        if not self._sources_by_address:
+            now = self._clock.monotonic()
+            self._settled_at = min(self._settled_at, now + SETTLE_S)
+        self._sources_by_address[address] = _Source(zone=zone, in_touch=in_touch)
+
+    def on_failure(self, address: str) -> None:
+        """Note that a control host did not answer."""
+        self._sources_by_address.pop(address, None)
+
+    def _replying(self, *, in_touch: bool = False) -> list[str]:
+        return [
+            address
+            for address, source in self._sources_by_address.items()
+            if source.in_touch or not in_touch
+        ]
+
+    def _near(self, addresses: abc.Iterable[str]) -> list[str]:
+        return [
+            address
+            for address in addresses
+            if self._sources_by_address[address].zone == self._zone
+        ]
+
+    def _first(self, addresses: abc.Sequence[str]) -> str:
+        return rendezvous.pick(self._zone, addresses)
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -5,7 +5,7 @@
 
 from greengagehaven import exceptions, log
 from greengagehaven.coordination.routing import counts
-from greengagehaven.transport import http, http_server
+from greengagehaven.transport import http, http_peers, http_server
 
 PATH = "/metrics"
 TEXT = "text/plain; version=0.0.4; charset=utf-8"
@@ -90,6 +90,45 @@
         return []
 
 
+class TrafficCollector:
+    """Families of the calls that a host makes to other hosts.
+
+    :param traffic: what its client counted.
+    """
+
+    def __init__(self, *, traffic: http_peers.Traffic) -> None:
+        self._traffic = traffic
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield every family; the library is loaded here."""
+        from prometheus_client import core
+
+        calls = core.CounterMetricFamily(
+            f"{PREFIX}_peer_calls",
+            "Calls to other hosts that were answered",
+            labels=("method",),
+        )
+        for method, count in self._traffic.calls.items():
+            calls.add_metric((method,), count)
+        yield calls
+        size = core.CounterMetricFamily(
+            f"{PREFIX}_peer_bytes",
+            "Bytes of calls to other hosts and of their answers, with heads",
+            labels=("method", "direction"),
+        )
+        for direction, counted in (
+            ("sent", self._traffic.sent_bytes),
+            ("received", self._traffic.received_bytes),
+        ):
+            for method, count in counted.items():
+                size.add_metric((method, direction), count)
+        yield size
+
+    def describe(self) -> list[typing.Any]:
+        """Return nothing, so that registering does not collect."""
+        return []
+
+
 class MetricsServer:
     """Serves the metrics of one process.
 
@@ -120,10 +159,11 @@
         return http.Response(status=200, body=body, content_type=TEXT)
 
 
-def registry_of(collector: typing.Any) -> typing.Any:
-    """Return a registry with one collector."""
+def registry_of(*collectors: typing.Any) -> typing.Any:
+    """Return a registry with these collectors."""
     import prometheus_client
 
     registry = prometheus_client.CollectorRegistry()
-    registry.register(collector)
+    for collector in collectors:
+        registry.register(collector)
     return registry
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -13,6 +13,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
 from greengagehaven import settings as checks
+from greengagehaven.coordination import sources
 from greengagehaven.coordination.routing import events, merging, router
 from greengagehaven.daemons import delegating, exposition, gatherer, watcher
 from greengagehaven.protocol import exchange as names_module
@@ -87,8 +88,10 @@
             is_entry=True,
             control_addresses=settings.control_addresses,
             helps_at=settings.peer_listen or "",
+            followed_sources=sources.NearestSource(zone=settings.zone, clock=clock),
             sink=self,
             clock=clock,
+            rng=rng,
         )
         self._gatherer = gatherer.Gatherer(channel=self._channel, clock=clock)
         self._peer_server = http_peers.HttpPeerServer(
@@ -239,7 +242,8 @@
             ),
         }
         return exposition.registry_of(
-            exposition.GatewayCollector(counted=self._router.counts, gauges=gauges)
+            exposition.GatewayCollector(counted=self._router.counts, gauges=gauges),
+            exposition.TrafficCollector(traffic=self._client.traffic),
         )
 
     async def _handle_ready(self, request: http.Request) -> http.Response:
--- a/src/greengagehaven/daemons/publisher.py
+++ b/src/greengagehaven/daemons/publisher.py
@@ -44,6 +44,11 @@
         """Return the revision of the state that is served."""
         return self._published.revision
 
+    @property
+    def age(self) -> float:
+        """Return the seconds since the state is known to be the newest."""
+        return self._age()
+
     def notify(self) -> None:
         """Wake every follower that waits, after the state moved forward."""
         news, self._news = self._news, asyncio.Event()
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -8,6 +8,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
 from greengagehaven import rng as rngs
+from greengagehaven.coordination import sources
 from greengagehaven.daemons import (
     control,
     exposition,
@@ -57,6 +58,7 @@
     ) -> None:
         self._settings = settings
         self._listen = listen
+        self._zone = zone
         self._metrics_listen = metrics_listen
         self._metrics = exposition.MetricsServer(registry=self._make_registry)
         self._doors = doors
@@ -81,8 +83,10 @@
             control_addresses=settings.peer_addresses,
             own_address=settings.peer_address,
             follows=False,
+            followed_sources=sources.EverySource(),
             sink=self,
             clock=clock,
+            rng=rng,
         )
         self._handlers_by_method: dict[str, typing.Any] = {}
         self._peer_server: http_peers.HttpPeerServer | None = None
@@ -160,7 +164,10 @@
     def _make_registry(self) -> typing.Any:
         if self._host is None:
             raise exceptions.QuorumLostError("this host is starting")
-        return exposition.registry_of(self._host.metrics)
+        return exposition.registry_of(
+            self._host.metrics,
+            exposition.TrafficCollector(traffic=self._client.traffic),
+        )
 
     async def _handle(self, request: http.Request) -> http.Response:
         handler = self._handler
@@ -207,6 +214,7 @@
             configuration=self._host.publisher,
             control_addresses=self._member_addresses,
             clock=self._clock,
+            zone=self._zone,
             keeper=self._roster_file,
         )
         self._host.on_revision = self._feed.notify
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -7,6 +7,8 @@
 import zlib
 from collections import abc
 
+import msgspec
+
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.daemons import publisher, roster_file
@@ -23,6 +25,12 @@
 FEED_ID_BYTES = 6
 MAX_PLAIN_ENTRIES = 8
 
+COMPARER_LIFETIME_S = 9.0
+"""Seconds; a watcher that only compares digests asks every three."""
+
+IN_TOUCH_S = 2.0
+"""Seconds since this host knew the newest revision of a majority."""
+
 BATCH_S = 0.15
 """Seconds that news of an upstream that comes or stays waits for more. Where all
 start together, 118 of them within 1.2 s, each would wake every watcher of every
@@ -34,14 +42,26 @@
     """A host that asks this one for news.
 
     :param held_version: what it held at its last call.
+    :param compares: whether another control host tells it the news.
     """
 
     is_entry: bool
+    compares: bool
     zone: str
     address: str
     held_version: int
     seen_at: float
 
+    def is_live(self, now: float) -> bool:
+        """Tell whether it asked lately enough to count."""
+        lifetime = COMPARER_LIFETIME_S if self.compares else WATCHER_LIFETIME_S
+        return now - self.seen_at < lifetime
+
+    def is_waited_for(self, version: int, now: float) -> bool:
+        """Tell whether it is in contact and lacks a version that it is to be told."""
+        is_in_contact = not self.compares and now - self.seen_at < CONTACT_S
+        return is_in_contact and self.held_version < version
+
 
 class RosterFeed:
     """Hands the roster and the configuration of a control host on.
@@ -50,6 +70,7 @@
     :param configuration: answers what changed in the configuration.
     :param control_addresses: gives the peer addresses of the log's members.
     :param clock: source of time.
+    :param zone: availability zone of this host.
     :param keeper: keeps the roster over a restart.
     """
 
@@ -60,9 +81,11 @@
         configuration: publisher.Publisher,
         control_addresses: abc.Callable[[], tuple[str, ...]],
         clock: clocks.Clock,
+        zone: str = "",
         keeper: roster_file.Keeper | None = None,
     ) -> None:
         self.roster = roster
+        self._zone = zone
         self._configuration = configuration
         self._control_addresses = control_addresses
         self._clock = clock
@@ -150,7 +173,7 @@
             waiting = [
                 host_id
                 for host_id, watcher in self._watchers_by_host.items()
-                if now - watcher.seen_at < CONTACT_S and watcher.held_version < version
+                if watcher.is_waited_for(version, now)
             ]
             if not waiting and self._controls_holding(version) >= least_controls:
                 return
@@ -182,33 +205,52 @@
         wait = min(request.wait_ms / 1000, MAX_WAIT_S)
         # Who counts in another run's versions has not heard of what this one knows.
         may_wait = is_known and not self._has_news(request, held, held_crashes)
-        if wait > 0 and may_wait:
+        if wait > 0 and may_wait and not request.compares:
             news = self._news
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await news.wait()
-        now = self._clock.monotonic()
-        entries = self.roster.since(held, now)
-        is_much = len(entries) > MAX_PLAIN_ENTRIES
+        reply = self._reply(request, held_crashes)
+        if not request.compares:
+            reply = self._with_news(reply, request, held)
+        return codec.encode_msgpack(reply)
+
+    def _reply(
+        self, request: watching.WatchRequest, held_crashes: int
+    ) -> watching.WatchReply:
+        """Return what a watcher is told that only compares digests."""
         addresses = self._control_addresses()
         members = zlib.crc32(",".join(addresses).encode())
-        hosts = self._hosts_for(request, now)
-        hosts_digest = zlib.crc32(codec.encode_msgpack(hosts)) if hosts else 0
-        reply = watching.WatchReply(
+        return watching.WatchReply(
             feed=self._feed,
             version=self.roster.version,
-            entries=() if is_much else entries,
-            packed_entries=watching.pack_entries(entries) if is_much else b"",
-            entry_hosts=self._count_entry_hosts(now),
+            entry_hosts=self._count_entry_hosts(self._clock.monotonic()),
             control_addresses=() if members == request.held_members else addresses,
             members=members,
-            configuration=self._configuration_for(request),
             crashes=self._crashes.since(held_crashes) if request.is_entry else (),
             crash_version=self._crashes.version,
+            availability_zone=self._zone,
+            in_touch=self._configuration.age < IN_TOUCH_S,
+            revision=self._configuration.revision,
+            digest=self.roster.digest,
+        )
+
+    def _with_news(
+        self, reply: watching.WatchReply, request: watching.WatchRequest, held: int
+    ) -> watching.WatchReply:
+        now = self._clock.monotonic()
+        entries = self.roster.since(held, now)
+        is_much = len(entries) > MAX_PLAIN_ENTRIES
+        hosts = self._hosts_for(request, now)
+        hosts_digest = zlib.crc32(codec.encode_msgpack(hosts)) if hosts else 0
+        return msgspec.structs.replace(
+            reply,
+            entries=() if is_much else entries,
+            packed_entries=watching.pack_entries(entries) if is_much else b"",
+            configuration=self._configuration_for(request),
             hosts=() if hosts_digest == request.held_hosts else hosts,
             hosts_digest=hosts_digest,
         )
-        return codec.encode_msgpack(reply)
 
     async def handle_report(self, body: bytes) -> bytes:
         """Take a crash that an entry host saw, and tell the others."""
@@ -250,6 +292,7 @@
     def _note_watcher(self, request: watching.WatchRequest, held: int) -> None:
         self._watchers_by_host[request.host_id] = _Watcher(
             is_entry=request.is_entry,
+            compares=request.compares,
             zone=request.availability_zone,
             address=request.address,
             held_version=held,
@@ -268,7 +311,7 @@
         self._watchers_by_host = {
             host_id: watcher
             for host_id, watcher in self._watchers_by_host.items()
-            if now - watcher.seen_at < WATCHER_LIFETIME_S
+            if watcher.is_live(now)
         }
         return sum(watcher.is_entry for watcher in self._watchers_by_host.values())
 
@@ -287,7 +330,7 @@
             if watcher.is_entry
             and watcher.address
             and watcher.zone == request.availability_zone
-            and now - watcher.seen_at < WATCHER_LIFETIME_S
+            and watcher.is_live(now)
         )
 
     async def _sweep_forever(self) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -1,15 +1,18 @@
 """A host's calls to control hosts for news of upstreams and configuration."""
 
 import asyncio
+import contextlib
+import dataclasses
 import typing
 from collections import abc
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
-from greengagehaven.coordination import peers
+from greengagehaven import rng as rngs
+from greengagehaven.coordination import peers, sources
 from greengagehaven.daemons import roster_feed
 from greengagehaven.protocol import codec, control, watching
-from greengagehaven.state import configuration, published
+from greengagehaven.state import configuration, published, roster
 
 WAIT_S = 1.5
 MARGIN_S = 0.7
@@ -20,6 +23,20 @@
 COUNT_LIFETIME_S = 15.0
 MAX_REVISION = 2**62
 
+COMPARE_PERIOD_S = 3.0
+"""Seconds between two comparisons with a control host that is not followed."""
+
+CONFIRM_PERIOD_S = 1.0
+"""Seconds until a digest that differed is compared again; the host that is followed
+mostly tells the same news meanwhile."""
+
+MAX_DIFFERENCE_S = 4.0
+"""Seconds after which news is asked for though more of it comes all the time."""
+
+SETTLING_PERIOD_S = 0.25
+COMPARE_RETRY_S = 1.0
+JITTER = (0.75, 1.25)
+
 
 class Sink(typing.Protocol):
     """What takes the news."""
@@ -40,11 +57,36 @@
         """Take the entry hosts of this host's zone."""
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Position:
+    """What this host has of one control host's news.
+
+    :param differs_since: when its digest was first found to differ.
+    :param lacks_news: whether the difference is one that the host followed will not
+        make up.
+    :param last_digest: at its last reply.
+    :param refused_digest: the last digest there that news did not bring about here.
+    """
+
+    feed: str = ""
+    version: int = 0
+    crash_version: int = 0
+    members: int = 0
+    hosts: int = 0
+    differs_since: float | None = None
+    lacks_news: bool = False
+    last_digest: int | None = None
+    refused_digest: int | None = None
+    heard_at: float | None = None
+    is_lost: bool = False
+
+
 class Watcher:
-    """Asks every control host at once and holds what the newest of them knows.
+    """Asks control hosts and holds what the newest of them knows.
 
     All of them are asked, since one that was cut off without a sign goes on
-    answering with what it last knew; the configuration only moves forward.
+    answering with what it last knew; the configuration only moves forward. Those
+    that are not followed tell digests, and their news only where these differ.
 
     :param channel: calls to other hosts.
     :param host_id: name of this host.
@@ -54,8 +96,10 @@
     :param own_address: this host's own peer address, which it does not ask.
     :param helps_at: address where other entry hosts call this one, empty for nowhere.
     :param follows: whether this host takes the configuration this way.
+    :param followed_sources: chooses the control hosts to follow.
     :param sink: what takes the news.
     :param clock: source of time.
+    :param rng: keeps hosts that start together out of step.
     """
 
     def __init__(
@@ -69,8 +113,10 @@
         own_address: str = "",
         helps_at: str = "",
         follows: bool = True,
+        followed_sources: sources.Sources,
         sink: Sink,
         clock: clocks.Clock,
+        rng: rngs.Rng,
     ) -> None:
         self._channel = channel
         self._host_id = host_id
@@ -83,8 +129,13 @@
         ] = {}
         self._told_hosts: tuple[watching.HostEntry, ...] = ()
         self._follows = follows
+        self._sources = followed_sources
+        self._followed: frozenset[str] = frozenset()
+        self._refollowed = asyncio.Event()
         self._sink = sink
         self._clock = clock
+        self._rng = rng
+        self._roster = roster.Roster(holder=host_id, silence=float("inf"))
         self._published = published.Published()
         self._needs_whole = False
         self._counts_by_address: dict[str, tuple[float, int]] = {}
@@ -136,65 +187,154 @@
         self._tasks_by_address[address] = task
 
     async def _watch_forever(self, address: str) -> None:
-        feed, version, crash_version, members, hosts = "", 0, 0, 0, 0
+        position = _Position()
         wait = FIRST_WAIT_S
-        heard_at: float | None = None
-        is_lost = False
         while True:
-            request = watching.WatchRequest(
-                host_id=self._host_id,
-                availability_zone=self._availability_zone,
-                is_entry=self._is_entry,
-                feed=feed,
-                held_version=version,
-                held_revision=self._published.revision
-                if self._follows
-                else MAX_REVISION,
-                whole=self._needs_whole,
-                wait_ms=round(wait * 1000),
-                held_crashes=crash_version,
-                held_members=members,
-                address=self._helps_at,
-                held_hosts=hosts,
-            )
+            compares = self._compares(address, position)
+            request = self._request(position, wait=wait, compares=compares)
             try:
-                reply = await self._ask(address, request, wait + MARGIN_S)
+                reply = await self._ask(address, request)
                 self._take(address, reply)
             except (
                 exceptions.PeerError,
                 exceptions.InvalidRequestError,
                 exceptions.StateMismatchError,
             ) as error:
-                now = self._clock.monotonic()
-                is_long = heard_at is None or now - heard_at > LOST_AFTER_S
-                if is_long and not is_lost:
-                    is_lost = True
-                    log.warning("control_lost", address=address, error=error.detail)
+                self._on_failure(address, position, error)
+                wait = FIRST_WAIT_S
+                is_spare = compares and self._sources.is_settled
+                await asyncio.sleep(COMPARE_RETRY_S if is_spare else RETRY_PAUSE_S)
+                continue
+            self._on_reply(address, position, reply)
+            if compares:
+                self._compare(position, reply)
                 wait = FIRST_WAIT_S
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._pause(address, position)
                 continue
-            if is_lost or heard_at is None:
-                log.info("control_reached", address=address, feed=reply.feed)
-            is_lost = False
-            heard_at = self._clock.monotonic()
-            feed, version = reply.feed, reply.version
-            crash_version = reply.crash_version
-            members = reply.members
-            if reply.hosts:
-                hosts = reply.hosts_digest
             self._take_hosts(address, reply.hosts)
+            self._advance(position, reply)
             # The next call tells at once that this news is held; only then may
             # an upstream that wants to leave be told that it can.
             wait = WAIT_S
 
+    def _request(
+        self, position: _Position, *, wait: float, compares: bool
+    ) -> watching.WatchRequest:
+        return watching.WatchRequest(
+            host_id=self._host_id,
+            availability_zone=self._availability_zone,
+            is_entry=self._is_entry,
+            feed=position.feed,
+            held_version=position.version,
+            held_revision=self._published.revision if self._follows else MAX_REVISION,
+            whole=self._needs_whole,
+            wait_ms=0 if compares else round(wait * 1000),
+            held_crashes=position.crash_version,
+            held_members=position.members,
+            address=self._helps_at,
+            held_hosts=position.hosts,
+            compares=compares,
+        )
+
+    def _compares(self, address: str, position: _Position) -> bool:
+        """Tell whether the next call to a control host only compares digests."""
+        if address in self._followed:
+            return False
+        return not (position.lacks_news and self._followed)
+
+    def _compare(self, position: _Position, reply: watching.WatchReply) -> None:
+        """Note whether a control host knows what this host does not."""
+        lags = self._follows and reply.revision > self._published.revision
+        if not lags and reply.digest == self._roster.digest:
+            self._advance(position, reply)
+            return
+        now = self._clock.monotonic()
+        position.crash_version = reply.crash_version
+        position.members = reply.members
+        is_known = not lags and reply.digest == position.refused_digest
+        if is_known:
+            position.differs_since = None
+        elif position.differs_since is None:
+            position.differs_since = now
+        else:
+            # Where the digest stands still, the host followed has had time to tell.
+            stands_still = reply.digest == position.last_digest
+            is_long = now - position.differs_since > MAX_DIFFERENCE_S
+            position.lacks_news = stands_still or is_long
+        position.last_digest = reply.digest
+
+    def _advance(self, position: _Position, reply: watching.WatchReply) -> None:
+        """Note that the news up to a reply's version is held."""
+        is_same = reply.digest == self._roster.digest
+        position.refused_digest = None if is_same else reply.digest
+        position.differs_since = None
+        position.lacks_news = False
+        position.feed, position.version = reply.feed, reply.version
+        position.crash_version = reply.crash_version
+        position.members = reply.members
+        if reply.hosts:
+            position.hosts = reply.hosts_digest
+
+    async def _pause(self, address: str, position: _Position) -> None:
+        """Wait for the next comparison, or until the control host is followed."""
+        period = COMPARE_PERIOD_S
+        if not self._sources.is_settled:
+            period = SETTLING_PERIOD_S
+        elif position.differs_since is not None:
+            period = CONFIRM_PERIOD_S
+        refollowed = self._refollowed
+        self._refollow()
+        if address in self._followed:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(period * self._rng.uniform(*JITTER)):
+                await refollowed.wait()
+
+    def _on_reply(
+        self, address: str, position: _Position, reply: watching.WatchReply
+    ) -> None:
+        if position.is_lost or position.heard_at is None:
+            log.info("control_reached", address=address, feed=reply.feed)
+        position.is_lost = False
+        position.heard_at = self._clock.monotonic()
+        self._sources.on_reply(
+            address, zone=reply.availability_zone, in_touch=reply.in_touch
+        )
+        self._refollow()
+
+    def _on_failure(
+        self,
+        address: str,
+        position: _Position,
+        error: exceptions.GreengagehavenError,
+    ) -> None:
+        now, heard_at = self._clock.monotonic(), position.heard_at
+        is_long = heard_at is None or now - heard_at > LOST_AFTER_S
+        if is_long and not position.is_lost:
+            position.is_lost = True
+            log.warning("control_lost", address=address, error=error.detail)
+        self._sources.on_failure(address)
+        self._refollow()
+
+    def _refollow(self) -> None:
+        """Choose anew which control hosts are followed, and wake their tasks."""
+        followed = self._sources.followed(self._tasks_by_address)
+        if followed == self._followed:
+            return
+        self._followed = followed
+        if self._is_entry:
+            log.info("control_followed", addresses=",".join(sorted(followed)))
+        refollowed, self._refollowed = self._refollowed, asyncio.Event()
+        refollowed.set()
+
     async def _ask(
-        self, address: str, request: watching.WatchRequest, timeout: float
+        self, address: str, request: watching.WatchRequest
     ) -> watching.WatchReply:
         data = await self._channel.call(
             address,
             roster_feed.WATCH_METHOD,
             codec.encode_msgpack(request),
-            timeout=timeout,
+            timeout=request.wait_ms / 1000 + MARGIN_S,
         )
         return codec.decode_msgpack(data, watching.WatchReply)
 
@@ -203,6 +343,8 @@
         if reply.packed_entries:
             entries = watching.unpack_entries(reply.packed_entries)
         if entries:
+            if self._is_entry:
+                self._merge(entries)
             self._sink.take_entries(entries)
         if reply.configuration:
             follow = watching.unpack_configuration(reply.configuration)
@@ -213,6 +355,12 @@
         for other in reply.control_addresses:
             self._watch(other)
 
+    def _merge(self, entries: tuple[watching.UpstreamEntry, ...]) -> None:
+        now = self._clock.monotonic()
+        for entry in entries:
+            self._roster.merge(entry, now)
+        self._roster.forget_gone(now)
+
     def _take_configuration(self, reply: control.FollowReply) -> None:
         before = self._published.revision
         try:
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -32,6 +32,8 @@
     :param slots: requests that it runs at a time.
     :param cold_left_ms: how much longer it is slow after its start.
     :param holder: control host that heard it last.
+    :param told_sequence: sequence of the announcement that last told anything new;
+        renewals leave it.
     """
 
     id: str
@@ -44,6 +46,7 @@
     slots: int
     cold_left_ms: int = 0
     holder: str = ""
+    told_sequence: int = 0
 
     @property
     def order(self) -> tuple[int, int, bool]:
@@ -59,6 +62,14 @@
         """Tell whether two announcements differ in nothing that others need."""
         return self._facts() == other._facts()
 
+    def as_news(self) -> "UpstreamEntry":
+        """Return the entry as one that tells something new."""
+        return msgspec.structs.replace(self, told_sequence=self.sequence)
+
+    def as_renewal_of(self, known: "UpstreamEntry") -> "UpstreamEntry":
+        """Return the entry as one that tells nothing beyond ``known``."""
+        return msgspec.structs.replace(self, told_sequence=known.told_sequence)
+
     def with_holder(self, holder: str) -> "UpstreamEntry":
         """Return the entry as heard by another control host."""
         return msgspec.structs.replace(self, holder=holder)
@@ -141,6 +152,8 @@
     :param held_members: ``members`` of the last reply.
     :param address: where other entry hosts call the asking one, empty for nowhere.
     :param held_hosts: ``hosts_digest`` of the last reply.
+    :param compares: ask only for digests, since another control host tells the
+        asking one its news.
     """
 
     host_id: str
@@ -155,6 +168,7 @@
     held_members: int = 0
     address: str = ""
     held_hosts: int = 0
+    compares: bool = False
 
 
 class WatchReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -172,6 +186,11 @@
     :param hosts: entry hosts of the watcher's zone that this control host heard of
         lately, none where the watcher has them.
     :param hosts_digest: of these, 0 where nothing is said of them.
+    :param availability_zone: of the control host.
+    :param in_touch: whether the control host lately knew the newest revision of a
+        majority.
+    :param revision: of the configuration there.
+    :param digest: of the upstreams known there, see ``state.roster``.
     """
 
     feed: str
@@ -186,6 +205,10 @@
     members: int = 0
     hosts: tuple[HostEntry, ...] = ()
     hosts_digest: int = 0
+    availability_zone: str = ""
+    in_touch: bool = True
+    revision: int = 0
+    digest: int = 0
 
 
 def pack_entries(entries: tuple[UpstreamEntry, ...]) -> bytes:
--- a/src/greengagehaven/state/roster.py
+++ b/src/greengagehaven/state/roster.py
@@ -2,13 +2,16 @@
 
 What control hosts and entry hosts hold is merged by (incarnation, sequence), so
 the order in which news arrives does not matter. A host that was away asks for
-what changed since a version of the host that it asks.
+what changed since a version of the host that it asks. Two rosters with the same
+digest hold the same upstreams in the same stages, whatever their versions.
 """
 
 import collections
 import dataclasses
 from collections import abc
 
+import xxhash
+
 from greengagehaven.protocol import watching
 
 GONE_KEPT_S = 120.0
@@ -39,6 +42,7 @@
 
     def __init__(self, *, holder: str, silence: float) -> None:
         self.version = 0
+        self.digest = 0
         self._holder = holder
         self._silence = silence
         self._held_by_id: collections.OrderedDict[str, Held] = collections.OrderedDict()
@@ -69,9 +73,10 @@
             # The sequence is kept without a version: a late older announcement
             # must not win, but nobody else needs to hear of a renewal.
             assert held is not None
-            self._held_by_id[entry.id] = dataclasses.replace(held, entry=entry)
+            renewed = entry.as_renewal_of(known)
+            self._held_by_id[entry.id] = dataclasses.replace(held, entry=renewed)
             return False
-        return self._put(entry, now)
+        return self._put(entry.as_news(), now)
 
     def _says_same(self, entry: watching.UpstreamEntry, now: float) -> bool:
         """Tell whether others know all this of an upstream.
@@ -140,7 +145,7 @@
                 entry = held.entry.as_silent()
                 self._put(entry, now)
                 silent.append(entry)
-        self._forget_gone(now)
+        self.forget_gone(now)
         return silent
 
     def _put(self, entry: watching.UpstreamEntry, now: float) -> bool:
@@ -166,6 +171,10 @@
 
     def _store(self, entry: watching.UpstreamEntry, now: float) -> None:
         self.version += 1
+        held = self._held_by_id.get(entry.id)
+        if held is not None:
+            self.digest ^= _digest_of(held.entry)
+        self.digest ^= _digest_of(entry)
         self._recalled_ids.discard(entry.id)
         self._held_by_id[entry.id] = Held(
             entry=entry,
@@ -175,12 +184,22 @@
         )
         self._held_by_id.move_to_end(entry.id)
 
-    def _forget_gone(self, now: float) -> None:
+    def forget_gone(self, now: float) -> None:
+        """Forget upstreams that have been gone or silent for long."""
         for upstream_id, held in list(self._held_by_id.items()):
             if now - held.changed_at < GONE_KEPT_S:
                 return
             if held.entry.is_live:
                 continue
             del self._held_by_id[upstream_id]
+            self.digest ^= _digest_of(held.entry)
             if self._id_by_address.get(held.entry.address) == upstream_id:
                 del self._id_by_address[held.entry.address]
+
+
+def _digest_of(entry: watching.UpstreamEntry) -> int:
+    """Return what tells an entry from others; one that is gone is as none."""
+    if entry.stage is watching.Stage.GONE:
+        return 0
+    told = f"{entry.id}\0{entry.incarnation}\0{entry.told_sequence}\0{entry.stage}"
+    return xxhash.xxh64_intdigest(told.encode())
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -19,12 +19,14 @@
     """A response that was read whole.
 
     :param size: bytes that came for it, with its head.
+    :param request_size: bytes that its request took, with its head.
     """
 
     status: int
     headers: http.Headers
     body: bytes
     size: int = 0
+    request_size: int = 0
 
 
 class Owner(typing.Protocol):
@@ -64,6 +66,7 @@
         self._chunks: list[bytes] = []
         self._reply_bytes = 0
         self._received_bytes = 0
+        self._sent_bytes = 0
         self._awaits_reply = False
         self._is_mute = True
 
@@ -115,6 +118,7 @@
         self._awaits_reply = True
         self._is_mute = True
         self._received_bytes = 0
+        self._sent_bytes = len(data)
         self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
@@ -210,4 +214,5 @@
             headers=headers,
             body=body,
             size=self._received_bytes,
+            request_size=self._sent_bytes,
         )
--- a/src/greengagehaven/transport/http_peers.py
+++ b/src/greengagehaven/transport/http_peers.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+import collections
 import datetime
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions
 from greengagehaven.coordination import peers
-from greengagehaven.transport import http, http_client, http_server
+from greengagehaven.transport import client_connection, http, http_client, http_server
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 MAX_CLIENTS = 256
@@ -76,6 +77,24 @@
             task.exception()
 
 
+class Traffic:
+    """Calls that a host made and had answered, and their bytes with heads.
+
+    Keyed by ``SERVICE/METHOD``.
+    """
+
+    def __init__(self) -> None:
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+
+    def record(self, method: str, reply: client_connection.Reply) -> None:
+        """Count a call that was answered."""
+        self.calls[method] += 1
+        self.sent_bytes[method] += reply.request_size
+        self.received_bytes[method] += reply.size
+
+
 class HttpPeerClient:
     """Calls other hosts; implements ``coordination.peers.PeerChannel``.
 
@@ -83,6 +102,7 @@
     """
 
     def __init__(self, *, clock: clocks.Clock) -> None:
+        self.traffic = Traffic()
         self._clock = clock
         self._clients_by_address: dict[str, http_client.HttpClient] = {}
 
@@ -105,6 +125,7 @@
             )
         except exceptions.UpstreamError as error:
             raise exceptions.PeerError(f"{method}: {error.detail}") from error
+        self.traffic.record(method, reply)
         if reply.status != OK:
             detail = reply.body.decode(errors="replace")
             is_refusal = reply.status in REFUSALS
