--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -101,9 +101,40 @@
     When it is asked for a moment by a host that is gone then
     Then nothing of it is left after a while
 
-  Scenario: Hosts of other zones do not help
-    Every byte would have a longer way.
+  Scenario: The shards of another zone are asked by a host of that zone
+    From a zone without replicas each shard costs the heads of a request and of a
+    reply across the border, and each upstream a connection of every host.
 
+    Given a host with a sweep over 30 shards whose replicas are in zones x, y and z
+    When a sweep arrives
+    Then one host of each of zones x, y and z asks the shards placed there
+    And no more than 3 calls leave this host
+
+  Scenario: A few shards of another zone are asked from here
+    Given a host with a sweep over 9 shards whose replicas are in zones x, y and z
+    When a sweep arrives
+    Then this host asks at least 1 shard and no host asks fewer than 5
+
+  Scenario: The host that should ask the shards of its zone refuses
+    Given a host with a sweep over 30 shards whose replicas are in zones x, y and z
+    When a sweep arrives and the others refuse to help
+    Then this host asks all shards
+    When a sweep arrives
+    Then another host of each of zones x, y and z asks the shards placed there
+
+  Scenario: A host that is gone is tried less and less often
+    It is named for a while after its end, and each try costs a sweep a hedge of all
+    its shards.
+
+    Given a host with a sweep over 30 shards whose replicas are in zones x, y and z
+    When all other hosts refuse to help for 12 seconds
+    Then each of them was called at most 4 times
+
+  Scenario: Each host of a zone prefers another aggregator
+    Given 40 hosts of a zone, told of the same 2 hosts of zone x
+    Then each of the 2 is preferred by at least 10 of them
+
+  Scenario: Hosts of other zones are named apart
     Given a feed that entry hosts a-1 and a-2 of one zone and b-1 of another watch
     When a-1 asks for news
     Then it is told of a-1 and a-2 alone
--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import collections
+import random
 
 import behave
 
 from fakes import routing
 from greengagehaven import clock
-from greengagehaven.coordination.routing import events
+from greengagehaven.coordination.routing import delegation, events
 from greengagehaven.daemons import publisher, roster_feed
 from greengagehaven.protocol import codec, watching
 from greengagehaven.state import published, roster
@@ -30,7 +31,7 @@
     for name in names:
         for zone in "ab":
             context.tier.put(routing.entry(f"{name}-{zone}", name, zone=zone))
-    context.tier.step(events.ZoneHostsChanged(hosts=other_hosts(hosts)))
+    context.tier.step(events.EntryHostsChanged(hosts=other_hosts(hosts)))
 
 
 @behave.given(
@@ -48,6 +49,106 @@
     given_host(context, hosts, shards, attempts=1)
 
 
+def remote_hosts(zones):
+    return tuple(
+        watching.HostEntry(
+            id=f"{zone}-{number}",
+            address=f"{zone}-{number}:1",
+            availability_zone=zone,
+        )
+        for zone in zones
+        for number in range(2)
+    )
+
+
+@behave.given(
+    "a host with a sweep over {shards:d} shards whose replicas are in zones "
+    "{first}, {second} and {third}"
+)
+def given_remote(context, shards, first, second, third):
+    given_host(context, 1, 0)
+    context.names = [f"shard-{number}" for number in range(shards)]
+    context.zones = (first, second, third)
+    route = routing.sweep_route(context.names, least_coverage=0.9)
+    context.tier.put_table(routing.table(2, route))
+    for name in context.names:
+        for zone in context.zones:
+            context.tier.put(routing.entry(f"{name}-{zone}", name, zone=zone))
+    hosts = other_hosts(1) + remote_hosts(context.zones)
+    context.tier.step(events.EntryHostsChanged(hosts=hosts))
+
+
+@behave.then(
+    "{which} host of each of zones {first}, {second} and {third} asks the shards "
+    "placed there"
+)
+def then_asked_there(context, which, first, second, third):
+    delegates = delegates_of(context)
+    used = {delegate.address for delegate in delegates}
+    for delegate in delegates:
+        zone = delegate.address.partition("-")[0]
+        placed = {send.upstream_id.rpartition("-")[2] for send in delegate.sends}
+        assert placed == {zone}, delegate
+    assert {address[0] for address in used} == {first, second, third}, used
+    if which == "another":
+        assert not used & context.used_before, used
+    asked = [send for delegate in delegates for send in delegate.sends]
+    assert services_of(asked) == sorted(context.names)
+
+
+@behave.then("no more than {count:d} calls leave this host")
+def then_calls(context, count):
+    own = context.tier.attempts_of(context.number)
+    assert len(delegates_of(context)) + len(own) <= count
+
+
+@behave.then(
+    "this host asks at least {own:d} shard and no host asks fewer than {least:d}"
+)
+def then_few(context, own, least):
+    assert len(context.tier.attempts_of(context.number)) >= own
+    sizes = [len(delegate.sends) for delegate in delegates_of(context)]
+    assert all(size >= least for size in sizes), sizes
+
+
+@behave.when("all other hosts refuse to help for {seconds:d} seconds")
+def when_refused_long(context, seconds):
+    context.calls = collections.Counter()
+    for _ in range(seconds * 5):
+        arrive(context)
+        context.calls.update(each.address for each in context.delegates)
+        fail_helpers(context, events.Fault.UNSENT)
+        for send in context.tier.attempts_of(context.number):
+            context.tier.reply(send)
+        context.tier.pass_time(0.2)
+
+
+@behave.then("each of them was called at most {most:d} times")
+def then_called(context, most):
+    assert len(context.calls) == 6, context.calls
+    assert max(context.calls.values()) <= most, context.calls
+
+
+@behave.given("{count:d} hosts of a zone, told of the same 2 hosts of zone x")
+def given_many_hosts(context, count):
+    context.preferred = collections.Counter()
+    for number in range(count):
+        divided = delegation.Delegation(
+            host_id=f"h-{number}",
+            zone="a",
+            clock=clock.ManualClock(),
+            rng=random.Random(1),
+        )
+        divided.set_hosts(remote_hosts("x"))
+        context.preferred[divided.aggregate(["x"] * 9)[0]] += 1
+
+
+@behave.then("each of the 2 is preferred by at least {least:d} of them")
+def then_preferred(context, least):
+    assert len(context.preferred) == 2, context.preferred
+    assert min(context.preferred.values()) >= least, context.preferred
+
+
 @behave.then("the others are to report within the objective")
 def then_report_within(context):
     assert context.tier.delegated
@@ -58,6 +159,7 @@
 @behave.when("a sweep arrives and the others refuse to help")
 def when_refused(context):
     arrive(context)
+    context.used_before = {delegate.address for delegate in context.delegates}
     fail_helpers(context, events.Fault.UNSENT)
 
 
@@ -95,6 +197,11 @@
     context.delegates = list(tier.delegated)
 
 
+def delegates_of(context):
+    delegated = context.tier.delegated
+    return [each for each in delegated if each.number == context.number]
+
+
 def fail_helpers(context, fault):
     for delegate in context.delegates:
         context.tier.step(
--- a/features/steps/news_steps.py
+++ b/features/steps/news_steps.py
@@ -97,7 +97,7 @@
     def take_entry_hosts(self, count):
         self.host_count = count
 
-    def take_zone_hosts(self, hosts):
+    def take_hosts(self, hosts):
         """Nobody delegates here."""
 
     def take_crashes(self, crashes):
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -1,12 +1,17 @@
-"""Which hosts of the zone ask the shards of a sweep.
+"""Which hosts ask the shards of a sweep.
 
 The replies of a sweep over many shards come together. One host that takes them all
 in, over its own link and with its own processor, makes them wait for each other: the
 sweep is late, and shards that wait look like stragglers and are hedged in vain. Other
 hosts of the zone have nothing to do meanwhile, so they ask a part of the shards each
 and hand back the greatest records of their parts.
+
+Where the replicas stand in other zones, each shard also costs the heads of a request
+and of a reply across the border, and a connection of every host to every upstream. A
+host of the upstreams' zone asks these shards instead, as their aggregator.
 """
 
+import collections
 import dataclasses
 import itertools
 import math
@@ -15,6 +20,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import log
 from greengagehaven import rng as rngs
+from greengagehaven.coordination import rendezvous
 from greengagehaven.protocol import watching
 
 FIRST_SHARD_S = 0.0005
@@ -45,6 +51,15 @@
 UNFIT_S = 2.0
 """Seconds that a host that failed is not asked; one that restarts is back by then."""
 
+MAX_UNFIT_S = 16.0
+"""Seconds after several failures in a row; a host is named for 9 s after its end."""
+
+MAX_FAILURES = 8
+"""Failures in a row that are counted; more change nothing."""
+
+MIN_REMOTE_SHARDS = 5
+"""Shards of one zone; for fewer the heads of a call take as many bytes as they save."""
+
 TOGETHER_S = 0.001
 """Seconds that a late reply waits for others, so that they are reported together."""
 
@@ -58,29 +73,47 @@
 
     address: str
     asked: int = 0
+    failures: int = 0
     unfit_until: float = -math.inf
 
 
 class Delegation:
-    """Divides sweeps among the hosts of a zone.
+    """Divides sweeps among the hosts of a zone, and among zones.
 
     :param host_id: of this host.
+    :param zone: availability zone of this host.
     :param clock: monotonic time.
     :param rng: chooses among hosts that are alike.
     """
 
-    def __init__(self, *, host_id: str, clock: clocks.Clock, rng: rngs.Rng) -> None:
+    def __init__(
+        self, *, host_id: str, zone: str, clock: clocks.Clock, rng: rngs.Rng
+    ) -> None:
         self._host_id = host_id
+        self._zone = zone
         self._clock = clock
         self._rng = rng
         self._hosts: tuple[watching.HostEntry, ...] = ()
+        self._aggregators_by_zone: dict[str, list[_Helper]] = {}
         self._own_place = 0
         self._helpers_by_address: dict[str, _Helper] = {}
         self._shard = FIRST_SHARD_S
 
     def set_hosts(self, hosts: abc.Iterable[watching.HostEntry]) -> None:
-        """Take the entry hosts of the zone, this one among them or not."""
-        others = {host.id: host for host in hosts if host.id != self._host_id}
+        """Take the entry hosts of the zone, this one among them or not.
+
+        :param hosts: with some of each other zone.
+        """
+        hosts = tuple(hosts)
+        own_zones = ("", self._zone)
+        others = {
+            host.id: host
+            for host in hosts
+            if host.id != self._host_id and host.availability_zone in own_zones
+        }
+        remote = {
+            host.id: host for host in hosts if host.availability_zone not in own_zones
+        }
         ids = sorted([*others, self._host_id])
         self._own_place = ids.index(self._host_id)
         own = watching.HostEntry(id=self._host_id, address="")
@@ -88,8 +121,29 @@
         self._helpers_by_address = {
             host.address: self._helpers_by_address.get(host.address)
             or _Helper(address=host.address)
-            for host in others.values()
+            for host in (*others.values(), *remote.values())
         }
+        self._aggregators_by_zone = {}
+        # Each host prefers another one, so that all take part.
+        for host_id in rendezvous.rank(self._host_id, remote):
+            host = remote[host_id]
+            helper = self._helpers_by_address[host.address]
+            aggregators = self._aggregators_by_zone
+            aggregators.setdefault(host.availability_zone, []).append(helper)
+
+    def aggregate(self, zones: abc.Sequence[str]) -> list[str]:
+        """Return the address of the host that asks each shard in its upstream's zone.
+
+        It is empty where no such host is known, or too few shards are of its zone.
+
+        :param zones: of the upstreams that one sweep asks.
+        """
+        address_by_zone = {
+            zone: self._aggregator_of(zone)
+            for zone, count in collections.Counter(zones).items()
+            if count >= MIN_REMOTE_SHARDS and zone != self._zone
+        }
+        return [address_by_zone.get(zone, "") for zone in zones]
 
     def divide(self, services: abc.Sequence[str], objective: float) -> list[str]:
         """Return the address of the host that asks each service.
@@ -133,6 +187,8 @@
         helper.asked = max(0, helper.asked - 1)
         if failed:
             self._pass_over(helper, failed)
+        elif helper.unfit_until <= self._clock.monotonic():
+            helper.failures = 0
 
     def note_silent(self, address: str) -> None:
         """Take in that a host did not report in time.
@@ -145,7 +201,9 @@
             self._pass_over(helper, "no report")
 
     def _pass_over(self, helper: _Helper, reason: str) -> None:
-        helper.unfit_until = self._clock.monotonic() + UNFIT_S
+        seconds = min(MAX_UNFIT_S, UNFIT_S * 2.0**helper.failures)
+        helper.failures = min(helper.failures + 1, MAX_FAILURES)
+        helper.unfit_until = self._clock.monotonic() + seconds
         log.warning("helper_failed", address=helper.address, reason=reason)
 
     def note_times(self, sent: abc.Iterable[float], came: abc.Iterable[float]) -> None:
@@ -179,6 +237,14 @@
                 best, least = count, seconds
         return best
 
+    def _aggregator_of(self, zone: str) -> str:
+        """Return the address of the first fit host of another zone."""
+        now = self._clock.monotonic()
+        for helper in self._aggregators_by_zone.get(zone, ()):
+            if helper.unfit_until <= now:
+                return helper.address
+        return ""
+
     def _host_of(self, group: int, count: int) -> str:
         """Return the address of the host that asks a group of shards."""
         now = self._clock.monotonic()
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -185,8 +185,11 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ZoneHostsChanged:
-    """The entry hosts of this zone, in touch with control hosts."""
+class EntryHostsChanged:
+    """The entry hosts of this zone and some of each other one.
+
+    All are in touch with control hosts.
+    """
 
     hosts: tuple[watching.HostEntry, ...]
 
@@ -255,7 +258,7 @@
     | AttemptEnded
     | AttemptsReported
     | HelperEnded
-    | ZoneHostsChanged
+    | EntryHostsChanged
     | TableInForce
     | ZonesDrained
     | UpstreamsChanged
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -16,6 +16,7 @@
     :param retrying: ask another one where one failed.
     :param partial_answers: answer near the objective with enough parts.
     :param delegation: let other hosts of the zone ask a part of a sweep's shards.
+    :param aggregation: let a host of the upstreams' zone ask those of another zone.
     :param lag: take the measured lag of timers off that moment.
     :param early_refusal: send nothing where too few shards have an upstream.
     :param sending_away: say not ready where this host is cut off.
@@ -33,6 +34,7 @@
     retrying: bool = True
     partial_answers: bool = True
     delegation: bool = True
+    aggregation: bool = True
     lag: bool = True
     early_refusal: bool = True
     sending_away: bool = True
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -128,7 +128,7 @@
         )
         self._hedging = hedging.Hedging(latencies=self._latencies, used=used)
         self._delegation = delegation.Delegation(
-            host_id=options.host_id, clock=clock, rng=rng
+            host_id=options.host_id, zone=options.zone, clock=clock, rng=rng
         )
         self._sending = sending.Sending(
             of_fleet=self.fleet,
@@ -152,7 +152,7 @@
             events.AttemptEnded: self._on_ended,
             events.AttemptsReported: self._on_reported,
             events.HelperEnded: self._on_helper_ended,
-            events.ZoneHostsChanged: self._on_zone_hosts,
+            events.EntryHostsChanged: self._on_entry_hosts,
             events.TableInForce: self._on_table,
             events.ZonesDrained: self._on_zones_drained,
             events.UpstreamsChanged: self._on_upstreams,
@@ -323,8 +323,8 @@
         self._delegation.note_ended(ended.address, failed=ended.failed)
         self.counts.delegations["failed" if ended.failed else "reported"] += 1
 
-    def _on_zone_hosts(
-        self, changed: events.ZoneHostsChanged, actions: list[events.Action]
+    def _on_entry_hosts(
+        self, changed: events.EntryHostsChanged, actions: list[events.Action]
     ) -> None:
         self._delegation.set_hosts(changed.hosts)
 
--- a/src/greengagehaven/coordination/routing/sending.py
+++ b/src/greengagehaven/coordination/routing/sending.py
@@ -65,10 +65,7 @@
     ) -> None:
         """Send the first attempt of each shard, from here or over other hosts."""
         pending = routed.pending
-        addresses = [""] * len(pending)
-        if routed.is_sweep and self._used.delegation:
-            names = [shard.service for shard in pending]
-            addresses = self._delegation.divide(names, routed.route.objective)
+        addresses = self._addresses(routed, chosen_by_service)
         # Alike for all shards, and reckoned once: with many shards it would be most of
         # what a plan takes.
         usual, delay = self.usual(routed), self._hedging.delay(routed)
@@ -108,6 +105,27 @@
             )
         actions.extend(own)
 
+    def _addresses(
+        self,
+        routed: request.RoutedRequest,
+        chosen_by_service: dict[str, upstreams.Upstream],
+    ) -> list[str]:
+        """Return the host that asks each pending shard first, empty for this one."""
+        services = [shard.service for shard in routed.pending]
+        if not (routed.is_sweep and self._used.delegation):
+            return [""] * len(services)
+        addresses = [""] * len(services)
+        if self._used.aggregation:
+            zones = [
+                chosen_by_service[service].entry.availability_zone
+                for service in services
+            ]
+            addresses = self._delegation.aggregate(zones)
+        pairs = zip(services, addresses, strict=True)
+        near = [service for service, address in pairs if not address]
+        divided = iter(self._delegation.divide(near, routed.route.objective))
+        return [address or next(divided) for address in addresses]
+
     def again(
         self,
         chosen: upstreams.Upstream,
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -201,10 +201,11 @@
         """Take crashes that other entry hosts saw."""
         self._submit(events.CrashesReported(crashes=crashes))
 
-    def take_zone_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
-        """Take the entry hosts of this zone."""
-        log.info("zone_hosts", count=len(hosts))
-        self._submit(events.ZoneHostsChanged(hosts=hosts))
+    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+        """Take the entry hosts of this zone, and some of each other one."""
+        remote = sum(bool(host.availability_zone) for host in hosts)
+        log.info("entry_hosts", zone=len(hosts) - remote, remote=remote)
+        self._submit(events.EntryHostsChanged(hosts=hosts))
 
     def take_started(self, attempt: int) -> None:
         """Note that a byte of a delegated attempt may leave from now on."""
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -158,7 +158,7 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take no crashes; entry hosts report them to every control host."""
 
-    def take_zone_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take no hosts; only entry hosts help each other."""
 
     def _make_registry(self) -> typing.Any:
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -11,6 +11,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
+from greengagehaven.coordination import rendezvous
 from greengagehaven.daemons import publisher, roster_file
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import crashes, roster
@@ -28,6 +29,9 @@
 COMPARER_LIFETIME_S = 9.0
 """Seconds; a watcher that only compares digests asks every three."""
 
+MAX_REMOTE_HOSTS = 2
+"""Hosts of each other zone that an entry host is told of; one may be away."""
+
 IN_TOUCH_S = 2.0
 """Seconds since this host knew the newest revision of a majority."""
 
@@ -57,6 +61,10 @@
         lifetime = COMPARER_LIFETIME_S if self.compares else WATCHER_LIFETIME_S
         return now - self.seen_at < lifetime
 
+    def is_helping(self, now: float) -> bool:
+        """Tell whether it is an entry host that others may call."""
+        return self.is_entry and bool(self.address) and self.is_live(now)
+
     def is_waited_for(self, version: int, now: float) -> bool:
         """Tell whether it is in contact and lacks a version that it is to be told."""
         is_in_contact = not self.compares and now - self.seen_at < CONTACT_S
@@ -242,13 +250,17 @@
         entries = self.roster.since(held, now)
         is_much = len(entries) > MAX_PLAIN_ENTRIES
         hosts = self._hosts_for(request, now)
-        hosts_digest = zlib.crc32(codec.encode_msgpack(hosts)) if hosts else 0
+        remote_hosts = self._remote_hosts_for(request, now)
+        named = hosts + remote_hosts
+        hosts_digest = zlib.crc32(codec.encode_msgpack(named)) if named else 0
+        is_held = hosts_digest == request.held_hosts
         return msgspec.structs.replace(
             reply,
             entries=() if is_much else entries,
             packed_entries=watching.pack_entries(entries) if is_much else b"",
             configuration=self._configuration_for(request),
-            hosts=() if hosts_digest == request.held_hosts else hosts,
+            hosts=() if is_held else hosts,
+            remote_hosts=() if is_held else remote_hosts,
             hosts_digest=hosts_digest,
         )
 
@@ -318,19 +330,33 @@
     def _hosts_for(
         self, request: watching.WatchRequest, now: float
     ) -> tuple[watching.HostEntry, ...]:
-        """Return the entry hosts that may help the one that asks.
-
-        Those of its zone alone: to another one every byte has a longer way.
-        """
+        """Return the entry hosts of the zone of the one that asks."""
         if not request.address:
             return ()
         return tuple(
             watching.HostEntry(id=host_id, address=watcher.address)
             for host_id, watcher in sorted(self._watchers_by_host.items())
-            if watcher.is_entry
-            and watcher.address
-            and watcher.zone == request.availability_zone
-            and watcher.is_live(now)
+            if watcher.is_helping(now) and watcher.zone == request.availability_zone
+        )
+
+    def _remote_hosts_for(
+        self, request: watching.WatchRequest, now: float
+    ) -> tuple[watching.HostEntry, ...]:
+        """Return some entry hosts of each other zone, the same ones each time."""
+        if not request.address:
+            return ()
+        ids_by_zone: dict[str, list[str]] = {}
+        for host_id, watcher in self._watchers_by_host.items():
+            if watcher.is_helping(now) and watcher.zone != request.availability_zone:
+                ids_by_zone.setdefault(watcher.zone, []).append(host_id)
+        return tuple(
+            watching.HostEntry(
+                id=host_id,
+                address=self._watchers_by_host[host_id].address,
+                availability_zone=zone,
+            )
+            for zone, ids in sorted(ids_by_zone.items())
+            for host_id in rendezvous.rank(request.host_id, ids)[:MAX_REMOTE_HOSTS]
         )
 
     async def _sweep_forever(self) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -53,8 +53,8 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take crashes that other entry hosts saw."""
 
-    def take_zone_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
-        """Take the entry hosts of this host's zone."""
+    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+        """Take the entry hosts of this host's zone, and some of each other one."""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -211,7 +211,7 @@
                 wait = FIRST_WAIT_S
                 await self._pause(address, position)
                 continue
-            self._take_hosts(address, reply.hosts)
+            self._take_hosts(address, reply.hosts + reply.remote_hosts)
             self._advance(position, reply)
             # The next call tells at once that this news is held; only then may
             # an upstream that wants to leave be told that it can.
@@ -272,7 +272,7 @@
         position.feed, position.version = reply.feed, reply.version
         position.crash_version = reply.crash_version
         position.members = reply.members
-        if reply.hosts:
+        if reply.hosts or reply.remote_hosts:
             position.hosts = reply.hosts_digest
 
     async def _pause(self, address: str, position: _Position) -> None:
@@ -400,7 +400,7 @@
         hosts = tuple(known[host_id] for host_id in sorted(known))
         if hosts != self._told_hosts:
             self._told_hosts = hosts
-            self._sink.take_zone_hosts(hosts)
+            self._sink.take_hosts(hosts)
 
     def _take_count(self, address: str, count: int) -> None:
         now = self._clock.monotonic()
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -6,6 +6,7 @@
 import typing
 from collections import abc
 
+from greengagehaven.coordination import rendezvous
 from greengagehaven.coordination.routing import (
     events,
     fleet,
@@ -24,6 +25,7 @@
 
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_GRACE_S = 0.3
+REMOTE_HOSTS = 2
 
 
 class Network(typing.Protocol):
@@ -112,15 +114,24 @@
         """Take the table and the upstreams that are known now."""
         self.is_up = True
         self.step(events.HostsCounted(count=self._declared.host_count))
-        own_zone = (
-            watching.HostEntry(id=each.id, address=each.id)
-            for each in self.hosts_by_id.values()
-            if each.zone == self.zone
-        )
-        self.step(events.ZoneHostsChanged(hosts=tuple(own_zone)))
+        self.step(events.EntryHostsChanged(hosts=self._named_hosts()))
         self.step(events.TableInForce(table=table))
         self.step(events.UpstreamsChanged(entries=tuple(entries)))
 
+    def _named_hosts(self) -> tuple[watching.HostEntry, ...]:
+        """Return the hosts of this zone and some of each other, as control hosts do."""
+        ids_by_zone: dict[str, list[str]] = {}
+        for each in self.hosts_by_id.values():
+            ids_by_zone.setdefault(each.zone, []).append(each.id)
+        own = ids_by_zone.pop(self.zone, [])
+        named = [watching.HostEntry(id=host_id, address=host_id) for host_id in own]
+        for zone, ids in sorted(ids_by_zone.items()):
+            named += [
+                watching.HostEntry(id=host_id, address=host_id, availability_zone=zone)
+                for host_id in rendezvous.rank(self.id, ids)[:REMOTE_HOSTS]
+            ]
+        return tuple(named)
+
     def stop(self) -> list[int]:
         """Lose everything; return the requests whose callers are cut off."""
         self.is_up = False
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -132,10 +132,14 @@
 
 
 class HostEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """An entry host, and where others call it."""
+    """An entry host, and where others call it.
+
+    :param availability_zone: empty for that of the host that is told.
+    """
 
     id: str
     address: str
+    availability_zone: str = ""
 
 
 class WatchRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -191,6 +195,8 @@
         majority.
     :param revision: of the configuration there.
     :param digest: of the upstreams known there, see ``state.roster``.
+    :param remote_hosts: some entry hosts of each other zone; ``hosts_digest`` is of
+        both.
     """
 
     feed: str
@@ -209,6 +215,7 @@
     in_touch: bool = True
     revision: int = 0
     digest: int = 0
+    remote_hosts: tuple[HostEntry, ...] = ()
 
 
 def pack_entries(entries: tuple[UpstreamEntry, ...]) -> bytes:
