--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -114,6 +114,7 @@
         self.forgotten = []
         self.checked = []
         self.reported = []
+        self.borrowed = []
         self.probed = []
         self.endings_by_number = {}
         self.wake_at = None
@@ -143,6 +144,8 @@
                     self.probed.append(upstream_id)
                 case events.ReportCrash(crash=crash):
                     self.reported.append(crash)
+                case events.Borrow():
+                    self.borrowed.append(action)
                 case events.WakeAt(moment=moment):
                     self.wake_at = moment
                 case ending:
--- a/src/greengagehaven/coordination/routing/counts.py
+++ b/src/greengagehaven/coordination/routing/counts.py
@@ -57,6 +57,7 @@
         self.failures: collections.Counter[str] = collections.Counter()
         self.upstream_changes: collections.Counter[str] = collections.Counter()
         self.delegations: collections.Counter[str] = collections.Counter()
+        self.loans: collections.Counter[str] = collections.Counter()
         self.extra_refused = 0
         self.missing_parts = 0
         self.latencies_by_route: dict[str, Histogram] = {}
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -131,6 +131,11 @@
             aggregators = self._aggregators_by_zone
             aggregators.setdefault(host.availability_zone, []).append(helper)
 
+    @property
+    def zone_addresses(self) -> tuple[str, ...]:
+        """Return where the other hosts of the zone are called."""
+        return tuple(host.address for host in self._hosts if host.address)
+
     def aggregate(self, zones: abc.Sequence[str]) -> list[str]:
         """Return the address of the host that asks each shard in its upstream's zone.
 
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -75,6 +75,12 @@
     took: float | None = None
     is_merged: bool = False
 
+    @property
+    def has_room(self) -> bool:
+        """Tell whether the upstream rejected the request with slots free."""
+        is_known = self.not_run and self.load is not None
+        return is_known and self.load.running < self.load.slots
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Failed:
@@ -245,6 +251,19 @@
     crashes: tuple[watching.Crash, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoanCame:
+    """How a ``Borrow`` ended.
+
+    :param services: one for each extra attempt that is lent; none where it failed.
+    :param until: monotonic seconds after which it holds no more.
+    """
+
+    number: int
+    services: tuple[str, ...]
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeReached:
     """The clock reached a moment that the router asked for."""
@@ -266,6 +285,7 @@
     | ListenerChecked
     | UpstreamProbed
     | CrashesReported
+    | LoanCame
     | TimeReached
 )
 
@@ -373,6 +393,18 @@
     crash: watching.Crash
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Borrow:
+    """Ask another host of the zone for room for extra attempts.
+
+    :param services: one for each attempt that is wanted.
+    """
+
+    number: int
+    address: str
+    services: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WakeAt:
     """Send ``TimeReached`` at this moment, in monotonic seconds."""
@@ -391,5 +423,6 @@
     | CheckListener
     | ProbeUpstream
     | ReportCrash
+    | Borrow
     | WakeAt
 )
--- a/src/greengagehaven/coordination/routing/extra.py
+++ b/src/greengagehaven/coordination/routing/extra.py
@@ -8,7 +8,7 @@
 attempts for each host there; a bucket that is filled by requests alone gives them out
 once, and a host that gets a sweep a second then hedges a shard once in six seconds,
 though the bound allows the burst anew in each window. So what was spent is counted
-over the window itself.
+over the window itself. Hosts that run short borrow from others (``lending``).
 """
 
 import collections
@@ -26,12 +26,21 @@
 after it has waited for a connection."""
 
 
+LOAN_S = 0.5
+"""Seconds for which what is lent may be used. The lender counts it as spent at the end
+of that time, so that no window holds it twice."""
+
+
 class _Window:
-    """Moments of one service's requests and extra attempts, the oldest first."""
+    """Moments of one service's requests and extra attempts, the oldest first.
+
+    ``loans`` are the ends of what other hosts lent.
+    """
 
     def __init__(self) -> None:
         self.requests: collections.deque[float] = collections.deque()
         self.spent: collections.deque[float] = collections.deque()
+        self.loans: collections.deque[float] = collections.deque()
 
     def forget(self, before: float) -> None:
         """Forget what the window has left behind."""
@@ -86,18 +95,44 @@
             return False
         now = self._clock.monotonic()
         window.forget(now - self._window)
-        part = self._part_now(now)
-        left = part + self._ratio * len(window.requests) - len(window.spent)
-        if left - 1.0 < keep * part:
+        if self._left(window, now) - 1.0 >= keep * self._part_now(now):
+            window.spent.append(now)
+            return True
+        while window.loans:
+            if window.loans.popleft() >= now:
+                return True
+        return False
+
+    def lend(self, service: str) -> bool:
+        """Count an extra attempt of another host if there is room for it.
+
+        :returns: whether there is; it may be used for ``LOAN_S``.
+        """
+        now = self._clock.monotonic()
+        window = self._windows_by_service.setdefault(service, _Window())
+        window.forget(now - self._window)
+        if self._left(window, now) < 1.0:
             return False
-        window.spent.append(now)
+        window.spent.append(now + LOAN_S)
         return True
 
+    def borrow(self, service: str, count: int, *, until: float) -> None:
+        """Take room that another host counts as spent.
+
+        :param until: monotonic seconds after which it may not be used.
+        """
+        window = self._windows_by_service.setdefault(service, _Window())
+        window.loans.extend([until] * count)
+
     def retain(self, services: frozenset[str]) -> None:
         """Forget services that no route names any more."""
         for service in set(self._windows_by_service) - services:
             del self._windows_by_service[service]
 
+    def _left(self, window: _Window, now: float) -> float:
+        earned = self._part_now(now) + self._ratio * len(window.requests)
+        return earned - len(window.spent)
+
     def _part_now(self, now: float) -> float:
         """Return the part of the burst that this host has by now.
 
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -17,6 +17,8 @@
     :param partial_answers: answer near the objective with enough parts.
     :param delegation: let other hosts of the zone ask a part of a sweep's shards.
     :param aggregation: let a host of the upstreams' zone ask those of another zone.
+    :param lending: borrow room for retries from other hosts of the zone.
+    :param asking_again: ask an upstream again that rejected a request with slots free.
     :param lag: take the measured lag of timers off that moment.
     :param early_refusal: send nothing where too few shards have an upstream.
     :param sending_away: say not ready where this host is cut off.
@@ -35,6 +37,8 @@
     partial_answers: bool = True
     delegation: bool = True
     aggregation: bool = True
+    lending: bool = True
+    asking_again: bool = True
     lag: bool = True
     early_refusal: bool = True
     sending_away: bool = True
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -41,12 +41,16 @@
     :param part: the attempt whose reply counts.
     :param is_failed: no part will come.
     :param reply: the last whole reply that is no success.
-    :param held: a lost attempt; it is sent again once the loss is looked into.
+    :param rejected_by: upstreams that said that they had not run it.
+    :param held: a failed attempt; the shard is asked again once its loss is looked
+        into, or there is room for an extra attempt.
+    :param lenders: hosts that were asked for that room.
     """
 
     service: str
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     tried: set[str] = dataclasses.field(default_factory=set)
+    rejected_by: set[str] = dataclasses.field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
     sends: int = 0
@@ -57,6 +61,7 @@
     failure: str = ""
     held: Attempt | None = None
     held_until: float = math.inf
+    lenders: int = 0
 
     def hold(self, attempt: Attempt, *, until: float) -> None:
         """Wait with the next attempt, at most until a moment."""
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -23,6 +23,7 @@
     extra,
     fleet,
     hedging,
+    lending,
     mechanisms,
     narration,
     observation,
@@ -53,6 +54,13 @@
 WATCH_NUMBER = 0
 """Stands among the numbers of requests for the look at silent upstreams."""
 
+MAX_SENDS = 6
+"""Attempts of one shard, rejected ones too, after which no upstream is asked again
+that rejected it."""
+
+LOAN_NUMBER = -1
+"""Stands among them for a call to a host that may lend."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Options:
@@ -141,6 +149,12 @@
             clock=clock,
         )
         self._attempts_by_id = self._sending.attempts_by_id
+        self._lending = lending.Lending(
+            budget=self._extra,
+            clock=clock,
+            rng=rng,
+            wake_at=lambda moment: heapq.heappush(self._timers, (moment, LOAN_NUMBER)),
+        )
         self._refusals = refusals.Refusals(
             of_returns=self._returns, of_partition=self._partition
         )
@@ -160,6 +174,7 @@
             events.ListenerChecked: self._on_listener_checked,
             events.UpstreamProbed: self._on_probed,
             events.CrashesReported: self._on_crashes,
+            events.LoanCame: self._on_loan,
             events.TimeReached: self._on_time,
         }
 
@@ -288,6 +303,21 @@
         usual = self._sending.usual(routed)
         return self.fleet.choose(shard.service, usual, tried=shard.tried)
 
+    def _choose_again(
+        self, routed: request.RoutedRequest, shard: request.ShardState
+    ) -> upstreams.Upstream | None:
+        """Return an upstream for a retry.
+
+        Where all have had the request it is one that rejected it with slots free: such
+        a one rejects the next request or not, whatever it did with the last.
+        """
+        chosen = self._choose(routed, shard)
+        if chosen is None and shard.sends < MAX_SENDS and self._used.asking_again:
+            usual = self._sending.usual(routed)
+            tried = shard.tried - shard.rejected_by
+            chosen = self.fleet.choose(shard.service, usual, tried=tried)
+        return chosen
+
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
@@ -327,6 +357,18 @@
         self, changed: events.EntryHostsChanged, actions: list[events.Action]
     ) -> None:
         self._delegation.set_hosts(changed.hosts)
+        self._lending.set_hosts(self._delegation.zone_addresses)
+
+    def lend(self, services: abc.Iterable[str]) -> tuple[str, ...]:
+        """Return for which services another host may send an extra attempt each."""
+        lent = tuple(service for service in services if self._extra.lend(service))
+        self.counts.loans["lent"] += len(lent)
+        return lent
+
+    def _on_loan(self, came: events.LoanCame, actions: list[events.Action]) -> None:
+        self.counts.loans["borrowed"] += len(came.services)
+        for attempt in self._lending.take(came):
+            self._resume(attempt, actions)
 
     def _take_end(
         self, ended: events.AttemptEnded, actions: list[events.Action]
@@ -413,6 +455,8 @@
         did_not_run = _did_not_run(outcome)
         if did_not_run:
             shard.runs -= 1
+        if isinstance(outcome, events.Replied) and outcome.has_room:
+            shard.rejected_by.add(attempt.upstream.entry.id)
         if not self._has_arrived(attempt, outcome):
             shard.arrivals -= 1
         if isinstance(outcome, events.Replied) and not did_not_run:
@@ -424,9 +468,7 @@
         if self._crashes.is_looked_into(attempt) and routed.route.is_idempotent:
             shard.hold(attempt, until=self._clock.monotonic() + HOLD_S)
             return
-        if self._is_final(outcome) or not self._retry(
-            routed, shard, did_not_run, actions
-        ):
+        if self._is_final(outcome) or not self._retry(attempt, did_not_run, actions):
             self._fail_shard(shard, shard.failure)
 
     def _has_arrived(
@@ -439,17 +481,18 @@
         return not outcome.is_turned_away(took, attempt.usual)
 
     def _resume(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
-        """Send a request again that was held while its loss was looked into.
+        """Send a request again that was held.
 
-        Where all upstreams of a service crash at once, the next one would be
-        lost too if it were asked at once, before the ends of its connections
-        are seen, and a good request be convicted of both crashes.
+        It waited for room for an extra attempt, or for a look at its loss. Where all
+        upstreams of a service crash at once, the next one would be lost too if it
+        were asked at once, before the ends of its connections are seen, and a good
+        request be convicted of both crashes.
         """
         routed, shard = attempt.request, attempt.shard
         if shard.held is not attempt or routed.is_over:
             return
         shard.resume()
-        if not self._retry(routed, shard, False, actions):
+        if not self._retry(attempt, False, actions):
             self._fail_shard(shard, shard.failure)
         self._settle(routed, actions)
 
@@ -460,11 +503,12 @@
 
     def _retry(
         self,
-        routed: request.RoutedRequest,
-        shard: request.ShardState,
+        attempt: request.Attempt,
         did_not_run: bool,
         actions: list[events.Action],
     ) -> bool:
+        """Ask another upstream, or wait for room to; return whether it does."""
+        routed, shard = attempt.request, attempt.shard
         if not self._used.retrying:
             return False
         if not (routed.route.is_idempotent or did_not_run):
@@ -475,13 +519,16 @@
             return False
         if self._clock.monotonic() >= routed.deadline:
             return False
-        chosen = self._choose(routed, shard)
+        chosen = self._choose_again(routed, shard)
         if chosen is None:
             shard.failure += "_no_upstream"
             return False
         # The first that reaches the service is no extra one.
         if shard.arrivals and not self._extra.spend(shard.service):
             self.counts.extra_refused += 1
+            may_wait = routed.route.is_idempotent and self._used.lending
+            if may_wait and self._lending.wait(attempt):
+                return True
             shard.failure += "_no_budget"
             return False
         self._sending.again(chosen, routed, shard, "retry", actions)
@@ -638,6 +685,9 @@
         now = self._clock.monotonic()
         while self._timers and self._timers[0][0] <= now:
             _, number = heapq.heappop(self._timers)
+            if number == LOAN_NUMBER:
+                self._lending.ask(actions)
+                continue
             if number == WATCH_NUMBER:
                 if self._used.probing:
                     self._reach.look(self._attempts_by_id.values(), actions)
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -50,6 +50,12 @@
                 "Calls to other hosts for a part of a sweep's shards",
                 counted.delegations,
             ),
+            (
+                "loans",
+                "side",
+                "Extra attempts that hosts of the zone lent each other",
+                counted.loans,
+            ),
             (
                 "upstream_changes",
                 "change",
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -15,7 +15,7 @@
 from greengagehaven import settings as checks
 from greengagehaven.coordination import sources
 from greengagehaven.coordination.routing import events, merging, router
-from greengagehaven.daemons import delegating, exposition, gatherer, watcher
+from greengagehaven.daemons import delegating, exposition, gatherer, lender, watcher
 from greengagehaven.protocol import exchange as names_module
 from greengagehaven.protocol import gathering, watching
 from greengagehaven.state import configuration, routes
@@ -94,8 +94,18 @@
             rng=rng,
         )
         self._gatherer = gatherer.Gatherer(channel=self._channel, clock=clock)
+        self._lender = lender.Lender(
+            channel=self._client,
+            lend=self._router.lend,
+            on_loan=self._submit,
+            clock=clock,
+        )
         self._peer_server = http_peers.HttpPeerServer(
-            handlers_by_method=self._gatherer.handlers_by_method, clock=clock
+            handlers_by_method={
+                **self._gatherer.handlers_by_method,
+                **self._lender.handlers_by_method,
+            },
+            clock=clock,
         )
         self._delegating = delegating.Delegating(
             host_id=settings.host_id, channel=self._client, sink=self, clock=clock
@@ -160,6 +170,7 @@
         await self._metrics.close()
         await self._peer_server.stop(datetime.timedelta())
         await self._delegating.close()
+        await self._lender.close()
         await self._channel.close()
         await self._client.close()
 
@@ -310,6 +321,8 @@
                 self._check_listener(action)
             case events.ProbeUpstream():
                 self._probe(action)
+            case events.Borrow():
+                self._lender.borrow(action)
             case events.ReportCrash(crash=crash):
                 self._watcher.report_crash(crash)
             case events.WakeAt(moment=moment):
--- /dev/null
+++ b/src/greengagehaven/daemons/lender.py
@@ -0,0 +1,89 @@
+"""Calls between entry hosts that lend each other room for extra attempts."""
+
+import asyncio
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import peers
+from greengagehaven.coordination.routing import events, extra
+from greengagehaven.coordination.routing import lending as lending_policy
+from greengagehaven.protocol import codec, lending
+
+LEND_METHOD = "budget/lend"
+
+
+class Lender:
+    """Both sides of a loan.
+
+    :param channel: calls to other hosts.
+    :param lend: takes what is wanted and returns what is lent.
+    :param on_loan: told how a call of this host ended.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        channel: peers.PeerChannel,
+        lend: abc.Callable[[tuple[str, ...]], tuple[str, ...]],
+        on_loan: abc.Callable[[events.LoanCame], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._channel = channel
+        self._lend = lend
+        self._on_loan = on_loan
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def handlers_by_method(self) -> dict[str, peers.Handler]:
+        """Return what answers each call."""
+        return {LEND_METHOD: self.handle}
+
+    async def handle(self, body: bytes) -> bytes:
+        """Answer a host that asks for room."""
+        request = codec.decode_msgpack(body, lending.LoanRequest)
+        services = self._lend(request.services)
+        log.info("lent", wanted=len(request.services), lent=len(services))
+        return codec.encode_msgpack(lending.Loan(services=services))
+
+    def borrow(self, borrow: events.Borrow) -> None:
+        """Ask another host for room."""
+        task = asyncio.ensure_future(self._borrow(borrow))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Wait for no loan any more."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _borrow(self, borrow: events.Borrow) -> None:
+        # A loan lasts from when it was asked for: the lender counts it for longer.
+        until = self._clock.monotonic() + extra.LOAN_S
+        message = lending.LoanRequest(services=borrow.services)
+        services: tuple[str, ...] = ()
+        detail = ""
+        try:
+            data = await self._channel.call(
+                borrow.address,
+                LEND_METHOD,
+                codec.encode_msgpack(message),
+                timeout=lending_policy.LOAN_TIMEOUT_S,
+            )
+            services = codec.decode_msgpack(data, lending.Loan).services
+        except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
+            detail = error.detail
+        log.info(
+            "borrowed",
+            address=borrow.address,
+            wanted=len(borrow.services),
+            borrowed=len(services),
+            error=detail,
+        )
+        self._on_loan(
+            events.LoanCame(number=borrow.number, services=services, until=until)
+        )
--- a/src/greengagehaven/experiment/environment.py
+++ b/src/greengagehaven/experiment/environment.py
@@ -17,6 +17,7 @@
     "crash",
     "dark",
     "lost",
+    "shed",
     "burst",
     "zone_cut",
     "power_off",
@@ -51,6 +52,7 @@
     :param handshake_ms: that a new connection holds a slot.
     :param pause_ms: that it stands still each ``pause_every_s``.
     :param speeds: multiples of the work, a replica has one of them.
+    :param zones: where its replicas stand, drawn among all where there are none.
     """
 
     name: str
@@ -63,6 +65,7 @@
     pause_ms: float = 0.0
     pause_every_s: float = 0.0
     speeds: tuple[float, ...] = (1.0,)
+    zones: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -298,6 +301,8 @@
         if min(service.shards, service.replicas, service.slots) < 1:
             place = f"services[{number}]"
             mistakes.append(f"{place}: expected shards, replicas and slots from 1 on")
+        for zone in set(service.zones) - zones:
+            mistakes.append(f"services[{number}].zones: unknown zone {zone!r}")
     for day in environment.days:
         for number, trouble in enumerate(day.troubles):
             place = f"days {day.name} troubles[{number}]"
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -9,6 +9,7 @@
 from greengagehaven.coordination import rendezvous
 from greengagehaven.coordination.routing import (
     events,
+    extra,
     fleet,
     mechanisms,
     router,
@@ -215,6 +216,8 @@
                         upstream_id=upstream_id, listener=seen
                     ),
                 )
+            case events.Borrow():
+                self._borrow(action)
             case events.PassOn() | events.AnswerParts() | events.Refuse():
                 self._numbers.discard(action.number)
                 self._answer(action.number, action)
@@ -234,6 +237,26 @@
         else:
             self._loop.after(2 * way, self._helper_refused, self._boot, asked)
 
+    def _borrow(self, asked: events.Borrow) -> None:
+        lender = self.hosts_by_id[asked.address]
+        way = self._network.way(self.zone, lender.zone)
+        until = self._loop.time + extra.LOAN_S
+        boot = self._boot
+
+        def come(services: tuple[str, ...]) -> None:
+            if boot == self._boot and self.is_up:
+                came = events.LoanCame(
+                    number=asked.number, services=services, until=until
+                )
+                self.step(came)
+
+        def lend() -> None:
+            can_lend = lender.is_up and not lender.is_frozen
+            services = lender.router.lend(asked.services) if can_lend else ()
+            self._loop.after(way, come, services)
+
+        self._loop.after(way, lend)
+
     def _helper_refused(self, boot: int, asked: events.Delegate) -> None:
         if boot != self._boot:
             return
--- a/src/greengagehaven/experiment/troubles.py
+++ b/src/greengagehaven/experiment/troubles.py
@@ -180,6 +180,7 @@
     "slow": _slow,
     "grey": _rated("grey_rate"),
     "lost": _rated("lost_rate"),
+    "shed": _rated("shed_rate"),
     "crash": _fallen(upstreams.State.CLOSED),
     "dark": _fallen(upstreams.State.DARK),
     "burst": _burst,
--- a/src/greengagehaven/experiment/upstreams.py
+++ b/src/greengagehaven/experiment/upstreams.py
@@ -56,6 +56,7 @@
         self.slow_factor = 1.0
         self.grey_rate = 0.0
         self.lost_rate = 0.0
+        self.shed_rate = 0.0
         self.connections = 0
         self.runs = 0
         self.cut_runs = 0
@@ -79,6 +80,9 @@
 
     def take(self, job: Job) -> bool:
         """Run a job as soon as a slot is free; return whether it is not rejected."""
+        if self.shed_rate and self._draw() < self.shed_rate:
+            job.on_end(self._replied(status=503, not_run=True))
+            return False
         if len(self._running) < self.service.slots:
             self._run(job)
         elif len(self._waiting) < self.service.queue:
--- a/src/greengagehaven/experiment/world.py
+++ b/src/greengagehaven/experiment/world.py
@@ -132,7 +132,7 @@
         self.services_by_kind: dict[str, list[str]] = {}
         for service in self.declared.services:
             for shard in range(service.shards):
-                zones = list(rng.permutation(self.declared.zones))
+                zones = list(rng.permutation(service.zones or self.declared.zones))
                 for number in range(service.replicas):
                     name = f"{service.name}-{shard}"
                     speed = service.speeds[int(rng.integers(len(service.speeds)))]
