--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -79,6 +79,14 @@
     When it is asked to report after a while
     Then it reports 2 parts, then 1, each with their greatest records
 
+  Scenario: An upstream rejects a shard that another host asks
+    Its shard has to be asked again within the objective. Told with the others, it
+    would be once half of that time is over.
+
+    Given a host that gathers from 3 upstreams, of which one replies late
+    When it is asked to report after a long time and the first one rejects
+    Then the rejection is reported before the late one replied, which is not hedged
+
   Scenario: Nobody waits for an attempt any more
     Given a host that gathers from 3 upstreams, of which one replies late
     When it is asked to report after a while and the late one is released
--- a/features/fakes/gathering.py
+++ b/features/fakes/gathering.py
@@ -22,6 +22,7 @@
 
     def __init__(self, count):
         self.count = count
+        self.rejecting = None
         self.asked = 0
         self.may_reply_late = asyncio.Event()
         self.addresses = []
@@ -42,8 +43,9 @@
                 if number == self.count - 1:
                     await self.may_reply_late.wait()
                 body = bytes([number]) * RECORD_BYTES
+                status = "503 Full" if number == self.rejecting else "200 OK"
                 head = (
-                    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+                    f"HTTP/1.1 {status}\r\nRequest-Id: r-1\r\n"
                     f"Signature: s-{number}\r\nContent-Length: {len(body)}\r\n\r\n"
                 )
                 writer.write(head.encode() + body)
@@ -68,6 +70,7 @@
 
     def __init__(self):
         self.reports = []
+        self.open = []
         self.ends = []
         self.reported = asyncio.Event()
         self.over = asyncio.Event()
@@ -77,6 +80,7 @@
 
     def take_report(self, report):
         self.reports.append({each.attempt: each.outcome for each in report.ended})
+        self.open.append(report.open)
         self.reported.set()
 
     def take_helper_end(self, ended):
@@ -108,7 +112,7 @@
             host_id="h-0", channel=self.client, sink=self.told, clock=self.clock
         )
 
-    def ask(self, *, left_s=LEFT_S):
+    def ask(self, *, left_s=LEFT_S, report_s=REPORT_S):
         delegate = events.Delegate(
             number=1,
             address=self.address,
@@ -123,7 +127,7 @@
                 )
                 for number, address in enumerate(self.upstreams.addresses)
             ),
-            report_after=REPORT_S,
+            report_after=report_s,
             top_records=2,
         )
         request = http.Request(
--- a/features/steps/gathering_steps.py
+++ b/features/steps/gathering_steps.py
@@ -41,6 +41,29 @@
     assert not end.failed and context.pair.gatherer.in_flight == 0
 
 
+@behave.when("it is asked to report after a long time and the first one rejects")
+def when_rejected(context):
+    async def story(pair):
+        pair.upstreams.rejecting = 0
+        pair.ask(report_s=gathering.LEFT_S)
+        async with asyncio.timeout(gathering.LEFT_S / 2):
+            await pair.told.reported.wait()
+        pair.upstreams.may_reply_late.set()
+        await pair.told.over.wait()
+
+    context.pair = gathering.play(context.count, story)
+
+
+@behave.then(
+    "the rejection is reported before the late one replied, which is not hedged"
+)
+def then_told_early(context):
+    told = context.pair.told
+    assert told.reports[0][0].status == 503, told.reports
+    assert all(2 not in report for report in told.reports[:-1]), told.reports
+    assert not any(told.open[:-1]), told.open
+
+
 @behave.when("it is asked to report after a while and the late one is released")
 def when_released(context):
     async def story(pair):
--- a/src/greengagehaven/daemons/delegating.py
+++ b/src/greengagehaven/daemons/delegating.py
@@ -195,7 +195,7 @@
         self._sink.take_report(
             events.AttemptsReported(
                 ended=tuple(_event_of(each) for each in ended),
-                open=tuple(sorted(call.open)),
+                open=() if report.is_early else tuple(sorted(call.open)),
             )
         )
 
--- a/src/greengagehaven/daemons/gatherer.py
+++ b/src/greengagehaven/daemons/gatherer.py
@@ -1,6 +1,7 @@
 """Asks some shards of a sweep for another entry host, and reports what came."""
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 
@@ -59,7 +60,10 @@
         self._left = len(request.asks)
         self._ready: list[_Take] = []
         self._news = asyncio.Event()
-        self._done = asyncio.Event()
+        self._is_due = False
+        self._has_failure = False
+        # Set once all is in, or once something failed that is not reported yet.
+        self._decisive = asyncio.Event()
 
     @property
     def is_over(self) -> bool:
@@ -80,38 +84,45 @@
         )
         self._left -= 1
         self._news.set()
-        if not self._left:
-            self._done.set()
+        is_success = isinstance(outcome, events.Replied) and outcome.is_success
+        if not is_success and attempt not in self.released:
+            self._has_failure = True
+        if self._has_failure or not self._left:
+            self._decisive.set()
+
+    async def report(self) -> gathering.Report:
+        """Return what came since the last report.
 
-    async def first(self, seconds: float) -> gathering.Report:
-        """Return what is in once all is, or after some time no reply comes any more."""
-        while self._left:
+        Until a shard would be hedged it waits for all of them, but a failure is told
+        at once: its shard has to be asked again in the same time as others.
+        """
+        if self._is_due:
+            await self._news.wait()
+            if self._left:
+                await asyncio.sleep(delegation.TOGETHER_S)
+            return self._report(is_early=False)
+        while self._left and not self._has_failure:
             until = hedging.report_at(
-                started_at=self.started_at, replied_at=self._took_at, after=seconds
+                started_at=self.started_at,
+                replied_at=self._took_at,
+                after=self.request.report_ms / _MS,
             )
             wait = until - self._clock.monotonic()
             if wait <= 0:
-                break
-            await self._wait_for_all(wait)
-        return self._report()
-
-    async def rest(self) -> gathering.Report:
-        """Return what came since the last report, once something has."""
-        await self._news.wait()
-        await self._wait_for_all(delegation.TOGETHER_S)
-        return self._report()
-
-    async def _wait_for_all(self, seconds: float) -> None:
+                self._is_due = True
+                return self._report(is_early=False)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait):
+                    await self._decisive.wait()
         if self._left:
-            try:
-                async with asyncio.timeout(seconds):
-                    await self._done.wait()
-            except TimeoutError:
-                return
+            await asyncio.sleep(delegation.TOGETHER_S)
+        return self._report(is_early=bool(self._left))
 
-    def _report(self) -> gathering.Report:
+    def _report(self, *, is_early: bool) -> gathering.Report:
         takes, self._ready = self._ready, []
         self._news.clear()
+        self._decisive.clear()
+        self._has_failure = False
         parts = [take for take in takes if self._is_part(take)]
         bodies = (
             take.exchange.reply.body
@@ -122,6 +133,7 @@
             ended=tuple(self._ended(take, is_part=take in parts) for take in takes),
             records=merging.greatest_records(bodies, self.request.top_records),
             is_last=not self._left,
+            is_early=is_early,
         )
 
     def _is_part(self, take: _Take) -> bool:
@@ -210,8 +222,7 @@
         asyncio.get_running_loop().call_later(kept, self._expire, request.key)
         for ask in request.asks:
             self._send(gather, ask)
-        report = await gather.first(request.report_ms / _MS)
-        return self._answer(gather, report)
+        return self._answer(gather, await gather.report())
 
     async def handle_rest(self, body: bytes) -> bytes:
         """Answer with what came since the last report, once something has.
@@ -222,7 +233,7 @@
         gather = self._gathers_by_key.get(request.key)
         if gather is None:
             raise exceptions.NotFoundError("no attempts under this key")
-        return self._answer(gather, await gather.rest())
+        return self._answer(gather, await gather.report())
 
     async def handle_release(self, body: bytes) -> bytes:
         """Note that nobody waits for some attempts."""
--- a/src/greengagehaven/experiment/gathering.py
+++ b/src/greengagehaven/experiment/gathering.py
@@ -51,9 +51,10 @@
                 outcome, took=took, is_merged=outcome.is_success
             )
         self._ready.append(events.AttemptEnded(attempt=attempt, outcome=outcome))
+        is_success = isinstance(outcome, events.Replied) and outcome.is_success
         if not self._attempts_by_key:
             self._report()
-        elif self._reports_late and not self._is_due:
+        elif (self._reports_late or not is_success) and not self._is_due:
             self._is_due = True
             self.loop.after(delegation.TOGETHER_S, self._report)
 
@@ -74,7 +75,8 @@
         ended, self._ready = tuple(self._ready), []
         left = tuple(self._attempts_by_key.values())
         if ended or left:
-            report = events.AttemptsReported(ended=ended, open=left)
+            straggling = left if self._reports_late else ()
+            report = events.AttemptsReported(ended=ended, open=straggling)
             self.loop.after(self.way, self.asker.take_report, self.asker_boot, report)
         if not self._attempts_by_key and ended:
             self.on_last()
--- a/src/greengagehaven/protocol/gathering.py
+++ b/src/greengagehaven/protocol/gathering.py
@@ -81,8 +81,10 @@
 
     :param records: the greatest records of all parts that are signed here.
     :param is_last: whether all attempts have ended.
+    :param is_early: whether it tells of failures before a shard is to be hedged.
     """
 
     ended: tuple[Ended, ...]
     records: bytes = b""
     is_last: bool = False
+    is_early: bool = False
