--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -115,6 +115,7 @@
         self.checked = []
         self.reported = []
         self.borrowed = []
+        self.outliers = []
         self.probed = []
         self.endings_by_number = {}
         self.wake_at = None
@@ -144,6 +145,8 @@
                     self.probed.append(upstream_id)
                 case events.ReportCrash(crash=crash):
                     self.reported.append(crash)
+                case events.ReportOutlier(outlier=outlier):
+                    self.outliers.append(outlier)
                 case events.Borrow():
                     self.borrowed.append(action)
                 case events.WakeAt(moment=moment):
--- a/features/steps/news_steps.py
+++ b/features/steps/news_steps.py
@@ -53,20 +53,25 @@
             rng=random.Random(zone),
         )
         fleet.network.handlers_by_address[self.address] = {
-            roster_feed.WATCH_METHOD: self._handle
+            roster_feed.WATCH_METHOD: self._handle,
+            roster_feed.OUTLIERS_METHOD: self.feed.handle_outliers,
         }
 
     async def _handle(self, body):
         data = await self.feed.handle(body)
         if codec.decode_msgpack(body, watching.WatchRequest).is_entry:
             reply = codec.decode_msgpack(data, watching.WatchReply)
-            self.told_entries += len(reply.entries) + len(reply.packed_entries)
+            news = (reply.entries, reply.packed_entries, reply.outliers)
+            self.told_entries += sum(map(len, news))
         return data
 
     def take_entries(self, entries):
         if not self.is_deaf:
             self.feed.merge(entries)
 
+    def take_outliers(self, outliers):
+        self.feed.hear_outliers(outliers)
+
     def take_entry_hosts(self, count):
         """A control host counts its own watchers."""
 
@@ -78,6 +83,7 @@
         host_id = f"entry-{zone}-{number}"
         self.stages_by_id = {}
         self.host_count = 0
+        self.outliers = []
         clock = fleet.loop.clock
         self.watcher = watcher.Watcher(
             channel=fleet.network.channel_of(host_id),
@@ -100,6 +106,9 @@
     def take_hosts(self, hosts):
         """Nobody delegates here."""
 
+    def take_outliers(self, outliers):
+        self.outliers.extend(outliers)
+
     def take_crashes(self, crashes):
         """Nothing crashes here."""
 
--- /dev/null
+++ b/features/steps/outliers_steps.py
@@ -0,0 +1,206 @@
+"""Steps about upstreams that entry hosts find slow or faulty."""
+
+import behave
+
+from fakes import routing, sweeps
+from greengagehaven.coordination.routing import events
+from greengagehaven.protocol import watching
+from greengagehaven.state import outliers
+
+UPSTREAMS = 30
+SLOW = watching.OutlierKind.SLOW
+FAULTY = watching.OutlierKind.FAULTY
+
+
+def outlier_of(upstream_id, *, kind=SLOW, incarnation=1):
+    return watching.Outlier(upstream_id=upstream_id, incarnation=incarnation, kind=kind)
+
+
+@behave.given("a log of outliers")
+def given_log(context):
+    context.log = outliers.OutlierLog()
+    context.now = 100.0
+    context.told = 0
+
+
+def report(context, hosts, upstream_id, times, seconds):
+    for place in range(times):
+        found = outlier_of(upstream_id)
+        host_id = f"h-{place % hosts}"
+        context.told += context.log.report(
+            found, host_id, context.now, upstreams=UPSTREAMS
+        )
+        context.now += seconds / times
+
+
+@behave.when("{hosts:d} hosts report {upstream_id} within {seconds:f} seconds")
+def when_reported(context, hosts, upstream_id, seconds):
+    report(context, hosts, upstream_id, hosts, seconds)
+
+
+@behave.when("{hosts:d} host reports {upstream_id} {times:d} times over 1 second")
+@behave.when("{hosts:d} hosts report {upstream_id} {times:d} times over 1 second")
+def when_reported_times(context, hosts, upstream_id, times):
+    report(context, hosts, upstream_id, times, 1.0)
+
+
+@behave.when("{seconds:d} seconds pass and 1 host reports {upstream_id} once")
+def when_later(context, seconds, upstream_id):
+    context.now += seconds
+    report(context, 1, upstream_id, 1, 0.0)
+
+
+@behave.when("each of {count:d} upstreams is reported by 2 hosts 4 times over 1 second")
+def when_all_reported(context, count):
+    for place in range(4):
+        for number in range(count):
+            report(context, 1, f"u-{number}", 1, 0.0)
+            found = outlier_of(f"u-{number}")
+            context.told += context.log.report(
+                found, f"other-{place}", context.now, upstreams=UPSTREAMS
+            )
+        context.now += 0.25
+
+
+@behave.then("no upstream is told")
+def then_no_upstream_told(context):
+    assert context.told == 0
+
+
+@behave.when("another control host tells of {upstream_id}")
+def when_heard(context, upstream_id):
+    context.log.hear(outlier_of(upstream_id), context.now)
+
+
+@behave.then("{upstream_id} is not told")
+def then_not_told(context, upstream_id):
+    assert context.told == 0
+    assert context.log.since(0, context.now) == ()
+
+
+@behave.then("{upstream_id} is told once")
+def then_told_once(context, upstream_id):
+    assert context.told == 1, context.told
+
+
+@behave.then("{upstream_id} is told a second time")
+def then_told_twice(context, upstream_id):
+    assert context.told == 2, context.told
+    assert context.log.since(1, context.now) == (outlier_of(upstream_id),)
+
+
+@behave.then("4 seconds later a host that begins to watch is told of nothing")
+def then_nothing(context):
+    context.now += 4.0
+    assert context.log.since(0, context.now) == ()
+
+
+@behave.then("an entry host is told of {upstream_id}, a control host is not")
+def then_entry_told(context, upstream_id):
+    assert context.log.since(0, context.now) == (outlier_of(upstream_id),)
+    assert context.log.since(0, context.now, own_only=True) == ()
+
+
+def tell(context, *found):
+    context.tier.step(events.OutliersTold(outliers=found))
+
+
+def first_choice(context):
+    """Return the upstream that a sweep is sent to, and answer it."""
+    return sweeps.answer_sweep(context, 0.012)
+
+
+@behave.when("other hosts found the upstream of the own zone slow")
+def when_own_slow(context):
+    assert first_choice(context) == "shard-0-u0"
+    tell(context, outlier_of("shard-0-u0"))
+
+
+@behave.when("other hosts found an earlier start of the upstream of the own zone slow")
+def when_earlier_slow(context):
+    tell(context, outlier_of("shard-0-u0", incarnation=0))
+
+
+@behave.when("other hosts found all upstreams slow")
+def when_all_slow(context):
+    tell(context, *(outlier_of(f"shard-0-u{number}") for number in range(3)))
+
+
+@behave.then("none of the next {count:d} sweeps go there")
+def then_avoided(context, count):
+    chosen = [first_choice(context) for _ in range(count)]
+    assert "shard-0-u0" not in chosen, chosen
+
+
+@behave.then("the next sweep goes there")
+def then_goes_there(context):
+    assert first_choice(context) == "shard-0-u0"
+
+
+@behave.then("a sweep is still sent and answered")
+def then_still_sent(context):
+    first_choice(context)
+    (ending,) = context.tier.endings_by_number.values()
+    assert isinstance(ending, events.AnswerParts), ending
+
+
+@behave.when("{count:d} sweeps take {usual:d} ms and the next one {ms:d} ms")
+def when_next_slow(context, count, usual, ms):
+    for _ in range(count):
+        sweeps.answer_sweep(context, usual / 1000)
+    number = context.tier.request("/sweep/1")
+    (send,) = context.tier.attempts_of(number)
+    context.tier.pass_time(ms / 1000)
+    context.tier.reply(send)
+
+
+@behave.when("a sweep is rejected once with slots free")
+def when_rejected_once(context):
+    context.tier.outliers.clear()
+    number = context.tier.request("/sweep/1")
+    idle = events.Load(running=0, waiting=0, slots=2)
+    send = context.tier.attempts_of(number)[0]
+    context.tier.reply(send, status=503, not_run=True, load=idle)
+
+
+@behave.then("1 {kind} upstream is reported")
+def then_reported(context, kind):
+    (found,) = context.tier.outliers
+    assert found.kind == kind, found
+
+
+@behave.when("2 entry hosts report {upstream_id} {times:d} times over 1 second")
+def when_entries_report(context, upstream_id, times):
+    for number in range(UPSTREAMS):
+        context.fleet.announce("b", f"u-{number}")
+    context.fleet.play(1.0)
+    for control in context.fleet.controls_by_zone.values():
+        control.told_entries = 0
+    for _ in range(times):
+        for entry in context.fleet.entries[:2]:
+            found = outlier_of(upstream_id)
+            context.fleet.loop.call_soon(entry.watcher.report_outlier, found)
+        context.fleet.play(1.0 / times)
+
+
+@behave.then("within {seconds:d} second every entry host is told of {upstream_id}")
+def then_fleet_told(context, seconds, upstream_id):
+    wanted = outlier_of(upstream_id)
+    context.fleet.wait_for(seconds, lambda entry: wanted in entry.outliers)
+
+
+@behave.given("{count:d} hosts that were told that an upstream is slow")
+def given_hosts_told(context, count):
+    context.asking = 0
+    for number in range(count):
+        tier = routing.RoutingTier(host_id=f"h-{number}")
+        tier.put_table(routing.table(1, routing.sweep_route(["shard-0"])))
+        tier.put(*sweeps.upstreams_of("shard-0", 3))
+        tier.step(events.OutliersTold(outliers=(outlier_of("shard-0-u0"),)))
+        (send,) = tier.attempts_of(tier.request("/sweep/1"))
+        context.asking += send.upstream_id == "shard-0-u0"
+
+
+@behave.then("between {least:d} and {most:d} of them still ask it first")
+def then_still_ask(context, least, most):
+    assert least <= context.asking <= most, context.asking
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -251,6 +251,13 @@
     crashes: tuple[watching.Crash, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OutliersTold:
+    """Several entry hosts found upstreams slow or faulty."""
+
+    outliers: tuple[watching.Outlier, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoanCame:
     """How a ``Borrow`` ended.
@@ -285,6 +292,7 @@
     | ListenerChecked
     | UpstreamProbed
     | CrashesReported
+    | OutliersTold
     | LoanCame
     | TimeReached
 )
@@ -393,6 +401,13 @@
     crash: watching.Crash
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReportOutlier:
+    """Tell control hosts of an upstream that was slow or faulty."""
+
+    outlier: watching.Outlier
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Borrow:
     """Ask another host of the zone for room for extra attempts.
@@ -423,6 +438,7 @@
     | CheckListener
     | ProbeUpstream
     | ReportCrash
+    | ReportOutlier
     | Borrow
     | WakeAt
 )
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -19,6 +19,7 @@
     :param aggregation: let a host of the upstreams' zone ask those of another zone.
     :param lending: borrow room for retries from other hosts of the zone.
     :param asking_again: ask an upstream again that rejected a request with slots free.
+    :param sharing: tell other hosts of upstreams that are slow or faulty.
     :param lag: take the measured lag of timers off that moment.
     :param early_refusal: send nothing where too few shards have an upstream.
     :param sending_away: say not ready where this host is cut off.
@@ -39,6 +40,7 @@
     aggregation: bool = True
     lending: bool = True
     asking_again: bool = True
+    sharing: bool = True
     lag: bool = True
     early_refusal: bool = True
     sending_away: bool = True
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -8,14 +8,20 @@
     crashes,
     events,
     fleet,
+    mechanisms,
     reachability,
     request,
     upstreams,
 )
+from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
 MISDIRECTED = 421
 
+OUTLIER_RATIO = 3.0
+"""Multiples of the usual latency above which a reply is told to other hosts; work
+varies by a third, and one reply in a hundred takes five times as long."""
+
 SLOW_RATIO = 4.0
 """Multiples of the usual latency after which an attempt that was cut off counts as
 a fault: a pause is that long, and one that hangs longer answers nothing."""
@@ -29,6 +35,7 @@
     :param reach: told of upstreams that take no connection.
     :param of_crashes: looks into lost attempts.
     :param counted: counts ejections.
+    :param used: mechanisms that are used.
     :param clock: monotonic time.
     """
 
@@ -40,8 +47,10 @@
         reach: reachability.Reachability,
         of_crashes: crashes.Crashes,
         counted: counts.Counts,
+        used: mechanisms.Mechanisms,
         clock: clocks.Clock,
     ) -> None:
+        self._used = used
         self._fleet = of_fleet
         self._latencies = latencies
         self._reach = reach
@@ -80,9 +89,13 @@
             took = now - attempt.sent_at if reply.took is None else reply.took
             upstream.note_success(now)
             upstream.note_latency(took / attempt.usual, now)
+            if took / attempt.usual > OUTLIER_RATIO:
+                self._tell(upstream, watching.OutlierKind.SLOW, actions)
             self._latencies.observe(latency_class(attempt.request.route), took, now)
         elif reply.not_run:
             upstream.note_rejection(reply.load, now)
+            if reply.has_room:
+                self._tell(upstream, watching.OutlierKind.FAULTY, actions)
         else:
             self._note_fault(attempt, reply, now)
 
@@ -105,6 +118,7 @@
             upstream.note_latency(ratio, now)
             if ratio > SLOW_RATIO:
                 self._note_fault(attempt, failed, now)
+                self._tell(upstream, watching.OutlierKind.SLOW, actions)
         elif failed.fault is events.Fault.CONNECT:
             self._note_fault(attempt, failed, now)
             if now - upstream.heard_at > upstreams.HEARD_LATELY_S:
@@ -114,6 +128,21 @@
         elif failed.fault not in (events.Fault.UNSENT, events.Fault.HELPER):
             self._note_fault(attempt, failed, now)
 
+    def _tell(
+        self,
+        upstream: upstreams.Upstream,
+        kind: watching.OutlierKind,
+        actions: list[events.Action],
+    ) -> None:
+        """Tell other hosts what they would else find out themselves."""
+        if self._used.sharing:
+            outlier = watching.Outlier(
+                upstream_id=upstream.entry.id,
+                incarnation=upstream.entry.incarnation,
+                kind=kind,
+            )
+            actions.append(events.ReportOutlier(outlier=outlier))
+
     def _note_fault(
         self,
         attempt: request.Attempt,
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -10,6 +10,8 @@
 import typing
 from collections import abc
 
+import xxhash
+
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
@@ -54,6 +56,9 @@
 WATCH_NUMBER = 0
 """Stands among the numbers of requests for the look at silent upstreams."""
 
+CANARY_HOSTS = 16
+"""One host in so many goes on asking an outlier, and finds out when it is well."""
+
 MAX_SENDS = 6
 """Attempts of one shard, rejected ones too, after which no upstream is asked again
 that rejected it."""
@@ -95,6 +100,7 @@
     def __init__(self, *, options: Options, clock: clocks.Clock, rng: rngs.Rng) -> None:
         used = options.used
         self._used = used
+        self._host_id = options.host_id
         self.fleet = fleet.Fleet(
             cold_bound=options.cold_bound,
             placed_by=placement.ExpectedLatency(zone=options.zone, used=used, rng=rng),
@@ -132,6 +138,7 @@
             reach=self._reach,
             of_crashes=self._crashes,
             counted=self.counts,
+            used=used,
             clock=clock,
         )
         self._hedging = hedging.Hedging(latencies=self._latencies, used=used)
@@ -174,6 +181,7 @@
             events.ListenerChecked: self._on_listener_checked,
             events.UpstreamProbed: self._on_probed,
             events.CrashesReported: self._on_crashes,
+            events.OutliersTold: self._on_outliers,
             events.LoanCame: self._on_loan,
             events.TimeReached: self._on_time,
         }
@@ -444,6 +452,14 @@
     ) -> None:
         self._crashes.take_reports(reported.crashes)
 
+    def _on_outliers(
+        self, told: events.OutliersTold, actions: list[events.Action]
+    ) -> None:
+        for outlier in told.outliers:
+            key = f"{self._host_id}\0{outlier.upstream_id}".encode()
+            if xxhash.xxh64_intdigest(key) % CANARY_HOSTS:
+                self.fleet.take_outlier(outlier)
+
     def _take_failure(
         self,
         attempt: request.Attempt,
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -212,6 +212,11 @@
         """Take crashes that other entry hosts saw."""
         self._submit(events.CrashesReported(crashes=crashes))
 
+    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+        """Take upstreams that several entry hosts found slow or faulty."""
+        log.info("outliers_told", count=len(outliers))
+        self._submit(events.OutliersTold(outliers=outliers))
+
     def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take the entry hosts of this zone, and some of each other one."""
         remote = sum(bool(host.availability_zone) for host in hosts)
@@ -321,6 +326,8 @@
                 self._check_listener(action)
             case events.ProbeUpstream():
                 self._probe(action)
+            case events.ReportOutlier(outlier=outlier):
+                self._watcher.report_outlier(outlier)
             case events.Borrow():
                 self._lender.borrow(action)
             case events.ReportCrash(crash=crash):
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -158,6 +158,11 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take no crashes; entry hosts report them to every control host."""
 
+    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+        """Hand on what another control host tells of upstreams."""
+        if self._feed is not None:
+            self._feed.hear_outliers(outliers)
+
     def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take no hosts; only entry hosts help each other."""
 
@@ -181,6 +186,7 @@
             orders.ORDER_METHOD,
             roster_feed.WATCH_METHOD,
             roster_feed.REPORT_METHOD,
+            roster_feed.OUTLIERS_METHOD,
         )
         self._handlers_by_method = {}
         self._handler: http.Handler | None = None
@@ -229,6 +235,7 @@
             orders.ORDER_METHOD: ordering.handle,
             roster_feed.WATCH_METHOD: self._feed.handle,
             roster_feed.REPORT_METHOD: self._feed.handle_report,
+            roster_feed.OUTLIERS_METHOD: self._feed.handle_outliers,
         }
         self._handler = self._doors(ordering, registering)
 
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -14,10 +14,11 @@
 from greengagehaven.coordination import rendezvous
 from greengagehaven.daemons import publisher, roster_file
 from greengagehaven.protocol import codec, control, watching
-from greengagehaven.state import crashes, roster
+from greengagehaven.state import crashes, outliers, roster
 
 WATCH_METHOD = "roster/watch"
 REPORT_METHOD = "roster/report-crash"
+OUTLIERS_METHOD = "roster/report-outliers"
 MAX_WAIT_S = 5.0
 SWEEP_PERIOD_S = 0.5
 WATCHER_LIFETIME_S = 4.0
@@ -100,6 +101,7 @@
         self._keeper = keeper or roster_file.NoKeeper()
         self._feed = secrets.token_hex(FEED_ID_BYTES)
         self._crashes = crashes.CrashLog()
+        self._outliers = outliers.OutlierLog()
         self._watchers_by_host: dict[str, _Watcher] = {}
         self._packed: tuple[object, bytes] = (None, b"")
         self._news = asyncio.Event()
@@ -162,7 +164,11 @@
         """Tell the watchers at once of what leaves, of the rest in batches."""
         if any(entry.stage is not watching.Stage.READY for entry in entries):
             self.notify()
-        elif self._telling is None:
+        else:
+            self._notify_soon()
+
+    def _notify_soon(self) -> None:
+        if self._telling is None:
             loop = asyncio.get_running_loop()
             self._telling = loop.call_later(BATCH_S, self.notify)
 
@@ -209,10 +215,12 @@
         is_known = request.feed == self._feed
         held = request.held_version if is_known else 0
         held_crashes = request.held_crashes if is_known else 0
+        held_outliers = request.held_outliers if is_known else 0
         self._note_watcher(request, held)
         wait = min(request.wait_ms / 1000, MAX_WAIT_S)
         # Who counts in another run's versions has not heard of what this one knows.
-        may_wait = is_known and not self._has_news(request, held, held_crashes)
+        has_news = self._has_news(request, held, held_crashes, held_outliers)
+        may_wait = is_known and not has_news
         if wait > 0 and may_wait and not request.compares:
             news = self._news
             with contextlib.suppress(TimeoutError):
@@ -220,7 +228,7 @@
                     await news.wait()
         reply = self._reply(request, held_crashes)
         if not request.compares:
-            reply = self._with_news(reply, request, held)
+            reply = self._with_news(reply, request, held, held_outliers)
         return codec.encode_msgpack(reply)
 
     def _reply(
@@ -244,7 +252,11 @@
         )
 
     def _with_news(
-        self, reply: watching.WatchReply, request: watching.WatchRequest, held: int
+        self,
+        reply: watching.WatchReply,
+        request: watching.WatchRequest,
+        held: int,
+        held_outliers: int,
     ) -> watching.WatchReply:
         now = self._clock.monotonic()
         entries = self.roster.since(held, now)
@@ -262,6 +274,10 @@
             hosts=() if is_held else hosts,
             remote_hosts=() if is_held else remote_hosts,
             hosts_digest=hosts_digest,
+            outliers=self._outliers.since(
+                held_outliers, now, own_only=not request.is_entry
+            ),
+            outlier_version=self._outliers.version,
         )
 
     async def handle_report(self, body: bytes) -> bytes:
@@ -278,6 +294,30 @@
         self.notify()
         return b""
 
+    async def handle_outliers(self, body: bytes) -> bytes:
+        """Take what an entry host found, and tell what several found."""
+        report = codec.decode_msgpack(body, watching.OutlierReport)
+        now = self._clock.monotonic()
+        count = len(self.roster.held_by_id)
+        for outlier in report.outliers:
+            host_id = report.host_id
+            if self._outliers.report(outlier, host_id, now, upstreams=count):
+                log.info(
+                    "outlier_found",
+                    upstream=outlier.upstream_id,
+                    kind=outlier.kind,
+                    version=self._outliers.version,
+                )
+                self._notify_soon()
+        return b""
+
+    def hear_outliers(self, heard: abc.Iterable[watching.Outlier]) -> None:
+        """Take what another control host tells, and hand it on."""
+        now = self._clock.monotonic()
+        for outlier in heard:
+            self._outliers.hear(outlier, now)
+        self._notify_soon()
+
     def _configuration_for(self, request: watching.WatchRequest) -> bytes:
         revision = self._configuration.revision
         if revision <= request.held_revision and not request.whole:
@@ -293,12 +333,18 @@
         return self._packed[1]
 
     def _has_news(
-        self, request: watching.WatchRequest, held: int, held_crashes: int
+        self,
+        request: watching.WatchRequest,
+        held: int,
+        held_crashes: int,
+        held_outliers: int,
     ) -> bool:
         if self._told_version > held or request.whole:
             return True
         if request.is_entry and self._crashes.version > held_crashes:
             return True
+        if self._outliers.version > held_outliers:
+            return True
         return self._configuration.revision > request.held_revision
 
     def _note_watcher(self, request: watching.WatchRequest, held: int) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -34,6 +34,7 @@
 """Seconds after which news is asked for though more of it comes all the time."""
 
 SETTLING_PERIOD_S = 0.25
+OUTLIER_PERIOD_S = 0.1
 COMPARE_RETRY_S = 1.0
 JITTER = (0.75, 1.25)
 
@@ -53,6 +54,9 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take crashes that other entry hosts saw."""
 
+    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+        """Take upstreams that several entry hosts found slow or faulty."""
+
     def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take the entry hosts of this host's zone, and some of each other one."""
 
@@ -71,6 +75,7 @@
     feed: str = ""
     version: int = 0
     crash_version: int = 0
+    outlier_version: int = 0
     members: int = 0
     hosts: int = 0
     differs_since: float | None = None
@@ -143,6 +148,7 @@
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._is_closed = False
         self._reports: set[asyncio.Task[None]] = set()
+        self._outliers: set[watching.Outlier] = set()
 
     def start(self) -> None:
         """Begin to ask."""
@@ -167,17 +173,36 @@
         """Tell every control host of a crash, which tells the other hosts."""
         body = codec.encode_msgpack(crash)
         for address in self._tasks_by_address:
-            task = asyncio.ensure_future(self._report(address, body))
-            self._reports.add(task)
-            task.add_done_callback(self._reports.discard)
+            self._spawn_report(address, roster_feed.REPORT_METHOD, body)
+
+    def report_outlier(self, outlier: watching.Outlier) -> None:
+        """Tell the control hosts that are followed, with others of that moment."""
+        if not self._outliers:
+            loop = asyncio.get_running_loop()
+            loop.call_later(OUTLIER_PERIOD_S, self._report_outliers)
+        self._outliers.add(outlier)
+
+    def _report_outliers(self) -> None:
+        found, self._outliers = self._outliers, set()
+        if self._is_closed:
+            return
+        message = watching.OutlierReport(host_id=self._host_id, outliers=tuple(found))
+        body = codec.encode_msgpack(message)
+        for address in self._followed:
+            self._spawn_report(address, roster_feed.OUTLIERS_METHOD, body)
+
+    def _spawn_report(self, address: str, method: str, body: bytes) -> None:
+        task = asyncio.ensure_future(self._report(address, method, body))
+        self._reports.add(task)
+        task.add_done_callback(self._reports.discard)
 
-    async def _report(self, address: str, body: bytes) -> None:
+    async def _report(self, address: str, method: str, body: bytes) -> None:
         try:
-            await self._channel.call(
-                address, roster_feed.REPORT_METHOD, body, timeout=REPORT_TIMEOUT_S
-            )
+            await self._channel.call(address, method, body, timeout=REPORT_TIMEOUT_S)
         except exceptions.PeerError as error:
-            log.debug("report_failed", address=address, error=error.detail)
+            log.debug(
+                "report_failed", address=address, method=method, error=error.detail
+            )
 
     def _watch(self, address: str) -> None:
         is_known = address == self._own_address or address in self._tasks_by_address
@@ -213,6 +238,7 @@
                 continue
             self._take_hosts(address, reply.hosts + reply.remote_hosts)
             self._advance(position, reply)
+            position.outlier_version = reply.outlier_version
             # The next call tells at once that this news is held; only then may
             # an upstream that wants to leave be told that it can.
             wait = WAIT_S
@@ -233,6 +259,7 @@
             held_members=position.members,
             address=self._helps_at,
             held_hosts=position.hosts,
+            held_outliers=position.outlier_version,
             compares=compares,
         )
 
@@ -351,6 +378,8 @@
             self._take_configuration(follow)
         if reply.crashes:
             self._sink.take_crashes(reply.crashes)
+        if reply.outliers:
+            self._sink.take_outliers(reply.outliers)
         self._take_count(address, reply.entry_hosts)
         for other in reply.control_addresses:
             self._watch(other)
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_GRACE_S = 0.3
 REMOTE_HOSTS = 2
+OUTLIER_PERIOD_S = 0.1
 
 
 class Network(typing.Protocol):
@@ -70,6 +71,7 @@
 
     :param answer: told the number of a request and how it ends.
     :param work_of: gives the seconds of work of a request at an upstream.
+    :param report: told what upstreams this host found slow or faulty.
     :param note_run: told each request that reaches an upstream, and whether it
         is run there.
     """
@@ -85,6 +87,7 @@
         answer: abc.Callable[[int, events.Action], None],
         work_of: abc.Callable[[int, str], float],
         note_run: abc.Callable[[int, str, bool], None],
+        report: abc.Callable[[str, str, watching.Outlier], None],
         used: mechanisms.Mechanisms,
         loop: events_loop.Loop,
         rng: randomness.HostRng,
@@ -101,6 +104,7 @@
         self._answer = answer
         self._work_of = work_of
         self._note_run = note_run
+        self._report = report
         self._used = used
         self._loop = loop
         self._rng = rng
@@ -216,6 +220,10 @@
                         upstream_id=upstream_id, listener=seen
                     ),
                 )
+            case events.ReportOutlier(outlier=outlier):
+                self._loop.after(
+                    OUTLIER_PERIOD_S, self._report, self.zone, self.id, outlier
+                )
             case events.Borrow():
                 self._borrow(action)
             case events.PassOn() | events.AnswerParts() | events.Refuse():
--- a/src/greengagehaven/experiment/world.py
+++ b/src/greengagehaven/experiment/world.py
@@ -17,7 +17,7 @@
     upstreams,
 )
 from greengagehaven.protocol import watching
-from greengagehaven.state import routes
+from greengagehaven.state import outliers, routes
 
 LEAD_S = 12.0
 """Seconds that hosts have been up when the first caller arrives."""
@@ -58,6 +58,9 @@
             promises=checks.Promises(declared=declared, seed=seed),
             loop=self.loop,
         )
+        self._outliers_by_zone = {
+            zone: outliers.OutlierLog() for zone in declared.zones
+        }
         self.hosts = self._make_hosts()
         hosts_by_id = {each.id: each for each in self.hosts}
         for each in self.hosts:
@@ -108,7 +111,17 @@
         entry = self._entry(upstream, stage, sequence=round(self.loop.time * 1000) + 2)
         told = events.UpstreamsChanged(entries=(entry,))
         for each in self.hosts:
-            self.loop.after(self.declared.news_ms / 1000, self._tell, each, told)
+            self.loop.after(self.declared.news_ms / 1000, self._tell_event, each, told)
+
+    def report(self, zone: str, host_id: str, outlier: watching.Outlier) -> None:
+        """Take a report of an entry host, and let all hear what a zone found."""
+        found = self._outliers_by_zone[zone]
+        count = len(self.upstreams_by_id)
+        if not found.report(outlier, host_id, self.loop.time, upstreams=count):
+            return
+        told = events.OutliersTold(outliers=(outlier,))
+        for each in self.hosts:
+            self.loop.after(self.declared.news_ms / 1000, self._tell_event, each, told)
 
     def restart(self, each: host.Host) -> None:
         """Start a host that was stopped."""
@@ -121,7 +134,7 @@
                 self.declared.caller_way_ms / 1000, self._callers.fail, number
             )
 
-    def _tell(self, each: host.Host, told: events.UpstreamsChanged) -> None:
+    def _tell_event(self, each: host.Host, told: events.Event) -> None:
         if each.is_up:
             each.step(told)
 
@@ -219,6 +232,7 @@
                         answer=self._callers.take_answer,
                         work_of=self._callers.work_of,
                         note_run=self._callers.note_run,
+                        report=self.report,
                         used=self._used,
                         loop=self.loop,
                         rng=randomness.HostRng(generator=generator),
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -10,6 +10,9 @@
 
 GONE_SEQUENCE = 2**62
 
+OUTLIER_LIFETIME_S = 3.0
+"""Seconds for which hosts expect of an upstream what they were told of it."""
+
 
 class Stage(enum.StrEnum):
     """Life stage of an upstream as hosts hand it on.
@@ -131,6 +134,28 @@
     incarnation: int
 
 
+class OutlierKind(enum.StrEnum):
+    """What is wrong with an upstream that answers worse than others."""
+
+    SLOW = "slow"
+    FAULTY = "faulty"
+
+
+class Outlier(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An upstream that several entry hosts found slow, or that rejects or fails."""
+
+    upstream_id: str
+    incarnation: int
+    kind: OutlierKind
+
+
+class OutlierReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What one entry host saw in a moment."""
+
+    host_id: str
+    outliers: tuple[Outlier, ...]
+
+
 class HostEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An entry host, and where others call it.
 
@@ -156,6 +181,7 @@
     :param held_members: ``members`` of the last reply.
     :param address: where other entry hosts call the asking one, empty for nowhere.
     :param held_hosts: ``hosts_digest`` of the last reply.
+    :param held_outliers: ``outlier_version`` of the last reply.
     :param compares: ask only for digests, since another control host tells the
         asking one its news.
     """
@@ -173,6 +199,7 @@
     address: str = ""
     held_hosts: int = 0
     compares: bool = False
+    held_outliers: int = 0
 
 
 class WatchReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -195,6 +222,7 @@
         majority.
     :param revision: of the configuration there.
     :param digest: of the upstreams known there, see ``state.roster``.
+    :param outliers: what was found after ``held_outliers``.
     :param remote_hosts: some entry hosts of each other zone; ``hosts_digest`` is of
         both.
     """
@@ -216,6 +244,8 @@
     revision: int = 0
     digest: int = 0
     remote_hosts: tuple[HostEntry, ...] = ()
+    outliers: tuple[Outlier, ...] = ()
+    outlier_version: int = 0
 
 
 def pack_entries(entries: tuple[UpstreamEntry, ...]) -> bytes:
