--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from greengagehaven import clock as clocks
-from greengagehaven import exceptions, log
+from greengagehaven import exceptions
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
@@ -24,6 +24,7 @@
     events,
     extra,
     fleet,
+    further,
     hedging,
     lending,
     mechanisms,
@@ -36,7 +37,6 @@
     request,
     returns,
     sending,
-    upstreams,
     weights,
 )
 from greengagehaven.state import routes
@@ -59,10 +59,6 @@
 CANARY_HOSTS = 16
 """One host in so many goes on asking an outlier, and finds out when it is well."""
 
-MAX_SENDS = 6
-"""Attempts of one shard, rejected ones too, after which no upstream is asked again
-that rejected it."""
-
 LOAN_NUMBER = -1
 """Stands among them for a call to a host that may lend."""
 
@@ -162,6 +158,17 @@
             rng=rng,
             wake_at=lambda moment: heapq.heappush(self._timers, (moment, LOAN_NUMBER)),
         )
+        self._further = further.Further(
+            of_fleet=self.fleet,
+            of_sending=self._sending,
+            of_hedging=self._hedging,
+            of_crashes=self._crashes,
+            of_lending=self._lending,
+            budget=self._extra,
+            counted=self.counts,
+            used=used,
+            clock=clock,
+        )
         self._refusals = refusals.Refusals(
             of_returns=self._returns, of_partition=self._partition
         )
@@ -304,28 +311,6 @@
             return float("inf")
         return now + self._callers.answer_within(route, waited)
 
-    def _choose(
-        self, routed: request.RoutedRequest, shard: request.ShardState
-    ) -> upstreams.Upstream | None:
-        """Return an upstream that has not had this request yet."""
-        usual = self._sending.usual(routed)
-        return self.fleet.choose(shard.service, usual, tried=shard.tried)
-
-    def _choose_again(
-        self, routed: request.RoutedRequest, shard: request.ShardState
-    ) -> upstreams.Upstream | None:
-        """Return an upstream for a retry.
-
-        Where all have had the request it is one that rejected it with slots free: such
-        a one rejects the next request or not, whatever it did with the last.
-        """
-        chosen = self._choose(routed, shard)
-        if chosen is None and shard.sends < MAX_SENDS and self._used.asking_again:
-            usual = self._sending.usual(routed)
-            tried = shard.tried - shard.rejected_by
-            chosen = self.fleet.choose(shard.service, usual, tried=tried)
-        return chosen
-
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
@@ -484,7 +469,9 @@
         if self._crashes.is_looked_into(attempt) and routed.route.is_idempotent:
             shard.hold(attempt, until=self._clock.monotonic() + HOLD_S)
             return
-        if self._is_final(outcome) or not self._retry(attempt, did_not_run, actions):
+        if self._is_final(outcome) or not self._further.retry(
+            attempt, actions, did_not_run=did_not_run
+        ):
             self._fail_shard(shard, shard.failure)
 
     def _has_arrived(
@@ -508,7 +495,7 @@
         if shard.held is not attempt or routed.is_over:
             return
         shard.resume()
-        if not self._retry(attempt, False, actions):
+        if not self._further.retry(attempt, actions):
             self._fail_shard(shard, shard.failure)
         self._settle(routed, actions)
 
@@ -517,68 +504,10 @@
         is_reply = isinstance(outcome, events.Replied) and not outcome.not_run
         return is_reply and 400 <= outcome.status < 500 and not _did_not_run(outcome)
 
-    def _retry(
-        self,
-        attempt: request.Attempt,
-        did_not_run: bool,
-        actions: list[events.Action],
-    ) -> bool:
-        """Ask another upstream, or wait for room to; return whether it does."""
-        routed, shard = attempt.request, attempt.shard
-        if not self._used.retrying:
-            return False
-        if not (routed.route.is_idempotent or did_not_run):
-            return False
-        if shard.runs >= routed.route.attempts:
-            return False
-        if self._crashes.is_convicted(routed):
-            return False
-        if self._clock.monotonic() >= routed.deadline:
-            return False
-        chosen = self._choose_again(routed, shard)
-        if chosen is None:
-            shard.failure += "_no_upstream"
-            return False
-        # The first that reaches the service is no extra one.
-        if shard.arrivals and not self._extra.spend(shard.service):
-            self.counts.extra_refused += 1
-            may_wait = routed.route.is_idempotent and self._used.lending
-            if may_wait and self._lending.wait(attempt):
-                return True
-            shard.failure += "_no_budget"
-            return False
-        self._sending.again(chosen, routed, shard, "retry", actions)
-        return True
-
     def _fail_shard(self, shard: request.ShardState, reason: str) -> None:
         shard.is_failed = True
         shard.failure = reason
 
-    def _hedge(
-        self,
-        routed: request.RoutedRequest,
-        shard: request.ShardState,
-        now: float,
-        actions: list[events.Action],
-    ) -> None:
-        shard.hedge_at = float("inf")
-        if self._crashes.is_convicted(routed):
-            return
-        if shard.runs >= routed.route.attempts or not shard.attempts:
-            return
-        chosen = self._choose(routed, shard)
-        if chosen is None:
-            return
-        expected = self.fleet.expected(chosen, self._sending.usual(routed))
-        if now + expected >= routed.deadline:
-            return
-        keep = self._hedging.keep(routed)
-        if not self._extra.spend(shard.service, keep=keep):
-            self.counts.extra_refused += 1
-            log.info("hedge_refused", request=routed.request_id, service=shard.service)
-            return
-        self._sending.again(chosen, routed, shard, "hedge", actions)
-
     def _settle(
         self, routed: request.RoutedRequest, actions: list[events.Action]
     ) -> None:
@@ -745,7 +674,7 @@
             if routed.is_sweep and own:
                 shard.hedge_at = self._hedging.postponed(own[0], now)
             if shard.hedge_at <= now:
-                self._hedge(routed, shard, now, actions)
+                self._further.hedge(routed, shard, actions)
 
 
 def _did_not_run(outcome: events.Replied | events.Failed) -> bool:
