--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -135,6 +135,30 @@
         return []
 
 
+class SettingsCollector:
+    """Family that tells whether a changed settings file was refused.
+
+    :param is_refused: tells whether it is now.
+    """
+
+    def __init__(self, *, is_refused: abc.Callable[[], bool]) -> None:
+        self._is_refused = is_refused
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield the family; the library is loaded here."""
+        from prometheus_client import core
+
+        yield core.GaugeMetricFamily(
+            f"{PREFIX}_settings_refused",
+            "1 where the settings file changed and is wrong; the old one is in force",
+            value=self._is_refused(),
+        )
+
+    def describe(self) -> list[typing.Any]:
+        """Return nothing, so that registering does not collect."""
+        return []
+
+
 class MetricsServer:
     """Serves the metrics of one process.
 
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -119,6 +119,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
         self._is_stopping = False
+        self.has_refused_settings = False
         self._revision = 0
         self._metrics = exposition.MetricsServer(registry=self._make_registry)
         self._server = http_server.HttpServer(handler=self._handle, clock=clock)
@@ -261,6 +262,7 @@
         return exposition.registry_of(
             exposition.GatewayCollector(counted=self._router.counts, gauges=gauges),
             exposition.TrafficCollector(traffic=self._client.traffic),
+            exposition.SettingsCollector(is_refused=lambda: self.has_refused_settings),
         )
 
     async def _handle_ready(self, request: http.Request) -> http.Response:
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -57,6 +57,7 @@
         rng: rngs.Rng,
     ) -> None:
         self._settings = settings
+        self.has_refused_settings = False
         self._listen = listen
         self._zone = zone
         self._metrics_listen = metrics_listen
@@ -172,6 +173,7 @@
         return exposition.registry_of(
             self._host.metrics,
             exposition.TrafficCollector(traffic=self._client.traffic),
+            exposition.SettingsCollector(is_refused=lambda: self.has_refused_settings),
         )
 
     async def _handle(self, request: http.Request) -> http.Response:
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -1,10 +1,8 @@
 """Starts one role from the platform's settings file."""
 
 import asyncio
-import contextlib
 import datetime
 import random
-import signal
 import sys
 
 import click
@@ -13,13 +11,12 @@
 from greengagehaven import exceptions, log
 from greengagehaven import settings as checks
 from greengagehaven.coordination.routing import fleet, mechanisms, router
-from greengagehaven.daemons import gateway, lifecycle
+from greengagehaven.daemons import gateway, lifecycle, reloading
 from greengagehaven.platform import documents, names, settings
 from greengagehaven.transport import log_output
 
 EXIT_BAD_SETTINGS = 2
 LEAST_VOTERS = 3
-RELOAD_PERIOD_S = 1.0
 METRICS_PORT = 9464
 DEAD_AFTER_S = 4.0
 
@@ -70,32 +67,14 @@
     daemon = make(node)
     await daemon.start()
     log.info("started", host=node.node, zone=node.zone, seeds=",".join(node.seeds))
-    reloading = asyncio.ensure_future(_reload_forever(daemon, node))
+    reloader = reloading.Reloader(
+        daemon=daemon, load=lambda: settings.load(settings.path()), settings=node
+    )
+    task = asyncio.ensure_future(reloader.run())
     try:
         return await lifecycle.run(daemon)
     finally:
-        reloading.cancel()
-
-
-async def _reload_forever(daemon, node: settings.NodeSettings) -> None:
-    """Take new seeds; the file may change with or without a signal."""
-    seeds = node.seeds
-    changed = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
-    while True:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RELOAD_PERIOD_S):
-                await changed.wait()
-        changed.clear()
-        try:
-            fresh = settings.load(settings.path())
-        except exceptions.SettingError as error:
-            log.warning("reload_failed", error=error.detail)
-            continue
-        if fresh.seeds != seeds:
-            seeds = fresh.seeds
-            log.info("reloaded", seeds=",".join(seeds))
-            daemon.set_seeds(fresh.control_addresses)
+        task.cancel()
 
 
 def _make_front(
