--- a/src/greengagehaven/coordination/sources.py
+++ b/src/greengagehaven/coordination/sources.py
@@ -19,6 +19,54 @@
 for; all hosts start together, and some take longer."""
 
 
+MAX_DIFFERENCE_S = 4.0
+"""Seconds after which news is asked for though more of it comes all the time."""
+
+
+class Comparison:
+    """Whether a control host that is not followed knows what this host lacks.
+
+    ``lacks_news`` tells that the difference is one that the host followed does not
+    make up, ``is_open`` that there is one that is not decided yet.
+    """
+
+    def __init__(self) -> None:
+        self.lacks_news = False
+        self._differs_since: float | None = None
+        self._last_digest: int | None = None
+        self._lasting_digest: int | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether a difference is to be looked at again soon."""
+        return self._differs_since is not None
+
+    def on_difference(self, digest: int, now: float, *, is_certain: bool) -> None:
+        """Take a digest that is not this host's.
+
+        :param is_certain: whether the other knows a newer revision.
+        """
+        if digest == self._lasting_digest and not is_certain:
+            self._differs_since = None
+        elif self._differs_since is None:
+            self._differs_since = now
+        else:
+            # Where the digest stands still, the host followed has had time to tell.
+            stands_still = digest == self._last_digest
+            is_long = now - self._differs_since > MAX_DIFFERENCE_S
+            self.lacks_news = stands_still or is_long
+        self._last_digest = digest
+
+    def on_news(self, lasting_digest: int | None) -> None:
+        """Take in that all the other's news is held.
+
+        :param lasting_digest: the other's digest where it differs all the same.
+        """
+        self.lacks_news = False
+        self._differs_since = None
+        self._lasting_digest = lasting_digest
+
+
 class Sources(typing.Protocol):
     """Says which control hosts are asked for all their news."""
 
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -343,7 +343,9 @@
             return True
         if request.is_entry and self._crashes.version > held_crashes:
             return True
-        if self._outliers.version > held_outliers:
+        found = self._outliers
+        outlier_version = found.version if request.is_entry else found.own_version
+        if outlier_version > held_outliers:
             return True
         return self._configuration.revision > request.held_revision
 
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -30,9 +30,6 @@
 """Seconds until a digest that differed is compared again; the host that is followed
 mostly tells the same news meanwhile."""
 
-MAX_DIFFERENCE_S = 4.0
-"""Seconds after which news is asked for though more of it comes all the time."""
-
 SETTLING_PERIOD_S = 0.25
 OUTLIER_PERIOD_S = 0.1
 COMPARE_RETRY_S = 1.0
@@ -63,14 +60,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Position:
-    """What this host has of one control host's news.
-
-    :param differs_since: when its digest was first found to differ.
-    :param lacks_news: whether the difference is one that the host followed will not
-        make up.
-    :param last_digest: at its last reply.
-    :param refused_digest: the last digest there that news did not bring about here.
-    """
+    """What this host has of one control host's news."""
 
     feed: str = ""
     version: int = 0
@@ -78,10 +68,9 @@
     outlier_version: int = 0
     members: int = 0
     hosts: int = 0
-    differs_since: float | None = None
-    lacks_news: bool = False
-    last_digest: int | None = None
-    refused_digest: int | None = None
+    comparison: sources.Comparison = dataclasses.field(
+        default_factory=sources.Comparison
+    )
     heard_at: float | None = None
     is_lost: bool = False
 
@@ -267,35 +256,25 @@
         """Tell whether the next call to a control host only compares digests."""
         if address in self._followed:
             return False
-        return not (position.lacks_news and self._followed)
+        return not (position.comparison.lacks_news and self._followed)
 
     def _compare(self, position: _Position, reply: watching.WatchReply) -> None:
         """Note whether a control host knows what this host does not."""
         lags = self._follows and reply.revision > self._published.revision
-        if not lags and reply.digest == self._roster.digest:
+        is_same = not lags and reply.digest == self._roster.digest
+        if is_same:
             self._advance(position, reply)
             return
-        now = self._clock.monotonic()
         position.crash_version = reply.crash_version
         position.members = reply.members
-        is_known = not lags and reply.digest == position.refused_digest
-        if is_known:
-            position.differs_since = None
-        elif position.differs_since is None:
-            position.differs_since = now
-        else:
-            # Where the digest stands still, the host followed has had time to tell.
-            stands_still = reply.digest == position.last_digest
-            is_long = now - position.differs_since > MAX_DIFFERENCE_S
-            position.lacks_news = stands_still or is_long
-        position.last_digest = reply.digest
+        position.comparison.on_difference(
+            reply.digest, self._clock.monotonic(), is_certain=lags
+        )
 
     def _advance(self, position: _Position, reply: watching.WatchReply) -> None:
         """Note that the news up to a reply's version is held."""
         is_same = reply.digest == self._roster.digest
-        position.refused_digest = None if is_same else reply.digest
-        position.differs_since = None
-        position.lacks_news = False
+        position.comparison.on_news(None if is_same else reply.digest)
         position.feed, position.version = reply.feed, reply.version
         position.crash_version = reply.crash_version
         position.members = reply.members
@@ -307,7 +286,7 @@
         period = COMPARE_PERIOD_S
         if not self._sources.is_settled:
             period = SETTLING_PERIOD_S
-        elif position.differs_since is not None:
+        elif position.comparison.is_open:
             period = CONFIRM_PERIOD_S
         refollowed = self._refollowed
         self._refollow()
--- a/src/greengagehaven/state/outliers.py
+++ b/src/greengagehaven/state/outliers.py
@@ -39,10 +39,14 @@
 
 
 class OutlierLog:
-    """Outliers in the order in which this host found them or heard of them."""
+    """Outliers in the order in which this host found them or heard of them.
+
+    ``version`` is of the last one, ``own_version`` of the last one it found itself.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.own_version = 0
         self._reports_by_outlier: dict[
             watching.Outlier, collections.deque[_Report]
         ] = {}
@@ -103,6 +107,8 @@
 
     def _add(self, outlier: watching.Outlier, now: float, *, is_own: bool) -> None:
         self.version += 1
+        if is_own:
+            self.own_version = self.version
         self._kept.append((self.version, now, outlier, is_own))
 
     def _forget(self, now: float) -> None:
