--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -85,6 +85,17 @@
       | pace            | troubled | 0.01 |
       | overdue         | heavy    | 0.005 |
 
+  Scenario Outline: A mechanism is worth it where each host gets few sweeps
+    Given the environment crowd
+    When its <day> day is played with 2 seeds with and without <mechanism>
+    Then callers got at least <gain> more of their worth with it
+
+    Examples:
+      | mechanism    | day      | gain  |
+      | sharing      | slow     | 0.02  |
+      | lending      | shedding | 0.005 |
+      | asking_again | shedding | 0.005 |
+
   Scenario: The commands
     When the experiment command run small --day calm --seeds 1 --json is given
     Then it prints one result of the calm day as JSON
