--- a/features/steps/membership_loop_steps.py
+++ b/features/steps/membership_loop_steps.py
@@ -58,7 +58,7 @@
         await self._server.stop(datetime.timedelta())
         await self._client.close()
 
-    def take_hosts(self, zones_by_host_id) -> None:
+    def on_hosts(self, zones_by_host_id) -> None:
         self.hosts = zones_by_host_id
 
     def take_directory_change(self, upstream_ids) -> None:
--- a/features/steps/news_steps.py
+++ b/features/steps/news_steps.py
@@ -69,7 +69,7 @@
         if not self.is_deaf:
             self.feed.merge(entries)
 
-    def take_outliers(self, outliers):
+    def on_outliers(self, outliers):
         self.feed.hear_outliers(outliers)
 
     def take_entry_hosts(self, count):
@@ -103,10 +103,10 @@
     def take_entry_hosts(self, count):
         self.host_count = count
 
-    def take_hosts(self, hosts):
+    def on_hosts(self, hosts):
         """Nobody delegates here."""
 
-    def take_outliers(self, outliers):
+    def on_outliers(self, outliers):
         self.outliers.extend(outliers)
 
     def take_crashes(self, crashes):
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -102,7 +102,7 @@
 
 
 def tell(context, *found):
-    context.tier.step(events.OutliersTold(outliers=found))
+    context.tier.step(events.OutliersReported(outliers=found))
 
 
 def first_choice(context):
@@ -196,7 +196,7 @@
         tier = routing.RoutingTier(host_id=f"h-{number}")
         tier.put_table(routing.table(1, routing.sweep_route(["shard-0"])))
         tier.put(*sweeps.upstreams_of("shard-0", 3))
-        tier.step(events.OutliersTold(outliers=(outlier_of("shard-0-u0"),)))
+        tier.step(events.OutliersReported(outliers=(outlier_of("shard-0-u0"),)))
         (send,) = tier.attempts_of(tier.request("/sweep/1"))
         context.asking += send.upstream_id == "shard-0-u0"
 
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -252,7 +252,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OutliersTold:
+class OutliersReported:
     """Several entry hosts found upstreams slow or faulty."""
 
     outliers: tuple[watching.Outlier, ...]
@@ -292,7 +292,7 @@
     | ListenerChecked
     | UpstreamProbed
     | CrashesReported
-    | OutliersTold
+    | OutliersReported
     | LoanCame
     | TimeReached
 )
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -87,12 +87,12 @@
         upstream.cold_until = now + entry.cold_left_ms / 1000
         return None
 
-    def take_outlier(self, outlier: watching.Outlier) -> None:
+    def record_outlier(self, outlier: watching.Outlier) -> None:
         """Take what other hosts found of an upstream, if of its present start."""
         upstream = self.upstreams_by_id.get(outlier.upstream_id)
         is_known = upstream is not None
         if is_known and upstream.entry.incarnation == outlier.incarnation:
-            upstream.take_outlier(outlier, self._clock.monotonic())
+            upstream.record_outlier(outlier, self._clock.monotonic())
 
     def forget(self, upstream_id: str) -> upstreams.Upstream | None:
         """Use an upstream no more until a later start of it announces itself."""
--- a/src/greengagehaven/coordination/routing/lending.py
+++ b/src/greengagehaven/coordination/routing/lending.py
@@ -94,7 +94,7 @@
         services = tuple(each.shard.service for each in wanted)
         actions.append(events.Borrow(number=number, address=address, services=services))
 
-    def take(self, came: events.LoanCame) -> list[request.Attempt]:
+    def on_loan(self, came: events.LoanCame) -> list[request.Attempt]:
         """Take a loan; return the attempts whose shards need to wait no more."""
         address, wanted = self._asked_by_number.pop(came.number, ("", []))
         now = self._clock.monotonic()
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -90,12 +90,12 @@
             upstream.note_success(now)
             upstream.note_latency(took / attempt.usual, now)
             if took / attempt.usual > OUTLIER_RATIO:
-                self._tell(upstream, watching.OutlierKind.SLOW, actions)
+                self._report_outlier(upstream, watching.OutlierKind.SLOW, actions)
             self._latencies.observe(latency_class(attempt.request.route), took, now)
         elif reply.not_run:
             upstream.note_rejection(reply.load, now)
             if reply.has_room:
-                self._tell(upstream, watching.OutlierKind.FAULTY, actions)
+                self._report_outlier(upstream, watching.OutlierKind.FAULTY, actions)
         else:
             self._note_fault(attempt, reply, now)
 
@@ -118,7 +118,7 @@
             upstream.note_latency(ratio, now)
             if ratio > SLOW_RATIO:
                 self._note_fault(attempt, failed, now)
-                self._tell(upstream, watching.OutlierKind.SLOW, actions)
+                self._report_outlier(upstream, watching.OutlierKind.SLOW, actions)
         elif failed.fault is events.Fault.CONNECT:
             self._note_fault(attempt, failed, now)
             if now - upstream.heard_at > upstreams.HEARD_LATELY_S:
@@ -128,7 +128,7 @@
         elif failed.fault not in (events.Fault.UNSENT, events.Fault.HELPER):
             self._note_fault(attempt, failed, now)
 
-    def _tell(
+    def _report_outlier(
         self,
         upstream: upstreams.Upstream,
         kind: watching.OutlierKind,
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -188,7 +188,7 @@
             events.ListenerChecked: self._on_listener_checked,
             events.UpstreamProbed: self._on_probed,
             events.CrashesReported: self._on_crashes,
-            events.OutliersTold: self._on_outliers,
+            events.OutliersReported: self._on_outliers,
             events.LoanCame: self._on_loan,
             events.TimeReached: self._on_time,
         }
@@ -360,7 +360,7 @@
 
     def _on_loan(self, came: events.LoanCame, actions: list[events.Action]) -> None:
         self.counts.loans["borrowed"] += len(came.services)
-        for attempt in self._lending.take(came):
+        for attempt in self._lending.on_loan(came):
             self._resume(attempt, actions)
 
     def _take_end(
@@ -438,12 +438,12 @@
         self._crashes.take_reports(reported.crashes)
 
     def _on_outliers(
-        self, told: events.OutliersTold, actions: list[events.Action]
+        self, reported: events.OutliersReported, actions: list[events.Action]
     ) -> None:
-        for outlier in told.outliers:
+        for outlier in reported.outliers:
             key = f"{self._host_id}\0{outlier.upstream_id}".encode()
             if xxhash.xxh64_intdigest(key) % CANARY_HOSTS:
-                self.fleet.take_outlier(outlier)
+                self.fleet.record_outlier(outlier)
 
     def _take_failure(
         self,
--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -50,10 +50,10 @@
 """Seconds between two probes of one upstream; each takes a connection there."""
 
 
-TOLD_PACE = 4.0
+REPORTED_PACE = 4.0
 """Multiple of the usual latency to expect of one that other hosts found slow."""
 
-TOLD_FAULT_RATE = 0.5
+REPORTED_FAULT_RATE = 0.5
 """Part of its requests that one is expected to fail that other hosts found faulty."""
 
 
@@ -69,8 +69,8 @@
         self.cold_until = now + entry.cold_left_ms / 1000
         self.sent_at_by_attempt: dict[int, float] = {}
         self._pace = pace.Pace(now=now)
-        self._told_slow_until = -math.inf
-        self._told_faulty_until = -math.inf
+        self._reported_slow_until = -math.inf
+        self._reported_faulty_until = -math.inf
         self._fault_rate = 0.0
         self._fault_rate_at = now
         self.faults_in_row = 0
@@ -121,18 +121,18 @@
         self.faults_in_row = 0
         self.ejected_until = now
 
-    def take_outlier(self, outlier: watching.Outlier, now: float) -> None:
+    def record_outlier(self, outlier: watching.Outlier, now: float) -> None:
         """Expect for a while what other hosts found."""
         until = now + watching.OUTLIER_LIFETIME_S
         if outlier.kind is watching.OutlierKind.SLOW:
-            self._told_slow_until = until
+            self._reported_slow_until = until
         else:
-            self._told_faulty_until = until
+            self._reported_faulty_until = until
 
     def pace(self, now: float) -> float:
         """Return the multiple of the usual latency that is to be expected."""
         seen = self._pace.faded(now)
-        return max(seen, TOLD_PACE) if now < self._told_slow_until else seen
+        return max(seen, REPORTED_PACE) if now < self._reported_slow_until else seen
 
     def oldest_sent_at(self) -> float | None:
         """Return when its oldest request on the way was sent, ``None`` for none."""
@@ -151,7 +151,7 @@
     def note_latency(self, ratio: float, now: float) -> None:
         """Take in a latency as a multiple of the usual one."""
         if ratio <= pace.SLOW_RATIO:
-            self._told_slow_until = -math.inf
+            self._reported_slow_until = -math.inf
         self._pace.note(ratio, now)
 
     def fault_rate(self, now: float) -> float:
@@ -160,7 +160,11 @@
         It fades, or one that is avoided for it would never show that it is well.
         """
         seen = self._seen_fault_rate(now)
-        return max(seen, TOLD_FAULT_RATE) if now < self._told_faulty_until else seen
+        return (
+            max(seen, REPORTED_FAULT_RATE)
+            if now < self._reported_faulty_until
+            else seen
+        )
 
     def _seen_fault_rate(self, now: float) -> float:
         if not self._fault_rate:
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -363,11 +363,11 @@
         self.loop.submit(event)
         self._path.take_event(event)
 
-    def take_hosts(self, zones_by_host_id: dict[str, str]) -> None:
+    def on_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the live entry hosts, this one included."""
         self._zones_by_host_id = dict(zones_by_host_id)
         self.loop.submit(events.HostsChanged(zones_by_host_id=self._zones_by_host_id))
-        self._path.take_hosts()
+        self._path.on_hosts()
 
     def take_notice(self, host_id: str, payload: msgspec.Struct) -> None:
         """Take a message of another host's core."""
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -213,12 +213,12 @@
         """Take crashes that other entry hosts saw."""
         self._submit(events.CrashesReported(crashes=crashes))
 
-    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+    def on_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
         """Take upstreams that several entry hosts found slow or faulty."""
-        log.info("outliers_told", count=len(outliers))
-        self._submit(events.OutliersTold(outliers=outliers))
+        log.info("outliers_reported", count=len(outliers))
+        self._submit(events.OutliersReported(outliers=outliers))
 
-    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+    def on_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take the entry hosts of this zone, and some of each other one."""
         remote = sum(bool(host.availability_zone) for host in hosts)
         log.info("entry_hosts", zone=len(hosts) - remote, remote=remote)
--- a/src/greengagehaven/daemons/membership_loop.py
+++ b/src/greengagehaven/daemons/membership_loop.py
@@ -26,7 +26,7 @@
 class Listener(typing.Protocol):
     """Who is told what membership finds out."""
 
-    def take_hosts(self, zones_by_host_id: dict[str, str]) -> None:
+    def on_hosts(self, zones_by_host_id: dict[str, str]) -> None:
         """Take in the hosts whose shares count, this one included."""
 
     def take_directory_change(self, upstream_ids: frozenset[str]) -> None:
@@ -180,7 +180,7 @@
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
         elif isinstance(action, events.HostsChanged):
-            self._listener.take_hosts(action.zones_by_host_id)
+            self._listener.on_hosts(action.zones_by_host_id)
         elif isinstance(action, events.DirectoryChanged):
             self._listener.take_directory_change(action.upstream_ids)
         elif isinstance(action, signals.NoticeReceived):
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -159,12 +159,12 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take no crashes; entry hosts report them to every control host."""
 
-    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+    def on_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
         """Hand on what another control host tells of upstreams."""
         if self._feed is not None:
             self._feed.hear_outliers(outliers)
 
-    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+    def on_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take no hosts; only entry hosts help each other."""
 
     def _make_registry(self) -> typing.Any:
--- a/src/greengagehaven/daemons/upstream_path.py
+++ b/src/greengagehaven/daemons/upstream_path.py
@@ -77,7 +77,7 @@
         """Return what the peer server of this host has to serve."""
         return self.channel.handlers_by_method
 
-    def take_hosts(self) -> None:
+    def on_hosts(self) -> None:
         """Take in that the core has heard of other live entry hosts."""
         self._limits.set_hosts(self._decisions.owners.zones_by_host_id)
         self.channel.hosts_changed()
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -51,10 +51,10 @@
     def take_crashes(self, crashes: tuple[watching.Crash, ...]) -> None:
         """Take crashes that other entry hosts saw."""
 
-    def take_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
+    def on_outliers(self, outliers: tuple[watching.Outlier, ...]) -> None:
         """Take upstreams that several entry hosts found slow or faulty."""
 
-    def take_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
+    def on_hosts(self, hosts: tuple[watching.HostEntry, ...]) -> None:
         """Take the entry hosts of this host's zone, and some of each other one."""
 
 
@@ -358,7 +358,7 @@
         if reply.crashes:
             self._sink.take_crashes(reply.crashes)
         if reply.outliers:
-            self._sink.take_outliers(reply.outliers)
+            self._sink.on_outliers(reply.outliers)
         self._take_count(address, reply.entry_hosts)
         for other in reply.control_addresses:
             self._watch(other)
@@ -408,7 +408,7 @@
         hosts = tuple(known[host_id] for host_id in sorted(known))
         if hosts != self._told_hosts:
             self._told_hosts = hosts
-            self._sink.take_hosts(hosts)
+            self._sink.on_hosts(hosts)
 
     def _take_count(self, address: str, count: int) -> None:
         now = self._clock.monotonic()
--- a/src/greengagehaven/experiment/world.py
+++ b/src/greengagehaven/experiment/world.py
@@ -119,7 +119,7 @@
         count = len(self.upstreams_by_id)
         if not found.report(outlier, host_id, self.loop.time, upstreams=count):
             return
-        told = events.OutliersTold(outliers=(outlier,))
+        told = events.OutliersReported(outliers=(outlier,))
         for each in self.hosts:
             self.loop.after(self.declared.news_ms / 1000, self._tell_event, each, told)
 
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -35,7 +35,7 @@
     :param slots: requests that it runs at a time.
     :param cold_left_ms: how much longer it is slow after its start.
     :param holder: control host that heard it last.
-    :param told_sequence: sequence of the announcement that last told anything new;
+    :param changed_sequence: sequence of the announcement that last told anything new;
         renewals leave it.
     """
 
@@ -49,7 +49,7 @@
     slots: int
     cold_left_ms: int = 0
     holder: str = ""
-    told_sequence: int = 0
+    changed_sequence: int = 0
 
     @property
     def order(self) -> tuple[int, int, bool]:
@@ -67,11 +67,11 @@
 
     def as_news(self) -> "UpstreamEntry":
         """Return the entry as one that tells something new."""
-        return msgspec.structs.replace(self, told_sequence=self.sequence)
+        return msgspec.structs.replace(self, changed_sequence=self.sequence)
 
     def as_renewal_of(self, known: "UpstreamEntry") -> "UpstreamEntry":
         """Return the entry as one that tells nothing beyond ``known``."""
-        return msgspec.structs.replace(self, told_sequence=known.told_sequence)
+        return msgspec.structs.replace(self, changed_sequence=known.changed_sequence)
 
     def with_holder(self, holder: str) -> "UpstreamEntry":
         """Return the entry as heard by another control host."""
--- a/src/greengagehaven/state/roster.py
+++ b/src/greengagehaven/state/roster.py
@@ -201,5 +201,5 @@
     """Return what tells an entry from others; one that is gone is as none."""
     if entry.stage is watching.Stage.GONE:
         return 0
-    told = f"{entry.id}\0{entry.incarnation}\0{entry.told_sequence}\0{entry.stage}"
+    told = f"{entry.id}\0{entry.incarnation}\0{entry.changed_sequence}\0{entry.stage}"
     return xxhash.xxh64_intdigest(told.encode())
