--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -132,7 +132,9 @@
     def pace(self, now: float) -> float:
         """Return the multiple of the usual latency that is to be expected."""
         seen = self._pace.faded(now)
-        return max(seen, REPORTED_PACE) if now < self._reported_slow_until else seen
+        if now < self._reported_slow_until:
+            return max(seen, REPORTED_PACE)
+        return seen
 
     def oldest_sent_at(self) -> float | None:
         """Return when its oldest request on the way was sent, ``None`` for none."""
@@ -160,11 +162,9 @@
         It fades, or one that is avoided for it would never show that it is well.
         """
         seen = self._seen_fault_rate(now)
-        return (
-            max(seen, REPORTED_FAULT_RATE)
-            if now < self._reported_faulty_until
-            else seen
-        )
+        if now < self._reported_faulty_until:
+            return max(seen, REPORTED_FAULT_RATE)
+        return seen
 
     def _seen_fault_rate(self, now: float) -> float:
         if not self._fault_rate:
