Move a service's traffic to another version of its software

Cause: no part of the product knew versions.

Change: an order is an entry of the replicated log, and so is each of its steps (canary, shifted, retiring, done or rolled back). Entry hosts draw by lot which requests go to a version that is not proved, so that the sum over all hosts keeps to the bound; they report tallies of answers, which the leader pools and judges by a sequential test. The platform's folder only translates the two calls.

--- a/features/fakes/leafs.py
+++ b/features/fakes/leafs.py
@@ -71,8 +71,10 @@
 class Leaf:
     """Answers sweeps with one record and counts them; beats when told."""
 
-    def __init__(self, name, shard, zone):
+    def __init__(self, name, shard, zone, *, version="v1", fails=False):
         self.name = name
+        self.version = version
+        self.fails = fails
         self.shard = shard
         self.zone = zone
         self.served = 0
@@ -91,8 +93,9 @@
             (names.HEADERS.signature, f"{self.name}.{self.served}"),
             (names.HEADERS.load, "1,0,2"),
         )
+        status = 500 if self.fails else 200
         return http.Response(
-            status=200, body=RECORD, content_type=None, headers=headers
+            status=status, body=RECORD, content_type=None, headers=headers
         )
 
     def beat(self):
@@ -101,12 +104,12 @@
             "backend": self.shard,
             "addr": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 2,
             "state": self.state,
             "coldLeftMs": 0,
             "seq": self.sequence,
-            "born": 1_733_180_000_000,
+            "born": 1_733_180_000_000 + int(self.version[1:]),
         }
 
 
@@ -153,6 +156,7 @@
                 bootstrap=True,
                 least_voters=CONTROLS,
                 check_document=documents.read,
+                service_names=documents.service_names,
                 # Generous, so that a busy machine brings no election about.
                 raft_timing=timing.Timing(election_min=1.5, election_max=3.0),
             ),
@@ -190,6 +194,14 @@
                 self.leafs.append(leaf)
                 await self.beat(leaf)
 
+    async def add_version(self, shard, version, *, fails=False):
+        for number, zone in enumerate(("midt-a", "midt-b")):
+            name = f"i-{shard}-{version}-{number}"
+            leaf = Leaf(name, shard, zone, version=version, fails=fails)
+            leaf.address = await leaf.server.start()
+            self.leafs.append(leaf)
+            await self.beat(leaf)
+
     async def beat(self, leaf):
         async def ask():
             body = json.dumps(leaf.beat()).encode()
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -24,6 +24,7 @@
     stage=watching.Stage.READY,
     address=None,
     cold_left_ms=0,
+    version="",
 ):
     return watching.UpstreamEntry(
         id=upstream_id,
@@ -35,6 +36,7 @@
         stage=stage,
         slots=2,
         cold_left_ms=cold_left_ms,
+        version=version,
     )
 
 
--- /dev/null
+++ b/features/rollouts.feature
@@ -0,0 +1,138 @@
+Feature: A service's traffic moves to another version of its software
+
+  The users' operators order it; upstreams of the new version are started beside the old
+  ones. Some versions are bad, at once or later, and must have met few requests by the
+  time that this is found out.
+
+  Scenario: An order is a record of the log
+    Given the log's state machine with services
+    When shard-0 is ordered to v2
+    Then its roll-out is in phase canary
+    When it is restored from its snapshot
+    Then its roll-out is in phase canary
+
+  Scenario: The same order again is the same roll-out
+    Its acknowledgement was lost on the way, so the operator sends it again.
+
+    Given the log's state machine with services
+    When shard-0 is ordered to v2
+    And shard-0 is ordered to v2 1 second later
+    Then the order is accepted and nothing has changed
+
+  Scenario: The same order comes again just after it was rolled back
+    Taken for a new one, it would give the bad version a second chance.
+
+    Given the log's state machine with services
+    When shard-0 is ordered to v2
+    And its roll-out goes on to rolled_back
+    And shard-0 is ordered to v2 3 seconds later
+    Then the order is accepted and nothing has changed
+    When shard-0 is ordered to v2 60 seconds later
+    Then its roll-out is in phase canary
+
+  Scenario: Another version is ordered meanwhile
+    Given the log's state machine with services
+    When shard-0 is ordered to v2
+    And shard-0 is ordered to v3 1 second later
+    Then the order is refused as rollout_in_progress
+
+  Scenario: A step of a leader that fell
+    It was on its way when the next leader decided otherwise. Obeyed, a version that was
+    rolled back would get all requests.
+
+    Given the log's state machine with services
+    When shard-0 is ordered to v2
+    And its roll-out goes on to rolled_back
+    And its roll-out goes on to shifted
+    Then the step is refused
+    And its roll-out is in phase rolled_back
+
+  Scenario: A service that no document names
+    Given the log's state machine with services
+    When nobody is ordered to v2
+    Then the order is refused as unknown_service
+
+  Scenario Outline: A bad version is found while few requests have met it
+    Given a roll-out of a version that <is bad> at <hosts> hosts, <rate> requests a second
+    When it is played with 10 seeds
+    Then it is rolled back each time
+    And it gets more requests than allowed in none of them
+    And none later than 5 seconds after its 50th bad answer
+
+    Examples:
+      | is bad                    | hosts | rate |
+      | fails half of its answers | 9     | 90   |
+      | fails half of its answers | 66    | 50   |
+      | fails half of its answers | 194   | 30   |
+      | is four times slower      | 66    | 50   |
+      | turns bad after 3 seconds | 66    | 50   |
+      | is bad on one route       | 66    | 50   |
+      | fails under load          | 9     | 90   |
+
+  Scenario Outline: A good version is in service within its time
+    Given a roll-out of a version that <is good> at <hosts> hosts, 50 requests a second
+    When it is played with 10 seeds
+    Then it is done each time, within <percent> in 100 of its time
+    And no request of a host in contact is at an old upstream then
+
+    Examples:
+      | is good                              | hosts | percent |
+      | is as good as the old one            | 9     | 80      |
+      | is as good as the old one            | 66    | 80      |
+      | is as noisy as the old one           | 66    | 80      |
+      | has one upstream that is slow        | 66    | 100     |
+      | a tenth of the hosts hear nothing of | 66    | 100     |
+
+  Scenario: A host that nobody hears sends nothing to a version that is not proved
+    It would not hear that the version was found bad.
+
+    Given an entry host that knows of a roll-out in phase canary
+    When control hosts do not take its reports
+    Then none of its next 200 requests go to the new version
+
+  Scenario: Upstreams of another version are heard of before the order
+    Given an entry host that knows 3 upstreams of v1 and 3 of v2 and no roll-out
+    Then none of its next 200 requests go to the new version
+    When 2 upstreams of v1 leave
+    Then some of its next 200 requests go to the new version
+
+  Scenario Outline: Which version gets requests
+    Given an entry host that knows of a roll-out in phase <phase>
+    Then <some> of its next 200 requests go to the new version
+
+    Examples:
+      | phase       | some |
+      | canary      | some |
+      | shifted     | all  |
+      | retiring    | all  |
+      | done        | all  |
+      | rolled_back | none |
+
+  Scenario: The new version has no upstream yet when all requests are to go there
+    Given an entry host that knows of a roll-out in phase shifted
+    When the upstreams of v2 leave
+    Then none of its next 200 requests go to the new version
+    And none of them is refused
+
+  Scenario: The whole path, over HTTP
+    Given three control hosts and an entry host of the platform on loopback
+    And two leafs of each of two shards that beat
+    When the operator puts a configuration with a sweep over both shards
+    Then a client's sweep is answered with both parts
+    When two leafs of version v2 start beside those of the first shard
+    And the operator orders the first shard to v2 within 6 seconds
+    Then the state of its roll-out is running, at every control host
+    And a second order to v3 is answered 409
+    And orders without a target, of an unknown service and of no duration are answered 400
+    And sweeps are answered until its state is done
+    And no further sweep reaches its old leafs
+
+  Scenario: The whole path, and the new version is bad
+    Given three control hosts and an entry host of the platform on loopback
+    And two leafs of each of two shards that beat
+    When the operator puts a configuration with a sweep over both shards
+    Then a client's sweep is answered with both parts
+    When two leafs of version v2 that fail start beside those of the first shard
+    And the operator orders the first shard to v2 within 20 seconds
+    Then sweeps are answered until its state is rolled_back
+    And no further sweep reaches its new leafs
--- a/src/greengagehaven/coordination/proposals.py
+++ b/src/greengagehaven/coordination/proposals.py
@@ -26,6 +26,7 @@
     :param clock: wall clock.
     :param check_document: reads a document; it raises ``DocumentError`` where
         the document must not come into force.
+    :param service_names: gives the services that a document names.
     """
 
     def __init__(
@@ -36,7 +37,11 @@
         verifier: "signing.Verifier | None",
         clock: clocks.Clock,
         check_document: abc.Callable[[bytes], object] = document.parse,
+        service_names: abc.Callable[[bytes], abc.Container[str]] = (
+            document.service_names
+        ),
     ) -> None:
+        self._service_names = service_names
         self._check_document = check_document
         self._environment = environment
         self._signer = signer
@@ -63,6 +68,18 @@
                 return self._write_proof(change, machine, reports)
             case configuration.WithdrawalChange():
                 return self._write_withdrawal(change, machine)
+            case configuration.RolloutChange():
+                return self._write_rollout(change, machine)
+            case configuration.RolloutStep():
+                return changes.RolloutStepEntry(
+                    change_id=change.change_id,
+                    author=change.author,
+                    made_at=self._made_at(),
+                    service=change.service,
+                    number=change.number,
+                    phase=change.phase,
+                    detail=change.detail,
+                )
 
     def _made_at(self) -> float:
         return self._clock.now().timestamp()
@@ -120,6 +137,24 @@
             known_zones=tuple(sorted(known)),
         )
 
+    def _write_rollout(
+        self, change: configuration.RolloutChange, machine: changes.ChangeMachine
+    ) -> changes.RolloutEntry:
+        refusal = None
+        known = self._service_names(machine.state.document)
+        if change.service not in known:
+            detail = f"{change.service} is no service of the document in force"
+            refusal = changes.Refusal("unknown_service", detail)
+        return changes.RolloutEntry(
+            change_id=change.change_id,
+            author=change.author,
+            made_at=self._made_at(),
+            refusal=refusal,
+            service=change.service,
+            version=change.version,
+            duration_s=change.duration.total_seconds(),
+        )
+
     def _write_proof(
         self,
         change: configuration.ProofChange,
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -4,7 +4,7 @@
 import enum
 
 from greengagehaven import exceptions
-from greengagehaven.protocol import watching
+from greengagehaven.protocol import rollouts, watching
 from greengagehaven.state import routes
 
 
@@ -214,6 +214,20 @@
     zones: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutsChanged:
+    """The last roll-out of each service, by a newer configuration."""
+
+    rollouts: tuple[rollouts.Rollout, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutReportsHeard:
+    """Whether control hosts take this host's reports of roll-outs."""
+
+    is_heard: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamsChanged:
     """Upstreams came, went or changed."""
@@ -287,6 +301,8 @@
     | EntryHostsChanged
     | TableInForce
     | ZonesDrained
+    | RolloutsChanged
+    | RolloutReportsHeard
     | UpstreamsChanged
     | HostsCounted
     | ListenerChecked
--- a/src/greengagehaven/coordination/routing/extra.py
+++ b/src/greengagehaven/coordination/routing/extra.py
@@ -124,6 +124,16 @@
         window = self._windows_by_service.setdefault(service, _Window())
         window.loans.extend([until] * count)
 
+    def request_rate(self, service: str) -> float:
+        """Return the requests a second for a service that this host had lately."""
+        window = self._windows_by_service.get(service)
+        if window is None:
+            return 0.0
+        now = self._clock.monotonic()
+        window.forget(now - self._window)
+        age = max(1.0, min(self._window, now - self._started_at))
+        return len(window.requests) / age
+
     def retain(self, services: frozenset[str]) -> None:
         """Forget services that no route names any more."""
         for service in set(self._windows_by_service) - services:
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -4,7 +4,12 @@
 from collections import abc
 
 from greengagehaven import clock as clocks
-from greengagehaven.coordination.routing import mechanisms, placement, upstreams
+from greengagehaven.coordination.routing import (
+    mechanisms,
+    placement,
+    upstreams,
+    versions,
+)
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
 
@@ -25,6 +30,7 @@
 
     :param cold_bound: how the rate of a service's cold upstreams is widened.
     :param placed_by: what an upstream costs.
+    :param of_versions: says which versions of a service may get a request.
     :param used: mechanisms that are used.
     :param clock: monotonic time.
     """
@@ -34,9 +40,11 @@
         *,
         cold_bound: ColdBound,
         placed_by: placement.Placement,
+        of_versions: versions.Versions,
         used: mechanisms.Mechanisms,
         clock: clocks.Clock,
     ) -> None:
+        self._versions = of_versions
         self.upstreams_by_id: dict[str, upstreams.Upstream] = {}
         self._cold_bound = cold_bound
         self._placement = placed_by
@@ -107,11 +115,19 @@
         :param tried: ids that must not get it.
         """
         now = self._clock.monotonic()
-        usable = [
-            upstream
-            for upstream in self._usable(service)
-            if upstream.entry.id not in tried and self._may_take(upstream, now)
-        ]
+        for candidates in self._versions.candidates(service, self._usable(service)):
+            usable = [
+                upstream
+                for upstream in candidates
+                if upstream.entry.id not in tried and self._may_take(upstream, now)
+            ]
+            if usable:
+                return self._best(usable, usual, now)
+        return None
+
+    def _best(
+        self, usable: list[upstreams.Upstream], usual: float, now: float
+    ) -> upstreams.Upstream:
         fit = [upstream for upstream in usable if self._is_fit(upstream, now)]
         if fit:
             return min(
@@ -119,7 +135,15 @@
                 key=lambda upstream: self._placement.cost(upstream, usual, now),
             )
         # All look unfit: a bad signal must not empty a shard.
-        return min(usable, key=upstreams.Upstream.unfit_until, default=None)
+        return min(usable, key=upstreams.Upstream.unfit_until)
+
+    def others_in_flight(self, service: str, version: str) -> int:
+        """Return the attempts at upstreams of other versions than one."""
+        return sum(
+            len(upstream.sent_at_by_attempt)
+            for upstream_id in self._ids_by_service.get(service, ())
+            if (upstream := self.upstreams_by_id[upstream_id]).entry.version != version
+        )
 
     def expected(self, upstream: upstreams.Upstream, usual: float) -> float:
         """Return the seconds that a request to an upstream is likely to take."""
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -12,6 +12,7 @@
     reachability,
     request,
     upstreams,
+    versions,
 )
 from greengagehaven.protocol import watching
 from greengagehaven.state import routes
@@ -34,6 +35,7 @@
     :param latencies: of each kind of request.
     :param reach: told of upstreams that take no connection.
     :param of_crashes: looks into lost attempts.
+    :param of_versions: tallies the answers of services that are rolled out.
     :param counted: counts ejections.
     :param used: mechanisms that are used.
     :param clock: monotonic time.
@@ -46,10 +48,12 @@
         latencies: latency.LatencyBook,
         reach: reachability.Reachability,
         of_crashes: crashes.Crashes,
+        of_versions: versions.Versions,
         counted: counts.Counts,
         used: mechanisms.Mechanisms,
         clock: clocks.Clock,
     ) -> None:
+        self._versions = of_versions
         self._used = used
         self._fleet = of_fleet
         self._latencies = latencies
@@ -65,6 +69,7 @@
         actions: list[events.Action],
     ) -> None:
         """Learn about the upstream from the end of an attempt."""
+        self._versions.record(attempt, outcome)
         if isinstance(outcome, events.Replied):
             self._take_reply(attempt, outcome, actions)
         else:
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -37,8 +37,10 @@
     request,
     returns,
     sending,
+    versions,
     weights,
 )
+from greengagehaven.protocol import rollouts
 from greengagehaven.state import routes
 
 HEDGE_QUANTILE = 0.95
@@ -73,6 +75,8 @@
     :param retry_burst: extra attempts allowed besides, over all hosts.
     :param retry_window: seconds over which they are counted.
     :param cold_bound: how the rate of cold upstreams is widened.
+    :param exposure_bound: of requests to a version of a service's software that is
+        not proved, over all hosts.
     :param used: mechanisms that are used, all but in trials.
     """
 
@@ -82,6 +86,7 @@
     retry_burst: float = 20.0
     retry_window: float = 10.0
     cold_bound: fleet.ColdBound = fleet.ColdBound()
+    exposure_bound: versions.ExposureBound = versions.ExposureBound()
     used: mechanisms.Mechanisms = mechanisms.Mechanisms()
 
 
@@ -97,9 +102,14 @@
         used = options.used
         self._used = used
         self._host_id = options.host_id
+        self._hosts = 1
+        self._versions = versions.Versions(
+            bound=options.exposure_bound, demand=self._demand, clock=clock, rng=rng
+        )
         self.fleet = fleet.Fleet(
             cold_bound=options.cold_bound,
             placed_by=placement.ExpectedLatency(zone=options.zone, used=used, rng=rng),
+            of_versions=self._versions,
             used=used,
             clock=clock,
         )
@@ -133,6 +143,7 @@
             latencies=self._latencies,
             reach=self._reach,
             of_crashes=self._crashes,
+            of_versions=self._versions,
             counted=self.counts,
             used=used,
             clock=clock,
@@ -183,6 +194,8 @@
             events.EntryHostsChanged: self._on_entry_hosts,
             events.TableInForce: self._on_table,
             events.ZonesDrained: self._on_zones_drained,
+            events.RolloutsChanged: self._on_rollouts,
+            events.RolloutReportsHeard: self._on_rollout_reports,
             events.UpstreamsChanged: self._on_upstreams,
             events.HostsCounted: self._on_hosts_counted,
             events.ListenerChecked: self._on_listener_checked,
@@ -236,9 +249,28 @@
     def _on_hosts_counted(
         self, counted: events.HostsCounted, actions: list[events.Action]
     ) -> None:
+        self._hosts = max(1, counted.count)
         self.fleet.set_hosts(counted.count)
         self._extra.set_hosts(counted.count)
 
+    def _on_rollouts(
+        self, changed: events.RolloutsChanged, actions: list[events.Action]
+    ) -> None:
+        self._versions.set_rollouts(changed.rollouts)
+
+    def _on_rollout_reports(
+        self, reports: events.RolloutReportsHeard, actions: list[events.Action]
+    ) -> None:
+        self._versions.set_heard(reports.is_heard)
+
+    def rollout_reports(self) -> tuple[rollouts.ServiceReport, ...]:
+        """Return what this host has of each roll-out in progress."""
+        return self._versions.reports(self.fleet.others_in_flight)
+
+    def _demand(self, service: str) -> float:
+        """Return the requests a second for a service, by those of this host."""
+        return self._hosts * self._extra.request_rate(service)
+
     def _on_upstreams(
         self, changed: events.UpstreamsChanged, actions: list[events.Action]
     ) -> None:
--- a/src/greengagehaven/daemons/control.py
+++ b/src/greengagehaven/daemons/control.py
@@ -72,6 +72,7 @@
         holds would be acknowledged and lost with that disk.
     :param check_document: reads a document of an operator; it raises
         ``DocumentError`` where the document must not come into force.
+    :param service_names: gives the services that a document names.
     """
 
     host_id: str
@@ -91,6 +92,7 @@
     raft_timing: timing.Timing = timing.Timing()
     least_voters: int = 1
     check_document: abc.Callable[[bytes], object] = document.parse
+    service_names: abc.Callable[[bytes], abc.Container[str]] = document.service_names
 
 
 class ControlHost:
--- a/src/greengagehaven/daemons/control_metrics.py
+++ b/src/greengagehaven/daemons/control_metrics.py
@@ -43,6 +43,17 @@
         for code, count in self._changes.items():
             family.add_metric((code,), count)
         yield family
+        running = core.GaugeMetricFamily(
+            f"{PREFIX}_rollouts",
+            "Services by the phase of their last roll-out",
+            labels=("phase",),
+        )
+        phases = collections.Counter(
+            each.phase for each in self._host.machine.state.rollouts
+        )
+        for phase, count in sorted(phases.items()):
+            running.add_metric((phase,), count)
+        yield running
         for name, (text, value) in self._gauges().items():
             yield core.GaugeMetricFamily(f"{PREFIX}_{name}", text, value=value)
 
--- a/src/greengagehaven/daemons/deciding.py
+++ b/src/greengagehaven/daemons/deciding.py
@@ -34,7 +34,7 @@
             # which is a few bytes where the whole may be a megabyte.
             async with self._deciding_document:
                 entry, record = await self._decide_one(change, ())
-        elif isinstance(change, configuration.ZoneChange) and change.force:
+        elif _needs_no_reports(change):
             # Which zones have hosts does not matter, so nobody is asked: a host
             # that is cut off would hold up the order for its whole timeout.
             entry, record = await self._decide_one(change, ())
@@ -91,9 +91,16 @@
         verifier=verifier,
         clock=clock,
         check_document=settings.check_document,
+        service_names=settings.service_names,
     )
 
 
+def _needs_no_reports(change: configuration.Change) -> bool:
+    if isinstance(change, configuration.ZoneChange):
+        return change.force
+    return isinstance(change, configuration.RolloutChange | configuration.RolloutStep)
+
+
 def _is_resend(
     change: configuration.Change, record: audit.AuditRecord, entry: changes.Entry
 ) -> bool:
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -15,10 +15,17 @@
 from greengagehaven import settings as checks
 from greengagehaven.coordination import sources
 from greengagehaven.coordination.routing import events, merging, router
-from greengagehaven.daemons import delegating, exposition, gatherer, lender, watcher
+from greengagehaven.daemons import (
+    delegating,
+    exposition,
+    gatherer,
+    lender,
+    rollout_reports,
+    watcher,
+)
 from greengagehaven.protocol import exchange as names_module
 from greengagehaven.protocol import gathering, watching
-from greengagehaven.state import configuration, routes
+from greengagehaven.state import configuration, rollouts, routes
 from greengagehaven.transport import exchanges, http, http_peers, http_server
 
 ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
@@ -93,6 +100,14 @@
             clock=clock,
             rng=rng,
         )
+        self._rollout_reporter = rollout_reports.Reporter(
+            host_id=settings.host_id,
+            channel=self._client,
+            addresses=lambda: self._watcher.followed,
+            collect=self._router.rollout_reports,
+            on_heard=self._on_rollout_reports_heard,
+            clock=clock,
+        )
         self._gatherer = gatherer.Gatherer(channel=self._channel, clock=clock)
         self._lender = lender.Lender(
             channel=self._client,
@@ -165,6 +180,7 @@
 
     async def close(self) -> None:
         """Stop and release the sockets."""
+        await self._rollout_reporter.close()
         await self._watcher.close()
         await self._server.close()
         await self._ready_server.close()
@@ -183,6 +199,8 @@
         """Put a newer configuration in force."""
         zones = frozenset(state.drained_zones)
         self._submit(events.ZonesDrained(zones=zones))
+        self._submit(events.RolloutsChanged(rollouts=state.rollouts))
+        self._rollout_reporter.set_running(rollouts.running(state.rollouts))
         number = 0
         if state.document:
             try:
@@ -203,8 +221,15 @@
             revision=state.revision,
             number=number,
             drained=",".join(state.drained_zones),
+            rollouts=",".join(
+                f"{each.service}:{each.version}:{each.phase}"
+                for each in rollouts.running(state.rollouts)
+            ),
         )
 
+    def _on_rollout_reports_heard(self, is_heard: bool) -> None:
+        self._submit(events.RolloutReportsHeard(is_heard=is_heard))
+
     def take_entry_hosts(self, count: int) -> None:
         """Take the number of entry hosts."""
         self._submit(events.HostsCounted(count=count))
@@ -250,6 +275,10 @@
                 "Revision of the configuration in force",
                 lambda: self._revision,
             ),
+            "routed_rollouts": (
+                "Roll-outs in progress, as known here",
+                lambda: len(self._router.rollout_reports()),
+            ),
             "routed_upstreams": (
                 "Upstreams that are known",
                 lambda: len(self._router.fleet.upstreams_by_id),
--- a/src/greengagehaven/daemons/orders.py
+++ b/src/greengagehaven/daemons/orders.py
@@ -1,6 +1,7 @@
 """Operators' orders at any control host: carried out by the one that leads."""
 
 import asyncio
+import datetime
 import hashlib
 import secrets
 import typing
@@ -10,7 +11,8 @@
 from greengagehaven import exceptions, log
 from greengagehaven.daemons import control
 from greengagehaven.protocol import codec
-from greengagehaven.state import configuration
+from greengagehaven.protocol import rollouts as messages
+from greengagehaven.state import configuration, rollouts
 
 ORDER_METHOD = "control/order"
 FORWARD_TIMEOUT_S = 0.9
@@ -19,6 +21,8 @@
 OPERATOR = "operator"
 CHANGE_ID_BYTES = 8
 DIGEST_CHARACTERS = 24
+MAX_ROLLOUT_S = 7 * 24 * 3600.0
+UNKNOWN_SERVICE = "unknown_service"
 
 
 class PutDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -40,7 +44,25 @@
     """Read the newest document."""
 
 
-Order = PutDocument | SetZone | ReadDocument
+class StartRollout(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Move a service to another version of its software.
+
+    :param duration_s: seconds within which that is to be over.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+    change_id: str = ""
+
+
+class ReadRollout(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Read the last roll-out of a service."""
+
+    service: str
+
+
+Order = PutDocument | SetZone | ReadDocument | StartRollout | ReadRollout
 
 
 class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,6 +77,7 @@
     detail: str = ""
     number: int = 0
     document: bytes = b""
+    rollout: messages.Rollout | None = None
 
 
 class Orders:
@@ -93,6 +116,43 @@
             raise exceptions.NotConfiguredError("no document is in force yet")
         return reply.document
 
+    async def start_rollout(
+        self, service: str, version: str, *, duration_s: float
+    ) -> None:
+        """Begin to move a service to another version; a quorum holds the order then.
+
+        The same order sent again is acknowledged again.
+
+        :raises InvalidRequestError: the document in force names no such service.
+        :raises ChangeRefusedError: the service is being moved to another version.
+        :raises QuorumLostError: it could not be decided in time.
+        """
+        order = StartRollout(
+            service=service,
+            version=version,
+            duration_s=duration_s,
+            change_id=secrets.token_hex(CHANGE_ID_BYTES),
+        )
+        try:
+            await self._carry_out(order)
+        except exceptions.ChangeRefusedError as error:
+            if error.code != UNKNOWN_SERVICE:
+                raise
+            raise exceptions.InvalidRequestError(
+                place="rollout service", value=service, expected=error.detail
+            ) from error
+
+    async def read_rollout(self, service: str) -> messages.Rollout:
+        """Return the last roll-out of a service, as nobody else can have replaced it.
+
+        :raises NotFoundError: it had none.
+        :raises QuorumLostError: no quorum confirmed it in time.
+        """
+        reply = await self._carry_out(ReadRollout(service=service))
+        if reply.rollout is None:
+            raise exceptions.NotFoundError(f"{service} was never rolled out")
+        return reply.rollout
+
     async def handle(self, body: bytes) -> bytes:
         """Answer another control host that took this one for the leader."""
         order = codec.decode_msgpack(body, Order)
@@ -152,8 +212,20 @@
                 return OrderReply(
                     is_decided=True, number=state.number, document=state.document
                 )
+            case ReadRollout():
+                state = await self._host.read()
+                rollout = rollouts.find(state.rollouts, order.service)
+                return OrderReply(is_decided=True, rollout=rollout)
+            case StartRollout():
+                change: configuration.Change = configuration.RolloutChange(
+                    change_id=order.change_id,
+                    author=OPERATOR,
+                    service=order.service,
+                    version=order.version,
+                    duration=datetime.timedelta(seconds=order.duration_s),
+                )
             case PutDocument():
-                change: configuration.Change = configuration.DocumentChange(
+                change = configuration.DocumentChange(
                     change_id=_document_change_id(order),
                     author=OPERATOR,
                     document=order.document,
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -14,6 +14,8 @@
     exposition,
     orders,
     registrar,
+    rollout_leading,
+    rollout_reports,
     roster_feed,
     roster_file,
     watcher,
@@ -94,6 +96,7 @@
         self._http_server: http_server.HttpServer | None = None
         self._host: control.ControlHost | None = None
         self._feed: roster_feed.RosterFeed | None = None
+        self._rollouts: rollout_leading.RolloutLeader | None = None
         self._reopening: asyncio.Task[None] | None = None
 
     @property
@@ -189,6 +192,7 @@
             roster_feed.WATCH_METHOD,
             roster_feed.REPORT_METHOD,
             roster_feed.OUTLIERS_METHOD,
+            rollout_reports.REPORT_METHOD,
         )
         self._handlers_by_method = {}
         self._handler: http.Handler | None = None
@@ -230,18 +234,25 @@
         registering = registrar.Registrar(
             feed=self._feed, least_controls=self._least_other_controls
         )
+        self._rollouts = rollout_leading.RolloutLeader(
+            host=self._host, feed=self._feed, channel=self._client, clock=self._clock
+        )
         await self._host.start()
         self._feed.start()
+        self._rollouts.start()
         self._handlers_by_method = {
             **self._host.handlers_by_method,
             orders.ORDER_METHOD: ordering.handle,
             roster_feed.WATCH_METHOD: self._feed.handle,
             roster_feed.REPORT_METHOD: self._feed.handle_report,
             roster_feed.OUTLIERS_METHOD: self._feed.handle_outliers,
+            **self._rollouts.handlers_by_method,
         }
         self._handler = self._doors(ordering, registering)
 
     async def _close_host(self) -> None:
+        if self._rollouts is not None:
+            await self._rollouts.close()
         if self._feed is not None:
             await self._feed.close()
         if self._host is not None:
--- /dev/null
+++ b/src/greengagehaven/daemons/rollout_reports.py
@@ -0,0 +1,111 @@
+"""An entry host's reports of the roll-outs that are in progress."""
+
+import asyncio
+import secrets
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven.coordination import peers
+from greengagehaven.protocol import codec, rollouts
+
+REPORT_METHOD = "rollout/report"
+REPORT_PERIOD_S = 0.25
+REPORT_TIMEOUT_S = 0.6
+
+UNHEARD_S = 1.5
+"""Seconds without a report taken after which this host counts as cut off."""
+
+RUN_ID_BYTES = 6
+
+
+class Reporter:
+    """Sends what this host has of roll-outs to the control hosts that it follows.
+
+    Each report holds all counts since the order, so one that is lost does no harm.
+
+    :param host_id: name of this host.
+    :param channel: calls to control hosts.
+    :param addresses: gives the control hosts to tell.
+    :param collect: gives what is to be reported.
+    :param on_heard: told whether control hosts take the reports.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        channel: peers.PeerChannel,
+        addresses: abc.Callable[[], abc.Iterable[str]],
+        collect: abc.Callable[[], tuple[rollouts.ServiceReport, ...]],
+        on_heard: abc.Callable[[bool], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._host_id = host_id
+        self._channel = channel
+        self._addresses = addresses
+        self._collect = collect
+        self._on_heard = on_heard
+        self._clock = clock
+        self._run = secrets.token_hex(RUN_ID_BYTES)
+        self._sequence = 0
+        self._heard_at = 0.0
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def set_running(self, running: tuple[rollouts.Rollout, ...]) -> None:
+        """Report while roll-outs are in progress, and at once that one moved on."""
+        if not running:
+            if self._task is not None:
+                self._task.cancel()
+                self._task = None
+            return
+        self._changed.set()
+        if self._task is None or self._task.done():
+            self._heard_at = self._clock.monotonic()
+            self._task = asyncio.ensure_future(self._report_forever())
+
+    async def close(self) -> None:
+        """Report no more."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _report_forever(self) -> None:
+        while True:
+            self._changed.clear()
+            addresses = tuple(self._addresses())
+            body = self._body()
+            results = await asyncio.gather(
+                *(self._tell(address, body) for address in addresses)
+            )
+            now = self._clock.monotonic()
+            if any(results):
+                self._heard_at = now
+            self._on_heard(now - self._heard_at < UNHEARD_S)
+            try:
+                async with asyncio.timeout(REPORT_PERIOD_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _body(self) -> bytes:
+        self._sequence += 1
+        report = rollouts.HostReport(
+            host_id=self._host_id,
+            run=self._run,
+            sequence=self._sequence,
+            services=self._collect(),
+        )
+        return codec.encode_msgpack(rollouts.HostReports(reports=(report,)))
+
+    async def _tell(self, address: str, body: bytes) -> bool:
+        try:
+            await self._channel.call(
+                address, REPORT_METHOD, body, timeout=REPORT_TIMEOUT_S
+            )
+        except exceptions.PeerError as error:
+            log.debug("rollout_report_failed", address=address, error=error.detail)
+            return False
+        return True
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -153,6 +153,7 @@
             address=entry.address,
             zone=entry.availability_zone,
             stage=entry.stage,
+            software=entry.version,
             incarnation=entry.incarnation,
             sequence=entry.sequence,
             cold_ms=entry.cold_left_ms,
@@ -172,6 +173,15 @@
             loop = asyncio.get_running_loop()
             self._telling = loop.call_later(BATCH_S, self.notify)
 
+    def entry_hosts(self) -> tuple[str, ...]:
+        """Return the names of the entry hosts that asked lately."""
+        now = self._clock.monotonic()
+        return tuple(
+            host_id
+            for host_id, watcher in self._watchers_by_host.items()
+            if watcher.is_entry and watcher.is_live(now)
+        )
+
     async def hand_over(self, version: int, *, least_controls: int) -> None:
         """Return once the watchers in contact hold a version of the roster.
 
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -158,6 +158,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @property
+    def followed(self) -> frozenset[str]:
+        """Return the addresses of the control hosts whose news this host takes."""
+        return self._followed
+
     def report_crash(self, crash: watching.Crash) -> None:
         """Tell every control host of a crash, which tells the other hosts."""
         body = codec.encode_msgpack(crash)
--- a/src/greengagehaven/platform/announcements.py
+++ b/src/greengagehaven/platform/announcements.py
@@ -20,6 +20,7 @@
     seq: int
     born: int = 0
     cold_left_ms: float = 0.0
+    version: str = ""
 
 
 class _Goodbye(msgspec.Struct, frozen=True):
@@ -63,6 +64,7 @@
         stage=stage,
         slots=beat.slots,
         cold_left_ms=max(0, round(beat.cold_left_ms)),
+        version=beat.version,
     )
 
 
--- a/src/greengagehaven/platform/control_doors.py
+++ b/src/greengagehaven/platform/control_doors.py
@@ -6,7 +6,7 @@
 
 from greengagehaven import exceptions
 from greengagehaven.daemons import orders, registrar
-from greengagehaven.platform import announcements, documents, names
+from greengagehaven.platform import announcements, documents, names, rollout_calls
 from greengagehaven.transport import http
 
 _RETRY_AFTER_S = "0.3"
@@ -31,6 +31,8 @@
             ("GET", names.CONFIG_PATH): self._get_config,
             ("POST", names.EVACUATE_PATH): self._post_evacuation,
             ("DELETE", names.EVACUATE_PATH): self._delete_evacuation,
+            ("POST", names.ROLLOUT_PATH): self._post_rollout,
+            ("GET", names.ROLLOUT_PATH): self._get_rollout,
             ("PUT", names.INSTANCES_PATH): self._put_instance,
             ("DELETE", names.INSTANCES_PATH): self._delete_instance,
         }
@@ -43,6 +45,8 @@
         path = request.path
         if path == names.CONFIG_PATH:
             prefix, rest = path, ""
+        elif path + "/" == names.ROLLOUT_PATH:
+            prefix, rest = names.ROLLOUT_PATH, ""
         else:
             prefix, rest = path[: path.rfind("/") + 1], path[path.rfind("/") + 1 :]
         route = self._routes.get((request.method, prefix))
@@ -78,6 +82,17 @@
         await self._orders.set_zone(zone, drained=False)
         return _OK
 
+    async def _post_rollout(self, request: http.Request, _: str) -> http.Response:
+        order = rollout_calls.read_order(request.body)
+        await self._orders.start_rollout(
+            order.service, order.version, duration_s=order.duration_s
+        )
+        return _OK
+
+    async def _get_rollout(self, _: http.Request, service: str) -> http.Response:
+        rollout = await self._orders.read_rollout(service)
+        return http.Response(status=200, body=rollout_calls.write_state(rollout))
+
     async def _put_instance(self, request: http.Request, name: str) -> http.Response:
         await self._registrar.announce(announcements.read_beat(name, request.body))
         return _OK
--- a/src/greengagehaven/platform/documents.py
+++ b/src/greengagehaven/platform/documents.py
@@ -86,6 +86,11 @@
     )
 
 
+def service_names(data: bytes) -> frozenset[str]:
+    """Return the services that a configuration names; none where there is none yet."""
+    return frozenset(read(data).limits_by_service) if data else frozenset()
+
+
 def _route_of(route: _Route) -> routes.Route:
     services = tuple(
         routes.WeightedService(service=part.backend, weight=part.weight)
--- a/src/greengagehaven/platform/names.py
+++ b/src/greengagehaven/platform/names.py
@@ -9,6 +9,7 @@
 CONFIG_PATH = f"{_PATH_PREFIX}/config"
 INSTANCES_PATH = f"{_PATH_PREFIX}/instances/"
 EVACUATE_PATH = f"{_PATH_PREFIX}/evacuate/"
+ROLLOUT_PATH = f"{_PATH_PREFIX}/rollouts/"
 
 HEADERS = exchange.HeaderNames(
     request_id=f"{_HEADER_PREFIX}request-id",
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -10,7 +10,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import settings as checks
-from greengagehaven.coordination.routing import fleet, mechanisms, router
+from greengagehaven.coordination.routing import fleet, mechanisms, router, versions
 from greengagehaven.daemons import gateway, lifecycle, reloading
 from greengagehaven.platform import documents, names, settings
 from greengagehaven.transport import log_output
@@ -87,6 +87,9 @@
         retry_burst=node.retry_burst,
         retry_window=node.retry_window,
         cold_bound=fleet.ColdBound(factor=node.cold_factor, slack=node.cold_slack),
+        exposure_bound=versions.ExposureBound(
+            share=node.canary_share, slack=node.canary_slack
+        ),
         used=used,
     )
     return gateway.Gateway(
@@ -127,6 +130,7 @@
             bootstrap=node.bootstrap and own in node.control_addresses,
             least_voters=min(LEAST_VOTERS, len(node.seeds)),
             check_document=documents.read,
+            service_names=documents.service_names,
             raft_timing=timing.Timing(dead_after=DEAD_AFTER_S, lease_reads=False),
         ),
         listen=node.door("control"),
--- a/src/greengagehaven/platform/settings.py
+++ b/src/greengagehaven/platform/settings.py
@@ -9,6 +9,8 @@
 
 PATH_VARIABLE = "GREENGAGEHAVEN_CONFIG"
 DEFAULT_PATH = "/etc/greengagehaven/local.conf"
+DEFAULT_CANARY_SHARE = 0.1
+DEFAULT_CANARY_SLACK = 50.0
 _TRUE = {"true": True, "false": False}
 
 
@@ -36,6 +38,8 @@
     grace_s: float
     cold_factor: float
     cold_slack: float
+    canary_share: float
+    canary_slack: float
 
     @property
     def peer_address(self) -> str:
@@ -110,6 +114,8 @@
         grace_s=fields.number("bounds.graceS"),
         cold_factor=fields.number("bounds.coldFactor"),
         cold_slack=fields.number("bounds.coldSlack"),
+        canary_share=fields.number_or("bounds.canaryShare", DEFAULT_CANARY_SHARE),
+        canary_slack=fields.number_or("bounds.canarySlack", DEFAULT_CANARY_SLACK),
     )
 
 
@@ -153,6 +159,10 @@
             )
         return number
 
+    def number_or(self, name: str, default: float) -> float:
+        """Return a number that installations without the matter do not name."""
+        return self.number(name) if self.get(name) else default
+
     def flag(self, name: str) -> bool:
         """Return a truth value."""
         value = self.text(name)
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -37,6 +37,7 @@
     :param holder: control host that heard it last.
     :param changed_sequence: sequence of the announcement that last told anything new;
         renewals leave it.
+    :param version: of its software, empty where it does not say.
     """
 
     id: str
@@ -50,6 +51,7 @@
     cold_left_ms: int = 0
     holder: str = ""
     changed_sequence: int = 0
+    version: str = ""
 
     @property
     def order(self) -> tuple[int, int, bool]:
@@ -103,6 +105,7 @@
             self.availability_zone,
             self.stage,
             self.slots,
+            self.version,
             self.holder,
             self.cold_left_ms > 0,
         )
--- a/src/greengagehaven/state/changes.py
+++ b/src/greengagehaven/state/changes.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from greengagehaven.protocol import codec
-from greengagehaven.state import audit, configuration, document, published
+from greengagehaven.protocol import rollouts as messages
+from greengagehaven.state import audit, configuration, document, published, rollouts
 
 MAX_PROOFS = 1000
 
@@ -88,7 +89,36 @@
     skipped: int
 
 
-Entry = DocumentEntry | ZoneEntry | ProofEntry | WithdrawalEntry | RecoveryEntry
+class RolloutEntry(_Entry, frozen=True, kw_only=True, tag=True):
+    """An order to move a service to another version of its software."""
+
+    service: str
+    version: str
+    duration_s: float
+
+
+class RolloutStepEntry(_Entry, frozen=True, kw_only=True, tag=True):
+    """A roll-out that goes on to its next phase.
+
+    :param number: of the roll-out; a step of an earlier one changes nothing.
+    :param detail: the figures behind the step.
+    """
+
+    service: str
+    number: int
+    phase: messages.Phase
+    detail: str = ""
+
+
+Entry = (
+    DocumentEntry
+    | ZoneEntry
+    | ProofEntry
+    | WithdrawalEntry
+    | RecoveryEntry
+    | RolloutEntry
+    | RolloutStepEntry
+)
 
 
 class _Captured(msgspec.Struct, frozen=True, kw_only=True):
@@ -136,7 +166,7 @@
             revision=self.state.revision,
             accepted=refusal is None,
             code=refusal.code if refusal else audit.ACCEPTED,
-            detail=refusal.detail if refusal else "",
+            detail=refusal.detail if refusal else getattr(entry, "detail", ""),
         )
         self.audit.add(record)
         return record
@@ -175,6 +205,10 @@
                 self.proofs_by_digest.pop(entry.digest, None)
             case RecoveryEntry():
                 self._skip(entry.skipped)
+            case RolloutEntry():
+                return self._decide_rollout(entry)
+            case RolloutStepEntry():
+                return self._decide_step(entry)
         return None
 
     def _decide_document(self, entry: DocumentEntry) -> Refusal | None:
@@ -248,6 +282,33 @@
         _keep(self.proofs_by_digest, entry.digest, entry.proof)
         return None
 
+    def _decide_rollout(self, entry: RolloutEntry) -> Refusal | None:
+        last = rollouts.find(self.state.rollouts, entry.service)
+        if rollouts.is_repeated(last, entry.version, ordered_at=entry.made_at):
+            return None
+        if last is not None and not last.phase.is_final:
+            detail = f"{entry.service} is being rolled out to {last.version}"
+            return Refusal("rollout_in_progress", detail)
+        ordered = messages.Rollout(
+            service=entry.service,
+            version=entry.version,
+            duration_s=entry.duration_s,
+            ordered_at=entry.made_at,
+            number=self.state.revision + 1,
+        )
+        self._advance(rollout=ordered)
+        return None
+
+    def _decide_step(self, entry: RolloutStepEntry) -> Refusal | None:
+        last = rollouts.find(self.state.rollouts, entry.service)
+        if last is None or last.number != entry.number:
+            return Refusal("rollout_over", f"{entry.service} has another roll-out")
+        if entry.phase not in rollouts.NEXT_PHASES.get(last.phase, ()):
+            detail = f"{entry.phase} does not follow {last.phase}"
+            return Refusal("rollout_over", detail)
+        self._advance(rollout=msgspec.structs.replace(last, phase=entry.phase))
+        return None
+
     def _advance(self, **changed: typing.Any) -> None:
         state = self.state
         fields = {
@@ -331,3 +392,7 @@
             return "withdraw"
         case RecoveryEntry():
             return "recover"
+        case RolloutEntry(service=service, version=version):
+            return f"rollout {service} to {version}"
+        case RolloutStepEntry(service=service, phase=phase):
+            return f"rollout {service} {phase}"
--- a/src/greengagehaven/state/configuration.py
+++ b/src/greengagehaven/state/configuration.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from greengagehaven.protocol import rollouts as rollout_messages
+
 
 class Splice(msgspec.Struct, frozen=True, array_like=True):
     """What turns one document into the next: bytes put in place of others.
@@ -51,6 +53,7 @@
     :param digest: SHA-256 of the document in hex, empty before the first.
     :param drained_zones: availability zones that take no new work.
     :param number: the operator's own number of the document, 0 where it has none.
+    :param rollouts: the last roll-out of each service that had one.
     """
 
     revision: int = 0
@@ -58,6 +61,7 @@
     digest: str = ""
     drained_zones: tuple[str, ...] = ()
     number: int = 0
+    rollouts: tuple[rollout_messages.Rollout, ...] = ()
 
 
 class Delta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -66,6 +70,7 @@
     :param splice: the change to the document, ``None`` where it stays.
     :param digest: of the document after it.
     :param number: the operator's number of the document after it.
+    :param rollout: the roll-out that it began or moved on.
     """
 
     revision: int
@@ -73,6 +78,7 @@
     drained_zones: tuple[str, ...] = ()
     splice: Splice | None = None
     number: int = 0
+    rollout: rollout_messages.Rollout | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,7 +139,45 @@
     statement: bytes = b""
 
 
-Change = DocumentChange | ZoneChange | ProofChange | WithdrawalChange
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutChange:
+    """An operator's change: move a service to another version of its software.
+
+    :param version: to move to.
+    :param duration: time from the order within which the roll-out is to be over.
+    """
+
+    change_id: str
+    author: str
+    service: str
+    version: str
+    duration: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutStep:
+    """The leader's own change: a roll-out goes on to its next phase.
+
+    :param number: of the roll-out.
+    :param detail: the figures behind it, for the audit trail.
+    """
+
+    change_id: str
+    author: str
+    service: str
+    number: int
+    phase: rollout_messages.Phase
+    detail: str = ""
+
+
+Change = (
+    DocumentChange
+    | ZoneChange
+    | ProofChange
+    | WithdrawalChange
+    | RolloutChange
+    | RolloutStep
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/state/document.py
+++ b/src/greengagehaven/state/document.py
@@ -134,6 +134,11 @@
     return environment
 
 
+def service_names(data: bytes) -> frozenset[str]:
+    """Return the services that a document defines; none where there is none yet."""
+    return frozenset(parse(data).services_by_id) if data else frozenset()
+
+
 def _matches(pattern: str, service: str) -> bool:
     if pattern.endswith("*"):
         return service.startswith(pattern[:-1])
--- a/src/greengagehaven/state/published.py
+++ b/src/greengagehaven/state/published.py
@@ -3,7 +3,7 @@
 import collections
 
 from greengagehaven import exceptions
-from greengagehaven.state import configuration, document
+from greengagehaven.state import configuration, document, rollouts
 
 MAX_DELTA_BYTES = 1024 * 1024
 MAX_DELTAS = 4096
@@ -44,12 +44,16 @@
                 raise exceptions.StateMismatchError(
                     f"revision {delta.revision} does not give {delta.digest}"
                 )
+        held = state.rollouts
+        if delta.rollout is not None:
+            held = rollouts.put(held, delta.rollout)
         self.state = configuration.ConfigurationState(
             revision=delta.revision,
             document=data,
             digest=delta.digest,
             drained_zones=delta.drained_zones,
             number=delta.number,
+            rollouts=held,
         )
         self._keep(delta)
 
