Ask the shards that the own zone lacks in one other zone

Ruled out: hedges (2,489 requests); calls to aggregators (1.5 MB).

The switch is the mechanism consolidation.

--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -119,9 +119,23 @@
     And no more than 3 calls leave this host
 
   Scenario: A few shards of another zone are asked from here
-    Given a host with a sweep over 9 shards whose replicas are in zones x, y and z
+    Given a host with a sweep over 4 shards whose replicas are in zones x, y and z
     When a sweep arrives
-    Then this host asks at least 1 shard and no host asks fewer than 5
+    Then this host asks all shards
+
+  Scenario: Shards that the own zone lacks are asked in one zone
+    Three in each of three zones are too few for an aggregator in each. The heads and
+    the records of nine requests would cross the border.
+
+    Given a host with a sweep over 9 shards whose replicas are in zones x, y and z
+    When 20 sweeps arrive
+    Then one host of one zone asked most of them, not always the same zone
+
+  Scenario: The shards of a slow upstream stay where they are sooner
+    Given a host with a sweep over 9 shards whose replicas are in zones x, y and z
+    And the replicas of 3 shards in zones x and y are five times slower
+    When 20 sweeps arrive
+    Then none of them asks a slow replica
 
   Scenario: The host that should ask the shards of its zone refuses
     Given a host with a sweep over 30 shards whose replicas are in zones x, y and z
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -150,6 +150,10 @@
         }
         return [address_by_zone.get(zone, "") for zone in zones]
 
+    def has_aggregator(self, zone: str) -> bool:
+        """Tell whether a host of another zone may be asked for its shards."""
+        return bool(self._aggregator_of(zone))
+
     def divide(self, services: abc.Sequence[str], objective: float) -> list[str]:
         """Return the address of the host that asks each service.
 
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -114,8 +114,29 @@
         :param usual: seconds that such a request usually takes.
         :param tried: ids that must not get it.
         """
+        return self._choose(service, usual, self._usable(service), tried)
+
+    def choose_in(
+        self, zone: str, service: str, usual: float
+    ) -> upstreams.Upstream | None:
+        """Return the fit upstream of a zone that should get a request, if any."""
+        now = self._clock.monotonic()
+        known = [
+            upstream
+            for upstream in self._usable(service)
+            if upstream.entry.availability_zone == zone and self._is_fit(upstream, now)
+        ]
+        return self._choose(service, usual, known, ())
+
+    def _choose(
+        self,
+        service: str,
+        usual: float,
+        known: list[upstreams.Upstream],
+        tried: abc.Container[str],
+    ) -> upstreams.Upstream | None:
         now = self._clock.monotonic()
-        for candidates in self._versions.candidates(service, self._usable(service)):
+        for candidates in self._versions.candidates(service, known):
             usable = [
                 upstream
                 for upstream in candidates
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -17,6 +17,7 @@
     :param partial_answers: answer near the objective with enough parts.
     :param delegation: let other hosts of the zone ask a part of a sweep's shards.
     :param aggregation: let a host of the upstreams' zone ask those of another zone.
+    :param consolidation: ask the shards that the own zone lacks in one other zone.
     :param lending: borrow room for retries from other hosts of the zone.
     :param asking_again: ask an upstream again that rejected a request with slots free.
     :param sharing: tell other hosts of upstreams that are slow or faulty.
@@ -38,6 +39,7 @@
     partial_answers: bool = True
     delegation: bool = True
     aggregation: bool = True
+    consolidation: bool = True
     lending: bool = True
     asking_again: bool = True
     sharing: bool = True
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -18,6 +18,7 @@
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
     callers,
+    consolidation,
     counts,
     crashes,
     delegation,
@@ -152,6 +153,9 @@
         self._delegation = delegation.Delegation(
             host_id=options.host_id, zone=options.zone, clock=clock, rng=rng
         )
+        self._consolidation = consolidation.Consolidation(
+            of_fleet=self.fleet, of_delegation=self._delegation, zone=options.zone
+        )
         self._sending = sending.Sending(
             of_fleet=self.fleet,
             of_hedging=self._hedging,
@@ -299,6 +303,8 @@
                 self._fail_shard(shard, "no_upstream")
             else:
                 chosen_by_service[shard.service] = chosen
+        if routed.is_sweep and self._used.consolidation and self._used.aggregation:
+            self._consolidation.consolidate(chosen_by_service, usual)
         narration.tell_plan(
             routed,
             chosen_by_service,
