Send further attempts to a version that is proved

Cause: each attempt was drawn by lot on its own. The scenario's host had no room for retries either, as it had just started; it has now.

Change: only first attempts are drawn.

--- a/features/fakes/leafs.py
+++ b/features/fakes/leafs.py
@@ -134,7 +134,8 @@
                 ready_path=names.READY_PATH,
                 control_addresses=tuple(peers),
                 grace=datetime.timedelta(seconds=6),
-                router=router.Options(zone="midt-a"),
+                # Enough for retries though the host has just started.
+                router=router.Options(zone="midt-a", retry_burst=1000.0),
                 metrics_listen=self.front_metrics,
             ),
             names=names.HEADERS,
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -136,3 +136,11 @@
     And the operator orders the first shard to v2 within 20 seconds
     Then sweeps are answered until its state is rolled_back
     And no further sweep reaches its new leafs
+
+  Scenario: A further attempt goes to a proved version
+    A sweep needs nearly all of its shards. One that failed at the new version and again
+    there would be refused.
+
+    Given an entry host that knows of a roll-out in phase canary
+    When 200 requests that go to the new version fail there
+    Then each of them is asked again at the old one
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -347,3 +347,37 @@
     for _ in range(20):
         assert play(context, context.platform.sweep()).status == 200
     assert [leaf.served for leaf in concerned] == before
+
+
+@behave.when("{count:d} requests that go to the new version fail there")
+def when_fail_there(context, count):
+    context.again = []
+    while len(context.again) < count:
+        number = context.tier.request("/sweep/1")
+        (send,) = context.tier.attempts_of(number)
+        context.tier.pass_time(0.01)
+        if send.upstream_id.startswith("v1"):
+            context.tier.reply(send)
+            continue
+        # Fresh tallies: this host would stop using the version by itself.
+        context.tier.step(events.RolloutsChanged(rollouts=()))
+        given_rollout_again(context)
+        context.tier.reply(send, status=500)
+        context.again.append(context.tier.attempts_of(number)[-1].upstream_id)
+
+
+def given_rollout_again(context):
+    context.rollout_number = getattr(context, "rollout_number", 1) + 1
+    rollout = messages.Rollout(
+        service="shard-0",
+        version="v2",
+        duration_s=12.0,
+        ordered_at=0.0,
+        number=context.rollout_number,
+    )
+    context.tier.step(events.RolloutsChanged(rollouts=(rollout,)))
+
+
+@behave.then("each of them is asked again at the old one")
+def then_asked_old(context):
+    assert all(upstream_id.startswith("v1") for upstream_id in context.again)
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -107,7 +107,7 @@
         return self._remove(upstream_id)
 
     def choose(
-        self, service: str, usual: float, *, tried: abc.Container[str] = ()
+        self, service: str, usual: float, *, tried: abc.Collection[str] = ()
     ) -> upstreams.Upstream | None:
         """Return the upstream that should get a request, ``None`` for none.
 
@@ -133,10 +133,11 @@
         service: str,
         usual: float,
         known: list[upstreams.Upstream],
-        tried: abc.Container[str],
+        tried: abc.Collection[str],
     ) -> upstreams.Upstream | None:
         now = self._clock.monotonic()
-        for candidates in self._versions.candidates(service, known):
+        groups = self._versions.candidates(service, known, is_first=not tried)
+        for candidates in groups:
             usable = [
                 upstream
                 for upstream in candidates
--- a/src/greengagehaven/coordination/routing/versions.py
+++ b/src/greengagehaven/coordination/routing/versions.py
@@ -101,10 +101,14 @@
             log.info("rollout_reports", heard=is_heard)
         self._is_heard = is_heard
 
-    def candidates(self, service: str, known: list[upstreams.Upstream]) -> Candidates:
+    def candidates(
+        self, service: str, known: list[upstreams.Upstream], *, is_first: bool = True
+    ) -> Candidates:
         """Return the upstreams that may get a request, the preferred ones first.
 
         :param known: all usable upstreams of the service.
+        :param is_first: whether no other upstream had the request; a further attempt
+            is the caller's last chance and goes to a proved version.
         """
         rollout = self._rollouts_by_service.get(service)
         if rollout is None:
@@ -113,7 +117,7 @@
         others = [each for each in known if each.entry.version != rollout.version]
         match rollout.phase:
             case rollouts.Phase.CANARY:
-                if self._is_drawn(rollout):
+                if is_first and self._is_drawn(rollout):
                     return _canaries(target), others
                 return (others,)
             case rollouts.Phase.SHIFTED:
