--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -99,3 +99,16 @@
     When an exchange is made and released at once
     Then it fails as silent
     And the upstream sees the connection end
+
+  Scenario: The head of a sweep is checked and written once
+    Given the head of a request with a body of 3 bytes
+    When it is written for upstreams u-1 and u-2
+    Then the two differ in the name of the upstream alone, and h11 reads both
+
+  Scenario: A header of one upstream might end the head
+    An upstream tells its own name. One with a line break would smuggle a header, or a
+    whole request, to another upstream at its address.
+
+    Given the head of a request with a body of 3 bytes
+    When it is written for an upstream whose name holds a line break
+    Then it is refused, naming the header
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -5,11 +5,12 @@
 import struct
 
 import behave
+import h11
 
-from greengagehaven import clock
+from greengagehaven import clock, exceptions
 from greengagehaven.coordination.routing import events
 from greengagehaven.protocol import exchange as names_module
-from greengagehaven.transport import exchanges
+from greengagehaven.transport import exchanges, request_head
 
 NAMES = names_module.HeaderNames()
 BODY = b"record"
@@ -160,9 +161,12 @@
             attempt=self.count,
             address=self.address,
             request_id=f"r-{self.count}",
-            method="GET",
-            target="/x",
-            headers=[("Host", "h"), ("Request-Id", f"r-{self.count}")],
+            head=request_head.RequestHead(
+                method="GET",
+                target="/x",
+                headers=[("Host", "h"), ("Request-Id", f"r-{self.count}")],
+            ),
+            upstream_id="u-1",
             body=b"",
             send_by=self.clock.monotonic() + FAR_S,
             on_start=self.started.append,
@@ -324,3 +328,49 @@
 @behave.then("the upstream sees the connection end")
 def then_end_seen(context):
     assert context.upstream_saw_end
+
+
+@behave.given("the head of a request with a body of {size:d} bytes")
+def given_head(context, size):
+    context.head = request_head.RequestHead(
+        method="POST",
+        target="/x?y=1",
+        headers=[("Host", "h"), ("Accept", "*/*")],
+        body_size=size,
+    )
+
+
+@behave.when("it is written for upstreams {first:S} and {second:S}")
+def when_written(context, first, second):
+    context.names = (first, second)
+    context.written = [
+        context.head.serialize([("Expected", name)]) for name in context.names
+    ]
+
+
+@behave.then("the two differ in the name of the upstream alone, and h11 reads both")
+def then_written(context):
+    first, second = context.written
+    old, new = (name.encode() for name in context.names)
+    assert first.replace(old, new) == second
+    for name, data in zip(context.names, context.written, strict=True):
+        codec = h11.Connection(h11.SERVER)
+        codec.receive_data(data + b"abc")
+        head = codec.next_event()
+        assert (head.method, head.target) == (b"POST", b"/x?y=1")
+        expected = [(b"host", b"h"), (b"accept", b"*/*"), (b"content-length", b"3")]
+        assert list(head.headers) == [*expected, (b"expected", name.encode())]
+        assert codec.next_event().data == b"abc"
+
+
+@behave.when("it is written for an upstream whose name holds a line break")
+def when_line_break(context):
+    try:
+        context.head.serialize([("Expected", "u-1\r\nX: y")])
+    except exceptions.InvalidRequestError as error:
+        context.error = error
+
+
+@behave.then("it is refused, naming the header")
+def then_refused_header(context):
+    assert context.error.place == "Expected", context.error
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -121,6 +121,8 @@
         self.is_over = False
         self.replied_at = -math.inf
         self.wake_at = math.inf
+        self.part_count = 0
+        self._failed_count = 0
 
     @property
     def is_sweep(self) -> bool:
@@ -141,7 +143,26 @@
     def can_be_complete_enough(self) -> bool:
         """Tell whether enough shards have a part or may still get one."""
         least = self.route.least_parts if self.is_sweep else 1
-        return sum(not shard.is_failed for shard in self.shards) >= least
+        return len(self.shards) - self._failed_count >= least
+
+    @property
+    def pending_count(self) -> int:
+        """Return how many shards' parts may still come."""
+        return len(self.shards) - self.part_count - self._failed_count
+
+    def record_part(self, shard: ShardState, attempt: Attempt) -> None:
+        """Record the attempt whose reply counts for a shard."""
+        self._failed_count -= shard.is_failed
+        self.part_count += shard.part is None
+        shard.is_failed = False
+        shard.part = attempt
+        shard.resume()
+
+    def record_failure(self, shard: ShardState, reason: str) -> None:
+        """Record that no part of a shard will come."""
+        self._failed_count += not shard.is_failed
+        shard.is_failed = True
+        shard.failure = reason
 
     @property
     def may_have_run(self) -> bool:
@@ -150,7 +171,7 @@
 
     def is_answer_due(self, now: float) -> bool:
         """Tell whether a sweep has enough parts and may wait no longer."""
-        is_enough = len(self.parts) >= self.route.least_parts
+        is_enough = self.part_count >= self.route.least_parts
         return is_enough and now >= min(self.answer_by, self.deadline)
 
     def due_at(self) -> float:
@@ -169,7 +190,7 @@
             if shard.is_pending
         ]
         moment = min(moments, default=math.inf)
-        if self.is_sweep and len(self.parts) >= self.route.least_parts:
+        if self.is_sweep and self.part_count >= self.route.least_parts:
             moment = min(moment, self.answer_by)
         return min(moment, self.deadline)
 
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -300,7 +300,7 @@
             self._extra.earn(shard.service)
             chosen = self.fleet.choose(shard.service, usual)
             if chosen is None:
-                self._fail_shard(shard, "no_upstream")
+                routed.record_failure(shard, "no_upstream")
             else:
                 chosen_by_service[shard.service] = chosen
         if routed.is_sweep and self._used.consolidation and self._used.aggregation:
@@ -361,7 +361,9 @@
     ) -> None:
         routed = self._take_end(ended, actions)
         if routed is not None:
-            self._settle(routed, actions)
+            is_part = isinstance(ended.outcome, events.Replied)
+            is_part = is_part and ended.outcome.is_success
+            self._settle(routed, actions, is_only_part=is_part)
 
     def _on_reported(
         self, reported: events.AttemptsReported, actions: list[events.Action]
@@ -436,9 +438,7 @@
         shard = attempt.shard
         attempt.replied_at = self._clock.monotonic()
         attempt.size = reply.size
-        shard.part = attempt
-        shard.is_failed = False
-        shard.resume()
+        attempt.request.record_part(shard, attempt)
         self._release(shard.attempts, actions)
 
     def _on_probed(
@@ -510,7 +510,7 @@
         if self._is_final(outcome) or not self._further.retry(
             attempt, actions, did_not_run=did_not_run
         ):
-            self._fail_shard(shard, shard.failure)
+            routed.record_failure(shard, shard.failure)
 
     def _has_arrived(
         self, attempt: request.Attempt, outcome: events.Replied | events.Failed
@@ -534,7 +534,7 @@
             return
         shard.resume()
         if not self._further.retry(attempt, actions):
-            self._fail_shard(shard, shard.failure)
+            routed.record_failure(shard, shard.failure)
         self._settle(routed, actions)
 
     def _is_final(self, outcome: events.Replied | events.Failed) -> bool:
@@ -542,14 +542,17 @@
         is_reply = isinstance(outcome, events.Replied) and not outcome.not_run
         return is_reply and 400 <= outcome.status < 500 and not _did_not_run(outcome)
 
-    def _fail_shard(self, shard: request.ShardState, reason: str) -> None:
-        shard.is_failed = True
-        shard.failure = reason
-
     def _settle(
-        self, routed: request.RoutedRequest, actions: list[events.Action]
+        self,
+        routed: request.RoutedRequest,
+        actions: list[events.Action],
+        *,
+        is_only_part: bool = False,
     ) -> None:
-        """Answer a request whose fate is certain, or wait for its next moment."""
+        """Answer a request whose fate is certain, or wait for its next moment.
+
+        :param is_only_part: whether nothing happened but that a part came.
+        """
         if routed.is_over:
             return
         now = self._clock.monotonic()
@@ -562,6 +565,10 @@
         if now >= routed.deadline:
             self._refuse(routed, self._refusals.late(routed), actions)
             return
+        is_enough_now = routed.part_count == routed.route.least_parts
+        if is_only_part and not is_enough_now and routed.wake_at < float("inf"):
+            # A part takes moments away; the wake-up that is set comes soon enough.
+            return
         moment = routed.next_moment()
         if moment < routed.wake_at:
             routed.wake_at = moment
@@ -589,7 +596,7 @@
         if not routed.can_be_complete_enough:
             self._refuse(routed, self._refusals.failed(routed), actions)
             return
-        if routed.pending and not routed.is_answer_due(now):
+        if routed.pending_count and not routed.is_answer_due(now):
             return
         parts = routed.parts
         missing = len(routed.shards) - len(parts)
@@ -599,7 +606,7 @@
                 attempts=tuple(attempt.id for attempt in parts),
                 missing=missing,
                 top_records=routed.route.top_records,
-                due_at=routed.due_at() if routed.pending else None,
+                due_at=routed.due_at() if routed.pending_count else None,
             )
         )
         self._end(routed, "answered" if not missing else "partial", actions)
@@ -624,7 +631,7 @@
         routed.is_over = True
         self._requests_by_number.pop(routed.number, None)
         took = self._clock.monotonic() - routed.started
-        missing = len(routed.shards) - len(routed.parts)
+        missing = len(routed.shards) - routed.part_count
         self.counts.end(routed.route.name, outcome, took, missing)
         own = [part for part in routed.parts if not part.via]
         self._delegation.note_times(
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -26,7 +26,13 @@
 from greengagehaven.protocol import exchange as names_module
 from greengagehaven.protocol import gathering, watching
 from greengagehaven.state import configuration, rollouts, routes
-from greengagehaven.transport import exchanges, http, http_peers, http_server
+from greengagehaven.transport import (
+    exchanges,
+    http,
+    http_peers,
+    http_server,
+    request_head,
+)
 
 ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
 STOP_MARGIN = datetime.timedelta(seconds=0.8)
@@ -128,6 +134,7 @@
         self._numbers = itertools.count(1)
         self._requests_by_number: dict[int, http.Request] = {}
         self._headers_by_number: dict[int, list[tuple[str, str]]] = {}
+        self._heads_by_number: dict[int, request_head.RequestHead] = {}
         self._futures_by_number: dict[int, asyncio.Future[http.Response]] = {}
         self._replies_by_attempt: dict[int, exchanges.Exchange] = {}
         self._attempts_by_number: dict[int, list[int]] = {}
@@ -323,6 +330,7 @@
         finally:
             del self._requests_by_number[number]
             self._headers_by_number.pop(number, None)
+            self._heads_by_number.pop(number, None)
             del self._futures_by_number[number]
             for attempt in self._attempts_by_number.pop(number, ()):
                 self._replies_by_attempt.pop(attempt, None)
@@ -374,6 +382,20 @@
             self._headers_by_number[number] = headers
         return headers
 
+    def _head_of(self, number: int) -> request_head.RequestHead:
+        """Return the head of a request as it goes on to every upstream."""
+        head = self._heads_by_number.get(number)
+        if head is None:
+            request = self._requests_by_number[number]
+            head = request_head.RequestHead(
+                method=request.method,
+                target=request.target,
+                headers=self._forwarded(number),
+                body_size=len(request.body),
+            )
+            self._heads_by_number[number] = head
+        return head
+
     def _choose_headers(self, request: http.Request) -> list[tuple[str, str]]:
         left_out = {
             self._names.time_left,
@@ -399,15 +421,12 @@
 
     def _send(self, send: events.Send) -> None:
         request = self._requests_by_number[send.number]
-        expected = (self._names.expected_upstream, send.upstream_id)
-        headers = [*self._forwarded(send.number), expected]
         exchange = exchanges.Exchange(
             attempt=send.attempt,
             address=send.address,
             request_id=request.headers.get(self._names.request_id) or "",
-            method=request.method,
-            target=request.target,
-            headers=headers,
+            head=self._head_of(send.number),
+            upstream_id=send.upstream_id,
             body=request.body,
             send_by=self._clock.monotonic() + send.time_left,
             on_start=self._on_start,
--- a/src/greengagehaven/daemons/gatherer.py
+++ b/src/greengagehaven/daemons/gatherer.py
@@ -10,7 +10,7 @@
 from greengagehaven.coordination import peers
 from greengagehaven.coordination.routing import delegation, events, hedging, merging
 from greengagehaven.protocol import codec, gathering
-from greengagehaven.transport import exchanges
+from greengagehaven.transport import exchanges, request_head
 
 GATHER_METHOD = "gather/ask"
 REST_METHOD = "gather/rest"
@@ -52,6 +52,12 @@
     ) -> None:
         self.request = request
         self._signature_name = signature_name
+        self.head = request_head.RequestHead(
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body_size=len(request.body),
+        )
         self.exchanges_by_attempt: dict[int, exchanges.Exchange] = {}
         self.released: set[int] = set()
         self.started_at = clock.monotonic()
@@ -245,7 +251,6 @@
 
     def _send(self, gather: _Gather, ask: gathering.Ask) -> None:
         request = gather.request
-        names = self._channel.names
 
         def on_end(
             exchange: exchanges.Exchange, outcome: events.Replied | events.Failed
@@ -256,9 +261,8 @@
             attempt=next(self._numbers),
             address=ask.address,
             request_id=request.request_id,
-            method=request.method,
-            target=request.target,
-            headers=[*request.headers, (names.expected_upstream, ask.upstream_id)],
+            head=gather.head,
+            upstream_id=ask.upstream_id,
             body=request.body,
             send_by=gather.started_at + request.left_ms / _MS,
             on_start=lambda exchange: None,
--- a/src/greengagehaven/platform/announcements.py
+++ b/src/greengagehaven/platform/announcements.py
@@ -48,6 +48,10 @@
             value=data[:80],
             expected="an id, a backend, a zone and slots above 0",
         )
+    if not (upstream_id.isascii() and upstream_id.isprintable()):
+        raise exceptions.InvalidRequestError(
+            place="beat.id", value=upstream_id, expected="printable ASCII characters"
+        )
     try:
         settings.parse_address("beat.addr", beat.addr)
     except exceptions.SettingError as error:
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -8,10 +8,11 @@
 import h11
 
 from greengagehaven import clock as clocks
-from greengagehaven.transport import http, sockets
+from greengagehaven.transport import http, request_head, sockets
 
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 16_000_000
+_END = h11.EndOfMessage()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -114,7 +115,27 @@
         data = self._codec.send(head) or b""
         if body:
             data += self._codec.send(h11.Data(data=body)) or b""
-        data += self._codec.send(h11.EndOfMessage()) or b""
+        data += self._codec.send(_END) or b""
+        self._write(data)
+
+    def send_head(
+        self,
+        head: request_head.RequestHead,
+        extra: typing.Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Send a request whose head was checked before; bytes leave at once.
+
+        :param extra: headers besides those of the head.
+        """
+        data = head.serialize(extra) + body
+        self._codec.send(head.event)
+        if body:
+            self._codec.send(h11.Data(data=body))
+        self._codec.send(_END)
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
         self._awaits_reply = True
         self._is_mute = True
         self._received_bytes = 0
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -10,7 +10,7 @@
 from greengagehaven import settings
 from greengagehaven.coordination.routing import events
 from greengagehaven.protocol import exchange as names_module
-from greengagehaven.transport import client_connection
+from greengagehaven.transport import client_connection, request_head
 
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_GRACE_S = 0.3
@@ -45,6 +45,8 @@
     """One attempt on its way.
 
     :param request_id: what the reply has to echo.
+    :param head: of the request, without the headers of one upstream.
+    :param upstream_id: that is expected at the address.
     :param send_by: monotonic seconds after which nobody waits.
     :param on_start: called before its first byte is written.
     :param reply: once it is in.
@@ -53,9 +55,8 @@
     attempt: int
     address: str
     request_id: str
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
+    head: request_head.RequestHead
+    upstream_id: str
     body: bytes
     send_by: float
     on_start: OnStart
@@ -329,9 +330,13 @@
         connection.exchange = exchange
         exchange.connection = connection
         left_ms = max(1, round((exchange.send_by - self._clock.monotonic()) * 1000))
-        headers = [*exchange.headers, (self._channel.names.time_left, str(left_ms))]
+        names = self._channel.names
+        extra = (
+            (names.expected_upstream, exchange.upstream_id),
+            (names.time_left, str(left_ms)),
+        )
         exchange.on_start(exchange)
-        connection.send(exchange.method, exchange.target, headers, exchange.body)
+        connection.send_head(exchange.head, extra, exchange.body)
 
     async def _connect(self, on_checked: OnChecked | None = None) -> None:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/greengagehaven/transport/request_head.py
@@ -0,0 +1,60 @@
+"""The head of a request that goes to several upstreams, checked and written once."""
+
+import functools
+from collections import abc
+
+import h11
+
+from greengagehaven import exceptions
+
+
+class RequestHead:
+    """Method, target and headers that all upstreams of a request get alike.
+
+    A sweep goes to dozens of upstreams with heads that differ in two headers; checked
+    and written anew for each, they took a fifth of the processor time of a sweep.
+
+    :param headers: without ``Content-Length``, which is added.
+    :param body_size: bytes of the body that follows.
+    :raises h11.LocalProtocolError: a header is malformed.
+    """
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: abc.Iterable[tuple[str, str]],
+        body_size: int = 0,
+    ) -> None:
+        self._event = h11.Request(
+            method=method,
+            target=target,
+            headers=[*headers, ("Content-Length", str(body_size))],
+        )
+
+    @property
+    def event(self) -> h11.Request:
+        """Return the head as a codec has to be told of it."""
+        return self._event
+
+    def serialize(self, extra: abc.Iterable[tuple[str, str]] = ()) -> bytes:
+        """Return the bytes of the head with headers of one upstream.
+
+        :param extra: names and values of printable ASCII characters.
+        :raises InvalidRequestError: one is not; it might end the head.
+        """
+        lines = [self._open_head]
+        for name, value in extra:
+            if not (value.isascii() and value.isprintable()):
+                raise exceptions.InvalidRequestError(
+                    place=name, value=value, expected="printable ASCII characters"
+                )
+            lines.append(f"{name}: {value}\r\n".encode())
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+    @functools.cached_property
+    def _open_head(self) -> bytes:
+        data = h11.Connection(h11.CLIENT).send(self._event) or b""
+        return data.removesuffix(b"\r\n")
