Compare with more control hosts each less often

What callers saw: nothing; bytes between zones are priced.

Change: the period is 0.8 s for each control host that is not followed, 3 s at least and 6 s at most. What the followed one lacks is known to most others, so that one comparison in 0.8 s finds it sooner than before; with three control hosts nothing changes.

--- a/features/news.feature
+++ b/features/news.feature
@@ -67,3 +67,15 @@
     Then their digests differ
     When the second is told so
     Then their digests are the same
+
+  Scenario Outline: More control hosts are each compared with less often
+    Where 66 entry hosts compared with seven control hosts each three seconds, that was a
+    sixth of the bytes between zones of a calm day.
+
+    Then a host that does not follow <others> control hosts compares with each every <s> s
+
+    Examples:
+      | others | s   |
+      | 2      | 3.0 |
+      | 7      | 5.6 |
+      | 17     | 6.0 |
--- a/features/steps/news_steps.py
+++ b/features/steps/news_steps.py
@@ -311,3 +311,11 @@
 def then_differ(context):
     first, second = context.rosters
     assert first.digest != second.digest
+
+
+@behave.then(
+    "a host that does not follow {others:d} control hosts compares with each every "
+    "{seconds:f} s"
+)
+def then_compares(context, others, seconds):
+    assert abs(sources.compare_period(others) - seconds) < 1e-9
--- a/src/greengagehaven/coordination/sources.py
+++ b/src/greengagehaven/coordination/sources.py
@@ -23,6 +23,24 @@
 """Seconds after which news is asked for though more of it comes all the time."""
 
 
+MIN_COMPARE_PERIOD_S = 3.0
+MAX_COMPARE_PERIOD_S = 6.0
+"""Seconds between two comparisons with one control host that is not followed."""
+
+COMPARE_STEP_S = 0.8
+"""Seconds between two comparisons with any of them. What the control host that is
+followed lacks is known to most others, so that one of them in a second is enough."""
+
+
+def compare_period(others: int) -> float:
+    """Return the seconds between two comparisons with one control host.
+
+    :param others: control hosts that are not followed.
+    """
+    period = COMPARE_STEP_S * others
+    return min(MAX_COMPARE_PERIOD_S, max(MIN_COMPARE_PERIOD_S, period))
+
+
 class Comparison:
     """Whether a control host that is not followed knows what this host lacks.
 
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -28,7 +28,7 @@
 MAX_PLAIN_ENTRIES = 8
 
 COMPARER_LIFETIME_S = 9.0
-"""Seconds; a watcher that only compares digests asks every three."""
+"""Seconds; a watcher that only compares digests asks every three to six."""
 
 MAX_REMOTE_HOSTS = 2
 """Hosts of each other zone that an entry host is told of; one may be away."""
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -23,9 +23,6 @@
 COUNT_LIFETIME_S = 15.0
 MAX_REVISION = 2**62
 
-COMPARE_PERIOD_S = 3.0
-"""Seconds between two comparisons with a control host that is not followed."""
-
 CONFIRM_PERIOD_S = 1.0
 """Seconds until a digest that differed is compared again; the host that is followed
 mostly tells the same news meanwhile."""
@@ -288,7 +285,8 @@
 
     async def _pause(self, address: str, position: _Position) -> None:
         """Wait for the next comparison, or until the control host is followed."""
-        period = COMPARE_PERIOD_S
+        others = len(self._tasks_by_address) - len(self._followed)
+        period = sources.compare_period(others)
         if not self._sources.is_settled:
             period = SETTLING_PERIOD_S
         elif position.comparison.is_open:
