--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -42,6 +42,15 @@
 are allowed. With ten shards they gain nothing and cost bytes."""
 
 
+MIN_FACTOR = 1.2
+"""Multiple of the usual latency before which nothing is hedged; half of the upstreams
+would be asked twice."""
+
+SECOND_ANSWER_FACTOR = 2.0
+"""Multiple of the usual latency that a second answer takes, with a connection that may
+have to be opened first and the way to another zone."""
+
+
 class Hedging:
     """Decides when to hedge.
 
@@ -69,10 +78,22 @@
         if delay is None:
             delay = route.objective * FIRST_SHARE
         else:
-            latest = factor_of(len(routed.shards)) * self._latencies.usual(key)
-            delay = min(delay, latest)
+            usual = self._latencies.usual(key)
+            latest = factor_of(len(routed.shards)) * usual
+            delay = min(delay, latest, self._last_useful(routed, usual))
         return max(LEAST_S, delay)
 
+    def _last_useful(self, routed: request.RoutedRequest, usual: float) -> float:
+        """Return the seconds after which a second answer would come too late.
+
+        Where this host or the upstreams are busy, the usual latency grows and the
+        moment to hedge with it, while the objective stays.
+        """
+        if not (routed.is_sweep and self._used.timely_hedging):
+            return float("inf")
+        left = routed.answer_by - routed.started
+        return max(MIN_FACTOR * usual, left - SECOND_ANSWER_FACTOR * usual)
+
     def postponed(self, attempt: request.Attempt, now: float) -> float:
         """Return when a shard that straggles by now is to be hedged.
 
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -13,6 +13,7 @@
     still single, whole and true, just late or fewer. Only trials turn one off.
 
     :param hedging: ask another upstream where one straggles.
+    :param timely_hedging: hedge while a second answer may still meet the objective.
     :param retrying: ask another one where one failed.
     :param partial_answers: answer near the objective with enough parts.
     :param delegation: let other hosts of the zone ask a part of a sweep's shards.
@@ -35,6 +36,7 @@
     """
 
     hedging: bool = True
+    timely_hedging: bool = True
     retrying: bool = True
     partial_answers: bool = True
     delegation: bool = True
