--- a/src/greengagehaven/coordination/rendezvous.py
+++ b/src/greengagehaven/coordination/rendezvous.py
@@ -25,3 +25,15 @@
 
 def _weight(key: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+
+
+def rank_groups(
+    key: str, ids_by_group: abc.Mapping[str, abc.Iterable[str]], count: int
+) -> dict[str, list[str]]:
+    """Return the first ids of each group, in the order of the groups' names.
+
+    :param count: ids of a group at most.
+    """
+    return {
+        group: rank(key, ids)[:count] for group, ids in sorted(ids_by_group.items())
+    }
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -17,6 +17,7 @@
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
+    answering,
     callers,
     consolidation,
     counts,
@@ -184,8 +185,15 @@
             used=used,
             clock=clock,
         )
-        self._refusals = refusals.Refusals(
-            of_returns=self._returns, of_partition=self._partition
+        self._answering = answering.Answering(
+            of_refusals=refusals.Refusals(
+                of_returns=self._returns, of_partition=self._partition
+            ),
+            of_delegation=self._delegation,
+            of_callers=self._callers,
+            counted=self.counts,
+            requests_by_number=self._requests_by_number,
+            clock=clock,
         )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
@@ -439,7 +447,7 @@
         attempt.replied_at = self._clock.monotonic()
         attempt.size = reply.size
         attempt.request.record_part(shard, attempt)
-        self._release(shard.attempts, actions)
+        answering.release(shard.attempts, actions)
 
     def _on_probed(
         self, probed: events.UpstreamProbed, actions: list[events.Action]
@@ -456,7 +464,7 @@
 
     def _give_up(self, attempt: request.Attempt, actions: list[events.Action]) -> None:
         """Fail an attempt at an upstream that is out of reach."""
-        self._release([attempt], actions)
+        answering.release([attempt], actions)
         if attempt.request.is_over:
             return
         attempt.shard.attempts.remove(attempt)
@@ -555,16 +563,9 @@
         """
         if routed.is_over:
             return
-        now = self._clock.monotonic()
-        if routed.is_sweep:
-            self._settle_sweep(routed, now, actions)
-        else:
-            self._settle_single(routed, actions)
+        self._answering.settle(routed, actions)
         if routed.is_over:
             return
-        if now >= routed.deadline:
-            self._refuse(routed, self._refusals.late(routed), actions)
-            return
         is_enough_now = routed.part_count == routed.route.least_parts
         if is_only_part and not is_enough_now and routed.wake_at < float("inf"):
             # A part takes moments away; the wake-up that is set comes soon enough.
@@ -574,93 +575,12 @@
             routed.wake_at = moment
             heapq.heappush(self._timers, (moment, routed.number))
 
-    def _settle_single(
-        self, routed: request.RoutedRequest, actions: list[events.Action]
-    ) -> None:
-        shard = routed.shards[0]
-        if shard.is_pending:
-            return
-        whole = shard.part or shard.reply
-        if whole is not None:
-            actions.append(events.PassOn(number=routed.number, attempt=whole.id))
-            self._end(routed, "answered" if shard.part else "upstream_error", actions)
-            return
-        self._refuse(routed, self._refusals.failed(routed), actions)
-
-    def _settle_sweep(
-        self,
-        routed: request.RoutedRequest,
-        now: float,
-        actions: list[events.Action],
-    ) -> None:
-        if not routed.can_be_complete_enough:
-            self._refuse(routed, self._refusals.failed(routed), actions)
-            return
-        if routed.pending_count and not routed.is_answer_due(now):
-            return
-        parts = routed.parts
-        missing = len(routed.shards) - len(parts)
-        actions.append(
-            events.AnswerParts(
-                number=routed.number,
-                attempts=tuple(attempt.id for attempt in parts),
-                missing=missing,
-                top_records=routed.route.top_records,
-                due_at=routed.due_at() if routed.pending_count else None,
-            )
-        )
-        self._end(routed, "answered" if not missing else "partial", actions)
-
-    def _refuse(
-        self,
-        routed: request.RoutedRequest,
-        error: exceptions.RequestError,
-        actions: list[events.Action],
-    ) -> None:
-        actions.append(events.Refuse(number=routed.number, error=error))
-        self._end(routed, error.code, actions, detail=error.detail)
-
-    def _end(
-        self,
-        routed: request.RoutedRequest,
-        outcome: str,
-        actions: list[events.Action],
-        *,
-        detail: str = "",
-    ) -> None:
-        routed.is_over = True
-        self._requests_by_number.pop(routed.number, None)
-        took = self._clock.monotonic() - routed.started
-        missing = len(routed.shards) - routed.part_count
-        self.counts.end(routed.route.name, outcome, took, missing)
-        own = [part for part in routed.parts if not part.via]
-        self._delegation.note_times(
-            sent=(part.started_at for part in own if part.started_at is not None),
-            came=(part.replied_at for part in own if part.replied_at is not None),
-        )
-        narration.tell_end(
-            routed, outcome, took=took, lag=self._callers.lag, detail=detail
-        )
-        left = [attempt for shard in routed.shards for attempt in shard.attempts]
-        self._release(left, actions)
-
-    def _release(
-        self, attempts: abc.Iterable[request.Attempt], actions: list[events.Action]
-    ) -> None:
-        wanted = [attempt for attempt in attempts if attempt.is_wanted]
-        for attempt in wanted:
-            attempt.is_wanted = False
-        if wanted:
-            ids = tuple(attempt.id for attempt in wanted)
-            may_cut = wanted[0].request.route.is_idempotent
-            actions.append(events.Release(attempts=ids, may_cut=may_cut))
-
     def _on_abandoned(
         self, abandoned: events.RequestAbandoned, actions: list[events.Action]
     ) -> None:
         routed = self._requests_by_number.get(abandoned.number)
         if routed is not None:
-            self._end(routed, "caller_left", actions)
+            self._answering.end(routed, "caller_left", actions)
 
     def _on_written(
         self, written: events.AnswerWritten, actions: list[events.Action]
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -413,8 +413,10 @@
                 address=self._watchers_by_host[host_id].address,
                 availability_zone=zone,
             )
-            for zone, ids in sorted(ids_by_zone.items())
-            for host_id in rendezvous.rank(request.host_id, ids)[:MAX_REMOTE_HOSTS]
+            for zone, ids in rendezvous.rank_groups(
+                request.host_id, ids_by_zone, MAX_REMOTE_HOSTS
+            ).items()
+            for host_id in ids
         )
 
     async def _sweep_forever(self) -> None:
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -263,8 +263,7 @@
     def _compare(self, position: _Position, reply: watching.WatchReply) -> None:
         """Note whether a control host knows what this host does not."""
         lags = self._follows and reply.revision > self._published.revision
-        is_same = not lags and reply.digest == self._roster.digest
-        if is_same:
+        if not lags and self._holds(reply):
             self._advance(position, reply)
             return
         position.crash_version = reply.crash_version
@@ -273,10 +272,13 @@
             reply.digest, self._clock.monotonic(), is_certain=lags
         )
 
+    def _holds(self, reply: watching.WatchReply) -> bool:
+        """Tell whether this host knows the upstreams that a control host knows."""
+        return reply.digest == self._roster.digest
+
     def _advance(self, position: _Position, reply: watching.WatchReply) -> None:
         """Note that the news up to a reply's version is held."""
-        is_same = reply.digest == self._roster.digest
-        position.comparison.on_news(None if is_same else reply.digest)
+        position.comparison.on_news(None if self._holds(reply) else reply.digest)
         position.feed, position.version = reply.feed, reply.version
         position.crash_version = reply.crash_version
         position.members = reply.members
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -14,6 +14,7 @@
     mechanisms,
     router,
 )
+from greengagehaven.daemons import roster_feed
 from greengagehaven.experiment import (
     environment,
     events_loop,
@@ -26,7 +27,6 @@
 
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_GRACE_S = 0.3
-REMOTE_HOSTS = 2
 OUTLIER_PERIOD_S = 0.1
 
 
@@ -130,10 +130,13 @@
             ids_by_zone.setdefault(each.zone, []).append(each.id)
         own = ids_by_zone.pop(self.zone, [])
         named = [watching.HostEntry(id=host_id, address=host_id) for host_id in own]
-        for zone, ids in sorted(ids_by_zone.items()):
+        remote = rendezvous.rank_groups(
+            self.id, ids_by_zone, roster_feed.MAX_REMOTE_HOSTS
+        )
+        for zone, ids in remote.items():
             named += [
                 watching.HostEntry(id=host_id, address=host_id, availability_zone=zone)
-                for host_id in rendezvous.rank(self.id, ids)[:REMOTE_HOSTS]
+                for host_id in ids
             ]
         return tuple(named)
 
