--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -144,3 +144,68 @@
     Given an entry host that knows of a roll-out in phase canary
     When 200 requests that go to the new version fail there
     Then each of them is asked again at the old one
+
+  Scenario: A report that comes by two ways counts once
+    Control hosts hand reports on to the leader, and the host sends all its counts each
+    time.
+
+    Given the reports of a roll-out
+    When host h-1 reports 10 answers, 4 of them bad, and the report comes twice
+    And host h-1 reports 12 answers, 5 of them bad
+    Then the leader knows of 12 answers, 5 of them bad
+
+  Scenario: A host restarts in the middle of a roll-out
+    Its counts begin at 0 again; what it saw before counts on.
+
+    Given the reports of a roll-out
+    When host h-1 reports 10 answers, 4 of them bad
+    And host h-1 restarts and reports 3 answers, 1 of them bad
+    Then the leader knows of 13 answers, 5 of them bad
+
+  Scenario: A late report of before does not undo the newer one
+    Given the reports of a roll-out
+    When host h-1 reports 12 answers, 5 of them bad
+    And a report of host h-1 of before comes late
+    Then the leader knows of 12 answers, 5 of them bad
+
+  Scenario: Hosts confirm that nothing of theirs is at an old upstream
+    At done the old upstreams stop at once; a request there would be cut off.
+
+    Given the reports of a roll-out
+    When host h-1 says that it sends nothing there and has 0 requests there
+    And host h-2 says that it sends nothing there and has 1 requests there
+    Then h-2 is waited for, and h-3 that said nothing
+    When 2 seconds pass without a report
+    Then all three are waited for
+
+  Scenario: Another control host begins to lead in the middle
+    It read the order from its disk, and the wall clock alone tells when that was given.
+
+    Given a control host that found an order of 8 seconds before in its log
+    Then the order is 8 seconds old for it
+    When another order comes while it is up
+    Then that order is 0 seconds old for it, whatever the wall clock says
+
+  Scenario Outline: What the leader decides
+    Given a roll-out of 12 seconds in phase <phase>, <elapsed> seconds after the order
+    When <what>
+    Then <next>
+
+    Examples:
+      | phase    | elapsed | what                                        | next                          |
+      | canary   | 5       | 30 answers are sound                        | it stays                      |
+      | canary   | 8       | 30 answers are sound                        | it goes on to shifted         |
+      | canary   | 8       | 3 answers are sound                         | it stays                      |
+      | canary   | 9.1     | 3 answers are sound                         | it goes on to shifted         |
+      | canary   | 9.1     | no upstream of the new version is ready     | it stays                      |
+      | canary   | 12      | no upstream of the new version is ready     | it goes on to rolled_back     |
+      | canary   | 2       | the others are all gone                     | it goes on to shifted         |
+      | canary   | 9.1     | the version is suspect                      | it stays                      |
+      | canary   | 11      | the version is suspect                      | it goes on to rolled_back     |
+      | canary   | 2       | the version is bad                          | it goes on to rolled_back     |
+      | shifted  | 9       | it bore the load for 0.3 seconds            | it stays                      |
+      | shifted  | 9       | it bore the load for 1.5 seconds            | it goes on to retiring        |
+      | shifted  | 9       | the version is bad                          | it goes on to rolled_back     |
+      | retiring | 10      | a host has not confirmed for 0.5 seconds    | it stays                      |
+      | retiring | 10      | a host has not confirmed for 1.6 seconds    | it goes on to done            |
+      | retiring | 10      | all hosts have confirmed                    | it goes on to done            |
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -1,6 +1,7 @@
 """Steps about roll-outs of software versions."""
 
 import asyncio
+import dataclasses
 import datetime
 import json
 
@@ -9,7 +10,9 @@
 from fakes import leafs, rollouts, routing
 from greengagehaven import clock
 from greengagehaven.coordination import proposals
+from greengagehaven.coordination.rollouts import phases, pooling, verdict
 from greengagehaven.coordination.routing import events
+from greengagehaven.daemons import rollout_leading
 from greengagehaven.platform import names
 from greengagehaven.protocol import rollouts as messages
 from greengagehaven.state import changes, configuration
@@ -381,3 +384,218 @@
 @behave.then("each of them is asked again at the old one")
 def then_asked_old(context):
     assert all(upstream_id.startswith("v1") for upstream_id in context.again)
+
+
+@behave.given("the reports of a roll-out")
+def given_reports(context):
+    context.pool = pooling.ReportPool()
+    context.now = 100.0
+    context.sequence = 0
+    context.run_name = "run-1"
+    context.rollout = messages.Rollout(
+        service="shard-0", version="v2", duration_s=12.0, ordered_at=0.0, number=7
+    )
+
+
+def host_report(context, host_id, *, tallies=(), phase="canary", others=0):
+    context.sequence += 1
+    service = messages.ServiceReport(
+        service="shard-0",
+        number=7,
+        phase=messages.Phase(phase),
+        others_in_flight=others,
+        tallies=tallies,
+    )
+    return messages.HostReport(
+        host_id=host_id,
+        run=context.run_name,
+        sequence=context.sequence,
+        services=(service,),
+    )
+
+
+def tallies_of(answers, bad):
+    return (messages.Tally(route="r", upstream_id="u-1", answers=answers, bad=bad),)
+
+
+@behave.when(
+    "host {host_id:S} reports {answers:d} answers, {bad:d} of them bad, and the report "
+    "comes twice"
+)
+def when_reports_twice(context, host_id, answers, bad):
+    report = host_report(context, host_id, tallies=tallies_of(answers, bad))
+    assert context.pool.add(report, context.now)
+    assert not context.pool.add(report, context.now)
+
+
+@behave.when("host {host_id:S} reports {answers:d} answers, {bad:d} of them bad")
+def when_reports(context, host_id, answers, bad):
+    context.previous = host_report(context, host_id, tallies=tallies_of(1, 0))
+    report = host_report(context, host_id, tallies=tallies_of(answers, bad))
+    context.pool.add(report, context.now)
+
+
+@behave.when(
+    "host {host_id:S} restarts and reports {answers:d} answers, {bad:d} of them bad"
+)
+def when_restarts(context, host_id, answers, bad):
+    context.run_name = "run-2"
+    context.sequence = 0
+    when_reports(context, host_id, answers, bad)
+
+
+@behave.when("a report of host {host_id:S} of before comes late")
+def when_late(context, host_id):
+    assert not context.pool.add(context.previous, context.now)
+
+
+@behave.then("the leader knows of {answers:d} answers, {bad:d} of them bad")
+def then_knows(context, answers, bad):
+    judged = context.pool.judge(context.rollout)
+    assert (judged.answers, judged.bad) == (answers, bad), judged
+
+
+@behave.when(
+    "host {host_id:S} says that it sends nothing there and has {others:d} requests "
+    "there"
+)
+def when_confirms(context, host_id, others):
+    report = host_report(context, host_id, phase="retiring", others=others)
+    context.pool.add(report, context.now)
+
+
+def unconfirmed(context):
+    hosts = ("h-1", "h-2", "h-3")
+    return context.pool.unconfirmed(context.rollout, hosts, context.now)
+
+
+@behave.then("h-2 is waited for, and h-3 that said nothing")
+def then_waited_for(context):
+    assert unconfirmed(context) == ["h-2", "h-3"], unconfirmed(context)
+
+
+@behave.when("2 seconds pass without a report")
+def when_no_report(context):
+    context.now += 2.0
+
+
+@behave.then("all three are waited for")
+def then_all_waited_for(context):
+    assert len(unconfirmed(context)) == 3, unconfirmed(context)
+
+
+def ordered(context, number, *, seconds_ago):
+    at = context.clock.now().timestamp() - seconds_ago
+    return messages.Rollout(
+        service=f"s-{number}",
+        version="v2",
+        duration_s=12.0,
+        ordered_at=at,
+        number=number,
+    )
+
+
+@behave.given(
+    "a control host that found an order of {seconds:d} seconds before in its log"
+)
+def given_found(context, seconds):
+    context.clock = clock.ManualClock()
+    context.times = rollout_leading.RolloutTimes(clock=context.clock)
+    context.found = ordered(context, 1, seconds_ago=seconds)
+    context.times.retain([context.found])
+
+
+@behave.then("the order is {seconds:d} seconds old for it")
+def then_old(context, seconds):
+    assert abs(context.times.elapsed(context.found) - seconds) < 0.01
+
+
+@behave.when("another order comes while it is up")
+def when_another(context):
+    context.clock.advance(20.0)
+    context.another = ordered(context, 2, seconds_ago=7)
+    context.times.retain([context.found, context.another])
+
+
+@behave.then("that order is 0 seconds old for it, whatever the wall clock says")
+def then_new(context):
+    assert context.times.elapsed(context.another) < 0.01
+
+
+@behave.given(
+    "a roll-out of 12 seconds in phase {phase:w}, {elapsed:g} seconds after the order"
+)
+def given_in_phase(context, phase, elapsed):
+    context.rollout = messages.Rollout(
+        service="shard-0",
+        version="v2",
+        duration_s=12.0,
+        ordered_at=0.0,
+        number=7,
+        phase=messages.Phase(phase),
+    )
+    context.view = phases.View(
+        elapsed=elapsed,
+        in_phase=3.0,
+        answers_in_phase=30,
+        judged=verdict.Verdict(answers=30),
+        target_slots=8,
+        other_slots=12,
+        unconfirmed=0,
+    )
+
+
+def change_view(context, **changed):
+    context.view = dataclasses.replace(context.view, **changed)
+
+
+@behave.when("{count:d} answers are sound")
+def when_sound(context, count):
+    change_view(context, judged=verdict.Verdict(answers=count))
+
+
+@behave.when("no upstream of the new version is ready")
+def when_none_ready(context):
+    change_view(context, target_slots=0)
+
+
+@behave.when("the others are all gone")
+def when_others_gone(context):
+    change_view(context, other_slots=0)
+
+
+@behave.when("the version is suspect")
+def when_suspect(context):
+    change_view(context, judged=verdict.Verdict(answers=30, bad=4, ratio=5.0))
+
+
+@behave.when("the version is bad")
+def when_bad(context):
+    judged = verdict.Verdict(answers=30, bad=12, ratio=15.0, is_bad=True)
+    change_view(context, judged=judged)
+
+
+@behave.when("it bore the load for {seconds:g} seconds")
+def when_bore(context, seconds):
+    change_view(context, in_phase=seconds)
+
+
+@behave.when("a host has not confirmed for {seconds:g} seconds")
+def when_not_confirmed(context, seconds):
+    change_view(context, in_phase=seconds, unconfirmed=1)
+
+
+@behave.when("all hosts have confirmed")
+def when_all_confirmed(context):
+    change_view(context, in_phase=0.3)
+
+
+@behave.then("it stays")
+def then_stays(context):
+    assert phases.next_step(context.rollout, context.view) is None
+
+
+@behave.then("it goes on to {phase:w}")
+def then_goes_on(context, phase):
+    step = phases.next_step(context.rollout, context.view)
+    assert step is not None and step.phase == phase, step
--- a/src/greengagehaven/daemons/rollout_leading.py
+++ b/src/greengagehaven/daemons/rollout_leading.py
@@ -50,7 +50,7 @@
         self._clock = clock
         self._pool = pooling.ReportPool()
         self._unsent: dict[tuple[str, str], rollouts.HostReport] = {}
-        self._times = _Times(clock=clock)
+        self._times = RolloutTimes(clock=clock)
         self._answers_by_phase: dict[tuple[int, rollouts.Phase], int] = {}
         self._logged_at = float("-inf")
         self._task: asyncio.Task[None] | None = None
@@ -185,7 +185,7 @@
             )
 
 
-class _Times:
+class RolloutTimes:
     """How long roll-outs last, on this host's monotonic clock.
 
     What stood in the log at the start of this process began at some time before, which
