Let a new leader of a roll-out hear the reports before it moves it on

What callers would see: found on reading. A control host that takes the lead at 0.75 of the time knows of no answers yet, takes that for a service that nobody asks, and moves all requests to a version that the last leader held back.

Change: nothing but a roll-back is decided before reports have come in for a second.

Before: the new scenario goes on to shifted; after: it stays.

--- a/features/fakes/rollouts.py
+++ b/features/fakes/rollouts.py
@@ -144,6 +144,7 @@
         view = phases.View(
             elapsed=elapsed,
             in_phase=self.now - self.phase_at,
+            pooled_for=elapsed,
             answers_in_phase=judged.answers - before,
             judged=judged,
             target_slots=6 if elapsed > START_S + COLD_S else 0,
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -203,6 +203,7 @@
       | canary   | 9.1     | the version is suspect                      | it stays                      |
       | canary   | 11      | the version is suspect                      | it goes on to rolled_back     |
       | canary   | 2       | the version is bad                          | it goes on to rolled_back     |
+      | canary   | 9.1     | the leader has led for 0.3 seconds and knows of 0 answers | it stays        |
       | shifted  | 9       | it bore the load for 0.3 seconds            | it stays                      |
       | shifted  | 9       | it bore the load for 1.5 seconds            | it goes on to retiring        |
       | shifted  | 9       | the version is bad                          | it goes on to rolled_back     |
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -537,6 +537,7 @@
     context.view = phases.View(
         elapsed=elapsed,
         in_phase=3.0,
+        pooled_for=10.0,
         answers_in_phase=30,
         judged=verdict.Verdict(answers=30),
         target_slots=8,
@@ -575,6 +576,14 @@
     change_view(context, judged=judged)
 
 
+@behave.when(
+    "the leader has led for {seconds:g} seconds and knows of {count:d} answers"
+)
+def when_new_leader(context, seconds, count):
+    judged = verdict.Verdict(answers=count)
+    change_view(context, pooled_for=seconds, judged=judged)
+
+
 @behave.when("it bore the load for {seconds:g} seconds")
 def when_bore(context, seconds):
     change_view(context, in_phase=seconds)
--- a/src/greengagehaven/coordination/rollouts/phases.py
+++ b/src/greengagehaven/coordination/rollouts/phases.py
@@ -40,6 +40,10 @@
 """Seconds and share of the time for which it bears that load at least; some versions
 fail under load only."""
 
+POOLED_S = 1.0
+"""Seconds for which reports have come in before anything is concluded from their want;
+a host that has just begun to lead knows of few answers and hosts."""
+
 CONFIRM_S = 1.5
 """Seconds that a host which does not confirm is waited for. It is cut off, and its
 requests to upstreams that stop are retried."""
@@ -51,6 +55,7 @@
 
     :param elapsed: seconds since the order.
     :param in_phase: seconds since the phase began.
+    :param pooled_for: seconds for which this host has led and taken all reports.
     :param answers_in_phase: of the target version since then.
     :param judged: what the answers say.
     :param target_slots: requests that warm upstreams of the target version run at once.
@@ -61,6 +66,7 @@
 
     elapsed: float
     in_phase: float
+    pooled_for: float
     answers_in_phase: int
     judged: verdict.Verdict
     target_slots: int
@@ -84,6 +90,8 @@
         return Step(phase=rollouts.Phase.ROLLED_BACK, reason="out_of_time")
     if view.judged.is_suspect and view.elapsed >= UNPROVEN_AT * rollout.duration_s:
         return Step(phase=rollouts.Phase.ROLLED_BACK, reason="unproven")
+    if view.pooled_for < POOLED_S:
+        return None
     match rollout.phase:
         case rollouts.Phase.CANARY:
             return _after_canary(rollout, view)
--- a/src/greengagehaven/daemons/rollout_leading.py
+++ b/src/greengagehaven/daemons/rollout_leading.py
@@ -53,6 +53,7 @@
         self._times = RolloutTimes(clock=clock)
         self._answers_by_phase: dict[tuple[int, rollouts.Phase], int] = {}
         self._logged_at = float("-inf")
+        self._led_since: float | None = None
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -96,11 +97,14 @@
 
     async def _look_after(self, running: tuple[rollouts.Rollout, ...]) -> None:
         if not self._host.is_leader:
+            self._led_since = None
             await self._forward()
             return
+        now = self._clock.monotonic()
+        if self._led_since is None:
+            self._led_since = now
         self._unsent.clear()
         self._pool.retain(running)
-        now = self._clock.monotonic()
         is_due = now - self._logged_at >= LOG_PERIOD_S
         if is_due:
             self._logged_at = now
@@ -140,6 +144,7 @@
         return phases.View(
             elapsed=self._times.elapsed(rollout),
             in_phase=self._times.in_phase(rollout),
+            pooled_for=now - (self._led_since or now),
             answers_in_phase=judged.answers - self._answers_before(rollout, judged),
             judged=judged,
             target_slots=target,
