--- a/src/greengagehaven/transport/request_head.py
+++ b/src/greengagehaven/transport/request_head.py
@@ -16,6 +16,9 @@
 
     :param headers: without ``Content-Length``, which is added.
     :param body_size: bytes of the body that follows.
+
+    ``event`` is what a codec has to be told to read the reply: method and framing.
+
     :raises h11.LocalProtocolError: a header is malformed.
     """
 
@@ -27,16 +30,13 @@
         headers: abc.Iterable[tuple[str, str]],
         body_size: int = 0,
     ) -> None:
-        self._event = h11.Request(
-            method=method,
-            target=target,
-            headers=[*headers, ("Content-Length", str(body_size))],
+        length = ("Content-Length", str(body_size))
+        self._whole = h11.Request(
+            method=method, target=target, headers=[*headers, length]
+        )
+        self.event = h11.Request(
+            method=method, target="/", headers=[("Host", "-"), length]
         )
-
-    @property
-    def event(self) -> h11.Request:
-        """Return the head as a codec has to be told of it."""
-        return self._event
 
     def serialize(self, extra: abc.Iterable[tuple[str, str]] = ()) -> bytes:
         """Return the bytes of the head with headers of one upstream.
@@ -56,5 +56,5 @@
 
     @functools.cached_property
     def _open_head(self) -> bytes:
-        data = h11.Connection(h11.CLIENT).send(self._event) or b""
+        data = h11.Connection(h11.CLIENT).send(self._whole) or b""
         return data.removesuffix(b"\r\n")
