Prefer fit upstreams of the old version to ejected ones of the new

What callers would see: found on reading. Once all requests go to the new version, one whose upstreams are all ejected there got requests still, though the old ones were up.

Change: of the versions that may get a request the first with a fit upstream is used; only where none has one, the upstream that is fit soonest.

Before: the new scenario sends all 20 requests to ejected upstreams; after: none.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -210,3 +210,11 @@
       | retiring | 10      | a host has not confirmed for 0.5 seconds    | it stays                      |
       | retiring | 10      | a host has not confirmed for 1.6 seconds    | it goes on to done            |
       | retiring | 10      | all hosts have confirmed                    | it goes on to done            |
+
+  Scenario: Upstreams of the new version are ejected once all requests go there
+    The others are still up, and are used before one that fails.
+
+    Given an entry host that knows of a roll-out in phase shifted
+    When each upstream of the new version fails twice in a row
+    Then none of its next 20 requests go to the new version
+    And none of them is refused
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -608,3 +608,13 @@
 def then_goes_on(context, phase):
     step = phases.next_step(context.rollout, context.view)
     assert step is not None and step.phase == phase, step
+
+
+@behave.when("each upstream of the new version fails twice in a row")
+def when_ejected(context):
+    now = context.tier.clock.monotonic()
+    for upstream in context.tier.router.fleet.upstreams_by_id.values():
+        if upstream.entry.version == "v2":
+            for _ in range(4):
+                upstream.note_fault(now)
+            assert upstream.was_ejected
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -136,6 +136,7 @@
         tried: abc.Collection[str],
     ) -> upstreams.Upstream | None:
         now = self._clock.monotonic()
+        unfit: list[upstreams.Upstream] = []
         groups = self._versions.candidates(service, known, is_first=not tried)
         for candidates in groups:
             usable = [
@@ -143,21 +144,15 @@
                 for upstream in candidates
                 if upstream.entry.id not in tried and self._may_take(upstream, now)
             ]
-            if usable:
-                return self._best(usable, usual, now)
-        return None
-
-    def _best(
-        self, usable: list[upstreams.Upstream], usual: float, now: float
-    ) -> upstreams.Upstream:
-        fit = [upstream for upstream in usable if self._is_fit(upstream, now)]
-        if fit:
-            return min(
-                fit,
-                key=lambda upstream: self._placement.cost(upstream, usual, now),
-            )
+            fit = [upstream for upstream in usable if self._is_fit(upstream, now)]
+            if fit:
+                return min(
+                    fit,
+                    key=lambda upstream: self._placement.cost(upstream, usual, now),
+                )
+            unfit = unfit or usable
         # All look unfit: a bad signal must not empty a shard.
-        return min(usable, key=upstreams.Upstream.unfit_until)
+        return min(unfit, key=upstreams.Upstream.unfit_until, default=None)
 
     def others_in_flight(self, service: str, version: str) -> int:
         """Return the attempts at upstreams of other versions than one."""
