--- a/features/fakes/rollouts.py
+++ b/features/fakes/rollouts.py
@@ -273,7 +273,7 @@
         play = self.play
         play.at(play.now + REPORT_S, self.report)
         if self.is_cut_off:
-            self.policy.set_heard(play.now - self.heard_at < 1.5)
+            self.policy.set_acknowledged(play.now - self.heard_at < 1.5)
             return
         self.sequence += 1
         services = self.policy.reports(lambda _s, _v: self.in_flight_by_version[OLD])
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -12,7 +12,7 @@
 from greengagehaven.coordination import proposals
 from greengagehaven.coordination.rollouts import phases, pooling, verdict
 from greengagehaven.coordination.routing import events
-from greengagehaven.daemons import rollout_leading
+from greengagehaven.daemons import rollout_controller
 from greengagehaven.platform import names
 from greengagehaven.protocol import rollouts as messages
 from greengagehaven.state import changes, configuration
@@ -209,7 +209,7 @@
 
 @behave.when("control hosts do not take its reports")
 def when_unheard(context):
-    context.tier.step(events.RolloutReportsHeard(is_heard=False))
+    context.tier.step(events.RolloutReportsAcknowledged(is_acknowledged=False))
 
 
 def leave(context, version, count):
@@ -500,7 +500,7 @@
 )
 def given_found(context, seconds):
     context.clock = clock.ManualClock()
-    context.times = rollout_leading.RolloutTimes(clock=context.clock)
+    context.times = rollout_controller.RolloutTimes(clock=context.clock)
     context.found = ordered(context, 1, seconds_ago=seconds)
     context.times.retain([context.found])
 
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -222,10 +222,10 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RolloutReportsHeard:
+class RolloutReportsAcknowledged:
     """Whether control hosts take this host's reports of roll-outs."""
 
-    is_heard: bool
+    is_acknowledged: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -302,7 +302,7 @@
     | TableInForce
     | ZonesDrained
     | RolloutsChanged
-    | RolloutReportsHeard
+    | RolloutReportsAcknowledged
     | UpstreamsChanged
     | HostsCounted
     | ListenerChecked
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -207,7 +207,7 @@
             events.TableInForce: self._on_table,
             events.ZonesDrained: self._on_zones_drained,
             events.RolloutsChanged: self._on_rollouts,
-            events.RolloutReportsHeard: self._on_rollout_reports,
+            events.RolloutReportsAcknowledged: self._on_rollout_reports,
             events.UpstreamsChanged: self._on_upstreams,
             events.HostsCounted: self._on_hosts_counted,
             events.ListenerChecked: self._on_listener_checked,
@@ -271,9 +271,9 @@
         self._versions.set_rollouts(changed.rollouts)
 
     def _on_rollout_reports(
-        self, reports: events.RolloutReportsHeard, actions: list[events.Action]
+        self, reports: events.RolloutReportsAcknowledged, actions: list[events.Action]
     ) -> None:
-        self._versions.set_heard(reports.is_heard)
+        self._versions.set_acknowledged(reports.is_acknowledged)
 
     def rollout_reports(self) -> tuple[rollouts.ServiceReport, ...]:
         """Return what this host has of each roll-out in progress."""
--- a/src/greengagehaven/coordination/routing/versions.py
+++ b/src/greengagehaven/coordination/routing/versions.py
@@ -72,7 +72,7 @@
         self._rng = rng
         self._rollouts_by_service: dict[str, rollouts.Rollout] = {}
         self._trackers_by_service: dict[str, _Tracker] = {}
-        self._is_heard = True
+        self._is_acknowledged = True
 
     @property
     def has_running(self) -> bool:
@@ -91,15 +91,15 @@
                     number=rollout.number, version=rollout.version
                 )
 
-    def set_heard(self, is_heard: bool) -> None:
+    def set_acknowledged(self, is_acknowledged: bool) -> None:
         """Record whether control hosts take this host's reports.
 
         One that is cut off would not hear that a version was found bad, and what it
         sees itself would count for nothing.
         """
-        if is_heard is not self._is_heard:
-            log.info("rollout_reports", heard=is_heard)
-        self._is_heard = is_heard
+        if is_acknowledged is not self._is_acknowledged:
+            log.info("rollout_reports", acknowledged=is_acknowledged)
+        self._is_acknowledged = is_acknowledged
 
     def candidates(
         self, service: str, known: list[upstreams.Upstream], *, is_first: bool = True
@@ -175,7 +175,10 @@
 
     def _is_drawn(self, rollout: rollouts.Rollout) -> bool:
         """Draw whether a request goes to the canary."""
-        if not self._is_heard or self._trackers_by_service[rollout.service].is_stopped:
+        if (
+            not self._is_acknowledged
+            or self._trackers_by_service[rollout.service].is_stopped
+        ):
             return False
         requests = max(1.0, self._demand(rollout.service) * rollout.duration_s)
         share = EXPOSURE_USED * (self._bound.share + self._bound.slack / requests)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -111,7 +111,7 @@
             channel=self._client,
             addresses=lambda: self._watcher.followed,
             collect=self._router.rollout_reports,
-            on_heard=self._on_rollout_reports_heard,
+            on_acknowledged=self._on_reports_acknowledged,
             clock=clock,
         )
         self._gatherer = gatherer.Gatherer(channel=self._channel, clock=clock)
@@ -234,8 +234,8 @@
             ),
         )
 
-    def _on_rollout_reports_heard(self, is_heard: bool) -> None:
-        self._submit(events.RolloutReportsHeard(is_heard=is_heard))
+    def _on_reports_acknowledged(self, is_acknowledged: bool) -> None:
+        self._submit(events.RolloutReportsAcknowledged(is_acknowledged=is_acknowledged))
 
     def take_entry_hosts(self, count: int) -> None:
         """Take the number of entry hosts."""
--- a/src/greengagehaven/daemons/register.py
+++ b/src/greengagehaven/daemons/register.py
@@ -14,7 +14,7 @@
     exposition,
     orders,
     registrar,
-    rollout_leading,
+    rollout_controller,
     rollout_reports,
     roster_feed,
     roster_file,
@@ -96,7 +96,7 @@
         self._http_server: http_server.HttpServer | None = None
         self._host: control.ControlHost | None = None
         self._feed: roster_feed.RosterFeed | None = None
-        self._rollouts: rollout_leading.RolloutLeader | None = None
+        self._rollouts: rollout_controller.RolloutController | None = None
         self._reopening: asyncio.Task[None] | None = None
 
     @property
@@ -234,7 +234,7 @@
         registering = registrar.Registrar(
             feed=self._feed, least_controls=self._least_other_controls
         )
-        self._rollouts = rollout_leading.RolloutLeader(
+        self._rollouts = rollout_controller.RolloutController(
             host=self._host, feed=self._feed, channel=self._client, clock=self._clock
         )
         await self._host.start()
--- a/src/greengagehaven/daemons/rollout_leading.py
+++ b/src/greengagehaven/daemons/rollout_controller.py
@@ -27,7 +27,7 @@
 """Seconds after its start in which a host reads orders of before from the log."""
 
 
-class RolloutLeader:
+class RolloutController:
     """Takes entry hosts' reports, and moves roll-outs on where this host leads.
 
     :param host: the control host.
@@ -91,11 +91,11 @@
                 self._pool.retain(())
                 continue
             try:
-                await self._look_after(running)
+                await self._reconcile(running)
             except (exceptions.ControlError, exceptions.PeerError) as error:
                 log.debug("rollout_waits", error=error.detail)
 
-    async def _look_after(self, running: tuple[rollouts.Rollout, ...]) -> None:
+    async def _reconcile(self, running: tuple[rollouts.Rollout, ...]) -> None:
         if not self._host.is_leader:
             self._led_since = None
             await self._forward()
@@ -114,7 +114,7 @@
             if is_due or step is not None:
                 _log_view(rollout, view, step)
             if step is not None:
-                await self._take_step(rollout, view, step)
+                await self._propose_step(rollout, view, step)
 
     async def _forward(self) -> None:
         """Pass reports on to the leader."""
@@ -172,7 +172,7 @@
                 target += entry.slots
         return target, others
 
-    async def _take_step(
+    async def _propose_step(
         self, rollout: rollouts.Rollout, view: phases.View, step: phases.Step
     ) -> None:
         change = configuration.RolloutStep(
--- a/src/greengagehaven/daemons/rollout_reports.py
+++ b/src/greengagehaven/daemons/rollout_reports.py
@@ -13,7 +13,7 @@
 REPORT_PERIOD_S = 0.25
 REPORT_TIMEOUT_S = 0.6
 
-UNHEARD_S = 1.5
+UNACKNOWLEDGED_S = 1.5
 """Seconds without a report taken after which this host counts as cut off."""
 
 RUN_ID_BYTES = 6
@@ -28,7 +28,7 @@
     :param channel: calls to control hosts.
     :param addresses: gives the control hosts to tell.
     :param collect: gives what is to be reported.
-    :param on_heard: told whether control hosts take the reports.
+    :param on_acknowledged: told whether control hosts take the reports.
     :param clock: monotonic time.
     """
 
@@ -39,18 +39,18 @@
         channel: peers.PeerChannel,
         addresses: abc.Callable[[], abc.Iterable[str]],
         collect: abc.Callable[[], tuple[rollouts.ServiceReport, ...]],
-        on_heard: abc.Callable[[bool], None],
+        on_acknowledged: abc.Callable[[bool], None],
         clock: clocks.Clock,
     ) -> None:
         self._host_id = host_id
         self._channel = channel
         self._addresses = addresses
         self._collect = collect
-        self._on_heard = on_heard
+        self._on_acknowledged = on_acknowledged
         self._clock = clock
         self._run = secrets.token_hex(RUN_ID_BYTES)
         self._sequence = 0
-        self._heard_at = 0.0
+        self._acknowledged_at = 0.0
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -63,7 +63,7 @@
             return
         self._changed.set()
         if self._task is None or self._task.done():
-            self._heard_at = self._clock.monotonic()
+            self._acknowledged_at = self._clock.monotonic()
             self._task = asyncio.ensure_future(self._report_forever())
 
     async def close(self) -> None:
@@ -78,12 +78,12 @@
             addresses = tuple(self._addresses())
             body = self._body()
             results = await asyncio.gather(
-                *(self._tell(address, body) for address in addresses)
+                *(self._send(address, body) for address in addresses)
             )
             now = self._clock.monotonic()
             if any(results):
-                self._heard_at = now
-            self._on_heard(now - self._heard_at < UNHEARD_S)
+                self._acknowledged_at = now
+            self._on_acknowledged(now - self._acknowledged_at < UNACKNOWLEDGED_S)
             try:
                 async with asyncio.timeout(REPORT_PERIOD_S):
                     await self._changed.wait()
@@ -100,7 +100,7 @@
         )
         return codec.encode_msgpack(rollouts.HostReports(reports=(report,)))
 
-    async def _tell(self, address: str, body: bytes) -> bool:
+    async def _send(self, address: str, body: bytes) -> bool:
         try:
             await self._channel.call(
                 address, REPORT_METHOD, body, timeout=REPORT_TIMEOUT_S
