--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -171,6 +171,17 @@
         assert not outcome.cut_off_by_stop, outcome
 
 
+def rollout_of(*, number=7, phase="canary", ordered_at=0.0):
+    return messages.Rollout(
+        service="shard-0",
+        version="v2",
+        duration_s=12.0,
+        ordered_at=ordered_at,
+        number=number,
+        phase=messages.Phase(phase),
+    )
+
+
 def put_versions(context):
     context.tier = routing.RoutingTier(ratio=1.0, burst=1000.0)
     context.tier.put_table(routing.table(1, routing.sweep_route(["shard-0"])))
@@ -196,14 +207,7 @@
 @behave.given("an entry host that knows of a roll-out in phase {phase:w}")
 def given_phase(context, phase):
     put_versions(context)
-    rollout = messages.Rollout(
-        service="shard-0",
-        version="v2",
-        duration_s=12.0,
-        ordered_at=0.0,
-        number=1,
-        phase=messages.Phase(phase),
-    )
+    rollout = rollout_of(number=1, phase=phase)
     context.tier.step(events.RolloutsChanged(rollouts=(rollout,)))
 
 
@@ -371,13 +375,7 @@
 
 def given_rollout_again(context):
     context.rollout_number = getattr(context, "rollout_number", 1) + 1
-    rollout = messages.Rollout(
-        service="shard-0",
-        version="v2",
-        duration_s=12.0,
-        ordered_at=0.0,
-        number=context.rollout_number,
-    )
+    rollout = rollout_of(number=context.rollout_number)
     context.tier.step(events.RolloutsChanged(rollouts=(rollout,)))
 
 
@@ -392,9 +390,7 @@
     context.now = 100.0
     context.sequence = 0
     context.run_name = "run-1"
-    context.rollout = messages.Rollout(
-        service="shard-0", version="v2", duration_s=12.0, ordered_at=0.0, number=7
-    )
+    context.rollout = rollout_of()
 
 
 def host_report(context, host_id, *, tallies=(), phase="canary", others=0):
@@ -526,14 +522,7 @@
     "a roll-out of 12 seconds in phase {phase:w}, {elapsed:g} seconds after the order"
 )
 def given_in_phase(context, phase, elapsed):
-    context.rollout = messages.Rollout(
-        service="shard-0",
-        version="v2",
-        duration_s=12.0,
-        ordered_at=0.0,
-        number=7,
-        phase=messages.Phase(phase),
-    )
+    context.rollout = rollout_of(phase=phase)
     context.view = phases.View(
         elapsed=elapsed,
         in_phase=3.0,
--- a/src/greengagehaven/coordination/routing/versions.py
+++ b/src/greengagehaven/coordination/routing/versions.py
@@ -74,11 +74,6 @@
         self._trackers_by_service: dict[str, _Tracker] = {}
         self._is_acknowledged = True
 
-    @property
-    def has_running(self) -> bool:
-        """Tell whether any roll-out is in progress."""
-        return bool(self._trackers_by_service)
-
     def set_rollouts(self, held: abc.Iterable[rollouts.Rollout]) -> None:
         """Apply the last roll-out of each service."""
         self._rollouts_by_service = {each.service: each for each in held}
