Give the roll-out over HTTP the time that a busy machine needs

'The whole path, over HTTP' was not done within its patience of 20 s; whether the order of 6 s ran out of time or the version was taken for bad is not known, since the step only waited.

Change: the order lasts 12 s, and the step says at once when the roll-out ends otherwise.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -120,7 +120,7 @@
     When the operator puts a configuration with a sweep over both shards
     Then a client's sweep is answered with both parts
     When two leafs of version v2 start beside those of the first shard
-    And the operator orders the first shard to v2 within 6 seconds
+    And the operator orders the first shard to v2 within 12 seconds
     Then the state of its roll-out is running, at every control host
     And a second order to v3 is answered 409
     And orders without a target, of an unknown service and of no duration are answered 400
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -332,6 +332,7 @@
         assert reply.status == 200, reply
         await asyncio.sleep(0.01)
         found = await state_at(context, context.platform.doors[2])
+        assert found["state"] in ("running", state), found
         return found["state"] == state
 
     play(context, context.platform.until(ask))
