Split admission and outcomes of attempts off the router

Admission, the outcomes of attempts and the hedging of stragglers move to modules of their own; the 138 scenarios of the eleven features on routing pass unchanged.

--- /dev/null
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -0,0 +1,97 @@
+"""Admits requests: finds the route and sets the deadline and the answer time.
+
+A request that is not admitted is refused before anything is sent to an upstream.
+"""
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions
+from greengagehaven import rng as rngs
+from greengagehaven.coordination.routing import (
+    callers,
+    crashes,
+    events,
+    mechanisms,
+    request,
+    retry_delays,
+    weights,
+)
+from greengagehaven.state import routes
+
+DEADLINE_MARGIN_S = 0.01
+"""Seconds before a caller's deadline at which the request is ended; a packet to the
+caller takes 1 to 3 ms, and timers fire up to 1 ms late."""
+
+
+class RequestAdmission:
+    """Turns arrived requests into routed requests, or refuses them.
+
+    :param caller_times: time that callers have spent before their request arrived.
+    :param crashes: requests that crash upstreams.
+    :param retry_delays: delays after which refused callers may retry.
+    :param used: mechanisms that are enabled.
+    :param clock: monotonic time.
+    :param rng: chooses among the weighted services of a route.
+    """
+
+    def __init__(
+        self,
+        *,
+        caller_times: callers.CallerTimes,
+        crashes: crashes.CrashDetector,
+        retry_delays: retry_delays.RetryDelays,
+        used: mechanisms.Mechanisms,
+        clock: clocks.Clock,
+        rng: rngs.Rng,
+    ) -> None:
+        self.table: routes.RoutingTable | None = None
+        self._caller_times = caller_times
+        self._crashes = crashes
+        self._retry_delays = retry_delays
+        self._used = used
+        self._clock = clock
+        self._weights = weights.Weights(rng=rng)
+
+    def set_table(self, table: routes.RoutingTable) -> None:
+        """Put a routing table in force."""
+        self.table = table
+        names = frozenset(route.name for route in table.routes)
+        self._caller_times.retain(names)
+        self._weights.retain(names)
+
+    def admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
+        """Return the routed request for an arrived one.
+
+        :raises RequestError: the request is refused.
+        """
+        if self.table is None:
+            raise exceptions.NotConfiguredError(
+                "no routing table is in force yet",
+                retry_after=self._retry_delays.without_table(),
+            )
+        route = self.table.find(arrived.host, arrived.path)
+        if route is None:
+            raise exceptions.NotFoundError("no route matches the host and path")
+        self._crashes.check(
+            arrived.fingerprint, retry_after=self._retry_delays.after_failure()
+        )
+        now = self._clock.monotonic()
+        waited = self._caller_times.observe(route, arrived.time_left)
+        time_left = route.timeout
+        if arrived.time_left is not None:
+            time_left = min(time_left, arrived.time_left)
+        services = route.shards or (self._weights.pick(route),)
+        return request.RoutedRequest(
+            number=arrived.number,
+            request_id=arrived.request_id,
+            fingerprint=arrived.fingerprint,
+            route=route,
+            services=services,
+            started_at=now,
+            deadline=now + time_left - DEADLINE_MARGIN_S,
+            answer_by=self._answer_by(route, now, waited),
+        )
+
+    def _answer_by(self, route: routes.Route, now: float, waited: float) -> float:
+        if not self._used.partial_answers:
+            return float("inf")
+        return now + self._caller_times.answer_within(route, waited)
--- a/src/greengagehaven/coordination/routing/extra_attempts.py
+++ b/src/greengagehaven/coordination/routing/extra_attempts.py
@@ -101,6 +101,22 @@
         self._sender.send_extra(chosen, routed, shard, "retry", actions)
         return True
 
+    def hedge_stragglers(
+        self,
+        routed: request.RoutedRequest,
+        now: float,
+        actions: list[events.Action],
+    ) -> None:
+        """Hedge straggling shards once replies have stopped arriving."""
+        for shard in routed.pending:
+            if shard.hedge_at > now:
+                continue
+            own = [attempt for attempt in shard.attempts if not attempt.helper_address]
+            if routed.is_sweep and own:
+                shard.hedge_at = self._hedging.postponed_hedge_at(own[0], now)
+            if shard.hedge_at <= now:
+                self.hedge(routed, shard, actions)
+
     def hedge(
         self,
         routed: request.RoutedRequest,
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -18,6 +18,8 @@
 from greengagehaven import rng as rngs
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import (
+    admission,
+    attempt_outcomes,
     borrowing,
     callers,
     completion,
@@ -41,7 +43,6 @@
     retry_delays,
     sending,
     versions,
-    weights,
 )
 from greengagehaven.protocol import rollouts
 from greengagehaven.state import routes
@@ -50,15 +51,6 @@
 """Quantile of the latency above which an attempt counts as straggling. One attempt in
 twenty is hedged then, half of the least extra-attempt ratio that operators set."""
 
-DEADLINE_MARGIN_S = 0.01
-"""Seconds before a caller's deadline at which the request is ended; a packet to the
-caller takes 1 to 3 ms, and timers fire up to 1 ms late."""
-
-MAX_LISTENER_CHECK_S = 0.03
-"""Seconds for which the retry of a lost attempt waits at most for the check of its
-upstream. The check opens one connection, which takes 6 ms at most if the upstream
-listens."""
-
 REACHABILITY_TIMER = 0
 """Used in place of a request number for the timer of the reachability checks."""
 
@@ -127,7 +119,6 @@
             used=used,
             clock=clock,
         )
-        self.table: routes.RoutingTable | None = None
         self.counts = counts.Counts()
         self._clock = clock
         self._budget = extra_attempt_budget.ExtraAttemptBudget(
@@ -143,8 +134,15 @@
         self._latencies = latency.LatencyTracker(quantile=HEDGE_QUANTILE)
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
         self._timers: list[tuple[float, int]] = []
-        self._weights = weights.Weights(rng=rng)
         self._retry_delays = retry_delays.RetryDelays(rng=rng)
+        self._admission = admission.RequestAdmission(
+            caller_times=self._caller_times,
+            crashes=self._crashes,
+            retry_delays=self._retry_delays,
+            used=used,
+            clock=clock,
+            rng=rng,
+        )
         self._reachability = reachability.Reachability(
             fleet=self.fleet,
             counts=self.counts,
@@ -211,6 +209,15 @@
             requests_by_number=self._requests_by_number,
             clock=clock,
         )
+        self._outcomes = attempt_outcomes.AttemptOutcomes(
+            attempts_by_id=self._attempts_by_id,
+            observer=self._observer,
+            extra_attempts=self._extra_attempts,
+            crashes=self._crashes,
+            counts=self.counts,
+            settle=self._settle,
+            clock=clock,
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
@@ -234,6 +241,11 @@
             events.TimeReached: self._on_time,
         }
 
+    @property
+    def table(self) -> routes.RoutingTable | None:
+        """Return the routing table in force, ``None`` if there is none yet."""
+        return self._admission.table
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests that are not answered yet."""
@@ -259,15 +271,12 @@
     def _on_table(
         self, in_force: events.RoutingTableChanged, actions: list[events.Action]
     ) -> None:
-        self.table = in_force.table
+        self._admission.set_table(in_force.table)
         self.fleet.set_limits(in_force.table.limits_by_service)
         services = frozenset(
             name for route in in_force.table.routes for name in route.service_names
         )
         self._budget.retain(services)
-        names = frozenset(route.name for route in in_force.table.routes)
-        self._caller_times.retain(names)
-        self._weights.retain(names)
 
     def _on_zones_drained(
         self, drained: events.ZonesDrained, actions: list[events.Action]
@@ -315,7 +324,7 @@
         self, arrived: events.RequestArrived, actions: list[events.Action]
     ) -> None:
         try:
-            routed = self._admit(arrived)
+            routed = self._admission.admit(arrived)
         except exceptions.RequestError as error:
             request_log.log_refusal(arrived, error.code, table=self._table_number)
             actions.append(events.Refuse(number=arrived.number, error=error))
@@ -345,40 +354,6 @@
             self._sender.send_first(routed, chosen_by_service, actions)
         self._settle(routed, actions)
 
-    def _admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
-        if self.table is None:
-            raise exceptions.NotConfiguredError(
-                "no routing table is in force yet",
-                retry_after=self._retry_delays.without_table(),
-            )
-        route = self.table.find(arrived.host, arrived.path)
-        if route is None:
-            raise exceptions.NotFoundError("no route matches the host and path")
-        self._crashes.check(
-            arrived.fingerprint, retry_after=self._retry_delays.after_failure()
-        )
-        now = self._clock.monotonic()
-        waited = self._caller_times.observe(route, arrived.time_left)
-        time_left = route.timeout
-        if arrived.time_left is not None:
-            time_left = min(time_left, arrived.time_left)
-        services = route.shards or (self._weights.pick(route),)
-        return request.RoutedRequest(
-            number=arrived.number,
-            request_id=arrived.request_id,
-            fingerprint=arrived.fingerprint,
-            route=route,
-            services=services,
-            started_at=now,
-            deadline=now + time_left - DEADLINE_MARGIN_S,
-            answer_by=self._answer_by(route, now, waited),
-        )
-
-    def _answer_by(self, route: routes.Route, now: float, waited: float) -> float:
-        if not self._used.partial_answers:
-            return float("inf")
-        return now + self._caller_times.answer_within(route, waited)
-
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
@@ -389,7 +364,7 @@
     def _on_ended(
         self, ended: events.AttemptEnded, actions: list[events.Action]
     ) -> None:
-        routed = self._record_end(ended, actions)
+        routed = self._outcomes.record_end(ended, actions)
         if routed is not None:
             is_success = isinstance(ended.outcome, events.Replied)
             is_success = is_success and ended.outcome.is_success
@@ -398,7 +373,9 @@
     def _on_reported(
         self, reported: events.AttemptsReported, actions: list[events.Action]
     ) -> None:
-        affected = [self._record_end(ended, actions) for ended in reported.ended]
+        affected = [
+            self._outcomes.record_end(ended, actions) for ended in reported.ended
+        ]
         now = self._clock.monotonic()
         for attempt_id in reported.straggling:
             attempt = self._attempts_by_id.get(attempt_id)
@@ -407,7 +384,7 @@
                 affected.append(attempt.request)
         for routed in dict.fromkeys(affected):
             if routed is not None and not routed.is_over:
-                self._hedge_stragglers(routed, now, actions)
+                self._extra_attempts.hedge_stragglers(routed, now, actions)
                 self._settle(routed, actions)
 
     def _on_helper_ended(
@@ -435,79 +412,19 @@
     def _on_loan(self, loan: events.LoanReceived, actions: list[events.Action]) -> None:
         self.counts.loans["borrowed"] += len(loan.services)
         for attempt in self._borrower.record_loan(loan):
-            self._retry_held(attempt, actions)
-
-    def _record_end(
-        self, ended: events.AttemptEnded, actions: list[events.Action]
-    ) -> request.RoutedRequest | None:
-        """Record the end of an attempt; return its request if that needed its reply."""
-        attempt = self._attempts_by_id.pop(ended.attempt, None)
-        if attempt is None:
-            return None
-        if isinstance(ended.outcome, events.Replied) and not attempt.helper_address:
-            attempt.request.replied_at = self._clock.monotonic()
-        attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
-        if attempt in attempt.shard.attempts:
-            attempt.shard.attempts.remove(attempt)
-        self._observer.apply_outcome(attempt, ended.outcome, actions)
-        routed, outcome = attempt.request, ended.outcome
-        is_success = isinstance(outcome, events.Replied) and outcome.is_success
-        # Records that were merged with those of other parts cannot be left out any
-        # more, so this part is used even if a hedge has delivered another one.
-        is_wanted = attempt.is_wanted or (is_success and outcome.is_merged)
-        if routed.is_over or not is_wanted:
-            return None
-        if is_success:
-            self._record_part(attempt, outcome, actions)
-        else:
-            self._record_failure(attempt, outcome, actions)
-        return routed
-
-    def _record_part(
-        self,
-        attempt: request.Attempt,
-        reply: events.Replied,
-        actions: list[events.Action],
-    ) -> None:
-        shard = attempt.shard
-        attempt.replied_at = self._clock.monotonic()
-        attempt.size = reply.size
-        attempt.request.record_part(shard, attempt)
-        completion.release(shard.attempts, actions)
+            self._outcomes.retry_held(attempt, actions)
 
     def _on_probed(
         self, probed: events.UpstreamProbed, actions: list[events.Action]
     ) -> None:
         if self._reachability.apply_probe(probed):
-            self._fail_unreachable_attempts(actions)
-
-    def _fail_unreachable_attempts(self, actions: list[events.Action]) -> None:
-        """Fail attempts at unreachable upstreams whose requests are idempotent.
-
-        Other requests keep waiting: they may have run, and must not be sent again.
-        """
-        for attempt in list(self._attempts_by_id.values()):
-            is_stuck = not attempt.upstream.is_reachable and attempt.is_wanted
-            if is_stuck and attempt.request.route.is_idempotent:
-                self._fail_unreachable(attempt, actions)
-
-    def _fail_unreachable(
-        self, attempt: request.Attempt, actions: list[events.Action]
-    ) -> None:
-        """Release and fail an attempt at an unreachable upstream."""
-        completion.release([attempt], actions)
-        if attempt.request.is_over:
-            return
-        attempt.shard.attempts.remove(attempt)
-        failed = events.Failed(fault=events.Fault.CANCELLED, detail="out of reach")
-        self._record_failure(attempt, failed, actions)
-        self._settle(attempt.request, actions)
+            self._outcomes.fail_unreachable_attempts(actions)
 
     def _on_listener_checked(
         self, checked: events.ListenerChecked, actions: list[events.Action]
     ) -> None:
         for attempt in self._crashes.apply_listener_check(checked, actions):
-            self._retry_held(attempt, actions)
+            self._outcomes.retry_held(attempt, actions)
 
     def _on_crashes(
         self, reported: events.CrashesReported, actions: list[events.Action]
@@ -522,67 +439,6 @@
             if xxhash.xxh64_intdigest(key) % HOSTS_PER_RECOVERY_CHECK:
                 self.fleet.record_outlier(outlier)
 
-    def _record_failure(
-        self,
-        attempt: request.Attempt,
-        outcome: events.Replied | events.Failed,
-        actions: list[events.Action],
-    ) -> None:
-        routed, shard = attempt.request, attempt.shard
-        request_log.log_failed_attempt(attempt, outcome, self._clock.monotonic())
-        did_not_run = _did_not_run(outcome)
-        if did_not_run:
-            shard.runs -= 1
-        if isinstance(outcome, events.Replied) and outcome.was_rejected_with_free_slots:
-            shard.rejected_by.add(attempt.upstream.entry.id)
-        if not self._counts_as_arrived(attempt, outcome):
-            shard.arrivals -= 1
-        if isinstance(outcome, events.Replied) and not did_not_run:
-            shard.reply = attempt
-        shard.failure = request.failure_reason(outcome)
-        self.counts.failures[shard.failure] += 1
-        if shard.attempts:
-            return
-        if self._crashes.is_under_investigation(attempt) and routed.route.is_idempotent:
-            shard.hold(attempt, until=self._clock.monotonic() + MAX_LISTENER_CHECK_S)
-            return
-        if self._is_final(outcome) or not self._extra_attempts.retry(
-            attempt, actions, did_not_run=did_not_run
-        ):
-            routed.record_failure(shard, shard.failure)
-
-    def _counts_as_arrived(
-        self, attempt: request.Attempt, outcome: events.Replied | events.Failed
-    ) -> bool:
-        """Return whether an attempt counts as having reached its service."""
-        if isinstance(outcome, events.Replied):
-            return True
-        took = self._clock.monotonic() - attempt.sent_at
-        return not outcome.is_probably_unread(took, attempt.typical_latency)
-
-    def _retry_held(
-        self, attempt: request.Attempt, actions: list[events.Action]
-    ) -> None:
-        """Retry a failed attempt that was held.
-
-        It waited for a loan, or for the check of its upstream after a lost connection.
-        Without that check, if all upstreams of a service crash at once, the retry would
-        be sent to the next one before its closed connections are noticed. It would be
-        lost as well, and a harmless request would be quarantined for both crashes.
-        """
-        routed, shard = attempt.request, attempt.shard
-        if shard.held is not attempt or routed.is_over:
-            return
-        shard.resume()
-        if not self._extra_attempts.retry(attempt, actions):
-            routed.record_failure(shard, shard.failure)
-        self._settle(routed, actions)
-
-    def _is_final(self, outcome: events.Replied | events.Failed) -> bool:
-        """Return whether a retry on another upstream would get the same reply."""
-        is_reply = isinstance(outcome, events.Replied) and not outcome.not_run
-        return is_reply and 400 <= outcome.status < 500 and not _did_not_run(outcome)
-
     def _settle(
         self,
         routed: request.RoutedRequest,
@@ -635,7 +491,7 @@
                 if self._used.probing:
                     self._reachability.check(self._attempts_by_id.values(), actions)
                 self._partition.update(self.table, actions)
-                self._fail_unreachable_attempts(actions)
+                self._outcomes.fail_unreachable_attempts(actions)
                 continue
             routed = self._requests_by_number.get(number)
             if routed is None:
@@ -643,10 +499,10 @@
             routed.wake_at = float("inf")
             for shard in routed.pending:
                 if shard.held is not None and shard.held_until <= now:
-                    self._retry_held(shard.held, actions)
+                    self._outcomes.retry_held(shard.held, actions)
                 if shard.hedge_at <= now:
                     self._record_silent_helpers(shard)
-            self._hedge_stragglers(routed, now, actions)
+            self._extra_attempts.hedge_stragglers(routed, now, actions)
             self._settle(routed, actions)
 
     def _record_silent_helpers(self, shard: request.ShardState) -> None:
@@ -657,25 +513,3 @@
         for attempt in shard.attempts:
             if attempt.helper_address:
                 self._delegation.record_missed_report(attempt.helper_address)
-
-    def _hedge_stragglers(
-        self,
-        routed: request.RoutedRequest,
-        now: float,
-        actions: list[events.Action],
-    ) -> None:
-        """Hedge straggling shards once replies have stopped arriving."""
-        for shard in routed.pending:
-            if shard.hedge_at > now:
-                continue
-            own = [attempt for attempt in shard.attempts if not attempt.helper_address]
-            if routed.is_sweep and own:
-                shard.hedge_at = self._hedging.postponed_hedge_at(own[0], now)
-            if shard.hedge_at <= now:
-                self._extra_attempts.hedge(routed, shard, actions)
-
-
-def _did_not_run(outcome: events.Replied | events.Failed) -> bool:
-    if isinstance(outcome, events.Failed):
-        return outcome.fault in events.NOT_SENT
-    return outcome.not_run or outcome.status == observation.MISDIRECTED
