Require a team's key on routes that are not public

A key is now hashed where the request is read, its team is looked up by digest, upstreams get the team's id, and both headers are stripped from what callers send. An unknown key gets 401.

--- a/features/fakes/platform_deployment.py
+++ b/features/fakes/platform_deployment.py
@@ -78,6 +78,7 @@
         self.shard = shard
         self.zone = zone
         self.request_count = 0
+        self.last_headers = None
         self.sequence = 0
         self.state = "ready"
         self.server = http_server.HttpServer(handler=self.answer)
@@ -88,6 +89,7 @@
         if expected != self.name:
             return http.Response(status=421, content_type=None)
         self.request_count += 1
+        self.last_headers = request.headers
         headers = (
             (names.HEADERS.request_id, request.headers[names.HEADERS.request_id]),
             (names.HEADERS.signature, f"{self.name}.{self.request_count}"),
@@ -235,22 +237,23 @@
 
         await self.wait_until(attempt)
 
-    async def sweep(self):
+    async def sweep(self, extra_headers=None):
         self.requests += 1
         headers = {
             "Host": HOST,
             names.HEADERS.request_id: f"q-{self.requests}",
             names.HEADERS.time_left: "2000",
+            **(extra_headers or {}),
         }
         return await self.call(self.entry_address, "GET", SWEEP_PATH, b"", headers)
 
-    async def sweep_until(self, condition):
+    async def sweep_until(self, condition, extra_headers=None):
         """Send sweeps until a reply meets the condition; return that reply."""
         reply = None
 
         async def attempt():
             nonlocal reply
-            reply = await self.sweep()
+            reply = await self.sweep(extra_headers)
             return condition(reply)
 
         await self.wait_until(attempt)
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -47,6 +47,22 @@
       | a timeout of 0                |
       | a shard named twice           |
       | a version that is text        |
+      | two teams with one key        |
+      | two teams of one name         |
+      | a team with a negative rate   |
+
+  Scenario: The mistake of two teams with one key does not show the key
+    Mistakes are logged and returned to operators.
+
+    Given a configuration of the platform
+    When the configuration has two teams with one key
+    Then the mistake names tenants[0].apiKeys[0] and tenants[1].apiKeys[1]
+    And the mistake does not show a key
+
+  Scenario: A team's priority takes precedence over the route's
+    Given a configuration of the platform
+    When the configuration has two teams
+    Then a key of the first team has priority 0 and one of the second has none
 
   Scenario: A heartbeat is parsed into an upstream
     Given a heartbeat of a leaf
@@ -82,6 +98,25 @@
     When the operator evacuates the zone of the remaining leafs
     Then a client's sweep is refused at once with 503
 
+  Scenario: Requests need a key of a team, and upstreams see the team only
+    An upstream that saw keys could use them. A caller that could set the team's
+    header itself would be taken for another team.
+
+    Given three control hosts and an entry host of the platform on loopback
+    And two leafs of each of two shards that send heartbeats
+    When the operator puts a configuration with two teams
+    Then a client's sweep with a key of the first team is answered
+    And the upstreams see the first team and no key
+    And a client's sweep without a key gets 401 and reaches no upstream
+    And a client's sweep with an unknown key gets 401 and reaches no upstream
+
+  Scenario: A public route needs no key and passes none on
+    Given three control hosts and an entry host of the platform on loopback
+    And two leafs of each of two shards that send heartbeats
+    When the operator puts a configuration with two teams and a public sweep
+    Then a client's sweep with a key of the first team is answered
+    And the upstreams see no team and no key
+
   Scenario: A control host without a quorum refuses reads and writes
     Two of three control hosts have stopped. The configuration of the last one may
     be older than what the others acknowledged.
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,6 +8,7 @@
 from fakes import platform_deployment
 from greengagehaven import exceptions
 from greengagehaven.platform import announcements, documents, names, settings
+from greengagehaven.state import teams
 
 SETTINGS = """\
 node=core-midt-a-1
@@ -30,6 +31,17 @@
 """
 
 
+FIRST_KEY = "key-of-the-first-team"
+SECOND_KEY = "key-of-the-second-team"
+
+
+def teams_configuration():
+    return [
+        {"name": "north", "apiKeys": [FIRST_KEY], "priority": 0, "ratePerS": 21},
+        {"name": "south", "apiKeys": [SECOND_KEY]},
+    ]
+
+
 @behave.given("the platform's settings of a control host")
 def given_settings(context):
     context.settings_text = SETTINGS
@@ -95,6 +107,17 @@
             second["timeoutMs"] = 0
         case "a shard named twice":
             first["gather"] = [platform_deployment.SHARDS[0]] * 2
+        case "two teams with one key":
+            config["tenants"] = teams_configuration()
+            config["tenants"][1]["apiKeys"].append(FIRST_KEY)
+        case "two teams of one name":
+            config["tenants"] = teams_configuration()
+            config["tenants"][1]["name"] = config["tenants"][0]["name"]
+        case "a team with a negative rate":
+            config["tenants"] = teams_configuration()
+            config["tenants"][0]["ratePerS"] = -1
+        case "two teams":
+            config["tenants"] = teams_configuration()
         case "a version that is text":
             config["version"] = "seven"
         case _:
@@ -111,6 +134,35 @@
     raise AssertionError("it was accepted")
 
 
+@behave.then("the mistake names {first} and {second}")
+def then_mistake_named(context, first, second):
+    try:
+        documents.parse(context.data)
+    except exceptions.DocumentError as error:
+        context.mistake = str(error) + "".join(each.detail for each in error.mistakes)
+    else:
+        raise AssertionError("it was accepted")
+    assert first in context.mistake and second in context.mistake, context.mistake
+
+
+@behave.then("the mistake does not show a key")
+def then_key_not_shown(context):
+    assert FIRST_KEY not in context.mistake, context.mistake
+
+
+@behave.then("a key of the first team has priority 0 and one of the second has none")
+def then_priorities(context):
+    directory = documents.parse(context.data).teams
+    found = [
+        directory.find(teams.digest_of_key(key.encode()))
+        for key in (FIRST_KEY, SECOND_KEY)
+    ]
+    assert [(team.id, team.priority) for team in found] == [
+        ("north", 0),
+        ("south", None),
+    ], found
+
+
 @behave.then("a request to {host} for {path} is a sweep over {count:d} shards")
 def then_sweep(context, host, path, count):
     route = documents.parse(context.data).find(host, path)
@@ -355,3 +407,69 @@
     assert "greengagehaven_control_log_bytes" in texts[1], texts
     received = 'peer_bytes_total{direction="received",method="roster/watch"}'
     assert received in texts[0], texts
+
+
+@behave.when("the operator puts a configuration with two teams")
+def when_put_teams(context):
+    config = platform_deployment.configuration(tenants=teams_configuration())
+    run(context, context.platform.put_until_accepted(config))
+
+
+@behave.when("the operator puts a configuration with two teams and a public sweep")
+def when_put_public(context):
+    config = platform_deployment.configuration(tenants=teams_configuration())
+    config["routes"][0]["public"] = True
+    run(context, context.platform.put_until_accepted(config))
+
+
+@behave.then("a client's sweep with a key of the first team is answered")
+def then_answered_with_key(context):
+    headers = {names.HEADERS.key: FIRST_KEY, names.HEADERS.team: "south"}
+    run(
+        context,
+        context.platform.sweep_until(
+            lambda reply: (
+                reply.status == 200
+                and reply.headers.get(names.HEADERS.missing_parts) == "0"
+            ),
+            headers,
+        ),
+    )
+
+
+@behave.then("the upstreams see the first team and no key")
+def then_team_seen(context):
+    assert_team_seen(context, "north")
+
+
+@behave.then("the upstreams see no team and no key")
+def then_no_team_seen(context):
+    assert_team_seen(context, None)
+
+
+def assert_team_seen(context, team):
+    seen = [leaf.last_headers for leaf in context.platform.leafs if leaf.last_headers]
+    assert seen
+    for headers in seen:
+        assert headers.get(names.HEADERS.team) == team, headers
+        assert not any(FIRST_KEY in value for _, value in headers.items()), headers
+
+
+@behave.then("a client's sweep without a key gets 401 and reaches no upstream")
+def then_no_key(context):
+    assert_unauthorized(context, {})
+
+
+@behave.then("a client's sweep with an unknown key gets 401 and reaches no upstream")
+def then_unknown_key(context):
+    assert_unauthorized(context, {names.HEADERS.key: "unknown"})
+
+
+def assert_unauthorized(context, headers):
+    def count():
+        return sum(leaf.request_count for leaf in context.platform.leafs)
+
+    before = count()
+    reply = run(context, context.platform.sweep(headers))
+    assert reply.status == 401, reply
+    assert count() == before
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -15,7 +15,7 @@
     retry_delays,
     weights,
 )
-from greengagehaven.state import routes
+from greengagehaven.state import routes, teams
 
 DEADLINE_MARGIN_S = 0.01
 """Seconds before a caller's deadline at which the request is ended; a packet to the
@@ -71,6 +71,7 @@
         route = self.table.find(arrived.host, arrived.path)
         if route is None:
             raise exceptions.NotFoundError("no route matches the host and path")
+        team = self._authenticate(self.table, route, arrived.key_digest)
         self._crashes.check(
             arrived.fingerprint, retry_after=self._retry_delays.after_failure()
         )
@@ -89,8 +90,25 @@
             started_at=now,
             deadline=now + time_left - DEADLINE_MARGIN_S,
             answer_by=self._answer_by(route, now, waited),
+            team=team,
         )
 
+    def _authenticate(
+        self, table: routes.RoutingTable, route: routes.Route, key_digest: str
+    ) -> teams.Team | None:
+        """Return the team of a request, ``None`` if it needs no key.
+
+        :raises UnauthorizedError: the request needs a key and has no known one.
+        """
+        if route.is_public or not table.teams:
+            return None
+        team = table.teams.find(key_digest)
+        if team is None:
+            raise exceptions.UnauthorizedError(
+                "unknown key" if key_digest else "no key"
+            )
+        return team
+
     def _answer_by(self, route: routes.Route, now: float, waited: float) -> float:
         if not self._used.partial_answers:
             return float("inf")
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -138,6 +138,7 @@
     :param path: path with the query string.
     :param fingerprint: equal for requests that an upstream cannot tell apart.
     :param time_left: seconds that the caller still waits, ``None`` if it does not say.
+    :param key_digest: SHA-256 of the caller's key in hex, empty if it sent none.
     """
 
     number: int
@@ -146,6 +147,7 @@
     path: str
     fingerprint: str = ""
     time_left: float | None = None
+    key_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -344,6 +346,7 @@
     :param number: number of the request on this host.
     :param time_left: seconds that the caller still waits.
     :param connections: maximum number of connections of this host to the upstream.
+    :param team: id of the team that sent the request, empty if there is none.
     """
 
     attempt: int
@@ -352,6 +355,7 @@
     address: str
     time_left: float
     connections: int
+    team: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -116,7 +116,7 @@
 
     def reserved_share(self, routed: request.RoutedRequest) -> float:
         """Return the share of the burst that a hedge must leave to other requests."""
-        return RESERVED_BURST_SHARE if routed.route.priority > URGENT_PRIORITY else 0.0
+        return RESERVED_BURST_SHARE if routed.priority > URGENT_PRIORITY else 0.0
 
 
 def report_at(*, started_at: float, replied_at: float, after: float) -> float:
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -4,7 +4,7 @@
 import math
 
 from greengagehaven.coordination.routing import events, upstreams
-from greengagehaven.state import routes
+from greengagehaven.state import routes, teams
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -107,6 +107,7 @@
     :param started_at: time at which it arrived.
     :param deadline: time at which it is ended with an error if it is still open.
     :param answer_by: time at which a sweep is answered if it has enough parts.
+    :param team: team that sent it, ``None`` on a public route or without teams.
 
     ``replied_at`` is the time at which this host last read a reply to it, and
     ``wake_at`` that of its earliest timer.
@@ -123,6 +124,7 @@
         started_at: float,
         deadline: float,
         answer_by: float,
+        team: teams.Team | None = None,
     ) -> None:
         self.number = number
         self.request_id = request_id
@@ -132,12 +134,25 @@
         self.started_at = started_at
         self.deadline = deadline
         self.answer_by = answer_by
+        self.team = team
         self.is_over = False
         self.replied_at = -math.inf
         self.wake_at = math.inf
         self.part_count = 0
         self._failed_count = 0
 
+    @property
+    def priority(self) -> int:
+        """Return the priority of its team, else of its route; 0 is the most urgent."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    @property
+    def team_id(self) -> str:
+        """Return the id of the team that sent it, empty if there is none."""
+        return "" if self.team is None else self.team.id
+
     @property
     def is_sweep(self) -> bool:
         """Return whether the answer is merged from the parts of several shards."""
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -27,6 +27,7 @@
         "planned",
         request=routed.request_id,
         route=routed.route.name,
+        team=routed.team_id,
         table=table,
         left_ms=round((routed.deadline - routed.started_at) * 1000),
         objective_ms=round(routed.route.objective * 1000),
--- a/src/greengagehaven/coordination/routing/sending.py
+++ b/src/greengagehaven/coordination/routing/sending.py
@@ -208,5 +208,6 @@
                 address=chosen.entry.address,
                 time_left=routed.deadline - now,
                 connections=self._fleet.max_connections(chosen),
+                team=routed.team_id,
             )
         )
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -25,7 +25,7 @@
 )
 from greengagehaven.protocol import delegation_messages, watching
 from greengagehaven.protocol import header_names as names_module
-from greengagehaven.state import configuration, rollouts, routes
+from greengagehaven.state import configuration, rollouts, routes, teams
 from greengagehaven.transport import (
     exchanges,
     http,
@@ -334,6 +334,7 @@
             path=request.target,
             fingerprint=_fingerprint_of(request),
             time_left=_parse_time_left(request.headers.get(self._names.time_left)),
+            key_digest=_key_digest_of(request, self._names.key),
         )
         try:
             self._submit(arrived)
@@ -389,32 +390,36 @@
             case events.WakeAt(moment=moment):
                 self._schedule_wake(moment)
 
-    def _forwarded_headers(self, number: int) -> list[tuple[str, str]]:
+    def _forwarded_headers(self, send: events.Send) -> list[tuple[str, str]]:
         """Return the forwarded headers of a request, the same for all upstreams."""
-        headers = self._headers_by_number.get(number)
+        headers = self._headers_by_number.get(send.number)
         if headers is None:
-            headers = self._select_headers(self._requests_by_number[number])
-            self._headers_by_number[number] = headers
+            headers = self._select_headers(self._requests_by_number[send.number])
+            if send.team:
+                headers.append((self._names.team, send.team))
+            self._headers_by_number[send.number] = headers
         return headers
 
-    def _forwarded_head(self, number: int) -> request_head.RequestHead:
+    def _forwarded_head(self, send: events.Send) -> request_head.RequestHead:
         """Return the forwarded head of a request, the same for all upstreams."""
-        head = self._heads_by_number.get(number)
+        head = self._heads_by_number.get(send.number)
         if head is None:
-            request = self._requests_by_number[number]
+            request = self._requests_by_number[send.number]
             head = request_head.RequestHead(
                 method=request.method,
                 target=request.target,
-                headers=self._forwarded_headers(number),
+                headers=self._forwarded_headers(send),
                 body_size=len(request.body),
             )
-            self._heads_by_number[number] = head
+            self._heads_by_number[send.number] = head
         return head
 
     def _select_headers(self, request: http.Request) -> list[tuple[str, str]]:
         left_out = {
             self._names.time_left,
             self._names.expected_upstream,
+            self._names.key,
+            self._names.team,
             *_connection_options(request.headers),
         }
         return [
@@ -431,7 +436,7 @@
             delegate,
             request,
             request_id=request.headers.get(self._names.request_id) or "",
-            headers=self._forwarded_headers(delegate.number),
+            headers=self._forwarded_headers(delegate.sends[0]),
         )
 
     def _send(self, send: events.Send) -> None:
@@ -440,7 +445,7 @@
             attempt=send.attempt,
             address=send.address,
             request_id=request.headers.get(self._names.request_id) or "",
-            head=self._forwarded_head(send.number),
+            head=self._forwarded_head(send),
             upstream_id=send.upstream_id,
             body=request.body,
             deadline=self._clock.monotonic() + send.time_left,
@@ -579,6 +584,13 @@
     return digest.hexdigest()
 
 
+def _key_digest_of(request: http.Request, header_name: str) -> str:
+    """Return the digest of the caller's key, empty if it sent none."""
+    key = request.headers.get(header_name)
+    # Header values were decoded as Latin-1; this restores the bytes that were sent.
+    return teams.digest_of_key(key.encode("latin-1")) if key else ""
+
+
 def _parse_time_left(value: str | None) -> float | None:
     """Return the seconds that the caller waits, ``None`` if absent or invalid."""
     try:
--- a/src/greengagehaven/platform/documents.py
+++ b/src/greengagehaven/platform/documents.py
@@ -6,7 +6,7 @@
 
 from greengagehaven import exceptions
 from greengagehaven.protocol import codec
-from greengagehaven.state import routes
+from greengagehaven.state import routes, teams
 
 _IDEMPOTENT = "idempotent"
 _MS_PER_S = 1000.0
@@ -31,6 +31,7 @@
     gather: tuple[str, ...] | None = None
     top_k: int = msgspec.field(default=0, name="topK")
     min_coverage: float = 1.0
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
@@ -46,11 +47,20 @@
     idle_timeout_ms: float = 75_000.0
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 def parse(data: bytes) -> routes.RoutingTable:
@@ -83,6 +93,7 @@
             head_timeout=config.limits.header_timeout_ms / _MS_PER_S,
             idle_timeout=config.limits.idle_timeout_ms / _MS_PER_S,
         ),
+        teams=teams.TeamDirectory(_make_team(tenant) for tenant in config.tenants),
     )
 
 
@@ -112,6 +123,17 @@
         priority=route.priority,
         top_records=route.top_k,
         min_coverage=route.min_coverage,
+        is_public=route.public,
+    )
+
+
+def _make_team(tenant: _Tenant) -> teams.Team:
+    return teams.Team(
+        id=tenant.name,
+        key_digests=tuple(teams.digest_of_key(key.encode()) for key in tenant.api_keys),
+        priority=tenant.priority,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
     )
 
 
@@ -130,6 +152,37 @@
                 _mistake(f"{place}.timeoutMs", route.timeout_ms, "more than 0")
             )
         mistakes += _find_service_mistakes(place, route, names)
+    return mistakes + _find_tenant_mistakes(config.tenants)
+
+
+def _find_tenant_mistakes(
+    tenants: tuple[_Tenant, ...],
+) -> list[exceptions.DocumentMistakeError]:
+    """Return the mistakes in the tenants; their values never contain a key."""
+    mistakes = []
+    names: set[str] = set()
+    places_by_key: dict[str, tuple[str, str]] = {}
+    for number, tenant in enumerate(tenants):
+        place = f"tenants[{number}]"
+        if not tenant.name or tenant.name in names:
+            mistakes.append(_mistake(f"{place}.name", tenant.name, "a name of its own"))
+        names.add(tenant.name)
+        for field, value in (
+            ("ratePerS", tenant.rate_per_s),
+            ("burst", tenant.burst),
+        ):
+            if not math.isfinite(value) or value < 0:
+                mistakes.append(_mistake(f"{place}.{field}", value, "0 or more"))
+        for index, key in enumerate(tenant.api_keys):
+            key_place = f"{place}.apiKeys[{index}]"
+            holder, first_place = places_by_key.setdefault(
+                key, (tenant.name, key_place)
+            )
+            if not key:
+                mistakes.append(_mistake(key_place, "", "a key"))
+            elif holder != tenant.name:
+                expected = f"a key of its own, not that of {first_place}"
+                mistakes.append(_mistake(key_place, "(not shown)", expected))
     return mistakes
 
 
--- a/src/greengagehaven/platform/names.py
+++ b/src/greengagehaven/platform/names.py
@@ -20,4 +20,6 @@
     load=f"{_HEADER_PREFIX}server-load",
     part_signatures=f"{_HEADER_PREFIX}part-stamps",
     missing_parts=f"{_HEADER_PREFIX}missing-parts",
+    key=f"{_HEADER_PREFIX}credential",
+    team=f"{_HEADER_PREFIX}tenant",
 )
--- a/src/greengagehaven/protocol/header_names.py
+++ b/src/greengagehaven/protocol/header_names.py
@@ -17,6 +17,8 @@
     :param part_signatures: signatures of the shard responses that were merged into
         a response.
     :param missing_parts: number of shards that a response does not cover.
+    :param key: key of the caller's team; not forwarded.
+    :param team: id of the team that holds the key, for upstreams.
     """
 
     request_id: str = "request-id"
@@ -27,3 +29,5 @@
     load: str = "load"
     part_signatures: str = "part-signatures"
     missing_parts: str = "missing-parts"
+    key: str = "key"
+    team: str = "team"
--- a/src/greengagehaven/state/routes.py
+++ b/src/greengagehaven/state/routes.py
@@ -8,6 +8,8 @@
 import math
 from collections import abc
 
+from greengagehaven.state import teams as teams_module
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WeightedService:
@@ -32,6 +34,7 @@
     :param priority: 0 is the most urgent.
     :param top_records: number of greatest records that a sweep returns.
     :param min_coverage: minimum fraction of the shards in a sweep's answer.
+    :param is_public: whether requests need no key even if the table has teams.
     """
 
     name: str
@@ -46,6 +49,7 @@
     priority: int = 0
     top_records: int = 0
     min_coverage: float = 1.0
+    is_public: bool = False
 
     @property
     def min_shards(self) -> int:
@@ -83,9 +87,10 @@
 
 
 class RoutingTable:
-    """Routes and service limits of one document.
+    """Routes, service limits and teams of one document.
 
     :param number: the operator's number of the document.
+    :param teams: teams whose keys requests need; without teams no key is needed.
     """
 
     def __init__(
@@ -95,8 +100,10 @@
         routes: abc.Iterable[Route],
         limits_by_service: abc.Mapping[str, ServiceLimits],
         caller_limits: CallerLimits,
+        teams: teams_module.TeamDirectory | None = None,
     ) -> None:
         self.number = number
+        self.teams = teams_module.TeamDirectory() if teams is None else teams
         self.limits_by_service = limits_by_service
         self.caller_limits = caller_limits
         self._routes_by_host: dict[str, list[Route]] = {}
