--- a/features/extra_attempts.feature
+++ b/features/extra_attempts.feature
@@ -87,3 +87,20 @@
     When a sweep arrives and its first attempts are rejected with free slots
     And each host that is asked to lend refuses
     Then the request is refused with incomplete
+
+  Scenario: A hedge without budget is sent with a loan if the sweep lacks coverage
+    Without it the sweep would wait until its deadline for upstreams that may never
+    answer, and end with an error though other hosts had budget left.
+
+    Given a router without budget, in a zone with 3 other hosts, and a sweep over 4 shards
+    When a sweep arrives and 2 of its shards have no reply when they are hedged
+    Then one host is asked to lend for 2 shards at once
+    When it lends for 1 of them
+    Then 1 shard is hedged, and the sweep is answered with 3 parts in time
+
+  Scenario: A hedge without budget is not sent with a loan for the last shards
+    A loan would take budget from hosts whose sweeps need it for an answer at all.
+
+    Given a router without budget, in a zone with 3 other hosts, and a sweep over 4 shards
+    When a sweep arrives and 1 of its shards have no reply when they are hedged
+    Then no host is asked to lend
--- a/features/steps/extra_attempts_steps.py
+++ b/features/steps/extra_attempts_steps.py
@@ -308,3 +308,30 @@
         requested = len(context.tier.borrowed)
         grant_loan(context, context.tier.borrowed[-1], 0)
     assert requested == 3, requested
+
+
+@behave.when(
+    "a sweep arrives and {count:d} of its shards have no reply when they are hedged"
+)
+def when_stragglers(context, count):
+    tier = context.tier
+    context.number = tier.request("/sweep/1")
+    for send in tier.attempts_of(context.number)[count:]:
+        tier.answer_attempt(send)
+    for _ in range(30):
+        tier.advance_clock(0.002)
+
+
+@behave.then("1 shard is hedged, and the sweep is answered with 3 parts in time")
+def then_hedged(context):
+    sends = context.tier.attempts_of(context.number)
+    assert len(sends) == context.shards + 1, sends
+    context.tier.answer_attempt(sends[-1])
+    for _ in range(30):
+        context.tier.advance_clock(0.002)
+    then_answered_with(context, 3)
+
+
+@behave.then("no host is asked to lend")
+def then_no_loan(context):
+    assert not context.tier.borrowed, context.tier.borrowed
--- a/src/greengagehaven/coordination/routing/borrowing.py
+++ b/src/greengagehaven/coordination/routing/borrowing.py
@@ -71,8 +71,20 @@
     def wait_for_loan(self, attempt: request.Attempt) -> bool:
         """Hold the shard of a failed attempt until a loan arrives.
 
-        :returns: whether it waits. It does not if it would miss the request's deadline,
-            has waited for ``MAX_LENDERS`` loans already, or no lender is available.
+        :returns: whether it waits, as for :meth:`borrow_for_hedge`.
+        """
+        if not self.borrow_for_hedge(attempt):
+            return False
+        until = self._clock.monotonic() + LOAN_TIMEOUT_S
+        attempt.shard.hold(attempt, until=until)
+        return True
+
+    def borrow_for_hedge(self, attempt: request.Attempt) -> bool:
+        """Borrow an extra attempt with which a straggling attempt can be hedged.
+
+        :returns: whether a loan is requested. It is not if it would miss the request's
+            deadline, the shard has had ``MAX_LENDERS`` requests already, or no lender
+            is available.
         """
         now, shard = self._clock.monotonic(), attempt.shard
         is_late = now + LOAN_TIMEOUT_S >= attempt.request.deadline
@@ -83,7 +95,6 @@
         ):
             return False
         shard.loan_requests += 1
-        shard.hold(attempt, until=now + LOAN_TIMEOUT_S)
         if not self._queue:
             self._wake_at(now + COALESCE_WINDOW_S)
         self._queue.append(attempt)
@@ -92,7 +103,7 @@
     def request_loan(self, actions: list[events.Action]) -> None:
         """Ask one host for an extra attempt for every waiting shard."""
         now = self._clock.monotonic()
-        waiting = [each for each in self._queue if each.shard.held is each]
+        waiting = [each for each in self._queue if _still_needs_loan(each)]
         self._queue = []
         available = self._available_addresses(now)
         if not waiting or not available:
@@ -108,7 +119,7 @@
     def record_loan(self, loan: events.LoanReceived) -> list[request.Attempt]:
         """Add a loan to the budget.
 
-        :returns: the held attempts that waited for it, whether or not it covers them.
+        :returns: the attempts that waited for it, whether or not it covers them.
         """
         address, waiting = self._pending_loans_by_number.pop(loan.number, ("", []))
         now = self._clock.monotonic()
@@ -126,3 +137,9 @@
             for address in self._addresses
             if backoff_until.get(address, -math.inf) <= now
         ]
+
+
+def _still_needs_loan(attempt: request.Attempt) -> bool:
+    """Return whether an attempt is held for its retry, or straggles still."""
+    shard = attempt.shard
+    return shard.is_pending and (shard.held is attempt or attempt in shard.attempts)
--- a/src/greengagehaven/coordination/routing/extra_attempts.py
+++ b/src/greengagehaven/coordination/routing/extra_attempts.py
@@ -25,6 +25,10 @@
 """Number of attempts of one shard, including rejected ones, after which it is not sent
 again to an upstream that rejected it."""
 
+REFUSED_HEDGE_RETRY_S = 0.05
+"""Seconds until a hedge that the budget refused is tried again. A loan arrives within
+20 ms, and the budget regains room as earlier extra attempts leave its window."""
+
 
 class ExtraAttemptPolicy:
     """Sends retries and hedges where the request and the budget allow them.
@@ -144,9 +148,23 @@
         if not self._budget.try_spend(shard.service, reserve_share=reserved_share):
             self._counts.extra_refused += 1
             log.info("hedge_refused", request=routed.request_id, service=shard.service)
+            self._postpone_hedge(routed, shard)
             return
         self._sender.send_extra(chosen, routed, shard, "hedge", actions)
 
+    def _postpone_hedge(
+        self, routed: request.RoutedRequest, shard: request.ShardState
+    ) -> None:
+        """Hedge a shard later that the budget refused, if the answer needs its part.
+
+        Otherwise a sweep that lacks one part of its minimum coverage would wait for an
+        upstream that may never answer, until its deadline.
+        """
+        if not (self._used.hedge_loans and routed.is_sweep and routed.lacks_coverage):
+            return
+        self._borrower.borrow_for_hedge(shard.attempts[0])
+        shard.hedge_at = self._clock.monotonic() + REFUSED_HEDGE_RETRY_S
+
     def _choose_untried(
         self, routed: request.RoutedRequest, shard: request.ShardState
     ) -> upstreams.Upstream | None:
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -24,6 +24,8 @@
     :param aggregation: let a host of a remote zone send the shards of that zone.
     :param consolidation: send shards without an upstream in this zone to one zone.
     :param lending: borrow extra attempts from other hosts of the zone.
+    :param hedge_loans: borrow extra attempts also for hedges that a sweep needs to
+        reach its minimum coverage.
     :param asking_again: retry on an upstream that rejected the request with slots free.
     :param sharing: report slow and faulty upstreams to other hosts.
     :param lag: answer earlier by the measured lag of timers.
@@ -47,6 +49,7 @@
     aggregation: bool = True
     consolidation: bool = True
     lending: bool = True
+    hedge_loans: bool = True
     asking_again: bool = True
     sharing: bool = True
     lag: bool = True
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -177,6 +177,11 @@
         least = self.route.min_shards if self.is_sweep else 1
         return len(self.shards) - self._failed_count >= least
 
+    @property
+    def lacks_coverage(self) -> bool:
+        """Return whether a sweep has fewer parts than its minimum coverage needs."""
+        return self.part_count < self.route.min_shards
+
     @property
     def pending_count(self) -> int:
         """Return the number of shards that may still get a usable reply."""
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -411,8 +411,15 @@
 
     def _on_loan(self, loan: events.LoanReceived, actions: list[events.Action]) -> None:
         self.counts.loans["borrowed"] += len(loan.services)
+        now = self._clock.monotonic()
         for attempt in self._borrower.record_loan(loan):
-            self._outcomes.retry_held(attempt, actions)
+            routed, shard = attempt.request, attempt.shard
+            if shard.held is attempt:
+                self._outcomes.retry_held(attempt, actions)
+            elif loan.services and shard.is_pending and not routed.is_over:
+                shard.hedge_at = now
+                self._extra_attempts.hedge_stragglers(routed, now, actions)
+                self._settle(routed, actions)
 
     def _on_probed(
         self, probed: events.UpstreamProbed, actions: list[events.Action]
