Offer tombstones of other zones in anti-entropy

Cause: a host that restarted before it knew of any other host took a delayed announcement for an upstream of its own zone. The tombstone, filed under the announced zone, was in none of the digests, and the comparison of the host's zone only dropped the record it was offered. The host's home host for the upstream had the tombstone too, so nobody ended the lease.

Change: a peer that finds a live record in another zone's summary, and has a newer tombstone for it, offers the tombstone.

--- a/src/greengagehaven/coordination/membership/anti_entropy.py
+++ b/src/greengagehaven/coordination/membership/anti_entropy.py
@@ -214,6 +214,11 @@
         record = view.upstreams.get(upstream_id)
         if record is None or (*version, reply.zone) > record.version:
             sync.wanted_upstreams.append(upstream_id)
+        elif record.is_gone and record.zone != reply.zone:
+            # A host that restarted may keep a delayed announcement in its own zone.
+            # Digests don't cover tombstones, so without this offer it would neither
+            # receive that of the announced zone nor notice that it lacks one.
+            sync.offered_upstreams.append(upstream_id)
     for summary in own:
         version = their_version_by_id.get(summary.id)
         if version is None and summary.is_gone:
