Refuse with 503 whenever no byte of a request was written

Requests that had reached no upstream could end in 502 or 504: attempts at an unreachable upstream counted as run while they waited for a connection, delegated attempts counted as sent before their call was, a late rejection of an attempt that had been given up was ignored, and a failed first write counted as a lost request.

Attempts without AttemptStarted now count as not run and are withdrawn with the answer, also for requests that must not be repeated.

--- a/src/greengagehaven/coordination/routing/attempt_outcomes.py
+++ b/src/greengagehaven/coordination/routing/attempt_outcomes.py
@@ -71,7 +71,12 @@
         # Records that were merged with those of other parts cannot be left out any
         # more, so this part is used even if a hedge has delivered another one.
         is_wanted = attempt.is_wanted or (is_success and outcome.is_merged)
-        if routed.is_over or not is_wanted:
+        if routed.is_over:
+            return None
+        if not is_wanted:
+            # It was given up while its upstream was unreachable, and counted as run.
+            if not attempt.is_unsent and _did_not_run(outcome):
+                attempt.shard.runs -= 1
             return None
         if is_success:
             self._record_part(attempt, outcome, actions)
@@ -98,13 +103,15 @@
         self._settle(routed, actions)
 
     def fail_unreachable_attempts(self, actions: list[events.Action]) -> None:
-        """Fail attempts at unreachable upstreams whose requests are idempotent.
+        """Fail attempts at unreachable upstreams that may be sent again.
 
-        Other requests keep waiting: they may have run, and must not be sent again.
+        Attempts that were sent of requests that are not idempotent keep waiting: they
+        may have run.
         """
         for attempt in list(self._attempts_by_id.values()):
             is_stuck = not attempt.upstream.is_reachable and attempt.is_wanted
-            if is_stuck and attempt.request.route.is_idempotent:
+            is_repeatable = attempt.request.route.is_idempotent
+            if is_stuck and (is_repeatable or attempt.is_unsent):
                 self._fail_unreachable(attempt, actions)
 
     def _record_part(
@@ -139,12 +146,14 @@
     ) -> None:
         routed, shard = attempt.request, attempt.shard
         request_log.log_failed_attempt(attempt, outcome, self._clock.monotonic())
-        did_not_run = _did_not_run(outcome)
+        # An attempt at an unreachable upstream is failed while it may still wait for a
+        # connection; it is withdrawn in the same step.
+        did_not_run = _did_not_run(outcome) or attempt.is_unsent
         if did_not_run:
             shard.runs -= 1
         if isinstance(outcome, events.Replied) and outcome.was_rejected_with_free_slots:
             shard.rejected_by.add(attempt.upstream.entry.id)
-        if not self._counts_as_arrived(attempt, outcome):
+        if attempt.is_unsent or not self._counts_as_arrived(attempt, outcome):
             shard.arrivals -= 1
         if isinstance(outcome, events.Replied) and not did_not_run:
             shard.reply = attempt
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -33,6 +33,11 @@
     size: int = 0
     helper_address: str = ""
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no byte of it was written, so that it can be withdrawn."""
+        return self.started_at is None
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class ShardState:
--- a/src/greengagehaven/daemons/delegation_client.py
+++ b/src/greengagehaven/daemons/delegation_client.py
@@ -7,9 +7,10 @@
 import typing
 from collections import abc
 
+import msgspec
+
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions
-from greengagehaven.coordination import peers
 from greengagehaven.coordination.routing import events
 from greengagehaven.daemons import delegation_server
 from greengagehaven.protocol import codec, delegation_messages
@@ -36,6 +37,25 @@
     report: delegation_messages.AttemptReport
 
 
+class Channel(typing.Protocol):
+    """Calls to other hosts, with notice of the moment at which a call is sent."""
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        body: bytes,
+        *,
+        timeout: float,
+        on_sending: abc.Callable[[], None] | None = None,
+    ) -> bytes:
+        """Call a method on the host at ``address`` (``IP:PORT``).
+
+        :param on_sending: called before the first byte of the call is written.
+        :raises PeerError: the call failed or timed out.
+        """
+
+
 class Sink(typing.Protocol):
     """Receives the outcomes of delegated attempts."""
 
@@ -51,12 +71,18 @@
 
 @dataclasses.dataclass(kw_only=True, eq=False, slots=True)
 class _Call:
-    """A call that delegates attempts to another host."""
+    """A call that delegates attempts to another host.
+
+    :param message: the call as it is to be sent.
+    :param pending: attempts that have not ended.
+    :param task: the task that carries out the call, until a byte of it may be written.
+    """
 
-    key: str
+    message: delegation_messages.DelegationRequest
     address: str
     pending: set[int]
     deadline: float
+    task: asyncio.Task[None] | None = None
 
 
 class DelegationClient:
@@ -72,7 +98,7 @@
         self,
         *,
         host_id: str,
-        channel: peers.PeerChannel,
+        channel: Channel,
         sink: Sink,
         clock: clocks.Clock,
     ) -> None:
@@ -99,17 +125,8 @@
         :param headers: headers of the request, as forwarded to upstreams.
         """
         time_left = max(send.time_left for send in delegate.sends)
-        call = _Call(
-            key=f"{self._prefix}:{next(self._numbers)}",
-            address=delegate.address,
-            pending={send.attempt for send in delegate.sends},
-            deadline=self._clock.monotonic() + time_left + REPORT_SLACK_S,
-        )
-        for send in delegate.sends:
-            self._calls_by_attempt[send.attempt] = call
-            self._parts_by_attempt[send.attempt] = None
         message = delegation_messages.DelegationRequest(
-            key=call.key,
+            key=f"{self._prefix}:{next(self._numbers)}",
             request_id=request_id,
             method=request.method,
             target=request.target,
@@ -128,21 +145,37 @@
             report_ms=round(delegate.report_after * _MS),
             top_records=delegate.top_records,
         )
-        self._spawn(self._run(call, codec.encode_msgpack(message)))
+        call = _Call(
+            message=message,
+            address=delegate.address,
+            pending={send.attempt for send in delegate.sends},
+            deadline=self._clock.monotonic() + time_left + REPORT_SLACK_S,
+        )
+        for send in delegate.sends:
+            self._calls_by_attempt[send.attempt] = call
+            self._parts_by_attempt[send.attempt] = None
+        call.task = self._spawn(self._run(call))
 
     def holds(self, attempt: int) -> bool:
         """Return whether an attempt is delegated and has not ended."""
         return attempt in self._calls_by_attempt
 
     def release(self, attempts: abc.Iterable[int]) -> None:
-        """Tell the other hosts that nobody waits for these attempts any more."""
+        """Tell the other hosts that nobody waits for these attempts any more.
+
+        They are left out of a call that is not sent yet: the caller may have been told
+        that its request did not run.
+        """
         attempts_by_call: dict[_Call, list[int]] = {}
         for attempt in attempts:
             call = self._calls_by_attempt.get(attempt)
             if call is not None:
                 attempts_by_call.setdefault(call, []).append(attempt)
         for call, released in attempts_by_call.items():
-            self._spawn(self._release(call, tuple(released)))
+            if call.task is None:
+                self._spawn(self._release(call, tuple(released)))
+            else:
+                self._withdraw(call, call.task, released)
 
     def merged_part(self, attempt: int) -> MergedPart | None:
         """Return the merged part of an attempt, ``None`` if there is none."""
@@ -159,20 +192,58 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _spawn(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def _spawn(
+        self, work: abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> asyncio.Task[None]:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
-    async def _run(self, call: _Call, body: bytes) -> None:
-        for attempt in call.pending:
+    def _on_sending(self, call: _Call) -> None:
+        """Record that bytes of a call may be written from now on."""
+        if call.task is None:
+            return
+        call.task = None
+        for attempt in sorted(call.pending):
             self._sink.on_attempt_started(attempt)
+
+    def _withdraw(
+        self, call: _Call, task: asyncio.Task[None], attempts: abc.Iterable[int]
+    ) -> None:
+        """Leave attempts out of a call that is not sent yet, and report them."""
+        task.cancel()
+        ended = [attempt for attempt in attempts if attempt in call.pending]
+        for attempt in ended:
+            self._remove_attempt(call, attempt)
+        if call.pending:
+            call.task = self._spawn(self._run(call))
+        # Deferred: their ends must not be submitted within a step of the router.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._report_withdrawn, call, ended)
+
+    def _report_withdrawn(self, call: _Call, attempts: abc.Iterable[int]) -> None:
+        unsent = events.Failed(fault=events.Fault.UNSENT, detail="withdrawn")
+        self._report_failed(attempts, unsent)
+        if not call.pending:
+            self._sink.on_helper_ended(events.HelperEnded(address=call.address))
+
+    async def _run(self, call: _Call) -> None:
         method = delegation_server.GATHER_METHOD
+        planned = tuple(
+            each for each in call.message.attempts if each.attempt in call.pending
+        )
+        message = msgspec.structs.replace(call.message, attempts=planned)
+        body = codec.encode_msgpack(message)
         try:
             while True:
                 time_left = call.deadline - self._clock.monotonic()
                 data = await self._channel.call(
-                    call.address, method, body, timeout=max(0.0, time_left)
+                    call.address,
+                    method,
+                    body,
+                    timeout=max(0.0, time_left),
+                    on_sending=lambda: self._on_sending(call),
                 )
                 report = codec.decode_msgpack(data, delegation_messages.AttemptReport)
                 self._apply_report(call, report)
@@ -180,7 +251,7 @@
                     break
                 method = delegation_server.NEXT_REPORT_METHOD
                 body = codec.encode_msgpack(
-                    delegation_messages.NextReportRequest(key=call.key)
+                    delegation_messages.NextReportRequest(key=call.message.key)
                 )
         except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
             self._fail_call(call, method, error)
@@ -218,15 +289,21 @@
             or isinstance(error.__cause__, exceptions.ConnectError)
         )
         fault = events.Fault.UNSENT if is_unsent else events.Fault.HELPER
-        failed = events.Failed(fault=fault, detail=error.detail)
         attempts = sorted(call.pending)
         for attempt in attempts:
             self._remove_attempt(call, attempt)
         self._sink.on_helper_ended(
             events.HelperEnded(address=call.address, failed=error.detail)
         )
+        self._report_failed(attempts, events.Failed(fault=fault, detail=error.detail))
+
+    def _report_failed(
+        self, attempts: abc.Iterable[int], outcome: events.Failed
+    ) -> None:
+        """Report the same outcome for several attempts."""
         ended = (
-            events.AttemptEnded(attempt=attempt, outcome=failed) for attempt in attempts
+            events.AttemptEnded(attempt=attempt, outcome=outcome)
+            for attempt in attempts
         )
         self._sink.on_attempts_reported(events.AttemptsReported(ended=tuple(ended)))
 
@@ -235,7 +312,9 @@
         self._calls_by_attempt.pop(attempt, None)
 
     async def _release(self, call: _Call, attempts: tuple[int, ...]) -> None:
-        message = delegation_messages.CancelRequest(key=call.key, attempts=attempts)
+        message = delegation_messages.CancelRequest(
+            key=call.message.key, attempts=attempts
+        )
         try:
             await self._channel.call(
                 call.address,
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -77,6 +77,16 @@
         self._sent_bytes = 0
         self._awaits_reply = False
         self._received_nothing = True
+        self._wrote_nothing = False
+
+    @property
+    def wrote_nothing(self) -> bool:
+        """Return whether the connection broke before any byte of the last request.
+
+        A peer that closed an idle connection is often noticed only by the first write.
+        The request cannot have run then, and its caller may be told so.
+        """
+        return self._wrote_nothing
 
     @property
     def received_nothing(self) -> bool:
@@ -147,7 +157,11 @@
         self._received_nothing = True
         self._received_bytes = 0
         self._sent_bytes = len(data)
+        has_unwritten = self._transport.get_write_buffer_size() > 0
         self._transport.write(data)
+        # asyncio writes at once unless earlier data is still buffered, and closes the
+        # transport if that write fails.
+        self._wrote_nothing = not has_unwritten and self._transport.is_closing()
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; abort if no reply is expected."""
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -318,8 +318,11 @@
         if is_fresh and connection.was_reset:
             self._record_rejected_connection()
         if exchange is not None:
+            fault = (
+                events.Fault.UNSENT if connection.wrote_nothing else events.Fault.LOST
+            )
             lost = events.Failed(
-                fault=events.Fault.LOST,
+                fault=fault,
                 detail=detail,
                 received_nothing=connection.received_nothing,
                 is_first_use=is_fresh,
--- a/src/greengagehaven/transport/http_client.py
+++ b/src/greengagehaven/transport/http_client.py
@@ -51,6 +51,7 @@
         body: bytes = b"",
         headers: typing.Mapping[str, str] | None = None,
         timeout: datetime.timedelta = DEFAULT_TIMEOUT,
+        on_sending: typing.Callable[[], None] | None = None,
     ) -> client_connection.Reply:
         """Send a request and return its reply, whatever the status.
 
@@ -58,7 +59,10 @@
         :param headers: request headers; ``Host`` defaults to the address.
         :param timeout: limit for opening a connection, and again for the complete
             reply once the request has been written.
-        :raises ConnectError: no connection could be opened; nothing was sent.
+        :param on_sending: called once a connection is open, before the first byte is
+            written.
+        :raises ConnectError: no connection could be opened, or it broke before the
+            first byte was written; nothing was sent.
         :raises ConnectionLostError: the connection ended, or the timeout expired,
             after the request may have been sent.
         """
@@ -66,6 +70,8 @@
         connection = self._pop_idle() or await self._connect(timeout)
         future = asyncio.get_running_loop().create_future()
         connection.exchange = future
+        if on_sending is not None:
+            on_sending()
         pairs = {"Host": self.address, **(headers or {})}
         connection.send(method, target, list(pairs.items()), body)
         try:
@@ -124,9 +130,12 @@
         future = connection.exchange
         connection.exchange = None
         if future is not None and not future.done():
-            future.set_exception(
-                exceptions.ConnectionLostError(f"{self.address}: {detail}")
+            kind = (
+                exceptions.ConnectError
+                if connection.wrote_nothing
+                else exceptions.ConnectionLostError
             )
+            future.set_exception(kind(f"{self.address}: {detail}"))
 
     def _pop_idle(self) -> client_connection.ClientConnection | None:
         min_last_progress = self._clock.monotonic() - MAX_IDLE_S
--- a/src/greengagehaven/transport/http_peers.py
+++ b/src/greengagehaven/transport/http_peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import datetime
+from collections import abc
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions
@@ -113,11 +114,18 @@
         self._clients_by_address: dict[str, http_client.HttpClient] = {}
 
     async def call(
-        self, address: str, method: str, body: bytes, *, timeout: float
+        self,
+        address: str,
+        method: str,
+        body: bytes,
+        *,
+        timeout: float,
+        on_sending: abc.Callable[[], None] | None = None,
     ) -> bytes:
         """Call ``SERVICE/METHOD`` on the host at ``address`` (``IP:PORT``).
 
         :param timeout: seconds to wait for the reply.
+        :param on_sending: called before the first byte of the call is written.
         :raises PeerRefusedError: the host replied with status 404 or 503.
         :raises PeerError: no reply arrived in time, or the handler failed.
         """
@@ -128,6 +136,7 @@
                 f"/{method}",
                 body=body,
                 timeout=datetime.timedelta(seconds=timeout),
+                on_sending=on_sending,
             )
         except exceptions.UpstreamError as error:
             raise exceptions.PeerError(f"{method}: {error.detail}") from error
