Read the work time in load reports and place requests by it

Upstreams of two deployments share machines that are 2.5 times slower for some 600 ms, and say so in a fourth value of their load reports. A report with four values was discarded as malformed, so that the other three were lost as well.

Latencies that it explains are not remembered as slowness of the upstream. The mechanism `work_time` disables it.

--- a/features/fakes/gathering.py
+++ b/features/fakes/gathering.py
@@ -23,6 +23,7 @@
     def __init__(self, count):
         self.count = count
         self.rejecting_number = None
+        self.load_text = None
         self.request_count = 0
         self.may_reply_late = asyncio.Event()
         self.addresses = []
@@ -46,8 +47,11 @@
                 status = "503 Full" if number == self.rejecting_number else "200 OK"
                 head = (
                     f"HTTP/1.1 {status}\r\nRequest-Id: r-1\r\n"
-                    f"Signature: s-{number}\r\nContent-Length: {len(body)}\r\n\r\n"
+                    f"Signature: s-{number}\r\nContent-Length: {len(body)}\r\n"
                 )
+                if self.load_text is not None:
+                    head += f"Load: {self.load_text}\r\n"
+                head += "\r\n"
                 writer.write(head.encode() + body)
                 await writer.drain()
                 await reader.read()
--- a/features/mechanisms.feature
+++ b/features/mechanisms.feature
@@ -16,6 +16,7 @@
       | early_refusal   | a sweep arrives and 3 shards are gone | the remaining shard is requested |
       | sending_away    | nothing outside the zone is reachable | the host is ready all the same   |
       | ejection        | an upstream fails five times in a row | it gets the next request         |
+      | work_time       | an upstream reports a slow machine    | it gets its share of requests    |
 
   Scenario: An unknown mechanism name is refused
     Given the experiment's setting hedging,guessing
--- a/features/steps/mechanisms_steps.py
+++ b/features/steps/mechanisms_steps.py
@@ -115,3 +115,23 @@
 def then_refused(context, name):
     assert name in context.error.detail, context.error.detail
     assert "hedging" in context.error.detail, context.error.detail
+
+
+@behave.when("an upstream reports a slow machine")
+def when_slow_machine(context):
+    context.chosen = []
+    for _ in range(SWEEP_COUNT):
+        sends = send_sweep(context)
+        context.tier.clock.advance(0.02)
+        for send in sends:
+            is_slow = send.upstream_id == "shard-0-b"
+            load = events.Load(
+                running=1, waiting=0, slots=4, work_percent=1000 if is_slow else 100
+            )
+            context.tier.answer_attempt(send, load=load)
+        context.chosen += [send.upstream_id for send in sends]
+
+
+@behave.then("it gets its share of requests")
+def then_gets_share(context):
+    assert context.chosen.count("shard-0-b") >= SWEEP_COUNT / 5, context.chosen
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -57,11 +57,14 @@
     :param running: requests that it runs.
     :param waiting: requests in its queue.
     :param slots: requests that it can run at the same time.
+    :param work_percent: how long work takes on its machine at this moment, in percent
+        of the usual time; ``None`` if it does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    work_percent: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -32,6 +32,7 @@
     :param probing: probe silent upstreams to find out whether they can be reached.
     :param pace: predict the latency of an upstream from its recent latencies.
     :param load_reports: take into account the load that upstreams report.
+    :param work_time: take into account the work time that upstreams report.
     :param overdue: take into account how long the oldest request has been late.
     :param own_zone: prefer upstreams of this zone.
     :param grey: avoid upstreams that fail some of their requests.
@@ -55,6 +56,7 @@
     probing: bool = True
     pace: bool = True
     load_reports: bool = True
+    work_time: bool = True
     overdue: bool = True
     own_zone: bool = True
     grey: bool = True
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -85,9 +85,7 @@
         now = self._clock.monotonic()
         upstream = attempt.upstream
         upstream.heard_at = now
-        if reply.load is not None:
-            upstream.load = reply.load
-            upstream.load_at = now
+        work_time = self._record_load(upstream, reply.load, now)
         if reply.status == MISDIRECTED:
             self._remove_misdirected(attempt, actions)
         elif reply.is_success:
@@ -95,8 +93,12 @@
             # to be reported with others.
             took = now - attempt.sent_at if reply.took is None else reply.took
             upstream.record_success(now)
-            upstream.record_latency(took / attempt.typical_latency, now)
-            if took / attempt.typical_latency > OUTLIER_LATENCY_RATIO:
+            # What the machine's reported state explains passes with it, and must not
+            # be remembered for seconds as slowness of the upstream.
+            ratio = took / attempt.typical_latency
+            ratio = min(ratio, max(1.0, ratio / work_time))
+            upstream.record_latency(ratio, now)
+            if ratio > OUTLIER_LATENCY_RATIO:
                 self._report_outlier(upstream, watching.OutlierKind.SLOW, actions)
             self._latencies.observe(latency_class(attempt.request.route), took, now)
         elif reply.not_run:
@@ -106,6 +108,24 @@
         else:
             self._record_fault(attempt, reply, now)
 
+    def _record_load(
+        self, upstream: upstreams.Upstream, load: events.Load | None, now: float
+    ) -> float:
+        """Record a load report; return the work time that applied to its request.
+
+        The request may have started before the period changed, so this is the greater
+        of the work times before and after it. It is 1 if upstreams report none.
+        """
+        if load is None:
+            return 1.0
+        upstream.load = load
+        upstream.load_at = now
+        if not self._used.work_time:
+            return 1.0
+        earlier = upstream.work_time.expected(now)
+        upstream.work_time.record(load, now)
+        return max(1.0, earlier, upstream.work_time.expected(now))
+
     def _apply_failure(
         self,
         attempt: request.Attempt,
--- a/src/greengagehaven/coordination/routing/placement.py
+++ b/src/greengagehaven/coordination/routing/placement.py
@@ -89,6 +89,8 @@
         queued = max(0.0, ahead + 1 - slots) / slots
         slowdown = CONCURRENCY_SLOWDOWN * min(ahead, slots)
         service_time = usual * slowness
+        if self._used.work_time:
+            service_time *= upstream.work_time.expected(now)
         return service_time * (1.0 + queued + slowdown) + self._overdue_seconds(
             upstream, service_time, now
         )
--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -3,7 +3,7 @@
 import collections
 import math
 
-from greengagehaven.coordination.routing import events, slowness
+from greengagehaven.coordination.routing import events, slowness, work_time
 from greengagehaven.protocol import watching
 
 FAULT_WEIGHT = 0.15
@@ -85,6 +85,7 @@
         self.probe_at = -math.inf
         self.load: events.Load | None = None
         self.load_at = -math.inf
+        self.work_time = work_time.WorkTime()
         self.cold_sent_at: collections.deque[float] = collections.deque()
 
     def is_silent(self, usual: float, now: float) -> bool:
--- a/src/greengagehaven/daemons/delegation_client.py
+++ b/src/greengagehaven/daemons/delegation_client.py
@@ -261,7 +261,12 @@
         load = None
         if ended.load:
             running, waiting, slots = ended.load
-            load = events.Load(running=running, waiting=waiting, slots=slots)
+            load = events.Load(
+                running=running,
+                waiting=waiting,
+                slots=slots,
+                work_percent=ended.work_percent or None,
+            )
         outcome = events.Replied(
             status=ended.status,
             is_success=ended.is_success,
--- a/src/greengagehaven/daemons/delegation_server.py
+++ b/src/greengagehaven/daemons/delegation_server.py
@@ -180,6 +180,7 @@
             signature=self._signature_of(result) if is_part else "",
             load=() if load is None else (load.running, load.waiting, load.slots),
             size=outcome.size,
+            work_percent=0.0 if load is None else load.work_percent or 0.0,
         )
 
 
--- a/src/greengagehaven/experiment/callers.py
+++ b/src/greengagehaven/experiment/callers.py
@@ -67,6 +67,9 @@
         self._attempts: dict[int, tuple[outcomes.Caller, host.Host, float]] = {}
         self._work_by_caller_number: dict[int, numpy.ndarray] = {}
         self._next_number = 1
+        self._link_rng = randomness.HostRng(
+            generator=randomness.stream(seed, "links", 0)
+        )
 
     def set_balancer(self, load_balancer: balancer.Balancer) -> None:
         """Set the load balancer that selects the callers' hosts."""
@@ -90,7 +93,8 @@
         # Poisson arrivals at the highest rate of the day, thinned to the current rate,
         # so that a burst doesn't shift the times of other arrivals.
         peak_rate = rate * (1 + self._declared.swing) * self._peak_load()
-        wave = math.sin(2 * math.pi * elapsed / self._declared.period_s)
+        phase = 2 * math.pi * self._declared.phase_by_zone.get(zone, 0.0)
+        wave = math.sin(2 * math.pi * elapsed / self._declared.period_s + phase)
         current_rate = rate * (1 + self._declared.swing * wave) * self._load_now()
         gap, thinning, kind, position, work = rng.random(5)
         if thinning * peak_rate < current_rate:
@@ -142,7 +146,7 @@
         self._next_number += 1
         self._attempts[number] = (caller, chosen, self._loop.time)
         self._callers_by_number[number] = caller
-        delay = self._one_way_delay()
+        delay = self._message_delay()
         # One request in ``callers_per_host`` opens a new connection, which takes a
         # round trip.
         connect_delay = 0.0
@@ -151,10 +155,11 @@
             < 1 / self._declared.callers_per_host
         )
         if caller.refusals or is_new:
-            connect_delay = 2 * delay
-        self._loop.call_later(delay + connect_delay, self._deliver, number)
+            connect_delay = delay + self._message_delay()
+        sent_at = self._loop.time + connect_delay
+        self._loop.call_later(delay + connect_delay, self._deliver, number, sent_at)
 
-    def _deliver(self, number: int) -> None:
+    def _deliver(self, number: int, request_sent_at: float) -> None:
         caller, chosen, sent_at = self._attempts[number]
         if not chosen.is_up:
             self._loop.call_later(
@@ -163,7 +168,7 @@
             return
         for service in self._services_by_kind[caller.kind.name]:
             self._promise_checker.record_request(service, self._loop.time)
-        elapsed = self._loop.time - self._one_way_delay() - caller.sent_at
+        elapsed = request_sent_at - caller.sent_at
         remaining = caller.kind.deadline_ms / 1000 - elapsed
         chosen.submit(
             events.RequestArrived(
@@ -216,7 +221,7 @@
         if isinstance(action, events.Refuse) and action.error.status == NOT_RUN_STATUS:
             self._promise_checker.check_refusal(number, self._loop.time)
         self._loop.call_later(
-            self._one_way_delay(), self._receive_answer, number, action, count
+            self._message_delay(), self._receive_answer, number, action, count
         )
 
     def _receive_answer(self, number: int, action: events.Action, count: int) -> None:
@@ -284,6 +289,14 @@
     def _one_way_delay(self) -> float:
         return self._declared.caller_way_ms / 1000
 
+    def _message_delay(self) -> float:
+        """Return the seconds that one message between a caller and a host takes."""
+        delay = self._one_way_delay()
+        if self._declared.caller_jitter_ms:
+            jitter = -math.log(1.0 - self._link_rng.random())
+            delay += self._declared.caller_jitter_ms / 1000 * jitter
+        return delay
+
 
 def _retry_position(caller: outcomes.Caller) -> float:
     """Return the position of the host for a retry, in [0, 1).
--- a/src/greengagehaven/experiment/environment.py
+++ b/src/greengagehaven/experiment/environment.py
@@ -53,6 +53,11 @@
     :param pause_ms: length of the pauses of an upstream, one each ``pause_every_s``.
     :param speeds: factors of the work; each replica gets a random one of them.
     :param zones: zones over which replicas are spread at random; all zones if empty.
+    :param slow_share: share of the time for which each machine is slow; 0 for never.
+    :param slow_factor: factor of the work on a machine that is slow.
+    :param slow_ms: mean length of the periods for which a machine is slow.
+    :param machine_upstreams: upstreams that share a machine.
+    :param reports_work_time: whether load reports have the fourth value.
     """
 
     name: str
@@ -66,6 +71,11 @@
     pause_every_s: float = 0.0
     speeds: tuple[float, ...] = (1.0,)
     zones: tuple[str, ...] = ()
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
+    slow_ms: float = 600.0
+    machine_upstreams: int = 1
+    reports_work_time: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -161,6 +171,14 @@
     :param restart_s: time that a crashed host takes to restart after its trouble ends.
     :param reply_ms: time that a host takes to process a reply; replies are processed
         serially, which models the capacity of its link and processor.
+    :param send_ms: time that a host takes to write each sub-request of its own.
+    :param answer_ms: mean of the exponentially distributed time that a host takes to
+        merge and write an answer. Unless it is zero, requests and answers wait for the
+        host's earlier work like replies, and hosts measure how late they write them.
+    :param caller_jitter_ms: mean of the exponentially distributed time by which a
+        message between callers and hosts takes longer than ``caller_way_ms``.
+    :param phase_by_zone: phase of the wave of each zone's callers, as a share of
+        ``period_s``.
     """
 
     name: str
@@ -182,6 +200,10 @@
     period_s: float = 11.0
     restart_s: float = 0.6
     reply_ms: float = 0.0
+    send_ms: float = 0.0
+    answer_ms: float = 0.0
+    caller_jitter_ms: float = 0.0
+    phase_by_zone: abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
 
     def day(self, name: str) -> Day:
         """Return a day by name.
@@ -283,7 +305,7 @@
                 converted[name] = self._check_value(
                     f"{place}.{name}", fields[name], field
                 )
-            elif field.default is dataclasses.MISSING:
+            elif _is_required(field):
                 self.mistakes.append(f"{place}.{name}: missing")
         return (
             None if len(self.mistakes) > earlier_mistakes else data_class(**converted)
@@ -307,11 +329,16 @@
         return tuple(value) if isinstance(value, list) else value
 
 
+def _is_required(field: dataclasses.Field) -> bool:
+    has_default = field.default is not dataclasses.MISSING
+    return not has_default and field.default_factory is dataclasses.MISSING
+
+
 def _check(environment: Environment, mistakes: list[str]) -> None:
     """Collect mistakes in the relations of fields, and values outside their limits."""
     zones = set(environment.zones)
     services = {service.name for service in environment.services}
-    for name in ("hosts_by_zone", "per_s_by_zone"):
+    for name in ("hosts_by_zone", "per_s_by_zone", "phase_by_zone"):
         for zone in getattr(environment, name).keys() - zones:
             mistakes.append(f"{name}.{zone}: unknown zone")
     if not environment.kinds or not environment.services:
@@ -328,6 +355,15 @@
             mistakes.append(
                 f"{place}: expected shards, replicas and slots of at least 1"
             )
+        if service.slow_share >= 1 or min(service.slow_factor, service.slow_ms) <= 0:
+            mistakes.append(
+                f"services[{number}]: expected a slow_share below 1, and a slow_factor "
+                "and slow_ms above 0"
+            )
+        if service.machine_upstreams < 1:
+            mistakes.append(
+                f"services[{number}].machine_upstreams: expected at least 1"
+            )
         for zone in set(service.zones) - zones:
             mistakes.append(f"services[{number}].zones: unknown zone {zone!r}")
     for day in environment.days:
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import typing
 from collections import abc
 
@@ -50,6 +51,7 @@
     :param key: identifies the attempt at this host; negative for one that another
         host delegated.
     :param gather: the delegated attempts that it belongs to, ``None`` for an own one.
+    :param is_enqueued: whether it waits for a connection, or has had one.
     """
 
     send: events.Send
@@ -57,6 +59,7 @@
     key: int
     gather: delegated_attempts.DelegatedAttempts | None = None
     job: upstreams.Job | None = None
+    is_enqueued: bool = False
     is_ended: bool = False
 
 
@@ -82,6 +85,8 @@
         request's number, the upstream and whether it accepted the attempt.
     :param on_outlier: called with the zone, the host and an upstream that it found
         slow or faulty.
+    :param on_decision: called for each attempt that the router sends, with the upstream
+        and the age of its load report in seconds.
     :param enabled_mechanisms: mechanisms that the router uses.
     """
 
@@ -97,9 +102,11 @@
         work_of: abc.Callable[[int, str], float],
         on_arrival: abc.Callable[[int, str, bool], None],
         on_outlier: abc.Callable[[str, str, watching.Outlier], None],
+        on_decision: abc.Callable[[str, float], None],
         enabled_mechanisms: mechanisms.Mechanisms,
         loop: event_loop.Loop,
         rng: randomness.HostRng,
+        answer_rng: randomness.HostRng,
     ) -> None:
         self.id = id
         self.zone = zone
@@ -114,9 +121,11 @@
         self._work_of = work_of
         self._on_arrival = on_arrival
         self._on_outlier = on_outlier
+        self._on_decision = on_decision
         self._enabled_mechanisms = enabled_mechanisms
         self._loop = loop
         self._rng = rng
+        self._rng_of_answers = answer_rng
         self._boot = 0
         self._busy_until = 0.0
         self._events_while_frozen: list[events.Event] = []
@@ -177,7 +186,41 @@
     def submit(self, arrived: events.RequestArrived) -> None:
         """Handle a new request."""
         self._open_request_numbers.add(arrived.number)
-        self.step(arrived)
+        if self._declared.answer_ms:
+            self._call_when_free(0.0, self._take_up, self._boot, arrived)
+        else:
+            self.step(arrived)
+
+    def _take_up(self, boot: int, arrived: events.RequestArrived) -> None:
+        if boot == self._boot and arrived.number in self._open_request_numbers:
+            self.step(arrived)
+
+    def _answer(
+        self, action: events.ForwardReply | events.AnswerParts | events.Refuse
+    ) -> None:
+        if self._declared.answer_ms:
+            seconds = -math.log(1.0 - self._rng_of_answers.random())
+            seconds *= self._declared.answer_ms / 1000
+            self._call_when_free(seconds, self._write, self._boot, action)
+        else:
+            self._open_request_numbers.discard(action.number)
+            self._on_answer(action.number, action)
+
+    def _write(
+        self,
+        boot: int,
+        action: events.ForwardReply | events.AnswerParts | events.Refuse,
+    ) -> None:
+        if boot != self._boot or action.number not in self._open_request_numbers:
+            return
+        self._open_request_numbers.discard(action.number)
+        self._on_answer(action.number, action)
+        if isinstance(action, events.AnswerParts) and action.due_at is not None:
+            self.step(events.AnswerWritten(late=self._loop.time - action.due_at))
+
+    def _record_decision(self, send: events.Send) -> None:
+        upstream = self.router.fleet.upstreams_by_id[send.upstream_id]
+        self._on_decision(send.upstream_id, self._loop.time - upstream.load_at)
 
     def abandon(self, number: int) -> None:
         """Abandon a request whose caller has disconnected."""
@@ -213,6 +256,7 @@
     def _carry_out(self, action: events.Action) -> None:
         match action:
             case events.Send():
+                self._record_decision(action)
                 self._send(action, key=action.attempt)
             case events.Delegate():
                 self._delegate(action)
@@ -248,8 +292,7 @@
             case events.RequestLoan():
                 self._request_loan(action)
             case events.ForwardReply() | events.AnswerParts() | events.Refuse():
-                self._open_request_numbers.discard(action.number)
-                self._on_answer(action.number, action)
+                self._answer(action)
 
     def _wake(self, boot: int, moment: float) -> None:
         if boot == self._boot and self.is_up and moment == self._wake_at:
@@ -260,6 +303,7 @@
         helper = self.hosts_by_id[delegate.address]
         delay = self._network.one_way_delay(self.zone, helper.zone)
         for send in delegate.sends:
+            self._record_decision(send)
             self.step(events.AttemptStarted(attempt=send.attempt))
         if helper.is_up:
             self._loop.call_later(
@@ -361,6 +405,17 @@
         work = self._work_of(send.number, send.upstream_id)
         exchange = _Exchange(send=send, work=work, key=key, gather=gather)
         self._exchanges[key] = exchange
+        if self._declared.send_ms:
+            seconds = self._declared.send_ms / 1000
+            self._call_when_free(seconds, self._enqueue, self._boot, exchange)
+        else:
+            self._enqueue(self._boot, exchange)
+
+    def _enqueue(self, boot: int, exchange: _Exchange) -> None:
+        if boot != self._boot or exchange.is_ended:
+            return
+        send = exchange.send
+        exchange.is_enqueued = True
         pool = self._pools[send.upstream_id]
         pool.waiting.append(exchange)
         self._send_waiting(send.upstream_id, pool, send.connections)
@@ -486,8 +541,13 @@
 
         Processing is serial and takes ``reply_ms`` for each reply.
         """
-        self._busy_until = max(self._loop.time, self._busy_until)
-        self._busy_until += self._declared.reply_ms / 1000
+        self._call_when_free(self._declared.reply_ms / 1000, callback, *arguments)
+
+    def _call_when_free(
+        self, seconds: float, callback: abc.Callable[..., None], *arguments: object
+    ) -> None:
+        """Call a function after the host's earlier work and some seconds of its own."""
+        self._busy_until = max(self._loop.time, self._busy_until) + seconds
         self._loop.call_at(self._busy_until, callback, *arguments)
 
     def _on_reply(
@@ -549,8 +609,9 @@
         if exchange is None:
             return
         pool = self._pools[exchange.send.upstream_id]
-        if exchange in pool.waiting:
-            pool.waiting.remove(exchange)
+        if exchange in pool.waiting or not exchange.is_enqueued:
+            if exchange.is_enqueued:
+                pool.waiting.remove(exchange)
             unsent = events.Failed(fault=events.Fault.UNSENT)
             self._loop.call_later(0.0, self._complete, self._boot, exchange, unsent)
         elif may_cancel:
--- a/src/greengagehaven/experiment/outcomes.py
+++ b/src/greengagehaven/experiment/outcomes.py
@@ -8,7 +8,7 @@
 import msgspec
 import numpy
 
-from greengagehaven.experiment import environment
+from greengagehaven.experiment import decisions, environment
 from greengagehaven.explain import causes
 
 WINDOW_S = 2.0
@@ -74,7 +74,7 @@
     lost: float
 
 
-class Result(msgspec.Struct, frozen=True, kw_only=True):
+class Result(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Summary of a simulated day; the same seed gives the same bytes.
 
     :param earned: share of all worth that was earned.
@@ -83,6 +83,7 @@
     :param coverage: mean share of the shards in answers to sweeps.
     :param extra_load: runs beyond one per request and shard, as a share.
     :param connections: number of connections opened to upstreams.
+    :param chosen: how upstreams with slow periods were chosen, ``None`` without any.
     """
 
     environment: str
@@ -100,6 +101,7 @@
     windows: tuple[Row, ...]
     losses: tuple[Loss, ...]
     latencies_ms: tuple[float, ...] = ()
+    chosen: decisions.DecisionStats | None = None
 
 
 def summarize(callers: abc.Sequence[Caller], **fields: typing.Any) -> Result:
--- a/src/greengagehaven/experiment/randomness.py
+++ b/src/greengagehaven/experiment/randomness.py
@@ -11,7 +11,7 @@
 
 T = typing.TypeVar("T")
 
-PARTS = ("places", "arrivals", "troubles", "hosts")
+PARTS = ("places", "arrivals", "troubles", "hosts", "machines", "links")
 
 
 def stream(seed: int, part: str, number: int = 0) -> numpy.random.Generator:
--- a/src/greengagehaven/experiment/simulation.py
+++ b/src/greengagehaven/experiment/simulation.py
@@ -8,9 +8,11 @@
     balancer,
     callers,
     checks,
+    decisions,
     environment,
     event_loop,
     host,
+    machines,
     outcomes,
     randomness,
     troubles,
@@ -48,6 +50,10 @@
         self._seed = seed
         self._enabled_mechanisms = enabled_mechanisms
         self._create_upstreams()
+        self._machines = machines.create(
+            self.upstreams_by_id.values(), loop=self.loop, seed=seed
+        )
+        self._decision_log = decisions.DecisionLog()
         self._table = self._build_table()
         self._callers = callers.Callers(
             declared=declared,
@@ -80,6 +86,8 @@
         for each in self.hosts:
             each.start(self._table, upstream_entries)
         self._balancer.check_hosts()
+        for machine in self._machines:
+            machine.start()
         self.loop.run_until(WARMUP_S)
         for number, trouble in enumerate(self.day.troubles):
             troubles.schedule(
@@ -154,6 +162,11 @@
                 number,
             )
 
+    def _record_decision(self, upstream_id: str, report_age: float) -> None:
+        upstream = self.upstreams_by_id[upstream_id]
+        if upstream.service.slow_share:
+            self._decision_log.record(is_slow=upstream.is_slow, report_age=report_age)
+
     def _deliver_event(self, each: host.Host, event: events.Event) -> None:
         if each.is_up:
             each.step(event)
@@ -244,6 +257,7 @@
         for zone, count in sorted(self.declared.hosts_by_zone.items()):
             for number in range(count):
                 generator = randomness.stream(self._seed, "hosts", len(hosts))
+                answers = randomness.stream(self._seed, "links", 1 + len(hosts))
                 hosts.append(
                     host.Host(
                         id=f"{zone}-{number}",
@@ -255,9 +269,11 @@
                         work_of=self._callers.work_of,
                         on_arrival=self._callers.record_arrival,
                         on_outlier=self.handle_outlier,
+                        on_decision=self._record_decision,
                         enabled_mechanisms=self._enabled_mechanisms,
                         loop=self.loop,
                         rng=randomness.HostRng(generator=generator),
+                        answer_rng=randomness.HostRng(generator=answers),
                     )
                 )
         return hosts
@@ -275,4 +291,5 @@
             seed=self._seed,
             extra_load=round(runs / max(1, minimum_runs) - 1.0, 4),
             connections=sum(each.opened_connections for each in self.hosts),
+            chosen=self._decision_log.summarize(),
         )
--- a/src/greengagehaven/experiment/upstreams.py
+++ b/src/greengagehaven/experiment/upstreams.py
@@ -9,6 +9,9 @@
 from greengagehaven.coordination.routing import events
 from greengagehaven.experiment import environment, event_loop
 
+SLOW_FACTOR = 1.01
+"""Factor of the work above which an upstream is slow; below it are rounding errors."""
+
 
 class State(enum.Enum):
     """How an upstream responds to connections.
@@ -80,8 +83,16 @@
             running=len(self._running),
             waiting=len(self._queue),
             slots=self.service.slots,
+            work_percent=(
+                100.0 * self.slow_factor if self.service.reports_work_time else None
+            ),
         )
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether work takes longer than usual at this moment."""
+        return self.slow_factor > SLOW_FACTOR
+
     def submit(self, job: Job) -> bool:
         """Run a job as soon as a slot is free; return whether it was accepted."""
         if self.shed_rate and self._draw() < self.shed_rate:
--- a/src/greengagehaven/protocol/delegation_messages.py
+++ b/src/greengagehaven/protocol/delegation_messages.py
@@ -70,6 +70,9 @@
     :param fault: why there is no usable reply, empty if there is one.
     :param received_nothing: whether no byte of a reply was received.
     :param is_first_use: whether the connection had not delivered a reply before.
+    :param work_percent: how long work takes on the upstream's machine in percent of
+        the usual time, as reported by it; 0 if it reported none. It is not part of
+        ``load``, of which hosts of earlier versions accept three numbers only.
     """
 
     attempt: int
@@ -84,6 +87,7 @@
     detail: str = ""
     received_nothing: bool = False
     is_first_use: bool = False
+    work_percent: float = 0.0
 
 
 class AttemptReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/greengagehaven/protocol/header_names.py
+++ b/src/greengagehaven/protocol/header_names.py
@@ -13,7 +13,8 @@
         other upstream answers 421 without running it.
     :param signature: an upstream's signature of its response.
     :param not_run: set by an upstream that did not run the request.
-    :param load: running requests, queued requests and slots of an upstream.
+    :param load: running requests, queued requests and slots of an upstream, and in some
+        deployments its work time in percent of the usual.
     :param part_signatures: signatures of the shard responses that were merged into
         a response.
     :param missing_parts: number of shards that a response does not cover.
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -26,6 +26,13 @@
 EXPIRY_CHECK_PERIOD_S = 1.0
 # After the upstream rejected a new connection, at most one is opened for this time.
 CONNECTION_LIMIT_BACKOFF_S = 0.5
+MAX_LOAD_DIGITS = 9
+"""Digits of a number in a load report; an integer conversion fails above 4,300."""
+
+MIN_WORK_PERCENT = 10.0
+MAX_WORK_PERCENT = 10_000.0
+"""Limits of the work time in a load report; other values are ignored."""
+
 NOT_FORWARDED_HEADERS = frozenset(
     {
         "connection",
@@ -187,7 +194,7 @@
             status=reply.status,
             is_success=is_2xx,
             not_run=names.not_run in headers,
-            load=_parse_load(headers.get(names.load)),
+            load=parse_load(headers.get(names.load)),
             size=reply.size,
         )
         return outcome, True
@@ -430,10 +437,34 @@
     return max(seconds / 2, seconds - KEEP_ALIVE_MARGIN_S)
 
 
-def _parse_load(value: str | None) -> events.Load | None:
-    """Return ``RUNNING,WAITING,SLOTS`` as a load, ``None`` if malformed."""
-    parts = (value or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+def parse_load(value: str | None) -> events.Load | None:
+    """Return a load header's value, ``None`` if malformed.
+
+    It is ``RUNNING,WAITING,SLOTS`` or ``RUNNING,WAITING,SLOTS,WORK_PERCENT``. If only
+    the fourth value is malformed, the load is returned without it.
+    """
+    parts = [part.strip() for part in (value or "").split(",")]
+    counts = parts[:3]
+    if not 3 <= len(parts) <= 4 or not all(_is_count(part) for part in counts):
+        return None
+    running, waiting, slots = (int(part) for part in counts)
+    return events.Load(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        work_percent=_parse_work_percent(parts[3]) if len(parts) == 4 else None,
+    )
+
+
+def _is_count(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_LOAD_DIGITS
+
+
+def _parse_work_percent(text: str) -> float | None:
+    try:
+        work_percent = float(text)
+    except ValueError:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return events.Load(running=running, waiting=waiting, slots=slots)
+    # Work that takes no time, or forever, would decide every choice of an upstream.
+    is_plausible = MIN_WORK_PERCENT <= work_percent <= MAX_WORK_PERCENT
+    return work_percent if is_plausible else None
