--- a/features/caller_times.feature
+++ b/features/caller_times.feature
@@ -37,3 +37,48 @@
     Given a sweep whose last part never arrives
     When 40 such sweeps arrive while each answer takes 9 ms to write
     Then the last 10 answers left within 1 ms of the latest useful moment
+
+  Scenario: The time to write complete answers is deducted as well
+    Most answers of a healthy host are complete, and their merging takes as long as that
+    of partial ones. If only partial answers counted, the first of them would be late
+    until several had been.
+
+    Given a sweep whose last part never arrives
+    When 20 such sweeps are complete and each answer takes 8 ms to write
+    And 1 such sweeps arrive while each answer takes 8 ms to write
+    Then the last 1 answers left within 1 ms of the latest useful moment
+
+  Scenario: The answers of one route do not make those of another one leave early
+    Answers over many shards take longer to merge. With one figure for all routes, an
+    urgent route over few shards would lack parts for which there was time.
+
+    Given 2 routes of the same objective
+    When 20 answers of the first one take 6 ms to write
+    Then answers of the first one leave 4 ms earlier than before
+    And answers of the second one leave 0 ms earlier than before
+
+  Scenario: Answers that are written in time leave no earlier than before
+    Given 2 routes of the same objective
+    When 40 answers of the first one take 1 ms to write
+    Then answers of the first one leave 0 ms earlier than before
+
+  Scenario: A host that stalls does not give up its answers
+    Answers that leave at half of their objective lack most parts. They would be worth
+    less than late ones.
+
+    Given 2 routes of the same objective
+    When 20 answers of the first one take 90 ms to write
+    Then answers of the first one leave 8 ms earlier than before
+
+  Scenario: The jitter of the callers' network is deducted
+    Half of the answers that leave at their latest moment are late if only the mean
+    latency of the network is deducted.
+
+    Given 2 routes of the same objective
+    When of 20 callers that connect, each fourth needs 14 ms and the others 6 ms
+    Then the margin for the network is between 5 and 7 ms
+
+  Scenario: A network without jitter needs no further margin
+    Given 2 routes of the same objective
+    When of 20 callers that connect, each fourth needs 6 ms and the others 6 ms
+    Then the margin for the network is between 3 and 3 ms
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -162,12 +162,9 @@
                 case final_action:
                     assert final_action.number not in self.final_actions_by_number
                     self.final_actions_by_number[final_action.number] = final_action
-                    due_at = getattr(final_action, "due_at", None)
-                    if due_at is not None:
-                        lateness = (
-                            self.clock.monotonic() - due_at + self.answer_writing_s
-                        )
-                        self.router.step(events.AnswerWritten(late=lateness))
+                    if isinstance(final_action, events.AnswerParts):
+                        written_at = self.clock.monotonic() + self.answer_writing_s
+                        self.router.step(final_action.written_at(written_at))
 
     def apply_upstream_entries(self, *entries):
         self.step(events.UpstreamsChanged(entries=entries))
--- a/features/mechanisms.feature
+++ b/features/mechanisms.feature
@@ -16,6 +16,7 @@
       | early_refusal   | a sweep arrives and 3 shards are gone | the remaining shard is requested |
       | sending_away    | nothing outside the zone is reachable | the host is ready all the same   |
       | ejection        | an upstream fails five times in a row | it gets the next request         |
+      | answer_times    | many answers are written late         | they leave at the usual moment   |
       | work_time       | an upstream reports a slow machine    | it gets its share of requests    |
 
   Scenario: An unknown mechanism name is refused
--- a/features/steps/caller_times_steps.py
+++ b/features/steps/caller_times_steps.py
@@ -1,5 +1,7 @@
 """Steps about the remaining time of callers."""
 
+import dataclasses
+
 import behave
 
 from fakes import routing
@@ -108,3 +110,57 @@
     )
     for answer_time in context.answer_times[-count:]:
         assert abs(answer_time - latest) <= slack / 1000 + 1e-9, (answer_time, latest)
+
+
+@behave.when(
+    "{count:d} such sweeps are complete and each answer takes {late:d} ms to write"
+)
+def when_complete_late(context, count, late):
+    context.tier.answer_writing_s = late / 1000
+    for _ in range(count):
+        number = context.tier.request("/sweep/1")
+        for send in context.tier.attempts_of(number):
+            context.tier.answer_attempt(send)
+        assert not context.tier.final_actions_by_number[number].missing
+        context.tier.clock.advance(0.2)
+
+
+@behave.given("2 routes of the same objective")
+def given_two_routes(context):
+    context.caller_times = callers.CallerTimes()
+    first = make_route(500)
+    context.routes = {
+        "first": first,
+        "second": dataclasses.replace(first, name="second"),
+    }
+    context.within_before = context.caller_times.answer_within(first, 0.0)
+
+
+@behave.when("{count:d} answers of the first one take {late:d} ms to write")
+def when_answers_take(context, count, late):
+    for _ in range(count):
+        context.caller_times.record_lateness("sweep", late / 1000)
+
+
+@behave.then("answers of the {which} one leave {earlier:d} ms earlier than before")
+def then_leave_earlier(context, which, earlier):
+    within = context.caller_times.answer_within(context.routes[which], 0.0)
+    moved = context.within_before - within
+    assert abs(moved - earlier / 1000) < 1e-9, moved
+
+
+@behave.when(
+    "of {count:d} callers that connect, each fourth needs {slow:d} ms and the others "
+    "{fast:d} ms"
+)
+def when_callers_connect(context, count, slow, fast):
+    route = context.routes["first"]
+    for number in range(count):
+        needed = slow if number % 4 == 0 else fast
+        context.caller_times.observe(route, route.timeout - needed / 1000)
+
+
+@behave.then("the margin for the network is between {least:d} and {most:d} ms")
+def then_network_margin(context, least, most):
+    margin = context.caller_times.network_margin() * 1000
+    assert least - 1e-6 <= margin <= most + 1e-6, margin
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -296,12 +296,7 @@
 
     def carry_out(self, action):
         if isinstance(action, events.AnswerParts):
-            action = events.AnswerParts(
-                number=action.number,
-                attempts=action.attempts,
-                missing=action.missing + 1,
-                top_records=action.top_records,
-            )
+            action = dataclasses.replace(action, missing=action.missing + 1)
         original(self, action)
 
     return [(host.Host, "_carry_out", carry_out)]
--- a/features/steps/mechanisms_steps.py
+++ b/features/steps/mechanisms_steps.py
@@ -4,7 +4,7 @@
 
 from fakes import routing
 from greengagehaven import exceptions
-from greengagehaven.coordination.routing import events, mechanisms
+from greengagehaven.coordination.routing import callers, events, mechanisms
 
 SHARDS = [f"shard-{number}" for number in range(4)]
 SWEEP_COUNT = 40
@@ -135,3 +135,26 @@
 @behave.then("it gets its share of requests")
 def then_gets_share(context):
     assert context.chosen.count("shard-0-b") >= SWEEP_COUNT / 5, context.chosen
+
+
+@behave.when("many answers are written late")
+def when_written_late(context):
+    # Complete answers: they don't change the lag, which is a mechanism of its own.
+    context.tier.answer_writing_s = 0.008
+    for _ in range(SWEEP_COUNT):
+        for send in send_sweep(context):
+            context.tier.answer_attempt(send)
+    context.sent_at = context.tier.clock.monotonic()
+    for send in send_sweep(context)[1:]:
+        context.tier.answer_attempt(send)
+
+
+@behave.then("they leave at the usual moment")
+def then_usual_moment(context):
+    usual = callers.CallerTimes().answer_within(
+        context.tier.router.table.routes[0], 0.0
+    )
+    context.tier.advance_clock(usual - 0.001)
+    assert context.number not in context.tier.final_actions_by_number
+    context.tier.advance_clock(0.002)
+    assert context.number in context.tier.final_actions_by_number
--- a/src/greengagehaven/coordination/routing/callers.py
+++ b/src/greengagehaven/coordination/routing/callers.py
@@ -5,6 +5,7 @@
 as the callers' full timeout, and the difference is the time already spent.
 """
 
+from greengagehaven.coordination.routing import mechanisms, recent_quantile
 from greengagehaven.state import routes
 
 LATENCY_WEIGHT = 0.1
@@ -37,11 +38,30 @@
 """Seconds; a longer stall of the host does not predict the lag of the next answer."""
 
 
+MAX_MARGIN_SHARE = 0.1
+"""Share of the objective that the writing of answers may take of it. Answers that need
+more lack so many parts that being late costs less."""
+
+MAX_NETWORK_MARGIN_S = 0.01
+"""Seconds; callers whose round trips vary by more were connected over several networks,
+and the objective of most of them can't be met by answering all of them earlier."""
+
+
 class CallerTimes:
-    """Estimates of callers' timeouts, their network latency and this host's lag."""
+    """Estimates of callers' timeouts, their network latency and this host's lag.
+
+    :param used: mechanisms that are enabled.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        used: mechanisms.Mechanisms = mechanisms.Mechanisms(),  # noqa: B008
+    ) -> None:
+        self._used = used
         self._timeouts_by_route: dict[str, float] = {}
+        self._lateness_by_route: dict[str, recent_quantile.RecentQuantile] = {}
+        self._round_trips = recent_quantile.RecentQuantile()
         self._one_way_latency: float | None = None
         self._lag = INITIAL_LAG_S
 
@@ -80,6 +100,7 @@
                 waited / 2 if self._one_way_latency is None else self._one_way_latency
             )
             self._one_way_latency = estimate + LATENCY_WEIGHT * (waited / 2 - estimate)
+            self._round_trips.record(waited)
         return waited
 
     def record_lag(self, seconds: float) -> None:
@@ -93,6 +114,39 @@
         weight = RISING_LAG_WEIGHT if lag > self._lag else FALLING_LAG_WEIGHT
         self._lag += weight * (lag - self._lag)
 
+    def record_lateness(self, route_name: str, seconds: float) -> None:
+        """Record how long after it was due an answer of a route was written.
+
+        The lag is one estimate for all routes, and of partial answers only. Answers of
+        one kind may take longer to merge, and a complete answer that is decided just
+        before the latest moment is late for the same reasons.
+        """
+        recent = self._lateness_by_route.get(route_name)
+        if recent is None:
+            recent = recent_quantile.RecentQuantile()
+            self._lateness_by_route[route_name] = recent
+        recent.record(min(seconds, MAX_LAG_S))
+
+    def writing_margin(self, route: routes.Route) -> float:
+        """Return the seconds before the latest moment at which an answer is decided.
+
+        It exceeds the lag only where answers of this route were measured later.
+        """
+        recent = self._lateness_by_route.get(route.name)
+        if recent is None or not self._used.answer_times:
+            return self._lag
+        return max(self._lag, min(recent.value, MAX_MARGIN_SHARE * route.objective))
+
+    def network_margin(self) -> float:
+        """Return the seconds kept for what delays an answer after it was written.
+
+        It exceeds ``OUTBOUND_QUEUE_S`` only where callers' round trips vary by more.
+        """
+        if not self._used.answer_times:
+            return OUTBOUND_QUEUE_S
+        jitter = self._round_trips.value - 2 * self.one_way_latency
+        return min(MAX_NETWORK_MARGIN_S, max(OUTBOUND_QUEUE_S, jitter))
+
     def answer_within(self, route: routes.Route, waited: float) -> float:
         """Return the seconds from now within which an answer meets the objective.
 
@@ -102,11 +156,13 @@
             route.objective
             - waited
             - 2 * self.one_way_latency
-            - OUTBOUND_QUEUE_S
-            - self._lag
+            - self.network_margin()
+            - self.writing_margin(route)
         )
 
     def retain(self, names: frozenset[str]) -> None:
         """Drop the estimates of all routes but those named."""
         for name in set(self._timeouts_by_route) - names:
             del self._timeouts_by_route[name]
+        for name in set(self._lateness_by_route) - names:
+            del self._lateness_by_route[name]
--- a/src/greengagehaven/coordination/routing/completion.py
+++ b/src/greengagehaven/coordination/routing/completion.py
@@ -79,7 +79,11 @@
             replied=(part.replied_at for part in own if part.replied_at is not None),
         )
         request_log.log_end(
-            routed, outcome, took=took, lag=self._caller_times.lag, detail=detail
+            routed,
+            outcome,
+            took=took,
+            lag=self._caller_times.writing_margin(routed.route),
+            detail=detail,
         )
         unfinished = [attempt for shard in routed.shards for attempt in shard.attempts]
         release(unfinished, actions)
@@ -118,7 +122,9 @@
                 attempts=tuple(attempt.id for attempt in parts),
                 missing=missing,
                 top_records=routed.route.top_records,
-                due_at=routed.due_at() if routed.pending_count else None,
+                due_at=routed.due_at() if routed.pending_count else now,
+                route=routed.route.name,
+                is_held=bool(routed.pending_count),
             )
         )
         self.end(routed, "answered" if not missing else "partial", actions)
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -162,12 +162,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerWritten:
-    """An answer that was held until its due time was written.
+    """The answer to a sweep was written.
 
-    :param late: seconds after its due time.
+    :param late: seconds after it was due.
+    :param route: name of the route.
+    :param is_held: whether it was held until its due time, as a shard was pending.
     """
 
     late: float
+    route: str
+    is_held: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -403,15 +407,25 @@
 
     :param missing: number of shards without a part.
     :param top_records: number of records in the answer.
-    :param due_at: monotonic seconds at which a partial answer is due, ``None`` if no
-        shard is pending any more.
+    :param due_at: monotonic seconds at which it was due: the answer time if a shard is
+        still pending, else the time of the last part.
+    :param route: name of the route.
+    :param is_held: whether it was held until its due time, as a shard is pending.
     """
 
     number: int
     attempts: tuple[int, ...]
     missing: int
     top_records: int
-    due_at: float | None = None
+    due_at: float
+    route: str
+    is_held: bool
+
+    def written_at(self, moment: float) -> "AnswerWritten":
+        """Return the event that it was written at a moment, in monotonic seconds."""
+        return AnswerWritten(
+            late=moment - self.due_at, route=self.route, is_held=self.is_held
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -27,6 +27,7 @@
     :param asking_again: retry on an upstream that rejected the request with slots free.
     :param sharing: report slow and faulty upstreams to other hosts.
     :param lag: answer earlier by the measured lag of timers.
+    :param answer_times: answer earlier where the answers of a route were late.
     :param early_refusal: send nothing if too few shards have an upstream.
     :param sending_away: report not ready while this host is cut off.
     :param probing: probe silent upstreams to find out whether they can be reached.
@@ -51,6 +52,7 @@
     asking_again: bool = True
     sharing: bool = True
     lag: bool = True
+    answer_times: bool = True
     early_refusal: bool = True
     sending_away: bool = True
     probing: bool = True
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -127,7 +127,7 @@
             window=options.retry_window,
             clock=clock,
         )
-        self._caller_times = callers.CallerTimes()
+        self._caller_times = callers.CallerTimes(used=used)
         self._crashes = crashes.CrashDetector(
             clock=clock, counts=self.counts, used=used
         )
@@ -474,6 +474,9 @@
     def _on_written(
         self, written: events.AnswerWritten, actions: list[events.Action]
     ) -> None:
+        self._caller_times.record_lateness(written.route, written.late)
+        if not written.is_held:
+            return
         if self._used.lag:
             self._caller_times.record_lag(written.late)
         request_log.log_lag(written.late, self._caller_times.lag)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -525,7 +525,7 @@
         bodies += [report.records for report in reports]
         body = merging.greatest_records(bodies, answer.top_records)
         return http.Response(
-            on_written=self._lateness_callback(answer.due_at),
+            on_written=lambda: self._submit(answer.written_at(self._clock.monotonic())),
             status=200,
             body=body,
             content_type=BINARY_CONTENT_TYPE,
@@ -535,21 +535,6 @@
             ),
         )
 
-    def _lateness_callback(self, due_at: float | None) -> abc.Callable[[], None] | None:
-        """Return a callback that reports how late a partial answer is written.
-
-        :param due_at: ``None`` if the answer was not due at a certain time; then there
-            is no callback.
-        """
-        if due_at is None:
-            return None
-
-        def report_lateness() -> None:
-            late = self._clock.monotonic() - due_at
-            self._submit(events.AnswerWritten(late=late))
-
-        return report_lateness
-
     def _respond(self, number: int, response: http.Response) -> None:
         future = self._futures_by_number.get(number)
         if future is not None and not future.done():
--- a/src/greengagehaven/experiment/host.py
+++ b/src/greengagehaven/experiment/host.py
@@ -215,8 +215,8 @@
             return
         self._open_request_numbers.discard(action.number)
         self._on_answer(action.number, action)
-        if isinstance(action, events.AnswerParts) and action.due_at is not None:
-            self.step(events.AnswerWritten(late=self._loop.time - action.due_at))
+        if isinstance(action, events.AnswerParts):
+            self.step(action.written_at(self._loop.time))
 
     def _record_decision(self, send: events.Send) -> None:
         upstream = self.router.fleet.upstreams_by_id[send.upstream_id]
