--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -98,6 +98,24 @@
     When it is called while it stops
     Then the attempts are reported as unsent, and no upstream got a request
 
+  Scenario: A helper without a key lease sends nothing for a team
+    The host that delegates may hold a lease that the helper has lost. Attempts by the
+    helper would run with a key that was revoked.
+
+    Given a helper that gathers from 3 upstreams, of which one replies late
+    When it is called for a team while it has no key lease
+    Then the attempts are reported as unsent, and no upstream got a request
+
+  Scenario: A helper loses its key lease while attempts wait for connections
+    Given a helper that gathers from 3 upstreams, of which one replies late
+    When it is called for a team, and its key lease expires after 1 sends
+    Then it reports 1 part, and 2 attempts as not sent
+
+  Scenario: A helper without a key lease helps with public routes
+    Given a helper that gathers from 3 upstreams, of which one replies late
+    When it is called for no team while it has no key lease
+    Then it reports every part
+
   Scenario: A host stops while it gathers
     Given a helper that gathers from 3 upstreams, of which one replies late
     When it is called with a short report delay and stops after the first report
--- a/features/fakes/gathering.py
+++ b/features/fakes/gathering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import math
 
 from greengagehaven import clock
 from greengagehaven.coordination.routing import events
@@ -97,8 +98,10 @@
         await self.upstreams.start()
         self.channel = exchanges.ExchangeChannel(names=NAMES, clock=self.clock)
         self.gatherer = delegation_server.DelegationServer(
-            channel=self.channel, clock=self.clock
+            channel=self.channel, may_send=self._may_send, clock=self.clock
         )
+        self.checked_teams = []
+        self.sends_left = math.inf
         self.server = http_peers.HttpPeerServer(
             handlers_by_method={
                 **self.gatherer.handlers_by_method,
@@ -114,7 +117,17 @@
             host_id="h-0", channel=self.peer_client, sink=self.sink, clock=self.clock
         )
 
-    def delegate(self, *, time_left_s=TIME_LEFT_S, report_after_s=REPORT_AFTER_S):
+    def _may_send(self, team):
+        """Return whether the helper's lease is valid; each check uses up one send."""
+        self.checked_teams.append(team)
+        if not team:
+            return True
+        self.sends_left -= 1
+        return self.sends_left >= 0
+
+    def delegate(
+        self, *, time_left_s=TIME_LEFT_S, report_after_s=REPORT_AFTER_S, team=""
+    ):
         action = events.Delegate(
             number=1,
             address=self.address,
@@ -141,7 +154,8 @@
             body=b"",
             peer="",
         )
-        self.delegating.start(action, request, request_id="r-1", headers=HEADERS)
+        headers = [*HEADERS, (NAMES.team, team)] if team else HEADERS
+        self.delegating.start(action, request, request_id="r-1", headers=headers)
 
     async def _release(self, body):
         reply = await self.gatherer.handle_release(body)
--- a/features/steps/gathering_steps.py
+++ b/features/steps/gathering_steps.py
@@ -142,3 +142,55 @@
 @behave.then("it keeps no state for the call after a while")
 def then_no_state(context):
     assert context.calls_kept == 1 and context.setup.gatherer.in_flight == 0
+
+
+@behave.when("it is called for a team while it has no key lease")
+def when_called_without_lease(context):
+    async def scenario(setup):
+        setup.sends_left = 0
+        setup.delegate(team="north")
+        await setup.sink.ended.wait()
+
+    context.setup = gathering.run_scenario(context.count, scenario)
+
+
+@behave.when("it is called for a team, and its key lease expires after {count:d} sends")
+def when_lease_expires(context, count):
+    async def scenario(setup):
+        # The call itself is checked before its attempts.
+        setup.sends_left = 1 + count
+        setup.upstreams.may_reply_late.set()
+        setup.delegate(team="north")
+        await setup.sink.ended.wait()
+
+    context.setup = gathering.run_scenario(context.count, scenario)
+
+
+@behave.then("it reports {parts:d} part, and {unsent:d} attempts as not sent")
+def then_some_unsent(context, parts, unsent):
+    outcomes = {}
+    for report in context.setup.sink.reports:
+        outcomes |= report
+    faults = [getattr(each, "fault", None) for each in outcomes.values()]
+    assert faults.count(events.Fault.UNSENT) == unsent, outcomes
+    assert faults.count(None) == parts, outcomes
+    assert context.setup.upstreams.request_count == parts
+
+
+@behave.when("it is called for no team while it has no key lease")
+def when_called_public(context):
+    async def scenario(setup):
+        setup.sends_left = 0
+        setup.upstreams.may_reply_late.set()
+        setup.delegate()
+        await setup.sink.ended.wait()
+
+    context.setup = gathering.run_scenario(context.count, scenario)
+
+
+@behave.then("it reports every part")
+def then_every_part(context):
+    reports = context.setup.sink.reports
+    outcomes = [outcome for report in reports for outcome in report.values()]
+    assert len(outcomes) == context.count
+    assert all(each.is_success for each in outcomes), outcomes
