--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -237,6 +237,13 @@
     table: routes.RoutingTable
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationConfirmed:
+    """A majority confirmed the revision in force, not before ``confirmed_at``."""
+
+    confirmed_at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ZonesDrained:
     """The set of availability zones that get no new work changed."""
@@ -331,6 +338,7 @@
     | HelperEnded
     | EntryHostsChanged
     | RoutingTableChanged
+    | ConfigurationConfirmed
     | ZonesDrained
     | RolloutsChanged
     | RolloutReportsAcknowledged
