Refuse requests at once if no upstream of their shards answers

A process that hangs accepts connections, so its upstream never counted as unreachable, and each request that needed it was held until its deadline.

Requests for which too few shards have another upstream are refused on arrival with 503, or ended in flight if no extra attempt is left. One repeatable request in a second is still sent as a probe. Requests that must not be repeated are not sent as probes and keep waiting in flight. The mechanism is `availability`; the decision is logged as `unavailable`, and refusals are counted by reason. A request that ended no longer waits for a loan of extra attempts.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -21,6 +21,7 @@
       | lost a reply and had no budget for a retry         | failed  | no_budget    |
       | lost both replies of a shard                       | failed  | lost         |
       | is refused as too many shards are missing          | refused | out_of_reach |
+      | is refused as two shards have no upstream that answers | refused | out_of_reach |
       | is answered completely after a hedge, but late     | late    | slow         |
       | is abandoned by its caller                         | left    | caller_left  |
 
--- a/features/extra_attempts.feature
+++ b/features/extra_attempts.feature
@@ -87,3 +87,11 @@
     When a sweep arrives and its first attempts are rejected with free slots
     And each host that is asked to lend refuses
     Then the request is refused with incomplete
+
+  Scenario: A request whose caller left borrows nothing
+    Its shards wait for a loan. If they still counted, other hosts would lend attempts
+    that nobody needs, and lack them themselves.
+
+    Given a router without budget, in a zone with 3 other hosts, and a sweep over 4 shards
+    When a sweep arrives, its first attempts are rejected and its caller leaves
+    Then no host is asked to lend
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -66,6 +66,12 @@
         PLANNED,
         ended("incomplete", missing="s1:waiting,s2:waiting,s3:no_upstream", parts=0),
     ],
+    "is refused as two shards have no upstream that answers": [
+        PLANNED,
+        ended(
+            "incomplete", missing="s1:waiting,s2:unavailable,s3:unavailable", parts=0
+        ),
+    ],
     "is answered completely after a hedge, but late": [
         PLANNED,
         HEDGE,
--- a/features/steps/extra_attempts_steps.py
+++ b/features/steps/extra_attempts_steps.py
@@ -308,3 +308,17 @@
         requested = len(context.tier.borrowed)
         grant_loan(context, context.tier.borrowed[-1], 0)
     assert requested == 3, requested
+
+
+@behave.when("a sweep arrives, its first attempts are rejected and its caller leaves")
+def when_caller_leaves(context):
+    context.number = context.tier.request("/sweep/1")
+    for send in list(context.tier.attempts_of(context.number)):
+        context.tier.answer_attempt(send, status=503, not_run=True, load=IDLE)
+    context.tier.step(events.RequestAbandoned(number=context.number))
+    context.tier.advance_clock(0.5)
+
+
+@behave.then("no host is asked to lend")
+def then_none_asked(context):
+    assert not context.tier.borrowed, context.tier.borrowed
--- a/src/greengagehaven/commands/experiment.py
+++ b/src/greengagehaven/commands/experiment.py
@@ -231,6 +231,12 @@
         f"{result.worst_windows:.4f}, p50 {p50} p95 {p95} p99 {p99} ms, coverage "
         f"{result.coverage:.4f}, extra load {result.extra_load:.4f}"
     )
+    if result.refusals:
+        click.echo(
+            f"  refusals {result.refusals}, held {result.held_refusals} (mean "
+            f"{result.mean_hold_ms} ms), unavailable "
+            f"{result.unavailable_refusals}, false {result.false_refusals}"
+        )
 
 
 def _print_differences(differences: list[typing.Any], as_json: bool) -> None:
--- a/src/greengagehaven/coordination/routing/attempt_outcomes.py
+++ b/src/greengagehaven/coordination/routing/attempt_outcomes.py
@@ -4,6 +4,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven.coordination.routing import (
+    availability,
     completion,
     counts,
     crashes,
@@ -26,6 +27,7 @@
     """Records how attempts end, and retries those that failed.
 
     :param attempts_by_id: attempts in flight; one that ends is removed.
+    :param availability: which upstreams answer.
     :param observer: applies outcomes to the state of upstreams.
     :param extra_attempts: decides on retries.
     :param crashes: lost attempts whose upstream is being checked.
@@ -38,6 +40,7 @@
         self,
         *,
         attempts_by_id: dict[int, request.Attempt],
+        availability: availability.Availability,
         observer: observation.Observer,
         extra_attempts: extra_attempts.ExtraAttemptPolicy,
         crashes: crashes.CrashDetector,
@@ -46,6 +49,7 @@
         clock: clocks.Clock,
     ) -> None:
         self._attempts_by_id = attempts_by_id
+        self._availability = availability
         self._observer = observer
         self._extra_attempts = extra_attempts
         self._crashes = crashes
@@ -65,6 +69,7 @@
         attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
         if attempt in attempt.shard.attempts:
             attempt.shard.attempts.remove(attempt)
+        self._availability.record_end(attempt, ended.outcome)
         self._observer.apply_outcome(attempt, ended.outcome, actions)
         routed, outcome = attempt.request, ended.outcome
         is_success = isinstance(outcome, events.Replied) and outcome.is_success
--- a/src/greengagehaven/coordination/routing/completion.py
+++ b/src/greengagehaven/coordination/routing/completion.py
@@ -1,5 +1,6 @@
 """Decides when a request is answered: completely, partially or with an error."""
 
+import collections
 from collections import abc
 
 from greengagehaven import clock as clocks
@@ -69,6 +70,9 @@
         :param detail: explanation of an error, for the log.
         """
         routed.is_over = True
+        for shard in routed.shards:
+            # A held retry would otherwise be counted when extra attempts are borrowed.
+            shard.resume()
         self._requests_by_number.pop(routed.number, None)
         took = self._clock.monotonic() - routed.started_at
         missing = len(routed.shards) - routed.part_count
@@ -129,10 +133,21 @@
         error: exceptions.RequestError,
         actions: list[events.Action],
     ) -> None:
+        self._counts.refusals[_refusal_reason(routed, error)] += 1
         actions.append(events.Refuse(number=routed.number, error=error))
         self.end(routed, error.code, actions, detail=error.detail)
 
 
+def _refusal_reason(
+    routed: request.RoutedRequest, error: exceptions.RequestError
+) -> str:
+    """Return the most frequent reason of the failed shards, else the error's code."""
+    reasons = collections.Counter(
+        shard.failure for shard in routed.shards if shard.is_failed
+    )
+    return reasons.most_common(1)[0][0] if reasons else error.code
+
+
 def release(
     attempts: abc.Iterable[request.Attempt], actions: list[events.Action]
 ) -> None:
--- a/src/greengagehaven/coordination/routing/counts.py
+++ b/src/greengagehaven/coordination/routing/counts.py
@@ -58,6 +58,7 @@
         self.requests: collections.Counter[tuple[str, str]] = collections.Counter()
         self.attempts: collections.Counter[str] = collections.Counter()
         self.failures: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.upstream_changes: collections.Counter[str] = collections.Counter()
         self.delegations: collections.Counter[str] = collections.Counter()
         self.loans: collections.Counter[str] = collections.Counter()
--- a/src/greengagehaven/coordination/routing/delegation.py
+++ b/src/greengagehaven/coordination/routing/delegation.py
@@ -211,7 +211,17 @@
         elif helper.backoff_until <= self._clock.monotonic():
             helper.failures = 0
 
-    def record_missed_report(self, address: str) -> None:
+    def record_missed_reports(self, addresses: abc.Iterable[str]) -> None:
+        """Record hosts that have not reported by the time a shard is hedged.
+
+        A helper that reports in time triggers the hedge with its report instead.
+
+        :param addresses: addresses of helpers; empty for attempts of this host.
+        """
+        for address in filter(None, addresses):
+            self._record_missed_report(address)
+
+    def _record_missed_report(self, address: str) -> None:
         """Record that a host has not sent its report in time, and back off from it.
 
         A call to a host that is stalled or partitioned fails only at its timeout. Each
--- a/src/greengagehaven/coordination/routing/fleet.py
+++ b/src/greengagehaven/coordination/routing/fleet.py
@@ -126,7 +126,7 @@
         :param usual: seconds that such a request usually takes.
         :param tried: ids of upstreams to exclude.
         """
-        return self._select(service, usual, self._available(service), tried)
+        return self._select(service, usual, self.available(service), tried)
 
     def choose_in(
         self, zone: str, service: str, usual: float
@@ -135,7 +135,7 @@
         now = self._clock.monotonic()
         available = [
             upstream
-            for upstream in self._available(service)
+            for upstream in self.available(service)
             if upstream.entry.availability_zone == zone
             and self._is_healthy(upstream, now)
         ]
@@ -204,7 +204,8 @@
         ]
         return bool(known) and not any(upstream.is_reachable for upstream in known)
 
-    def _available(self, service: str) -> list[upstreams.Upstream]:
+    def available(self, service: str) -> list[upstreams.Upstream]:
+        """Return the reachable upstreams of a service that get new requests."""
         return [
             upstream
             for upstream_id in self._ids_by_service.get(service, ())
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -28,6 +28,7 @@
     :param sharing: report slow and faulty upstreams to other hosts.
     :param lag: answer earlier by the measured lag of timers.
     :param early_refusal: send nothing if too few shards have an upstream.
+    :param availability: refuse requests whose shards have no upstream that answers.
     :param sending_away: report not ready while this host is cut off.
     :param probing: probe silent upstreams to find out whether they can be reached.
     :param pace: predict the latency of an upstream from its recent latencies.
@@ -51,6 +52,7 @@
     sharing: bool = True
     lag: bool = True
     early_refusal: bool = True
+    availability: bool = True
     sending_away: bool = True
     probing: bool = True
     pace: bool = True
--- a/src/greengagehaven/coordination/routing/refusals.py
+++ b/src/greengagehaven/coordination/routing/refusals.py
@@ -5,7 +5,12 @@
 """
 
 from greengagehaven import exceptions
-from greengagehaven.coordination.routing import partition, request, retry_delays
+from greengagehaven.coordination.routing import (
+    availability,
+    partition,
+    request,
+    retry_delays,
+)
 
 
 class Refusals:
@@ -29,18 +34,17 @@
         reasons = sorted({shard.failure for shard in routed.shards if shard.failure})
         coverage = f"{len(routed.parts)} of {len(routed.shards)} shards"
         detail = f"{coverage}: {', '.join(reasons)}"
-        if routed.may_have_run:
-            return exceptions.UpstreamsFailedError(
-                detail,
-                ran=exceptions.Ran.UNKNOWN,
-                retry_after=self._retry_delays.after_failure(),
-            )
-        if any(shard.sends for shard in routed.shards):
-            retry_after = self._retry_delays.after_failure()
-        else:
+        is_out_of_reach = availability.UNAVAILABLE in reasons
+        if is_out_of_reach or not any(shard.sends for shard in routed.shards):
             retry_after = self._retry_delays.out_of_reach(
                 self._partition.cut_off_seconds()
             )
+        else:
+            retry_after = self._retry_delays.after_failure()
+        if routed.may_have_run:
+            return exceptions.UpstreamsFailedError(
+                detail, ran=exceptions.Ran.UNKNOWN, retry_after=retry_after
+            )
         return exceptions.IncompleteError(detail, retry_after=retry_after)
 
     def timeout_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -19,6 +19,7 @@
     :param replied_at: monotonic seconds at which its reply was read.
     :param size: bytes of that reply.
     :param helper_address: address of the helper that sends it, empty for this host.
+    :param is_reported_pending: whether that helper reported that it has not ended.
     """
 
     id: int
@@ -32,6 +33,7 @@
     replied_at: float | None = None
     size: int = 0
     helper_address: str = ""
+    is_reported_pending: bool = False
 
     @property
     def is_unsent(self) -> bool:
@@ -114,6 +116,8 @@
     :param answer_by: time at which a sweep is answered if it has enough parts.
     :param team: team that sent it, ``None`` on a public route or without teams.
 
+    ``is_probe`` tells whether it was sent to find out whether a shard that did not
+    answer has recovered.
     ``replied_at`` is the time at which this host last read a reply to it, and
     ``wake_at`` that of its earliest timer.
     """
@@ -141,6 +145,7 @@
         self.answer_by = answer_by
         self.team = team
         self.is_over = False
+        self.is_probe = False
         self.replied_at = -math.inf
         self.wake_at = math.inf
         self.part_count = 0
@@ -175,12 +180,18 @@
 
     @property
     def can_reach_min_shards(self) -> bool:
-        """Return whether enough shards have a part or may still get one.
+        """Return whether enough shards have a part or may still get one."""
+        return self.has_min_shards_without(0)
+
+    def has_min_shards_without(self, count: int) -> bool:
+        """Return whether enough shards remain if some pending ones fail.
 
         Enough are the route's least number of parts for a sweep, else one.
+
+        :param count: number of pending shards that fail.
         """
         least = self.route.min_shards if self.is_sweep else 1
-        return len(self.shards) - self._failed_count >= least
+        return len(self.shards) - self._failed_count - count >= least
 
     @property
     def pending_count(self) -> int:
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -6,6 +6,9 @@
 from greengagehaven import log
 from greengagehaven.coordination.routing import events, request, upstreams
 
+MAX_LOGGED_SHARDS = 8
+"""Unavailable shards named in one log line; a cut-off zone may hide hundreds."""
+
 
 def log_plan(
     routed: request.RoutedRequest,
@@ -72,6 +75,31 @@
     )
 
 
+def log_unavailable(
+    routed: request.RoutedRequest,
+    decision: str,
+    ages_ms_by_service: abc.Mapping[str, int],
+) -> None:
+    """Log what is done with a request whose shards have no upstream that answers.
+
+    At most ``MAX_LOGGED_SHARDS`` of the shards are named.
+
+    :param decision: ``refused``, ``sent_as_probe`` or ``ended``.
+    :param ages_ms_by_service: milliseconds since any of its upstreams last replied.
+    """
+    named = list(ages_ms_by_service.items())[:MAX_LOGGED_SHARDS]
+    log.info(
+        "unavailable",
+        request=routed.request_id,
+        decision=decision,
+        shards=len(ages_ms_by_service),
+        parts=routed.part_count,
+        needed=routed.route.min_shards if routed.is_sweep else 1,
+        of=len(routed.shards),
+        replied_ms_ago=",".join(f"{service}:{age}" for service, age in named),
+    )
+
+
 def log_extra_attempt(
     purpose: str,
     routed: request.RoutedRequest,
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -20,6 +20,7 @@
 from greengagehaven.coordination.routing import (
     admission,
     attempt_outcomes,
+    availability,
     borrowing,
     callers,
     completion,
@@ -36,12 +37,14 @@
     observation,
     partition,
     placement,
+    planning,
     reachability,
     refusals,
     request,
     request_log,
     retry_delays,
     sending,
+    stranded,
     versions,
 )
 from greengagehaven.protocol import rollouts
@@ -168,9 +171,6 @@
         self._delegation = delegation.Delegation(
             host_id=options.host_id, zone=options.zone, clock=clock, rng=rng
         )
-        self._consolidation = consolidation.Consolidation(
-            fleet=self.fleet, delegation=self._delegation, zone=options.zone
-        )
         self._sender = sending.AttemptSender(
             fleet=self.fleet,
             hedging=self._hedging,
@@ -182,6 +182,20 @@
             clock=clock,
         )
         self._attempts_by_id = self._sender.attempts_by_id
+        self._availability = availability.Availability(
+            fleet=self.fleet, used=used, clock=clock
+        )
+        self._planner = planning.RequestPlanner(
+            fleet=self.fleet,
+            sender=self._sender,
+            consolidation=consolidation.Consolidation(
+                fleet=self.fleet, delegation=self._delegation, zone=options.zone
+            ),
+            availability=self._availability,
+            budget=self._budget,
+            used=used,
+            clock=clock,
+        )
         self._borrower = borrowing.BudgetBorrower(
             budget=self._budget,
             clock=clock,
@@ -211,6 +225,7 @@
         )
         self._outcomes = attempt_outcomes.AttemptOutcomes(
             attempts_by_id=self._attempts_by_id,
+            availability=self._availability,
             observer=self._observer,
             extra_attempts=self._extra_attempts,
             crashes=self._crashes,
@@ -218,6 +233,12 @@
             settle=self._settle,
             clock=clock,
         )
+        self._stranded = stranded.StrandedRequests(
+            availability=self._availability,
+            extra_attempts=self._extra_attempts,
+            settle=self._settle,
+            clock=clock,
+        )
         self._handlers_by_event: dict[type, typing.Callable] = {
             events.RequestArrived: self._on_arrived,
             events.RequestAbandoned: self._on_abandoned,
@@ -326,27 +347,12 @@
         try:
             routed = self._admission.admit(arrived)
         except exceptions.RequestError as error:
+            self.counts.refusals[error.code] += 1
             request_log.log_refusal(arrived, error.code, table=self._table_number)
             actions.append(events.Refuse(number=arrived.number, error=error))
             return
         self._requests_by_number[routed.number] = routed
-        chosen_by_service = {}
-        typical_latency = self._sender.typical_latency(routed)
-        for shard in routed.shards:
-            self._budget.record_request(shard.service)
-            chosen = self.fleet.choose(shard.service, typical_latency)
-            if chosen is None:
-                routed.record_failure(shard, "no_upstream")
-            else:
-                chosen_by_service[shard.service] = chosen
-        if routed.is_sweep and self._used.consolidation and self._used.aggregation:
-            self._consolidation.consolidate(chosen_by_service, typical_latency)
-        request_log.log_plan(
-            routed,
-            chosen_by_service,
-            table=self._table_number,
-            now=self._clock.monotonic(),
-        )
+        chosen_by_service = self._planner.plan(routed, table=self._table_number)
         # If too many shards have no upstream, nothing is sent: the replies of the other
         # shards would be discarded, and the error to the caller could not state that
         # the request did not run.
@@ -380,6 +386,7 @@
         for attempt_id in reported.straggling:
             attempt = self._attempts_by_id.get(attempt_id)
             if attempt is not None and attempt.is_wanted:
+                attempt.is_reported_pending = True
                 attempt.shard.hedge_at = min(attempt.shard.hedge_at, now)
                 affected.append(attempt.request)
         for routed in dict.fromkeys(affected):
@@ -483,7 +490,7 @@
     ) -> None:
         now = self._clock.monotonic()
         while self._timers and self._timers[0][0] <= now:
-            _, number = heapq.heappop(self._timers)
+            due_at, number = heapq.heappop(self._timers)
             if number == BORROW_TIMER:
                 self._borrower.request_loan(actions)
                 continue
@@ -492,6 +499,8 @@
                     self._reachability.check(self._attempts_by_id.values(), actions)
                 self._partition.update(self.table, actions)
                 self._outcomes.fail_unreachable_attempts(actions)
+                self._availability.check(self._attempts_by_id.values(), due_at=due_at)
+                self._stranded.end(self._requests_by_number.values(), actions)
                 continue
             routed = self._requests_by_number.get(number)
             if routed is None:
@@ -501,15 +510,8 @@
                 if shard.held is not None and shard.held_until <= now:
                     self._outcomes.retry_held(shard.held, actions)
                 if shard.hedge_at <= now:
-                    self._record_silent_helpers(shard)
+                    self._delegation.record_missed_reports(
+                        attempt.helper_address for attempt in shard.attempts
+                    )
             self._extra_attempts.hedge_stragglers(routed, now, actions)
             self._settle(routed, actions)
-
-    def _record_silent_helpers(self, shard: request.ShardState) -> None:
-        """Record helpers that have not reported by the time a shard is hedged.
-
-        A helper that reports in time triggers the hedge with its report instead.
-        """
-        for attempt in shard.attempts:
-            if attempt.helper_address:
-                self._delegation.record_missed_report(attempt.helper_address)
--- a/src/greengagehaven/coordination/routing/upstreams.py
+++ b/src/greengagehaven/coordination/routing/upstreams.py
@@ -79,6 +79,7 @@
         self.ejected_until = -math.inf
         self.connection_limited_until = -math.inf
         self.heard_at = now
+        self.replied_at = now
         self._unanswered_since = now
         self._last_sent_at = -math.inf
         self.is_reachable = True
@@ -124,6 +125,8 @@
     def mark_reachable(self, now: float) -> None:
         """Mark it as reachable, and end its ejection, after a successful probe."""
         self.is_reachable = True
+        # What was sent to it before says nothing about it any more.
+        self.replied_at = now
         self.faults_in_row = 0
         self.ejected_until = now
 
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -43,6 +43,7 @@
         yield family
         labelled = (
             ("attempts", "purpose", "Attempts sent", counted.attempts),
+            ("refusals", "reason", "Requests answered with an error", counted.refusals),
             ("attempt_failures", "reason", "Attempts failed", counted.failures),
             (
                 "delegations",
--- a/src/greengagehaven/experiment/callers.py
+++ b/src/greengagehaven/experiment/callers.py
@@ -25,6 +25,9 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 """Share of the remaining time up to which callers honour ``Retry-After``."""
 
+HELD_SHARE = 0.25
+"""Share of the objective after which a refusal counts as held."""
+
 CONNECT_TIMEOUT_S = 1.0
 """Seconds that a caller waits for a connection."""
 
@@ -67,6 +70,9 @@
         self._attempts: dict[int, tuple[outcomes.Caller, host.Host, float]] = {}
         self._work_by_caller_number: dict[int, numpy.ndarray] = {}
         self._next_number = 1
+        self.refusals = 0
+        self.held_refusals = 0
+        self.held_s = 0.0
 
     def set_balancer(self, load_balancer: balancer.Balancer) -> None:
         """Set the load balancer that selects the callers' hosts."""
@@ -196,6 +202,10 @@
         work_by_replica = self._work_by_caller_number[caller.number][index]
         return float(work_by_replica[int(upstream) % len(work_by_replica)])
 
+    def kind_of(self, number: int) -> environment.Kind:
+        """Return the kind of a request."""
+        return self._callers_by_number[number].kind
+
     def record_arrival(self, number: int, upstream_id: str, is_accepted: bool) -> None:
         """Record an attempt that reached an upstream."""
         kind = self._callers_by_number[number].kind
@@ -223,7 +233,7 @@
         attempt = self._attempts.pop(number, None)
         if attempt is None:
             return
-        caller, chosen, _ = attempt
+        caller, chosen, sent_at = attempt
         match action:
             case events.AnswerParts(missing=missing):
                 caller.coverage = 1.0 - missing / count
@@ -234,6 +244,12 @@
                 caller.coverage = 1.0
                 self._complete(caller, causes.Fate.ON_TIME, causes.Cause.NONE)
             case events.Refuse(error=error):
+                self.refusals += 1
+                held = self._loop.time - sent_at
+                self.held_s += held
+                self.held_refusals += (
+                    held > HELD_SHARE * caller.kind.objective_ms / 1000
+                )
                 self._handle_refusal(caller, error)
 
     def _handle_refusal(self, caller: outcomes.Caller, error: typing.Any) -> None:
@@ -299,7 +315,7 @@
     detail = error.detail or ""
     if "no_budget" in detail:
         return causes.Cause.NO_BUDGET
-    if "no_upstream" in detail or "connect" in detail:
+    if "unavailable" in detail or "no_upstream" in detail or "connect" in detail:
         return causes.Cause.OUT_OF_REACH
     if "lost" in detail:
         return causes.Cause.LOST
--- a/src/greengagehaven/experiment/environment.py
+++ b/src/greengagehaven/experiment/environment.py
@@ -16,6 +16,7 @@
     "grey",
     "crash",
     "dark",
+    "hang",
     "lost",
     "shed",
     "burst",
@@ -116,6 +117,8 @@
     :param share: share of the upstreams or hosts affected, selected by the seed.
     :param factor: factor of the work (``slow``) or of the load (``burst``).
     :param rate: share of the requests affected (``grey``, ``lost``, ``shed``).
+    :param shards: number of shards of which all upstreams are affected, instead of a
+        share of all upstreams; only for ``hang`` and ``dark``.
     :param zone: the zone affected; if empty, upstreams and hosts of all zones can be,
         and the seed selects the zone of a ``zone_cut``.
     """
@@ -126,6 +129,7 @@
     share: float = 0.15
     factor: float = 5.0
     rate: float = 0.4
+    shards: int = 0
     zone: str = ""
 
 
--- a/src/greengagehaven/experiment/outcomes.py
+++ b/src/greengagehaven/experiment/outcomes.py
@@ -83,6 +83,11 @@
     :param coverage: mean share of the shards in answers to sweeps.
     :param extra_load: runs beyond one per request and shard, as a share.
     :param connections: number of connections opened to upstreams.
+    :param refusals: number of errors that hosts answered with.
+    :param held_refusals: those that came after more than a quarter of the objective.
+    :param mean_hold_ms: mean time from sending a request to its refusal.
+    :param unavailable_refusals: those because upstreams did not answer.
+    :param false_refusals: those of them while enough upstreams worked.
     """
 
     environment: str
@@ -95,6 +100,11 @@
     coverage: float
     extra_load: float
     connections: int
+    refusals: int
+    held_refusals: int
+    mean_hold_ms: float
+    unavailable_refusals: int
+    false_refusals: int
     kinds: tuple[Row, ...]
     zones: tuple[Row, ...]
     windows: tuple[Row, ...]
--- a/src/greengagehaven/experiment/simulation.py
+++ b/src/greengagehaven/experiment/simulation.py
@@ -1,9 +1,10 @@
 """Simulation of one day: callers, hosts, upstreams and injected faults."""
 
+import functools
 from collections import abc
 
 from greengagehaven import log
-from greengagehaven.coordination.routing import events, mechanisms
+from greengagehaven.coordination.routing import availability, events, mechanisms
 from greengagehaven.experiment import (
     balancer,
     callers,
@@ -45,6 +46,8 @@
         self.day = day
         self.partitioned_zones: set[str] = set()
         self.load = day.load
+        self.unavailable_refusals = 0
+        self.false_refusals = 0
         self._seed = seed
         self._enabled_mechanisms = enabled_mechanisms
         self._create_upstreams()
@@ -154,6 +157,27 @@
                 number,
             )
 
+    def _handle_answer(self, zone: str, number: int, action: events.Action) -> None:
+        """Pass on an answer, and count refusals for shards that are not available."""
+        detail = action.error.detail if isinstance(action, events.Refuse) else ""
+        if availability.UNAVAILABLE in detail:
+            kind = self._callers.kind_of(number)
+            self.unavailable_refusals += 1
+            self.false_refusals += self._can_serve(zone, kind)
+        self._callers.handle_answer(number, action)
+
+    def _can_serve(self, zone: str, kind: environment.Kind) -> bool:
+        """Return whether enough shards have an upstream that works, slow or not."""
+        working = {
+            each.id.rpartition("-")[0]
+            for each in self.upstreams_by_id.values()
+            if each.state is upstreams.State.UP
+            and not self.is_partitioned(zone, each.zone)
+        }
+        services = self.services_by_kind[kind.name]
+        count = len(working.intersection(services))
+        return count >= (kind.least_coverage * len(services) if kind.is_sweep else 1)
+
     def _deliver_event(self, each: host.Host, event: events.Event) -> None:
         if each.is_up:
             each.step(event)
@@ -251,7 +275,7 @@
                         declared=self.declared,
                         upstreams_by_id=self.upstreams_by_id,
                         network=self,
-                        on_answer=self._callers.handle_answer,
+                        on_answer=functools.partial(self._handle_answer, zone),
                         work_of=self._callers.work_of,
                         on_arrival=self._callers.record_arrival,
                         on_outlier=self.handle_outlier,
@@ -275,4 +299,11 @@
             seed=self._seed,
             extra_load=round(runs / max(1, minimum_runs) - 1.0, 4),
             connections=sum(each.opened_connections for each in self.hosts),
+            refusals=self._callers.refusals,
+            held_refusals=self._callers.held_refusals,
+            mean_hold_ms=round(
+                1000 * self._callers.held_s / max(1, self._callers.refusals), 1
+            ),
+            unavailable_refusals=self.unavailable_refusals,
+            false_refusals=self.false_refusals,
         )
--- a/src/greengagehaven/experiment/troubles.py
+++ b/src/greengagehaven/experiment/troubles.py
@@ -60,6 +60,13 @@
         for each in simulation.upstreams_by_id.values()
         if not trouble.zone or each.zone == trouble.zone
     ]
+    if trouble.shards:
+        services = sorted({each.id.rpartition("-")[0] for each in candidates})
+        affected = {
+            services[index]
+            for index in rng.permutation(len(services))[: trouble.shards]
+        }
+        return [each for each in candidates if each.id.rpartition("-")[0] in affected]
     count = max(1, round(trouble.share * len(candidates)))
     return [candidates[index] for index in rng.permutation(len(candidates))[:count]]
 
@@ -128,6 +135,20 @@
     return apply
 
 
+def _hang(
+    simulation: Simulation, trouble: environment.Trouble, rng: numpy.random.Generator
+) -> Undo:
+    affected = _pick_upstreams(simulation, trouble, rng)
+    for each in affected:
+        each.hang()
+
+    def undo() -> None:
+        for each in affected:
+            each.resume()
+
+    return undo
+
+
 def _burst(
     simulation: Simulation, trouble: environment.Trouble, rng: typing.Any
 ) -> Undo:
@@ -207,6 +228,7 @@
     "shed": _rate_fault("shed_rate"),
     "crash": _crash_fault(upstreams.State.CLOSED),
     "dark": _crash_fault(upstreams.State.UNRESPONSIVE),
+    "hang": _hang,
     "burst": _burst,
     "zone_cut": _partition_zone,
     "power_off": _power_off,
--- a/src/greengagehaven/experiment/upstreams.py
+++ b/src/greengagehaven/experiment/upstreams.py
@@ -14,11 +14,13 @@
     """How an upstream responds to connections.
 
     ``CLOSED``: it refuses them. ``UNRESPONSIVE``: packets to it are dropped.
+    ``HUNG``: it accepts them, but runs nothing until it resumes.
     """
 
     UP = "up"
     CLOSED = "closed"
     UNRESPONSIVE = "dark"
+    HUNG = "hung"
 
 
 @dataclasses.dataclass(kw_only=True, eq=False, slots=True)
@@ -84,6 +86,10 @@
 
     def submit(self, job: Job) -> bool:
         """Run a job as soon as a slot is free; return whether it was accepted."""
+        if self.state is State.HUNG:
+            # The connection is accepted, and the bytes wait in its buffer.
+            self._queue.append(job)
+            return True
         if self.shed_rate and self._draw() < self.shed_rate:
             job.on_end(self._build_reply(status=503, not_run=True))
             return False
@@ -116,6 +122,17 @@
                     events.Failed(fault=events.Fault.LOST, received_nothing=True)
                 )
 
+    def hang(self) -> None:
+        """Stop running; jobs wait until :meth:`resume`, which runs them again."""
+        self.state = State.HUNG
+        self._queue.extendleft(reversed(self._running))
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Run the jobs that were not cancelled meanwhile."""
+        self.state = State.UP
+        self._start_next()
+
     def completion_time(self, start: float, work: float) -> float:
         """Return when work that begins at ``start`` ends, with pauses; in seconds."""
         pause, period = self.service.pause_ms / 1000, self.service.pause_every_s
--- a/src/greengagehaven/explain/causes.py
+++ b/src/greengagehaven/explain/causes.py
@@ -127,7 +127,7 @@
         return _cause_of_waiting(service, history)
     if reason.endswith("_no_budget"):
         return Cause.NO_BUDGET
-    if reason.startswith(("no_upstream", "connect", "silent")):
+    if reason.startswith(("no_upstream", "connect", "silent", "unavailable")):
         return Cause.OUT_OF_REACH
     if reason.startswith(("lost", "unsent")):
         return Cause.LOST
