--- a/features/extra_attempts.feature
+++ b/features/extra_attempts.feature
@@ -104,3 +104,11 @@
     Given a router without budget, in a zone with 3 other hosts, and a sweep over 4 shards
     When a sweep arrives and 1 of its shards have no reply when they are hedged
     Then no host is asked to lend
+
+  Scenario: A request whose caller left borrows nothing
+    Its shards wait for a loan. If they still counted, other hosts would lend attempts
+    that nobody needs, and lack them themselves.
+
+    Given a router without budget, in a zone with 3 other hosts, and a sweep over 4 shards
+    When a sweep arrives, its first attempts are rejected and its caller leaves
+    Then no host is asked to lend
--- a/src/greengagehaven/coordination/routing/mechanisms.py
+++ b/src/greengagehaven/coordination/routing/mechanisms.py
@@ -31,6 +31,7 @@
     :param lag: answer earlier by the measured lag of timers.
     :param answer_times: answer earlier where the answers of a route were late.
     :param early_refusal: send nothing if too few shards have an upstream.
+    :param availability: refuse requests whose shards have no upstream that answers.
     :param sending_away: report not ready while this host is cut off.
     :param probing: probe silent upstreams to find out whether they can be reached.
     :param pace: predict the latency of an upstream from its recent latencies.
@@ -57,6 +58,7 @@
     lag: bool = True
     answer_times: bool = True
     early_refusal: bool = True
+    availability: bool = True
     sending_away: bool = True
     probing: bool = True
     pace: bool = True
