--- a/src/greengagehaven/commands/measure.py
+++ b/src/greengagehaven/commands/measure.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import json
+import typing
 
 import click
 
 from greengagehaven import log
-from greengagehaven.daemons.measure import config_restart, runner, scenarios
+from greengagehaven.daemons.measure import (
+    config_restart,
+    revoked_key,
+    runner,
+    scenarios,
+)
+from greengagehaven.platform import names
 
 _FIELDS = (
     "queries",
@@ -26,7 +33,7 @@
     "violations",
 )
 
-_SCENARIO_NAMES = (*scenarios.SCENARIOS, config_restart.NAME)
+_SCENARIO_NAMES = (*scenarios.SCENARIOS, config_restart.NAME, revoked_key.NAME)
 
 
 @click.command()
@@ -44,7 +51,7 @@
     type=click.IntRange(0, 50),
     default=9,
     show_default=True,
-    help="Number of entry hosts, for config-restart only.",
+    help="Number of entry hosts, for config-restart and revoked-key only.",
 )
 @click.option(
     "--changes",
@@ -78,6 +85,9 @@
         load = config_restart.Load(hosts=hosts, changes=changes, pace=pace)
         _run_config_restart(seed, load, as_json)
         return
+    if scenario == revoked_key.NAME:
+        _run_revoked_key(hosts, seconds, as_json)
+        return
     compared = asyncio.run(runner.compare(scenario, seed=seed, seconds=seconds))
     if as_json:
         click.echo(json.dumps(compared))
@@ -90,10 +100,26 @@
 
 def _run_config_restart(seed: int, load: config_restart.Load, as_json: bool) -> None:
     measured = asyncio.run(config_restart.measure(seed=seed, load=load))
+    _print_parts(measured, config_restart.ABOUT, as_json)
+
+
+def _run_revoked_key(hosts: int, seconds: float, as_json: bool) -> None:
+    platform = revoked_key.Platform(
+        names=names.HEADERS,
+        config_path=names.CONFIG_PATH,
+        instances_path=names.INSTANCES_PATH,
+    )
+    measured = asyncio.run(
+        revoked_key.measure(hosts=max(1, hosts), seconds=seconds, platform=platform)
+    )
+    _print_parts(measured, revoked_key.ABOUT, as_json)
+
+
+def _print_parts(measured: dict[str, typing.Any], about: str, as_json: bool) -> None:
     if as_json:
         click.echo(json.dumps(measured))
         return
-    click.echo(f"{config_restart.NAME}: {config_restart.ABOUT}")
+    click.echo(f"{measured['scenario']}: {about}")
     for part in ("baseline", "run"):
         for field, value in measured[part].items():
             click.echo(f"{part:>8} {field:>22} {value!s:>10}")
--- /dev/null
+++ b/src/greengagehaven/daemons/measure/platform_hosts.py
@@ -0,0 +1,113 @@
+"""Control and entry hosts of the platform as processes on loopback."""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+from greengagehaven.daemons.measure import cut_off
+
+CONTROL_COUNT = 3
+ZONES = ("a", "b", "c")
+STOP_TIMEOUT_S = 10.0
+OPERATOR_PORT = 8224
+CALLER_PORT = 8080
+READY_PORT = 8081
+PEER_PORT = 7740
+_ROLE_MODULE = "greengagehaven.platform"
+_SUBNETS = 128
+
+
+class PlatformHosts:
+    """Starts three control hosts and some entry hosts, and ends them by their id.
+
+    Each has a loopback address of its own, as all hosts use the same ports.
+
+    :param folder: for settings, logs and data.
+    :param hosts: number of entry hosts; the first can be cut off.
+    :param extra_settings: lines added to the settings of every host.
+    """
+
+    def __init__(
+        self, *, folder: pathlib.Path, hosts: int, extra_settings: tuple[str, ...]
+    ) -> None:
+        self._folder = folder
+        self._extra_settings = extra_settings
+        pid = os.getpid()
+        self._subnet = f"127.{64 + pid % _SUBNETS}.{pid // _SUBNETS % 250}"
+        self._control_ips = [self._ip(number + 1) for number in range(CONTROL_COUNT)]
+        self.entry_ips = [self._ip(number + 101) for number in range(hosts)]
+        self._processes: list[asyncio.subprocess.Process] = []
+
+    @property
+    def operator_addresses(self) -> list[str]:
+        """Return the operator addresses of the control hosts."""
+        return [f"{ip}:{OPERATOR_PORT}" for ip in self._control_ips]
+
+    async def start(self) -> None:
+        """Start every host."""
+        for number, ip in enumerate(self._control_ips):
+            await self._start(f"control-{number}", ip, ZONES[number], "control")
+        for number, ip in enumerate(self.entry_ips):
+            zone = ZONES[number % len(ZONES)]
+            await self._start(f"entry-{number}", ip, zone, "front")
+
+    def cut_off_first(self) -> None:
+        """Cut the first entry host off from all other hosts."""
+        self._processes[CONTROL_COUNT].send_signal(cut_off.SIGNAL)
+
+    async def close(self) -> None:
+        """End every process that was started."""
+        running = [each for each in self._processes if each.returncode is None]
+        for process in running:
+            process.terminate()
+        for process in running:
+            try:
+                async with asyncio.timeout(STOP_TIMEOUT_S):
+                    await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+    def _ip(self, number: int) -> str:
+        return f"{self._subnet}.{number}"
+
+    async def _start(self, name: str, ip: str, zone: str, role: str) -> None:
+        settings = self._folder / f"{name}.conf"
+        settings.write_text(self._settings(name, ip, zone), encoding="utf-8")
+        arguments = ("-m", _ROLE_MODULE)
+        if len(self._processes) == CONTROL_COUNT:
+            arguments = ("-c", cut_off.COMMAND)
+        with (self._folder / f"{name}.log").open("ab") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                role,
+                stdout=log_file,
+                stderr=log_file,
+                env={**os.environ, "GREENGAGEHAVEN_CONFIG": str(settings)},
+            )
+        self._processes.append(process)
+
+    def _settings(self, name: str, ip: str, zone: str) -> str:
+        lines = (
+            f"node={name}",
+            f"ip={ip}",
+            f"zone={zone}",
+            f"listen.control={ip}:{OPERATOR_PORT}",
+            f"listen.front={ip}:{CALLER_PORT}",
+            f"listen.ready={ip}:{READY_PORT}",
+            f"internalPorts={PEER_PORT},{PEER_PORT + 15}",
+            f"seeds={','.join(self.operator_addresses)}",
+            f"dataDir={self._folder / name}",
+            "bootstrap=true",
+            "heartbeatMs=1200",
+            "bounds.retryRatio=0.2",
+            "bounds.retryBurst=50",
+            "bounds.budgetWindowS=10",
+            "bounds.graceS=1",
+            "bounds.coldFactor=1.5",
+            "bounds.coldSlack=5",
+            *self._extra_settings,
+        )
+        return "\n".join(lines) + "\n"
