--- a/features/explain.feature
+++ b/features/explain.feature
@@ -13,6 +13,10 @@
       | is answered completely                             | on_time | none         |
       | arrives before the host has a route table          | refused | starting     |
       | matches no route                                   | refused | no_route     |
+      | has an unknown key                                 | refused | unauthorized |
+      | arrives after the key lease expired                | refused | no_key_lease |
+      | loses the key lease before its attempts are sent   | refused | no_key_lease |
+      | misses a shard that the key lease kept from a hedge | partial | no_key_lease |
       | crashed upstreams before                           | refused | convicted    |
       | misses an unreachable shard                        | partial | out_of_reach |
       | misses a shard that was hedged and slow            | partial | slow         |
@@ -29,6 +33,11 @@
     When the sweep is looked up in the log
     Then the report names the host, its zone and the unreachable upstream
 
+  Scenario: The report shows since when the host had no key lease
+    Given a log in which a sweep arrives after the key lease expired
+    When the sweep is looked up in the log
+    Then the report says that the host was without a key lease for 800 ms
+
   Scenario: Logs of several hosts are merged into one
     Given a log in which each line of two hosts is prefixed with the host name
     When the sweep is looked up in the log
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -15,6 +15,8 @@
     "upstream_out_of_reach upstream=u-3 service=s3 zone=b reason=connect"
 )
 
+KEY_LEASE_LOST = "key_lease_lost confirmed_ms=5299 noticed_ms=799"
+
 
 def ended(outcome, *, missing="", took=40, parts=4):
     return (
@@ -31,6 +33,20 @@
     "is answered completely": [PLANNED, ended("answered")],
     "arrives before the host has a route table": [refused("not_configured")],
     "matches no route": [refused("not_found")],
+    "has an unknown key": [refused("unauthorized")],
+    "arrives after the key lease expired": [
+        KEY_LEASE_LOST,
+        refused("key_lease_expired"),
+    ],
+    "loses the key lease before its attempts are sent": [
+        PLANNED,
+        ended("key_lease_expired", missing="s3:unsent_no_key_lease", parts=0),
+    ],
+    "misses a shard that the key lease kept from a hedge": [
+        PLANNED,
+        f"hedge_withheld request={REQUEST} service=s3",
+        ended("partial", missing="s3:waiting", parts=3),
+    ],
     "crashed upstreams before": [refused("quarantined")],
     "misses an unreachable shard": [
         UPSTREAM_OUT_OF_REACH,
@@ -179,3 +195,10 @@
 def then_fails(context, request_id):
     assert context.result.exit_code == 1, context.result.output
     assert f"no line names request {request_id}" in context.result.output
+
+
+@behave.then("the report says that the host was without a key lease for {ms:d} ms")
+def then_without_lease(context, ms):
+    (report,) = context.reports
+    # The refusal is logged 1 ms after the loss in this log.
+    assert f"without a key lease for {ms} ms" in report.state_lines, report.state_lines
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -352,7 +352,7 @@
         try:
             routed = self._admission.admit(arrived)
         except exceptions.RequestError as error:
-            request_log.log_refusal(arrived, error.code, table=self._table_number)
+            request_log.log_refusal(arrived, error, table=self._table_number)
             actions.append(events.Refuse(number=arrived.number, error=error))
             return
         self._requests_by_number[routed.number] = routed
--- a/src/greengagehaven/explain/causes.py
+++ b/src/greengagehaven/explain/causes.py
@@ -25,7 +25,9 @@
     """Why a request was not answered completely and on time.
 
     ``STARTING``: the host had no routing table yet. ``NO_ROUTE``: no route
-    matched. ``CONVICTED``: the request is quarantined since it crashes upstreams.
+    matched. ``UNAUTHORIZED``: the request had no key, or one that its host did not
+    know. ``NO_KEY_LEASE``: the host could not show that the keys it knew were still
+    accepted. ``CONVICTED``: the request is quarantined since it crashes upstreams.
     ``OUT_OF_REACH``: no upstream of a shard was reachable. ``LOST``: a response
     was lost. ``GARBLED``: a response was invalid. ``REJECTED``: an upstream
     refused a sub-request without running it. ``FAILED``: an upstream returned an
@@ -38,6 +40,8 @@
     NONE = "none"
     STARTING = "starting"
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
+    NO_KEY_LEASE = "no_key_lease"
     CONVICTED = "convicted"
     OUT_OF_REACH = "out_of_reach"
     LOST = "lost"
@@ -54,6 +58,8 @@
 _CAUSES_BY_CODE = {
     "not_configured": Cause.STARTING,
     "not_found": Cause.NO_ROUTE,
+    "unauthorized": Cause.UNAUTHORIZED,
+    "key_lease_expired": Cause.NO_KEY_LEASE,
     "suspended": Cause.CONVICTED,
     "quarantined": Cause.CONVICTED,
 }
@@ -62,6 +68,7 @@
     "partial": Fate.PARTIAL,
     "caller_left": Fate.LEFT,
     "incomplete": Fate.REFUSED,
+    "key_lease_expired": Fate.REFUSED,
     "upstream_error": Fate.FAILED,
     "upstreams_failed": Fate.FAILED,
     "deadline_exceeded": Fate.FAILED,
@@ -125,6 +132,8 @@
 ) -> Cause:
     if reason == "waiting":
         return _cause_of_waiting(service, history)
+    if reason.endswith("_no_key_lease"):
+        return Cause.NO_KEY_LEASE
     if reason.endswith("_no_budget"):
         return Cause.NO_BUDGET
     if reason.startswith(("no_upstream", "connect", "silent")):
@@ -140,6 +149,8 @@
 
 def _cause_of_waiting(service: str, history: abc.Sequence[lines.Line]) -> Cause:
     events = {line.event for line in history if line.fields.get("service") == service}
+    if "hedge_withheld" in events:
+        return Cause.NO_KEY_LEASE
     if "hedge_refused" in events:
         return Cause.NO_BUDGET
     if "attempt_failed" in events:
--- a/src/greengagehaven/explain/host_state.py
+++ b/src/greengagehaven/explain/host_state.py
@@ -18,6 +18,7 @@
     :param revision: revision of the configuration in force.
     :param drained: drained zones, as logged.
     :param is_cut_off: whether the host is partitioned from every other zone.
+    :param lease_lost_at: when the host lost its key lease, ``None`` if it has not.
     :param unreachable_since_by_id: unreachable upstreams, since when.
     :param ejected_until_by_id: ejected upstreams, until when.
     :param unreachable_controls: addresses of unreachable control hosts.
@@ -28,6 +29,7 @@
     revision: str = "none"
     drained: str = ""
     is_cut_off: bool = False
+    lease_lost_at: datetime.datetime | None = None
     unreachable_since_by_id: dict[str, datetime.datetime] = dataclasses.field(
         default_factory=dict
     )
@@ -62,6 +64,11 @@
                 self.unreachable_controls.discard(fields.get("address", ""))
             case "request_convicted":
                 self.quarantined_fingerprints.add(fields.get("fingerprint", ""))
+            case "key_lease_lost":
+                late = datetime.timedelta(milliseconds=line.parse_number("noticed_ms"))
+                self.lease_lost_at = line.moment - late
+            case "key_lease_acquired":
+                self.lease_lost_at = None
             case "cut_off":
                 self.is_cut_off = True
             case "cut_off_ended":
@@ -70,6 +77,7 @@
     def _reset(self) -> None:
         """Reset everything that a host forgets when it restarts."""
         self.revision, self.drained, self.is_cut_off = "none", "", False
+        self.lease_lost_at = None
         for times_by_id in (self.unreachable_since_by_id, self.ejected_until_by_id):
             times_by_id.clear()
         for members in (self.unreachable_controls, self.quarantined_fingerprints):
@@ -87,6 +95,10 @@
             described.append(f"drained zones: {self.drained}")
         if self.is_cut_off:
             described.append("partitioned from every other zone")
+        if self.lease_lost_at is not None:
+            described.append(
+                f"without a key lease for {_to_ms(moment - self.lease_lost_at)} ms"
+            )
         if self.unreachable_controls:
             described.append(
                 "unreachable control hosts: " + ", ".join(self.unreachable_controls)
