Test the figures of the revoked-key measure

A measure that counted requests by the time at which they ran, or none sent after the limit, would hide a fault or report one that is none.

--- a/features/key_lease.feature
+++ b/features/key_lease.feature
@@ -255,3 +255,14 @@
     And its metrics show no lease and the refusal
     When those two control hosts start again
     Then a client's sweep with a key of the first team is answered
+
+  Scenario: The measure counts requests by the time at which they were sent
+    A request that was sent within the limit may run after it. Counting it would report
+    a fault that is none, and counting no request sent later would hide one.
+
+    Given a measure in which a key was revoked 10 seconds ago, with a limit of 5 seconds
+    And a request sent after 4.9 seconds ran after 5.1 seconds on the host that is cut off
+    And a request sent after 5.2 seconds ran after 5.3 seconds on another host
+    And a request sent after 6.0 seconds did not run
+    Then the measure reports 1 request sent after the limit
+    And the last runs after 5100 ms on the host that is cut off and 5300 ms on others
--- a/src/greengagehaven/daemons/measure/revoked_key.py
+++ b/src/greengagehaven/daemons/measure/revoked_key.py
@@ -267,10 +267,10 @@
             await asyncio.sleep(seconds)
         finally:
             await bench.close()
-        return _figures(bench, acknowledged_at)
+        return summarize(bench, acknowledged_at)
 
 
-def _figures(bench: Bench, acknowledged_at: float) -> dict[str, typing.Any]:
+def summarize(bench: Bench, acknowledged_at: float) -> dict[str, typing.Any]:
     """Return the figures of a run; times are milliseconds from the acknowledgement."""
     ran = [
         (bench.sent_by_request[request_id], ran_at)
