Refuse requests of teams above their limit over all hosts

Teams' rate and burst were read and not applied. Entry hosts now report usage to the control host that they follow, control hosts forward the reports to each other, and admission ends with the cap: 429 usage_cap_exceeded with a Retry-After, one log line for each refused request, a summary of a team near its limit at most once a second, and a metric for refused teams only. The settings bounds.quotaWindowS, quotaOverage and quotaSlack turn it on; without a team that has a rate nothing is sent, stored or computed.

--- a/features/fakes/platform_deployment.py
+++ b/features/fakes/platform_deployment.py
@@ -116,9 +116,15 @@
 
 
 class PlatformDeployment:
-    """Runs three control hosts and an entry host; sends requests to all of them."""
+    """Runs three control hosts and an entry host; sends requests to all of them.
 
-    def __init__(self):
+    :param usage_caps: caps of teams' usage; ``None`` for none.
+    :param control_zones: zone of each control host.
+    """
+
+    def __init__(self, *, usage_caps=None, control_zones=("midt-a",) * CONTROL_COUNT):
+        self.usage_caps = usage_caps
+        self.control_zones = control_zones
         self.clock = clock.SystemClock()
         self.folder = tempfile.TemporaryDirectory()
         ports = free_ports(2 * CONTROL_COUNT + 4)
@@ -138,27 +144,35 @@
         self.controls = [
             self.make_control(number, peers) for number in range(CONTROL_COUNT)
         ]
-        self.gateway = gateway.Gateway(
+        self.peers = peers
+        self.gateway = self.make_gateway(
+            "front-1", self.entry_address, self.ready, self.entry_metrics_address
+        )
+        self.clients_by_address = {}
+        self.leafs = []
+        self.requests = 0
+
+    def make_gateway(self, host_id, listen, ready, metrics, *, zone="midt-a"):
+        return gateway.Gateway(
             settings=gateway.GatewaySettings(
-                host_id="front-1",
-                zone="midt-a",
-                listen=self.entry_address,
-                ready_listen=self.ready,
+                host_id=host_id,
+                zone=zone,
+                listen=listen,
+                ready_listen=ready,
                 ready_path=names.READY_PATH,
-                control_addresses=tuple(peers),
+                control_addresses=tuple(self.peers),
                 grace=datetime.timedelta(seconds=6),
                 # Allows retries although the host has just started.
-                router=router.Options(zone="midt-a", retry_burst=1000.0),
-                metrics_listen=self.entry_metrics_address,
+                router=router.Options(
+                    zone=zone, retry_burst=1000.0, usage_caps=self.usage_caps
+                ),
+                metrics_listen=metrics,
             ),
             names=names.HEADERS,
             parse_document=documents.parse,
             clock=self.clock,
             rng=random.Random(1),
         )
-        self.clients_by_address = {}
-        self.leafs = []
-        self.requests = 0
 
     def make_control(self, number, peers):
         return registry_daemon.RegistryDaemon(
@@ -175,9 +189,10 @@
                 raft_timing=timing.Timing(election_min=1.5, election_max=3.0),
             ),
             listen=self.operator_addresses[number],
-            zone="midt-a",
+            zone=self.control_zones[number],
             announce_period=ANNOUNCE_PERIOD_S * 20,
             metrics_listen=None if number else self.control_metrics_address,
+            usage_window=None if self.usage_caps is None else self.usage_caps.window,
             make_handler=lambda orders, registrar: (
                 control_api.ControlApi(orders=orders, registrar=registrar).handle
             ),
@@ -237,7 +252,7 @@
 
         await self.wait_until(attempt)
 
-    async def sweep(self, extra_headers=None):
+    async def sweep(self, extra_headers=None, *, address=None):
         self.requests += 1
         headers = {
             "Host": HOST,
@@ -245,7 +260,8 @@
             names.HEADERS.time_left: "2000",
             **(extra_headers or {}),
         }
-        return await self.call(self.entry_address, "GET", SWEEP_PATH, b"", headers)
+        address = address or self.entry_address
+        return await self.call(address, "GET", SWEEP_PATH, b"", headers)
 
     async def sweep_until(self, condition, extra_headers=None):
         """Send sweeps until a reply meets the condition; return that reply."""
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -101,6 +101,7 @@
         uptime=UPTIME_S,
         used=mechanisms.Mechanisms(),  # noqa: B008
         host_id="",
+        usage_caps=None,
     ):
         self.clock = clock.ManualClock()
         options = router.Options(
@@ -108,6 +109,7 @@
             host_id=host_id,
             retry_ratio=ratio,
             retry_burst=burst,
+            usage_caps=usage_caps,
             enabled_mechanisms=used,
         )
         self.router = router.Router(
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -13,6 +13,7 @@
     mechanisms,
     request,
     retry_delays,
+    usage_limit,
     weights,
 )
 from greengagehaven.state import routes, teams
@@ -31,6 +32,7 @@
     :param used: mechanisms that are enabled.
     :param clock: monotonic time.
     :param rng: chooses among the weighted services of a route.
+    :param usage_limit: limits of teams over all hosts, ``None`` without caps.
     """
 
     def __init__(
@@ -42,7 +44,9 @@
         used: mechanisms.Mechanisms,
         clock: clocks.Clock,
         rng: rngs.Rng,
+        usage_limit: usage_limit.UsageLimit | None = None,
     ) -> None:
+        self._usage_limit = usage_limit
         self.table: routes.RoutingTable | None = None
         self._caller_times = caller_times
         self._crashes = crashes
@@ -57,6 +61,8 @@
         names = frozenset(route.name for route in table.routes)
         self._caller_times.retain(names)
         self._weights.retain(names)
+        if self._usage_limit is not None:
+            self._usage_limit.set_teams(table.teams)
 
     def admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
         """Return the routed request for an arrived one.
@@ -75,6 +81,9 @@
         self._crashes.check(
             arrived.fingerprint, retry_after=self._retry_delays.after_failure()
         )
+        # Last, so that a request refused for another reason does not count.
+        if team is not None and self._usage_limit is not None:
+            self._usage_limit.check(team)
         now = self._clock.monotonic()
         waited = self._caller_times.observe(route, arrived.time_left)
         time_left = route.timeout
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -3,7 +3,7 @@
 import math
 from collections import abc
 
-from greengagehaven import log
+from greengagehaven import exceptions, log
 from greengagehaven.coordination.routing import events, request, upstreams
 
 
@@ -35,14 +35,17 @@
     )
 
 
-def log_refusal(arrived: events.RequestArrived, code: str, *, table: int) -> None:
-    """Log that a request was refused."""
+def log_refusal(
+    arrived: events.RequestArrived, error: exceptions.RequestError, *, table: int
+) -> None:
+    """Log that a request was refused, and what that was based on."""
     log.info(
         "refused",
         request=arrived.request_id,
-        code=code,
+        code=error.code,
         host=arrived.host,
         table=table,
+        **error.log_fields,
     )
 
 
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -42,8 +42,10 @@
     request_log,
     retry_delays,
     sending,
+    usage_limit,
     versions,
 )
+from greengagehaven.coordination.shared_budgets import demand_shares
 from greengagehaven.protocol import rollouts
 from greengagehaven.state import routes
 
@@ -75,6 +77,7 @@
         hosts.
     :param exposure_bound: limit, over all hosts, of the requests to a software version
         of a service that is not proved.
+    :param usage_caps: how teams' usage is counted over all hosts, ``None`` for no caps.
     :param enabled_mechanisms: mechanisms that are enabled; all of them except in
         trials.
     """
@@ -86,6 +89,7 @@
     retry_window: float = 10.0
     cold_bound: fleet.ColdRateLimit = fleet.ColdRateLimit()
     exposure_bound: versions.ExposureLimit = versions.ExposureLimit()
+    usage_caps: demand_shares.CapSettings | None = None
     enabled_mechanisms: mechanisms.Mechanisms = mechanisms.Mechanisms()
 
 
@@ -135,6 +139,11 @@
         self._requests_by_number: dict[int, request.RoutedRequest] = {}
         self._timers: list[tuple[float, int]] = []
         self._retry_delays = retry_delays.RetryDelays(rng=rng)
+        self.usage_limit = (
+            None
+            if options.usage_caps is None
+            else usage_limit.UsageLimit(caps=options.usage_caps, clock=clock, rng=rng)
+        )
         self._admission = admission.RequestAdmission(
             caller_times=self._caller_times,
             crashes=self._crashes,
@@ -142,6 +151,7 @@
             used=used,
             clock=clock,
             rng=rng,
+            usage_limit=self.usage_limit,
         )
         self._reachability = reachability.Reachability(
             fleet=self.fleet,
@@ -289,6 +299,8 @@
         self._host_count = max(1, counted.count)
         self.fleet.set_hosts(counted.count)
         self._budget.set_hosts(counted.count)
+        if self.usage_limit is not None:
+            self.usage_limit.shares.set_host_count(counted.count)
 
     def _on_rollouts(
         self, changed: events.RolloutsChanged, actions: list[events.Action]
@@ -326,7 +338,7 @@
         try:
             routed = self._admission.admit(arrived)
         except exceptions.RequestError as error:
-            request_log.log_refusal(arrived, error.code, table=self._table_number)
+            request_log.log_refusal(arrived, error, table=self._table_number)
             actions.append(events.Refuse(number=arrived.number, error=error))
             return
         self._requests_by_number[routed.number] = routed
--- /dev/null
+++ b/src/greengagehaven/coordination/routing/usage_limit.py
@@ -0,0 +1,103 @@
+"""Applies the usage caps of teams to arrived requests, and logs who is near a limit."""
+
+import collections
+import math
+from collections import abc
+
+from greengagehaven import clock as clocks
+from greengagehaven import exceptions, log
+from greengagehaven import rng as rngs
+from greengagehaven.coordination.shared_budgets import demand_shares
+from greengagehaven.state import teams
+
+SUMMARY_PERIOD_S = 1.0
+"""Seconds between two summaries of a team that is near its limit."""
+
+NEAR_LIMIT_SHARE = 0.8
+"""Share of its limit from which operators should know of a team."""
+
+
+class UsageLimit:
+    """Refuses requests of teams that exceed their limit over all hosts.
+
+    :param caps: window and tolerance.
+    :param clock: monotonic time.
+    :param rng: rounds this host's shares.
+
+    ``on_request`` is called with the id of a limited team that sent a request.
+    """
+
+    def __init__(
+        self, *, caps: demand_shares.CapSettings, clock: clocks.Clock, rng: rngs.Rng
+    ) -> None:
+        self.on_request: abc.Callable[[str], None] = lambda team_id: None
+        self.shares = demand_shares.DemandShares(caps=caps, rng=rng)
+        self.refused_by_team: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._summarized_at_by_team: dict[str, float] = {}
+
+    def set_teams(self, directory: teams.TeamDirectory) -> None:
+        """Forget the usage of teams that are not in the document any more."""
+        known = directory.teams_by_id
+        self.shares.retain(known)
+        for team_id in self._summarized_at_by_team.keys() - known.keys():
+            del self._summarized_at_by_team[team_id]
+        for team_id in self.refused_by_team.keys() - known.keys():
+            del self.refused_by_team[team_id]
+
+    def check(self, team: teams.Team) -> None:
+        """Count a request of a team.
+
+        :raises UsageCapExceededError: the team is above its limit.
+        """
+        if team.rate <= 0:
+            return
+        now = self._clock.monotonic()
+        retry_after = self.shares.try_admit(team, now)
+        decision = self.shares.last_decision
+        assert decision is not None
+        self.on_request(team.id)
+        if retry_after is not None:
+            self.refused_by_team[team.id] += 1
+        total = decision.own_offered + decision.others
+        if total >= NEAR_LIMIT_SHARE * decision.limit:
+            self._summarize(team, decision, now)
+        if retry_after is not None:
+            raise exceptions.UsageCapExceededError(
+                f"team {team.id} is above its limit",
+                retry_after=retry_after,
+                log_fields={
+                    "team": team.id,
+                    **_fields(decision),
+                    "retry_after_ms": round(retry_after * 1000),
+                },
+            )
+
+    def _summarize(
+        self, team: teams.Team, decision: demand_shares.Decision, now: float
+    ) -> None:
+        """Log a team that is near its limit, at most once in each period."""
+        logged_at = self._summarized_at_by_team.get(team.id, float("-inf"))
+        if now - logged_at < SUMMARY_PERIOD_S:
+            return
+        self._summarized_at_by_team[team.id] = now
+        log.info(
+            "usage_near_limit",
+            team=team.id,
+            **_fields(decision),
+            refused=self.refused_by_team[team.id],
+        )
+
+
+def _fields(decision: demand_shares.Decision) -> dict[str, float | None]:
+    return {
+        "limit": round(decision.limit, 1),
+        "own_offered": decision.own_offered,
+        "own_admitted": decision.own_admitted,
+        "others_offered": round(decision.others, 1),
+        "others_admitted": round(decision.others_admitted, 1),
+        "share": round(decision.share, 1),
+        "totals_age_ms": (
+            round(decision.age * 1000) if math.isfinite(decision.age) else None
+        ),
+    }
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -86,12 +86,13 @@
         admitting their shares, so that their demand stays counted.
         """
         silent_since = now - self._window
-        silent = {
-            host_id
-            for host_id, runs in self._runs_by_host.items()
-            if _newest(runs).received_at < silent_since
-        }
-        is_partition = len(silent) >= max(2, PARTITION_SHARE * self.host_count)
+        # Counted before any of them is given up: hosts that were cut off together fall
+        # silent one by one, as their last reports arrived.
+        quiet_count = sum(
+            _newest(runs).received_at < now - QUIET_S
+            for runs in self._runs_by_host.values()
+        )
+        is_partition = quiet_count >= max(2, PARTITION_SHARE * self.host_count)
         kept_since = now - PARTITION_RETENTION_S
         for host_id, runs in list(self._runs_by_host.items()):
             self._fade_earlier_runs(runs, now)
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -161,6 +161,33 @@
         return []
 
 
+class UsageCollector:
+    """Metric family of requests above their team's limit, only of teams with any.
+
+    :param refused_by_team: refused requests by the team's id.
+    """
+
+    def __init__(self, *, refused_by_team: abc.Mapping[str, int]) -> None:
+        self._refused_by_team = refused_by_team
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield the metric family; imports the Prometheus library on first use."""
+        from prometheus_client import core
+
+        family = core.CounterMetricFamily(
+            f"{METRIC_PREFIX}_usage_cap_refused",
+            "Requests refused because their team exceeds its limit over all hosts",
+            labels=("team",),
+        )
+        for team_id, count in self._refused_by_team.items():
+            family.add_metric((team_id,), count)
+        yield family
+
+    def describe(self) -> list[typing.Any]:
+        """Return an empty list, so that registering does not call ``collect``."""
+        return []
+
+
 class MetricsServer:
     """Serves the metrics of one process.
 
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -21,6 +21,7 @@
     exposition,
     lender,
     rollout_reports,
+    usage_reports,
     watcher,
 )
 from greengagehaven.protocol import delegation_messages, watching
@@ -120,6 +121,7 @@
             on_acknowledged=self._on_reports_acknowledged,
             clock=clock,
         )
+        self._usage_reporter = self._make_usage_reporter()
         self._delegation_server = delegation_server.DelegationServer(
             channel=self._channel, clock=clock
         )
@@ -162,6 +164,11 @@
         """Return the number of requests in flight."""
         return self._router.in_flight
 
+    @property
+    def followed(self) -> frozenset[str]:
+        """Return the peer addresses of the control hosts that this host follows."""
+        return self._watcher.followed
+
     async def start(self) -> None:
         """Start listening and watching control hosts.
 
@@ -202,6 +209,8 @@
     async def close(self) -> None:
         """Stop and close the sockets."""
         await self._rollout_reporter.close()
+        if self._usage_reporter is not None:
+            await self._usage_reporter.close()
         await self._watcher.close()
         await self._server.close()
         await self._ready_server.close()
@@ -236,6 +245,9 @@
             number = table.number
             self._server.limits = _server_limits(table.caller_limits)
             self._submit(events.RoutingTableChanged(table=table))
+            if self._usage_reporter is not None:
+                has_limit = any(t.rate for t in table.teams.teams_by_id.values())
+                self._usage_reporter.set_enabled(has_limit)
         self._revision = state.revision
         log.info(
             "configuration_in_force",
@@ -282,6 +294,20 @@
         """Submit that a call to another host has ended."""
         self._submit(ended)
 
+    def _make_usage_reporter(self) -> usage_reports.UsageReporter | None:
+        limit = self._router.usage_limit
+        if limit is None:
+            return None
+        reporter = usage_reports.UsageReporter(
+            host_id=self._settings.host_id,
+            channel=self._client,
+            addresses=lambda: self._watcher.followed,
+            shares=limit.shares,
+            clock=self._clock,
+        )
+        limit.on_request = reporter.on_request
+        return reporter
+
     def _make_registry(self) -> typing.Any:
         gauges: dict[str, tuple[str, abc.Callable[[], float]]] = {
             "routed_in_flight": (
@@ -313,6 +339,11 @@
             exposition.GatewayCollector(counted=self._router.counts, gauges=gauges),
             exposition.TrafficCollector(traffic=self._client.call_counts),
             exposition.SettingsCollector(is_refused=lambda: self.has_refused_settings),
+            *(
+                exposition.UsageCollector(refused_by_team=limit.refused_by_team)
+                for limit in (self._router.usage_limit,)
+                if limit is not None
+            ),
         )
 
     async def _handle_ready(self, request: http.Request) -> http.Response:
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -18,6 +18,7 @@
     rollout_reports,
     roster_feed,
     roster_file,
+    usage_reports,
     watcher,
 )
 from greengagehaven.protocol import watching
@@ -41,6 +42,8 @@
     :param zone: availability zone of this host.
     :param announce_period: seconds between two announcements of an upstream.
     :param metrics_listen: ``IP:PORT`` for metrics, ``None`` to serve none.
+    :param usage_window: seconds of the window in which teams' usage is counted,
+        ``None`` without usage caps.
     :param make_handler: returns the HTTP handler for requests to ``listen``.
     :param clock: source of time.
     :param rng: source of randomness for election timeouts.
@@ -54,6 +57,7 @@
         zone: str,
         announce_period: float,
         metrics_listen: str | None = None,
+        usage_window: float | None = None,
         make_handler: MakeHandler,
         clock: clocks.Clock,
         rng: rngs.Rng,
@@ -92,6 +96,16 @@
             clock=clock,
             rng=rng,
         )
+        self._usage_collector = (
+            None
+            if usage_window is None
+            else usage_reports.UsageCollector(
+                window=usage_window,
+                channel=self._client,
+                addresses=self._other_control_addresses,
+                clock=clock,
+            )
+        )
         self._handlers_by_method: dict[str, typing.Any] = {}
         self._peer_server: http_peers.HttpPeerServer | None = None
         self._http_server: http_server.HttpServer | None = None
@@ -107,6 +121,11 @@
             0 if self._http_server is None else self._http_server.busy_connection_count
         )
 
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this control host leads the others."""
+        return self._host is not None and self._host.is_leader
+
     async def start(self) -> None:
         """Bind the sockets and start the control host.
 
@@ -146,6 +165,8 @@
         if self._http_server is not None:
             await self._http_server.close()
         await self._metrics.close()
+        if self._usage_collector is not None:
+            await self._usage_collector.close()
         await self._close_host()
         if self._peer_server is not None:
             await self._peer_server.stop(STOP_GRACE)
@@ -201,13 +222,20 @@
         self._handler: http.Handler | None = None
         self._peer_server = http_peers.HttpPeerServer(
             handlers_by_method={
-                method: self._deferred_handler(method) for method in methods
+                **{method: self._deferred_handler(method) for method in methods},
+                **self._usage_handlers(),
             },
             clock=self._clock,
         )
         bind = settings.parse_address("peer address", self._settings.peer_address)
         await self._peer_server.start(*bind)
 
+    def _usage_handlers(self) -> dict[str, typing.Any]:
+        """Return the handlers of usage reports, which do not depend on the log."""
+        if self._usage_collector is None:
+            return {}
+        return self._usage_collector.handlers_by_method
+
     def _deferred_handler(self, method: str) -> typing.Any:
         async def handle(body: bytes) -> bytes:
             handler = self._handlers_by_method.get(method)
@@ -290,6 +318,11 @@
             return ()
         return tuple(member.address for member in raft.log.membership.members)
 
+    def _other_control_addresses(self) -> tuple[str, ...]:
+        addresses = self._member_addresses() or self._settings.peer_addresses
+        own = self._settings.peer_address
+        return tuple(address for address in addresses if address != own)
+
     def _min_other_control_hosts(self) -> int:
         """Return how many other control hosts form a quorum together with this one."""
         raft = None if self._host is None else self._host.raft
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import types
 import typing
 
 
@@ -99,6 +100,7 @@
 
     code = "request_failed"
     status = 500
+    log_fields: typing.Mapping[str, typing.Any] = types.MappingProxyType({})
 
     def __init__(
         self,
@@ -230,6 +232,26 @@
     status = 429
 
 
+class UsageCapExceededError(RequestError):
+    """The team or subscriber exceeds its limit of requests over all hosts.
+
+    :param log_fields: what the decision was based on.
+    """
+
+    code = "usage_cap_exceeded"
+    status = 429
+
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        retry_after: float,
+        log_fields: typing.Mapping[str, typing.Any],
+    ) -> None:
+        super().__init__(detail, retry_after=retry_after)
+        self.log_fields = log_fields
+
+
 class DrainingError(RequestError):
     """The host is draining; the request can be sent to another host."""
 
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -11,6 +11,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven import settings as common_settings
 from greengagehaven.coordination.routing import fleet, mechanisms, router, versions
+from greengagehaven.coordination.shared_budgets import demand_shares
 from greengagehaven.daemons import gateway, lifecycle, reloading
 from greengagehaven.platform import documents, names, settings
 from greengagehaven.transport import log_output
@@ -90,6 +91,7 @@
         exposure_bound=versions.ExposureLimit(
             share=node.canary_share, slack=node.canary_slack
         ),
+        usage_caps=_usage_caps(node),
         enabled_mechanisms=enabled_mechanisms,
     )
     return gateway.Gateway(
@@ -112,6 +114,14 @@
     )
 
 
+def _usage_caps(node: settings.NodeSettings) -> demand_shares.CapSettings | None:
+    if node.quota_window is None:
+        return None
+    return demand_shares.CapSettings(
+        window=node.quota_window, overage=node.quota_overage, slack=node.quota_slack
+    )
+
+
 def _make_control(node: settings.NodeSettings):
     # Imported here since an entry host never uses these modules and would only
     # spend memory on them.
@@ -138,6 +148,7 @@
         listen=node.listen_address("control"),
         zone=node.zone,
         announce_period=node.heartbeat_ms / 1000,
+        usage_window=node.quota_window,
         metrics_listen=common_settings.format_address(node.ip, METRICS_PORT),
         make_handler=lambda orders, registrar: (
             control_api.ControlApi(orders=orders, registrar=registrar).handle
--- a/src/greengagehaven/platform/settings.py
+++ b/src/greengagehaven/platform/settings.py
@@ -11,6 +11,8 @@
 PATH_VARIABLE = "GREENGAGEHAVEN_CONFIG"
 DEFAULT_PATH = "/etc/greengagehaven/local.conf"
 _DEFAULT_EXPOSURE_LIMIT = versions.ExposureLimit()
+DEFAULT_QUOTA_OVERAGE = 0.1
+DEFAULT_QUOTA_SLACK = 20.0
 _FLAGS_BY_TEXT = {"true": True, "false": False}
 
 
@@ -23,6 +25,10 @@
     :param seeds: addresses of control hosts for upstreams, ``IP:PORT``.
     :param listen_addresses_by_name: ``IP:PORT`` to listen on, by name of the listener.
     :param retry_window: seconds over which the retry budget is counted.
+    :param quota_window: seconds of the window in which teams' requests are counted,
+        ``None`` without usage caps.
+    :param quota_overage: share of a team's limit that is tolerated above it.
+    :param quota_slack: requests that are tolerated in addition.
     :param grace_s: maximum seconds of a graceful shutdown.
     """
 
@@ -43,6 +49,9 @@
     cold_slack: float
     canary_share: float
     canary_slack: float
+    quota_window: float | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
     @property
     def peer_address(self) -> str:
@@ -124,6 +133,9 @@
         canary_slack=fields.number_or(
             "bounds.canarySlack", _DEFAULT_EXPOSURE_LIMIT.slack
         ),
+        quota_window=fields.positive_or_none("bounds.quotaWindowS"),
+        quota_overage=fields.number_or("bounds.quotaOverage", DEFAULT_QUOTA_OVERAGE),
+        quota_slack=fields.number_or("bounds.quotaSlack", DEFAULT_QUOTA_SLACK),
     )
 
 
@@ -178,6 +190,20 @@
         """Return an optional number; some installations do not have the field."""
         return self.number(name) if self.get(name) else default
 
+    def positive_or_none(self, name: str) -> float | None:
+        """Return an optional number above 0, ``None`` if it is missing.
+
+        :raises SettingError: it is 0, negative or not a finite number.
+        """
+        if not self.get(name):
+            return None
+        number = self.number(name)
+        if not number:
+            raise exceptions.SettingError(
+                place=name, value=self.get(name), expected="a number above 0"
+            )
+        return number
+
     def flag(self, name: str) -> bool:
         """Return a required boolean, ``true`` or ``false``."""
         value = self.text(name)
