Measure and document usage caps

measure usage-caps floods 9 entry hosts with seven times a team's usual rate, with real daemons on loopback in one process.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -14,6 +14,7 @@
       | arrives before the host has a route table          | refused | starting     |
       | matches no route                                   | refused | no_route     |
       | crashed upstreams before                           | refused | convicted    |
+      | is above its team's limit over all hosts           | refused | above_limit  |
       | misses an unreachable shard                        | partial | out_of_reach |
       | misses a shard that was hedged and slow            | partial | slow         |
       | misses a shard that was slow and not hedged        | partial | slow_alone   |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -32,6 +32,7 @@
     "arrives before the host has a route table": [refused("not_configured")],
     "matches no route": [refused("not_found")],
     "crashed upstreams before": [refused("quarantined")],
+    "is above its team's limit over all hosts": [refused("usage_cap_exceeded")],
     "misses an unreachable shard": [
         UPSTREAM_OUT_OF_REACH,
         PLANNED,
--- a/src/greengagehaven/commands/measure.py
+++ b/src/greengagehaven/commands/measure.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
+import typing
 
 import click
 
 from greengagehaven import log
-from greengagehaven.daemons.measure import config_restart, runner, scenarios
+from greengagehaven.daemons.measure import config_restart, runner, scenarios, usage_caps
 
 _FIELDS = (
     "queries",
@@ -26,7 +27,7 @@
     "violations",
 )
 
-_SCENARIO_NAMES = (*scenarios.SCENARIOS, config_restart.NAME)
+_SCENARIO_NAMES = (*scenarios.SCENARIOS, config_restart.NAME, usage_caps.NAME)
 
 
 @click.command()
@@ -44,7 +45,7 @@
     type=click.IntRange(0, 50),
     default=9,
     show_default=True,
-    help="Number of entry hosts, for config-restart only.",
+    help="Number of entry hosts, for config-restart and usage-caps only.",
 )
 @click.option(
     "--changes",
@@ -76,7 +77,12 @@
     log.configure(level=log_level)
     if scenario == config_restart.NAME:
         load = config_restart.Load(hosts=hosts, changes=changes, pace=pace)
-        _run_config_restart(seed, load, as_json)
+        measured = asyncio.run(config_restart.measure(seed=seed, load=load))
+        _print_parts(measured, config_restart.ABOUT, as_json)
+        return
+    if scenario == usage_caps.NAME:
+        measured = asyncio.run(usage_caps.measure(seed=seed, hosts=hosts))
+        _print_parts(measured, usage_caps.ABOUT, as_json)
         return
     compared = asyncio.run(runner.compare(scenario, seed=seed, seconds=seconds))
     if as_json:
@@ -88,12 +94,12 @@
         click.echo(f"{field:>15} {baseline!s:>10} {measured!s:>10}")
 
 
-def _run_config_restart(seed: int, load: config_restart.Load, as_json: bool) -> None:
-    measured = asyncio.run(config_restart.measure(seed=seed, load=load))
+def _print_parts(measured: dict[str, typing.Any], about: str, as_json: bool) -> None:
+    """Print every figure of a measurement that has fields of its own."""
     if as_json:
         click.echo(json.dumps(measured))
         return
-    click.echo(f"{config_restart.NAME}: {config_restart.ABOUT}")
+    click.echo(f"{measured['scenario']}: {about}")
     for part in ("baseline", "run"):
         for field, value in measured[part].items():
             click.echo(f"{part:>8} {field:>22} {value!s:>10}")
--- a/src/greengagehaven/explain/causes.py
+++ b/src/greengagehaven/explain/causes.py
@@ -26,6 +26,7 @@
 
     ``STARTING``: the host had no routing table yet. ``NO_ROUTE``: no route
     matched. ``CONVICTED``: the request is quarantined since it crashes upstreams.
+    ``ABOVE_LIMIT``: its team exceeds its limit over all hosts.
     ``OUT_OF_REACH``: no upstream of a shard was reachable. ``LOST``: a response
     was lost. ``GARBLED``: a response was invalid. ``REJECTED``: an upstream
     refused a sub-request without running it. ``FAILED``: an upstream returned an
@@ -39,6 +40,7 @@
     STARTING = "starting"
     NO_ROUTE = "no_route"
     CONVICTED = "convicted"
+    ABOVE_LIMIT = "above_limit"
     OUT_OF_REACH = "out_of_reach"
     LOST = "lost"
     GARBLED = "garbled"
@@ -56,6 +58,7 @@
     "not_found": Cause.NO_ROUTE,
     "suspended": Cause.CONVICTED,
     "quarantined": Cause.CONVICTED,
+    "usage_cap_exceeded": Cause.ABOVE_LIMIT,
 }
 
 _FATES_BY_OUTCOME = {
