--- a/features/explain.feature
+++ b/features/explain.feature
@@ -18,6 +18,7 @@
       | loses the key lease before its attempts are sent   | refused | no_key_lease |
       | misses a shard that the key lease kept from a hedge | partial | no_key_lease |
       | crashed upstreams before                           | refused | convicted    |
+      | is above its team's limit over all hosts           | refused | above_limit  |
       | misses an unreachable shard                        | partial | out_of_reach |
       | misses a shard that was hedged and slow            | partial | slow         |
       | misses a shard that was slow and not hedged        | partial | slow_alone   |
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -103,6 +103,7 @@
         used=mechanisms.Mechanisms(),  # noqa: B008
         host_id="",
         revoke_within=None,
+        usage_caps=None,
     ):
         self.clock = clock.ManualClock()
         options = router.Options(
@@ -110,6 +111,7 @@
             host_id=host_id,
             retry_ratio=ratio,
             retry_burst=burst,
+            usage_caps=usage_caps,
             enabled_mechanisms=used,
             revoke_within=revoke_within,
         )
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -48,6 +48,7 @@
         ended("partial", missing="s3:waiting", parts=3),
     ],
     "crashed upstreams before": [refused("quarantined")],
+    "is above its team's limit over all hosts": [refused("usage_cap_exceeded")],
     "misses an unreachable shard": [
         UPSTREAM_OUT_OF_REACH,
         PLANNED,
--- a/src/greengagehaven/commands/measure.py
+++ b/src/greengagehaven/commands/measure.py
@@ -12,6 +12,7 @@
     revoked_key,
     runner,
     scenarios,
+    usage_caps,
 )
 from greengagehaven.platform import names
 
@@ -33,7 +34,12 @@
     "violations",
 )
 
-_SCENARIO_NAMES = (*scenarios.SCENARIOS, config_restart.NAME, revoked_key.NAME)
+_SCENARIO_NAMES = (
+    *scenarios.SCENARIOS,
+    config_restart.NAME,
+    revoked_key.NAME,
+    usage_caps.NAME,
+)
 
 
 @click.command()
@@ -51,7 +57,7 @@
     type=click.IntRange(0, 50),
     default=9,
     show_default=True,
-    help="Number of entry hosts, for config-restart and revoked-key only.",
+    help="Number of entry hosts, for config-restart, revoked-key and usage-caps only.",
 )
 @click.option(
     "--changes",
@@ -83,7 +89,12 @@
     log.configure(level=log_level)
     if scenario == config_restart.NAME:
         load = config_restart.Load(hosts=hosts, changes=changes, pace=pace)
-        _run_config_restart(seed, load, as_json)
+        measured = asyncio.run(config_restart.measure(seed=seed, load=load))
+        _print_parts(measured, config_restart.ABOUT, as_json)
+        return
+    if scenario == usage_caps.NAME:
+        measured = asyncio.run(usage_caps.measure(seed=seed, hosts=hosts))
+        _print_parts(measured, usage_caps.ABOUT, as_json)
         return
     if scenario == revoked_key.NAME:
         _run_revoked_key(hosts, seconds, as_json)
@@ -98,11 +109,6 @@
         click.echo(f"{field:>15} {baseline!s:>10} {measured!s:>10}")
 
 
-def _run_config_restart(seed: int, load: config_restart.Load, as_json: bool) -> None:
-    measured = asyncio.run(config_restart.measure(seed=seed, load=load))
-    _print_parts(measured, config_restart.ABOUT, as_json)
-
-
 def _run_revoked_key(hosts: int, seconds: float, as_json: bool) -> None:
     platform = revoked_key.Platform(
         names=names.HEADERS,
@@ -116,6 +122,7 @@
 
 
 def _print_parts(measured: dict[str, typing.Any], about: str, as_json: bool) -> None:
+    """Print every figure of a measurement that has fields of its own."""
     if as_json:
         click.echo(json.dumps(measured))
         return
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -41,7 +41,7 @@
 def log_refusal(
     arrived: events.RequestArrived, error: exceptions.RequestError, *, table: int
 ) -> None:
-    """Log that a request was refused."""
+    """Log that a request was refused, and what that was based on."""
     log.info(
         "refused",
         request=arrived.request_id,
@@ -49,6 +49,7 @@
         host=arrived.host,
         table=table,
         detail=error.detail,
+        **error.log_fields,
     )
 
 
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -46,8 +46,10 @@
     retry_delays,
     sending,
     stranded,
+    usage_limit,
     versions,
 )
+from greengagehaven.coordination.shared_budgets import demand_shares
 from greengagehaven.protocol import rollouts
 from greengagehaven.state import routes
 
@@ -82,6 +84,7 @@
         hosts.
     :param exposure_bound: limit, over all hosts, of the requests to a software version
         of a service that is not proved.
+    :param usage_caps: how teams' usage is counted over all hosts, ``None`` for no caps.
     :param enabled_mechanisms: mechanisms that are enabled; all of them except in
         trials.
     :param revoke_within: seconds after the revocation of a key from which no host may
@@ -95,6 +98,7 @@
     retry_window: float = 10.0
     cold_bound: fleet.ColdRateLimit = fleet.ColdRateLimit()
     exposure_bound: versions.ExposureLimit = versions.ExposureLimit()
+    usage_caps: demand_shares.CapSettings | None = None
     enabled_mechanisms: mechanisms.Mechanisms = mechanisms.Mechanisms()
     revoke_within: float | None = None
 
@@ -153,6 +157,11 @@
                 self._timers, (moment, KEY_LEASE_TIMER)
             ),
         )
+        self.usage_limit = (
+            None
+            if options.usage_caps is None
+            else usage_limit.UsageLimit(caps=options.usage_caps, clock=clock, rng=rng)
+        )
         self._admission = admission.RequestAdmission(
             key_guard=self.key_guard,
             caller_times=self._caller_times,
@@ -161,6 +170,7 @@
             used=used,
             clock=clock,
             rng=rng,
+            usage_limit=self.usage_limit,
         )
         self._reachability = reachability.Reachability(
             fleet=self.fleet,
@@ -336,6 +346,8 @@
         self._host_count = max(1, counted.count)
         self.fleet.set_hosts(counted.count)
         self._budget.set_hosts(counted.count)
+        if self.usage_limit is not None:
+            self.usage_limit.shares.set_host_count(counted.count)
 
     def _on_rollouts(
         self, changed: events.RolloutsChanged, actions: list[events.Action]
--- a/src/greengagehaven/explain/causes.py
+++ b/src/greengagehaven/explain/causes.py
@@ -28,6 +28,7 @@
     matched. ``UNAUTHORIZED``: the request had no key, or one that its host did not
     know. ``NO_KEY_LEASE``: the host could not show that the keys it knew were still
     accepted. ``CONVICTED``: the request is quarantined since it crashes upstreams.
+    ``ABOVE_LIMIT``: its team exceeds its limit over all hosts.
     ``OUT_OF_REACH``: no upstream of a shard was reachable. ``LOST``: a response
     was lost. ``GARBLED``: a response was invalid. ``REJECTED``: an upstream
     refused a sub-request without running it. ``FAILED``: an upstream returned an
@@ -43,6 +44,7 @@
     UNAUTHORIZED = "unauthorized"
     NO_KEY_LEASE = "no_key_lease"
     CONVICTED = "convicted"
+    ABOVE_LIMIT = "above_limit"
     OUT_OF_REACH = "out_of_reach"
     LOST = "lost"
     GARBLED = "garbled"
@@ -62,6 +64,7 @@
     "key_lease_expired": Cause.NO_KEY_LEASE,
     "suspended": Cause.CONVICTED,
     "quarantined": Cause.CONVICTED,
+    "usage_cap_exceeded": Cause.ABOVE_LIMIT,
 }
 
 _FATES_BY_OUTCOME = {
--- a/src/greengagehaven/platform/settings.py
+++ b/src/greengagehaven/platform/settings.py
@@ -12,6 +12,8 @@
 DEFAULT_PATH = "/etc/greengagehaven/local.conf"
 _DEFAULT_EXPOSURE_LIMIT = versions.ExposureLimit()
 DEFAULT_REVOKE_MS = 5000
+DEFAULT_QUOTA_OVERAGE = 0.1
+DEFAULT_QUOTA_SLACK = 20.0
 _FLAGS_BY_TEXT = {"true": True, "false": False}
 
 
@@ -24,6 +26,10 @@
     :param seeds: addresses of control hosts for upstreams, ``IP:PORT``.
     :param listen_addresses_by_name: ``IP:PORT`` to listen on, by name of the listener.
     :param retry_window: seconds over which the retry budget is counted.
+    :param quota_window: seconds of the window in which teams' requests are counted,
+        ``None`` without usage caps.
+    :param quota_overage: share of a team's limit that is tolerated above it.
+    :param quota_slack: requests that are tolerated in addition.
     :param grace_s: maximum seconds of a graceful shutdown.
     :param strict_revoke: whether a revoked key is refused by every host, in contact
         or not, ``revoke_s`` after its revocation.
@@ -48,6 +54,9 @@
     canary_slack: float
     strict_revoke: bool = False
     revoke_s: float = DEFAULT_REVOKE_MS / 1000
+    quota_window: float | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
     @property
     def peer_address(self) -> str:
@@ -131,6 +140,9 @@
         ),
         strict_revoke=fields.flag_or("bounds.strictRevoke", False),
         revoke_s=fields.positive_or("bounds.revokeMs", DEFAULT_REVOKE_MS) / 1000,
+        quota_window=fields.positive_or_none("bounds.quotaWindowS"),
+        quota_overage=fields.number_or("bounds.quotaOverage", DEFAULT_QUOTA_OVERAGE),
+        quota_slack=fields.number_or("bounds.quotaSlack", DEFAULT_QUOTA_SLACK),
     )
 
 
@@ -190,8 +202,18 @@
 
         :raises SettingError: it is present and not a finite number above 0.
         """
-        number = self.number_or(name, default)
-        if number <= 0:
+        number = self.positive_or_none(name)
+        return default if number is None else number
+
+    def positive_or_none(self, name: str) -> float | None:
+        """Return an optional number above 0, ``None`` if it is missing.
+
+        :raises SettingError: it is 0, negative or not a finite number.
+        """
+        if not self.get(name):
+            return None
+        number = self.number(name)
+        if not number:
             raise exceptions.SettingError(
                 place=name, value=self.get(name), expected="a number above 0"
             )
