Judge random cases of usage caps by the stated tolerance

The bounds of the random cases were the worst figures of 2,000 cases that had been run, so a fault of that size could not fail them. They are 0 now in both directions, for all faults.

--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -17,31 +17,9 @@
 
 START = 100.0
 SEED = 7
-SLOW_FAULTS = ("losses", "delays")
 LARGEST_SEED = 10**6
 CAPS = usage_cap_simulation.CAPS
 
-LARGEST_EXCESS_BY_FAULT = {
-    "none": 1.0,
-    "zone_cut_off": 34.0,
-    "host_restart": 8.5,
-    "control_restart": 42.5,
-}
-"""Most requests above the tolerance in 2,000 cases; 0 for other faults. A flood that
-begins within seconds of a partition, or of a restart of a control host, is not known to
-all. A restarted host does not know when its earlier run admitted what it reported."""
-
-MOST_REFUSED_BY_FAULT = {
-    "zone_cut_off": 25,
-    "host_cut_off": 13,
-    "host_kill": 67,
-    "host_restart": 10,
-    "host_freeze": 4,
-    "control_restart": 1,
-}
-"""Most requests refused within the limit in one of 2,000 cases; 0 for other faults. The
-demand of a host that was lost counts for a window while its callers use another one."""
-
 
 def usage(requests, *, team="t"):
     return usage_caps.TeamUsage(
@@ -99,8 +77,12 @@
     assert context.result.refused_within <= count, context.result
 
 
-@behave.then("in {count:d} random cases without slow or lost messages both bounds hold")
-def then_random_cases(context, count):
+@behave.then("in {count:d} random cases with {faults} both bounds hold")
+def then_random_cases(context, count, faults):
+    allowed = faults.split(" or ")
+    if faults == "any fault":
+        allowed = usage_cap_simulation.FAULTS
+
     @hypothesis.settings(
         max_examples=count,
         derandomize=True,
@@ -112,14 +94,10 @@
     @hypothesis.given(strategies.integers(0, LARGEST_SEED))
     def check(seed):
         case = usage_cap_simulation.random_case(seed)
-        # Slow and lost messages are measured by hand: no mechanism that does not wait
-        # can bound what arrives while a report is on its way.
-        hypothesis.assume(case.fault not in SLOW_FAULTS)
+        hypothesis.assume(case.fault in allowed)
         result = usage_cap_simulation.Simulation(case).run()
-        largest_excess = LARGEST_EXCESS_BY_FAULT.get(case.fault, 0.0)
-        assert result.over <= largest_excess + 1e-9, (case, result)
-        most_refused = MOST_REFUSED_BY_FAULT.get(case.fault, 0)
-        assert result.refused_within <= most_refused, (case, result)
+        assert result.over <= 1e-9, (case, result)
+        assert result.refused_within == 0, (case, result)
 
     check()
 
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -36,10 +36,15 @@
       | flood    | all   | control_kill    | 0       |
       | steady   | few   | control_kill    | 0       |
 
-  Scenario: Random cases keep both bounds
-    The cases draw hosts, limits, patterns and faults; 2,000 were run by hand, with the
-    figures in docs/design/usage-caps.md.
-    Then in 40 random cases without slow or lost messages both bounds hold
+  Scenario: Random cases without a fault, or with a control host killed, stay within
+    The cases draw hosts, limits and patterns. Both errors would go unnoticed in the few
+    cases above: a sum above the tolerance, and a refusal within the limit.
+    Then in 40 random cases with none or control_kill both bounds hold
+
+  Scenario: Random cases with any fault stay within
+    A flood that begins within seconds of a partition or a restart, or whose reports are
+    lost or late, is not known to all hosts.
+    Then in 40 random cases with any fault both bounds hold
 
   Scenario: A host that never had totals admits a share of its own
     A host that starts cut off would otherwise admit a whole limit.
