Split the gateway into modules with one job each

Move what is read of callers' requests, forwarded and sent as responses to caller_requests, the metrics registry to gateway_metrics and the timer to wake_timer.

--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -7,32 +7,33 @@
 import typing
 from collections import abc
 
-import xxhash
-
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
 from greengagehaven import settings as settings_module
 from greengagehaven.coordination import control_host_selection
-from greengagehaven.coordination.routing import events, merging, router
+from greengagehaven.coordination.routing import events, router
 from greengagehaven.daemons import (
+    caller_requests,
     delegation_client,
     delegation_server,
     exposition,
+    gateway_metrics,
     lender,
     rollout_reports,
     usage_reports,
+    wake_timer,
     watcher,
 )
-from greengagehaven.protocol import delegation_messages, watching
 from greengagehaven.protocol import header_names as names_module
-from greengagehaven.state import configuration, rollouts, routes, teams
+from greengagehaven.protocol import watching
+from greengagehaven.state import configuration, rollouts, routes
 from greengagehaven.transport import (
+    client_connection,
     exchanges,
     http,
     http_peers,
     http_server,
-    request_head,
 )
 
 ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
@@ -41,8 +42,6 @@
 STOP_MARGIN = datetime.timedelta(seconds=0.8)
 """Part of the grace period that is reserved for closing after the drain."""
 
-BINARY_CONTENT_TYPE = "application/octet-stream"
-_MS = 1000.0
 
 DocumentParser = abc.Callable[[bytes], routes.RoutingTable]
 
@@ -145,14 +144,9 @@
             host_id=settings.host_id, channel=self._client, sink=self, clock=clock
         )
         self._numbers = itertools.count(1)
-        self._requests_by_number: dict[int, http.Request] = {}
-        self._headers_by_number: dict[int, list[tuple[str, str]]] = {}
-        self._heads_by_number: dict[int, request_head.RequestHead] = {}
-        self._futures_by_number: dict[int, asyncio.Future[http.Response]] = {}
+        self._requests_by_number: dict[int, caller_requests.CallerRequest] = {}
         self._exchanges_by_attempt: dict[int, exchanges.Exchange] = {}
-        self._attempts_by_number: dict[int, list[int]] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = float("inf")
+        self._wake_timer = wake_timer.WakeTimer(on_wake=self._on_wake, clock=clock)
         self._is_stopping = False
         self.has_refused_settings = False
         self._revision = 0
@@ -177,22 +171,15 @@
 
         :raises SettingError: an address cannot be bound.
         """
-        listen = settings_module.parse_address("listen", self._settings.listen)
-        await self._server.start(*listen)
-        ready = settings_module.parse_address(
-            "ready listen", self._settings.ready_listen
-        )
-        await self._ready_server.start(*ready)
-        if self._settings.metrics_listen is not None:
-            bind = settings_module.parse_address(
-                "metrics", self._settings.metrics_listen
-            )
-            await self._metrics.start(*bind)
-        if self._settings.peer_listen is not None:
-            bind = settings_module.parse_address(
-                "peer listen", self._settings.peer_listen
-            )
-            await self._peer_server.start(*bind)
+        settings = self._settings
+        for name, address, server in (
+            ("listen", settings.listen, self._server),
+            ("ready listen", settings.ready_listen, self._ready_server),
+            ("metrics", settings.metrics_listen, self._metrics),
+            ("peer listen", settings.peer_listen, self._peer_server),
+        ):
+            if address is not None:
+                await server.start(*settings_module.parse_address(name, address))
         self._watcher.start()
 
     def set_seeds(self, addresses: abc.Iterable[str]) -> None:
@@ -246,7 +233,7 @@
                 )
                 return
             number = table.number
-            self._server.limits = _server_limits(table.caller_limits)
+            self._server.limits = caller_requests.server_limits(table.caller_limits)
             self._submit(events.RoutingTableChanged(table=table))
             if self._usage_reporter is not None:
                 has_limit = any(t.rate for t in table.teams.teams_by_id.values())
@@ -268,9 +255,6 @@
         if revision <= self._revision:
             self._submit(events.ConfigurationConfirmed(confirmed_at=confirmed_at))
 
-    def _on_reports_acknowledged(self, is_acknowledged: bool) -> None:
-        self._submit(events.RolloutReportsAcknowledged(is_acknowledged=is_acknowledged))
-
     def on_entry_host_count(self, count: int) -> None:
         """Submit the number of entry hosts."""
         self._submit(events.HostCountChanged(count=count))
@@ -302,6 +286,9 @@
         """Submit that a call to another host has ended."""
         self._submit(ended)
 
+    def _on_reports_acknowledged(self, is_acknowledged: bool) -> None:
+        self._submit(events.RolloutReportsAcknowledged(is_acknowledged=is_acknowledged))
+
     def _make_usage_reporter(self) -> usage_reports.UsageReporter | None:
         limit = self._router.usage_limit
         if limit is None:
@@ -317,47 +304,13 @@
         return reporter
 
     def _make_registry(self) -> typing.Any:
-        gauges: dict[str, tuple[str, abc.Callable[[], float]]] = {
-            "routed_in_flight": (
-                "Requests in flight, not answered yet",
-                lambda: self._router.in_flight,
-            ),
-            "routed_gathers": (
-                "Calls from other hosts with attempts that are not reported yet",
-                lambda: self._delegation_server.in_flight,
-            ),
-            "routed_revision": (
-                "Revision of the configuration in force",
-                lambda: self._revision,
-            ),
-            "routed_rollouts": (
-                "Roll-outs in progress that this host knows of",
-                lambda: len(self._router.rollout_reports()),
-            ),
-            "routed_upstreams": (
-                "Upstreams that this host knows of",
-                lambda: len(self._router.fleet.upstreams_by_id),
-            ),
-            "routed_connections_opened": (
-                "Connections opened to upstreams since the start",
-                lambda: self._channel.connections_opened,
-            ),
-        }
-        collectors: list[typing.Any] = []
-        if self._router.key_guard.lease is not None:
-            collectors.append(
-                exposition.KeyLeaseCollector(guard=self._router.key_guard)
-            )
-        return exposition.make_registry(
-            *collectors,
-            exposition.GatewayCollector(counted=self._router.counts, gauges=gauges),
-            exposition.TrafficCollector(traffic=self._client.call_counts),
-            exposition.SettingsCollector(is_refused=lambda: self.has_refused_settings),
-            *(
-                exposition.UsageCollector(refused_by_team=limit.refused_by_team)
-                for limit in (self._router.usage_limit,)
-                if limit is not None
-            ),
+        return gateway_metrics.make_registry(
+            router=self._router,
+            delegations=self._delegation_server,
+            channel=self._channel,
+            client=self._client,
+            revision=lambda: self._revision,
+            has_refused_settings=lambda: self.has_refused_settings,
         )
 
     async def _handle_ready(self, request: http.Request) -> http.Response:
@@ -374,16 +327,20 @@
     async def _handle(self, request: http.Request) -> http.Response:
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
-        self._requests_by_number[number] = request
-        self._futures_by_number[number] = future
+        caller_request = caller_requests.CallerRequest(
+            request=request, future=future, names=self._names
+        )
+        self._requests_by_number[number] = caller_request
         arrived = events.RequestArrived(
             number=number,
-            request_id=request.headers.get(self._names.request_id) or f"local-{number}",
-            host=_host_of(request),
+            request_id=caller_request.request_id or f"local-{number}",
+            host=caller_requests.host_of(request),
             path=request.target,
-            fingerprint=_fingerprint_of(request),
-            time_left=_parse_time_left(request.headers.get(self._names.time_left)),
-            key_digest=_key_digest_of(request, self._names.key),
+            fingerprint=caller_requests.fingerprint_of(request),
+            time_left=caller_requests.parse_time_left(
+                request.headers.get(self._names.time_left)
+            ),
+            key_digest=caller_requests.key_digest_of(request, self._names.key),
         )
         try:
             self._submit(arrived)
@@ -393,10 +350,7 @@
             raise
         finally:
             del self._requests_by_number[number]
-            self._headers_by_number.pop(number, None)
-            self._heads_by_number.pop(number, None)
-            del self._futures_by_number[number]
-            for attempt in self._attempts_by_number.pop(number, ()):
+            for attempt in caller_request.attempts:
                 self._exchanges_by_attempt.pop(attempt, None)
                 self._delegation_client.forget(attempt)
 
@@ -419,11 +373,12 @@
                     if not self._delegation_client.holds(attempt):
                         self._release(attempt, may_cancel=may_cancel)
             case events.ForwardReply(number=number, attempt=attempt):
-                self._respond(number, self._forwarded_response(attempt))
+                response = caller_requests.forwarded_response(self._reply(attempt))
+                self._respond(number, response)
             case events.AnswerParts():
                 self._respond(action.number, self._merged_response(action))
             case events.Refuse(number=number, error=error):
-                self._respond(number, _error_response(error))
+                self._respond(number, caller_requests.error_response(error))
             case events.CloseUpstreamConnections(address=address):
                 self._channel.retire_connections(address)
             case events.CheckListener():
@@ -437,55 +392,16 @@
             case events.ReportCrash(crash=crash):
                 self._watcher.report_crash(crash)
             case events.WakeAt(moment=moment):
-                self._schedule_wake(moment)
-
-    def _forwarded_headers(self, send: events.Send) -> list[tuple[str, str]]:
-        """Return the forwarded headers of a request, the same for all upstreams."""
-        headers = self._headers_by_number.get(send.number)
-        if headers is None:
-            headers = self._select_headers(self._requests_by_number[send.number])
-            if send.team:
-                headers.append((self._names.team, send.team))
-            self._headers_by_number[send.number] = headers
-        return headers
-
-    def _forwarded_head(self, send: events.Send) -> request_head.RequestHead:
-        """Return the forwarded head of a request, the same for all upstreams."""
-        head = self._heads_by_number.get(send.number)
-        if head is None:
-            request = self._requests_by_number[send.number]
-            head = request_head.RequestHead(
-                method=request.method,
-                target=request.target,
-                headers=self._forwarded_headers(send),
-                body_size=len(request.body),
-            )
-            self._heads_by_number[send.number] = head
-        return head
-
-    def _select_headers(self, request: http.Request) -> list[tuple[str, str]]:
-        left_out = {
-            self._names.time_left,
-            self._names.expected_upstream,
-            self._names.key,
-            self._names.team,
-            *_connection_options(request.headers),
-        }
-        return [
-            (name, value)
-            for name, value in request.headers.items()
-            if name not in exchanges.NOT_FORWARDED_HEADERS and name not in left_out
-        ]
+                self._wake_timer.schedule(moment)
 
     def _delegate(self, delegate: events.Delegate) -> None:
         request = self._requests_by_number[delegate.number]
-        attempts = [send.attempt for send in delegate.sends]
-        self._attempts_by_number.setdefault(delegate.number, []).extend(attempts)
+        request.attempts += [send.attempt for send in delegate.sends]
         self._delegation_client.start(
             delegate,
-            request,
-            request_id=request.headers.get(self._names.request_id) or "",
-            headers=self._forwarded_headers(delegate.sends[0]),
+            request.request,
+            request_id=request.request_id,
+            headers=request.forwarded_headers(delegate.sends[0].team),
         )
 
     def _send(self, send: events.Send) -> None:
@@ -493,16 +409,16 @@
         exchange = exchanges.Exchange(
             attempt=send.attempt,
             address=send.address,
-            request_id=request.headers.get(self._names.request_id) or "",
-            head=self._forwarded_head(send),
+            request_id=request.request_id,
+            head=request.forwarded_head(send.team),
             upstream_id=send.upstream_id,
-            body=request.body,
+            body=request.request.body,
             deadline=self._clock.monotonic() + send.time_left,
             on_start=self._on_start,
             on_end=self._on_end,
             may_start=self._start_check(send.team),
         )
-        self._attempts_by_number.setdefault(send.number, []).append(send.attempt)
+        request.attempts.append(send.attempt)
         self._exchanges_by_attempt[send.attempt] = exchange
         # Deferred: an attempt that ends at once must not submit its end within a step.
         loop = asyncio.get_running_loop()
@@ -553,123 +469,27 @@
 
         self._channel.check_listener(probe.address, on_checked)
 
-    def _forwarded_response(self, attempt: int) -> http.Response:
-        reply = self._exchanges_by_attempt[attempt].reply
-        assert reply is not None
-        options = _connection_options(reply.headers)
-        headers = tuple(
-            (name, value)
-            for name, value in reply.headers.items()
-            if name not in exchanges.NOT_FORWARDED_HEADERS and name not in options
-        )
-        return http.Response(
-            status=reply.status, body=reply.body, content_type=None, headers=headers
-        )
-
     def _merged_response(self, answer: events.AnswerParts) -> http.Response:
-        signatures: list[str] = []
-        bodies: list[bytes] = []
-        reports: list[delegation_messages.AttemptReport] = []
-        for attempt in answer.attempts:
-            part = self._delegation_client.merged_part(attempt)
-            if part is not None:
-                signatures.append(part.signature)
-                # The records of a report cover all parts in it.
-                if not any(part.report is report for report in reports):
-                    reports.append(part.report)
-                continue
-            reply = self._exchanges_by_attempt[attempt].reply
-            assert reply is not None
-            signatures.append(reply.headers[self._names.signature])
-            bodies.append(reply.body)
-        bodies += [report.records for report in reports]
-        body = merging.greatest_records(bodies, answer.top_records)
-        return http.Response(
+        return caller_requests.merged_response(
+            [self._part(attempt) for attempt in answer.attempts],
+            answer,
+            names=self._names,
             on_written=lambda: self._submit(answer.written_at(self._clock.monotonic())),
-            status=200,
-            body=body,
-            content_type=BINARY_CONTENT_TYPE,
-            headers=(
-                (self._names.part_signatures, ", ".join(signatures)),
-                (self._names.missing_parts, str(answer.missing)),
-            ),
         )
 
-    def _respond(self, number: int, response: http.Response) -> None:
-        future = self._futures_by_number.get(number)
-        if future is not None and not future.done():
-            future.set_result(response)
-
-    def _schedule_wake(self, moment: float) -> None:
-        if moment >= self._timer_at:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = moment
-        loop = asyncio.get_running_loop()
-        delay = max(0.0, moment - self._clock.monotonic())
-        self._timer = loop.call_later(delay, self._wake)
-
-    def _wake(self) -> None:
-        self._timer = None
-        self._timer_at = float("inf")
-        # If the timer runs early, the router finds nothing due and asks again.
-        self._submit(events.TimeReached())
-
-
-def _host_of(request: http.Request) -> str:
-    return (request.headers.get("host") or "").partition(":")[0].lower()
-
-
-def _fingerprint_of(request: http.Request) -> str:
-    """Return a hash, equal for requests that upstreams can't distinguish."""
-    head = f"{request.method} {_host_of(request)} {request.target}\n"
-    digest = xxhash.xxh64(head.encode())
-    digest.update(request.body)
-    return digest.hexdigest()
+    def _part(self, attempt: int) -> caller_requests.Part:
+        merged = self._delegation_client.merged_part(attempt)
+        return self._reply(attempt) if merged is None else merged
 
+    def _reply(self, attempt: int) -> client_connection.Reply:
+        reply = self._exchanges_by_attempt[attempt].reply
+        assert reply is not None
+        return reply
 
-def _key_digest_of(request: http.Request, header_name: str) -> str:
-    """Return the digest of the caller's key, empty if it sent none."""
-    key = request.headers.get(header_name)
-    # Header values were decoded as Latin-1; this restores the bytes that were sent.
-    return teams.digest_of_key(key.encode("latin-1")) if key else ""
-
-
-def _parse_time_left(value: str | None) -> float | None:
-    """Return the seconds that the caller waits, ``None`` if absent or invalid."""
-    try:
-        milliseconds = float(value or "")
-    except ValueError:
-        return None
-    return milliseconds / _MS if 0 <= milliseconds < float("inf") else None
-
-
-def _connection_options(headers: http.Headers) -> tuple[str, ...]:
-    value = headers.get("connection")
-    if value is None:
-        return ()
-    return tuple(option.strip().lower() for option in value.split(","))
-
-
-def _error_response(error: exceptions.RequestError) -> http.Response:
-    headers: tuple[tuple[str, str], ...] = ()
-    if error.retry_after is not None:
-        headers = (("Retry-After", f"{error.retry_after:.3f}"),)
-    return http.Response(
-        status=error.status,
-        content_type=None,
-        headers=headers,
-        # A caller that kept its connection would return to this host, while the load
-        # balancer sends new connections to others.
-        closes_connection=isinstance(error, exceptions.KeyLeaseExpiredError),
-    )
-
+    def _respond(self, number: int, response: http.Response) -> None:
+        request = self._requests_by_number.get(number)
+        if request is not None:
+            request.respond(response)
 
-def _server_limits(limits: routes.CallerLimits) -> http_server.ServerLimits:
-    return http_server.ServerLimits(
-        body_bytes=limits.body_bytes,
-        head_bytes=limits.head_bytes,
-        request_timeout=datetime.timedelta(seconds=max(limits.head_timeout, 10.0)),
-        idle_timeout=datetime.timedelta(seconds=limits.idle_timeout),
-    )
+    def _on_wake(self) -> None:
+        self._submit(events.TimeReached())
--- /dev/null
+++ b/src/greengagehaven/daemons/gateway_metrics.py
@@ -0,0 +1,64 @@
+"""Metrics registry of an entry host that routes requests."""
+
+import typing
+from collections import abc
+
+from greengagehaven.coordination.routing import router as router_module
+from greengagehaven.daemons import delegation_server, exposition
+from greengagehaven.transport import exchanges, http_peers
+
+
+def make_registry(
+    *,
+    router: router_module.Router,
+    delegations: delegation_server.DelegationServer,
+    channel: exchanges.ExchangeChannel,
+    client: http_peers.HttpPeerClient,
+    revision: abc.Callable[[], int],
+    has_refused_settings: abc.Callable[[], bool],
+) -> typing.Any:
+    """Return a registry; imports the Prometheus library on first use.
+
+    :param delegations: attempts that other entry hosts delegate to this one.
+    :param channel: connections to upstreams.
+    :param client: calls to other hosts.
+    :param revision: returns the revision of the configuration in force.
+    :param has_refused_settings: returns whether the newest settings were refused.
+    """
+    gauges: dict[str, tuple[str, abc.Callable[[], float]]] = {
+        "routed_in_flight": (
+            "Requests in flight, not answered yet",
+            lambda: router.in_flight,
+        ),
+        "routed_gathers": (
+            "Calls from other hosts with attempts that are not reported yet",
+            lambda: delegations.in_flight,
+        ),
+        "routed_revision": ("Revision of the configuration in force", revision),
+        "routed_rollouts": (
+            "Roll-outs in progress that this host knows of",
+            lambda: len(router.rollout_reports()),
+        ),
+        "routed_upstreams": (
+            "Upstreams that this host knows of",
+            lambda: len(router.fleet.upstreams_by_id),
+        ),
+        "routed_connections_opened": (
+            "Connections opened to upstreams since the start",
+            lambda: channel.connections_opened,
+        ),
+    }
+    collectors: list[typing.Any] = []
+    if router.key_guard.lease is not None:
+        collectors.append(exposition.KeyLeaseCollector(guard=router.key_guard))
+    collectors += [
+        exposition.GatewayCollector(counted=router.counts, gauges=gauges),
+        exposition.TrafficCollector(traffic=client.call_counts),
+        exposition.SettingsCollector(is_refused=has_refused_settings),
+    ]
+    limit = router.usage_limit
+    if limit is not None:
+        collectors.append(
+            exposition.UsageCollector(refused_by_team=limit.refused_by_team)
+        )
+    return exposition.make_registry(*collectors)
--- /dev/null
+++ b/src/greengagehaven/daemons/wake_timer.py
@@ -0,0 +1,39 @@
+"""A timer of the event loop for the earliest moment asked for."""
+
+import asyncio
+from collections import abc
+
+from greengagehaven import clock as clocks
+
+
+class WakeTimer:
+    """Calls back at the earliest of the moments scheduled since the last call.
+
+    It may run early by the resolution of the event loop's clock, so the callback has to
+    schedule what is not due yet again.
+
+    :param on_wake: called without arguments.
+    :param clock: monotonic time.
+    """
+
+    def __init__(self, *, on_wake: abc.Callable[[], None], clock: clocks.Clock) -> None:
+        self._on_wake = on_wake
+        self._clock = clock
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+
+    def schedule(self, moment: float) -> None:
+        """Call back at ``moment`` (monotonic seconds), unless it is due earlier."""
+        if moment >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = moment
+        loop = asyncio.get_running_loop()
+        delay = max(0.0, moment - self._clock.monotonic())
+        self._timer = loop.call_later(delay, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._timer_at = float("inf")
+        self._on_wake()
