--- a/src/greengagehaven/daemons/change_handler.py
+++ b/src/greengagehaven/daemons/change_handler.py
@@ -1,4 +1,4 @@
-"""Interface of what receives the changes that a watcher gets from control hosts."""
+"""Interface of the receiver of changes that a watcher gets from control hosts."""
 
 import typing
 
@@ -7,7 +7,7 @@
 
 
 class ChangeHandler(typing.Protocol):
-    """Receives the changes."""
+    """Receives changes of the roster, the configuration and the hosts."""
 
     def on_upstream_entries(self, entries: tuple[watching.UpstreamEntry, ...]) -> None:
         """Merge entries of a control host's roster."""
--- a/src/greengagehaven/daemons/delegation_client.py
+++ b/src/greengagehaven/daemons/delegation_client.py
@@ -75,7 +75,7 @@
 
     :param message: the call as it is to be sent.
     :param pending: attempts that have not ended.
-    :param task: the task that carries out the call, until a byte of it may be written.
+    :param task: carries out the call; ``None`` once a byte of it may have been written.
     """
 
     message: delegation_messages.DelegationRequest
@@ -201,7 +201,7 @@
         return task
 
     def _on_sending(self, call: _Call) -> None:
-        """Record that bytes of a call may be written from now on."""
+        """Report the attempts as started; bytes of the call may be written from now."""
         if call.task is None:
             return
         call.task = None
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -32,6 +32,26 @@
         """Yield every metric family; imports the Prometheus library on first use."""
         from prometheus_client import core
 
+        yield from self._labelled_counters(core)
+        yield core.CounterMetricFamily(
+            f"{METRIC_PREFIX}_routed_extra_refused",
+            "Hedges and retries that the shared budget refused",
+            value=self._counted.extra_refused,
+        )
+        yield core.CounterMetricFamily(
+            f"{METRIC_PREFIX}_routed_missing_parts",
+            "Shards missing from answers",
+            value=self._counted.missing_parts,
+        )
+        yield from self._histograms(core)
+        for name, (text, read) in self._gauges.items():
+            yield core.GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", text, value=read())
+
+    def describe(self) -> list[typing.Any]:
+        """Return an empty list, so that registering does not call ``collect``."""
+        return []
+
+    def _labelled_counters(self, core: typing.Any) -> abc.Iterator[typing.Any]:
         counted = self._counted
         family = core.CounterMetricFamily(
             f"{METRIC_PREFIX}_routed_requests",
@@ -71,39 +91,25 @@
             for value, count in values.items():
                 family.add_metric((value,), count)
             yield family
-        yield core.CounterMetricFamily(
-            f"{METRIC_PREFIX}_routed_extra_refused",
-            "Hedges and retries that the shared budget refused",
-            value=counted.extra_refused,
-        )
-        yield core.CounterMetricFamily(
-            f"{METRIC_PREFIX}_routed_missing_parts",
-            "Shards missing from answers",
-            value=counted.missing_parts,
-        )
+
+    def _histograms(self, core: typing.Any) -> abc.Iterator[typing.Any]:
         histogram = core.HistogramMetricFamily(
             f"{METRIC_PREFIX}_routed_seconds",
             "Time from a request's arrival to its answer",
             labels=("route",),
         )
-        for route, latencies in counted.latencies_by_route.items():
+        for route, latencies in self._counted.latencies_by_route.items():
             histogram.add_metric(
                 (route,), latencies.cumulative_counts(), latencies.total
             )
         yield histogram
-        ages = counted.report_ages
+        ages = self._counted.report_ages
         yield core.HistogramMetricFamily(
             f"{METRIC_PREFIX}_routed_report_age_seconds",
             "Age of the work time of the upstream that a request is sent to",
             buckets=ages.cumulative_counts(),
             sum_value=ages.total,
         )
-        for name, (text, read) in self._gauges.items():
-            yield core.GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", text, value=read())
-
-    def describe(self) -> list[typing.Any]:
-        """Return an empty list, so that registering does not call ``collect``."""
-        return []
 
 
 class KeyLeaseCollector:
@@ -203,7 +209,9 @@
 
 
 class UsageCollector:
-    """Metric family of requests above their team's limit, only of teams with any.
+    """Metric family of requests refused above their team's limit.
+
+    Teams without a refused request are left out.
 
     :param refused_by_team: refused requests by the team's id.
     """
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -98,21 +98,7 @@
         self._router = router.Router(options=settings.router, clock=clock, rng=rng)
         self._channel = exchanges.ExchangeChannel(names=names, clock=clock)
         self._client = http_peers.HttpPeerClient(clock=clock)
-        self._watcher = watcher.Watcher(
-            channel=self._client,
-            host_id=settings.host_id,
-            availability_zone=settings.zone,
-            is_entry=True,
-            control_addresses=settings.control_addresses,
-            delegation_address=settings.peer_listen or "",
-            control_host_selector=control_host_selection.SameZoneControlHost(
-                zone=settings.zone, clock=clock
-            ),
-            confirmation_period=lambda: self._router.key_guard.renewal_period,
-            sink=self,
-            clock=clock,
-            rng=rng,
-        )
+        self._watcher = self._make_watcher(rng)
         self._rollout_reporter = rollout_reports.Reporter(
             host_id=settings.host_id,
             channel=self._client,
@@ -289,6 +275,23 @@
     def _on_reports_acknowledged(self, is_acknowledged: bool) -> None:
         self._submit(events.RolloutReportsAcknowledged(is_acknowledged=is_acknowledged))
 
+    def _make_watcher(self, rng: rngs.Rng) -> watcher.Watcher:
+        return watcher.Watcher(
+            channel=self._client,
+            host_id=self._settings.host_id,
+            availability_zone=self._settings.zone,
+            is_entry=True,
+            control_addresses=self._settings.control_addresses,
+            delegation_address=self._settings.peer_listen or "",
+            control_host_selector=control_host_selection.SameZoneControlHost(
+                zone=self._settings.zone, clock=self._clock
+            ),
+            confirmation_period=lambda: self._router.key_guard.renewal_period,
+            sink=self,
+            clock=self._clock,
+            rng=rng,
+        )
+
     def _make_usage_reporter(self) -> usage_reports.UsageReporter | None:
         limit = self._router.usage_limit
         if limit is None:
--- a/src/greengagehaven/daemons/measure/platform_hosts.py
+++ b/src/greengagehaven/daemons/measure/platform_hosts.py
@@ -1,4 +1,4 @@
-"""Control and entry hosts of the platform as processes on loopback."""
+"""Runs control and entry hosts of the platform as processes on loopback."""
 
 import asyncio
 import os
@@ -14,8 +14,15 @@
 CALLER_PORT = 8080
 READY_PORT = 8081
 PEER_PORT = 7740
+LAST_INTERNAL_PORT = 7755
 _ROLE_MODULE = "greengagehaven.platform"
 _SUBNETS = 128
+"""Values of the second part of the addresses, chosen by the process id as the third is,
+so that runs at the same time are unlikely to bind the same addresses."""
+
+_FIRST_CONTROL_NUMBER = 1
+_FIRST_ENTRY_NUMBER = 101
+"""Last part of the address of the first host of a role."""
 
 
 class PlatformHosts:
@@ -35,8 +42,12 @@
         self._extra_settings = extra_settings
         pid = os.getpid()
         self._subnet = f"127.{64 + pid % _SUBNETS}.{pid // _SUBNETS % 250}"
-        self._control_ips = [self._ip(number + 1) for number in range(CONTROL_COUNT)]
-        self.entry_ips = [self._ip(number + 101) for number in range(hosts)]
+        self._control_ips = [
+            self._ip(_FIRST_CONTROL_NUMBER + number) for number in range(CONTROL_COUNT)
+        ]
+        self.entry_ips = [
+            self._ip(_FIRST_ENTRY_NUMBER + number) for number in range(hosts)
+        ]
         self._processes: list[asyncio.subprocess.Process] = []
 
     @property
@@ -97,7 +108,7 @@
             f"listen.control={ip}:{OPERATOR_PORT}",
             f"listen.front={ip}:{CALLER_PORT}",
             f"listen.ready={ip}:{READY_PORT}",
-            f"internalPorts={PEER_PORT},{PEER_PORT + 15}",
+            f"internalPorts={PEER_PORT},{LAST_INTERNAL_PORT}",
             f"seeds={','.join(self.operator_addresses)}",
             f"dataDir={self._folder / name}",
             "bootstrap=true",
--- a/src/greengagehaven/daemons/measure/revoked_key.py
+++ b/src/greengagehaven/daemons/measure/revoked_key.py
@@ -1,4 +1,4 @@
-"""Measures for how long requests with a revoked key run, with one host cut off.
+"""Measures how long requests with a revoked key still run, with one host cut off.
 
 Runs real processes: three control hosts and the entry hosts. The upstream and the
 callers are in this process, so that all times are of one clock.
@@ -25,8 +25,17 @@
 ABOUT = "a key is revoked while the first entry host is cut off"
 REVOKE_MS = 5000
 PERIOD_S = 0.05
+"""Seconds between two requests of the caller of a host, and between start-up checks."""
+
+ANNOUNCE_PERIOD_S = 0.5
+"""Seconds between announcements of the upstream; 1.2 s are configured (heartbeatMs)."""
+
 BEFORE_S = 2.0
+"""Seconds of normal operation before the first host is cut off."""
+
 CUT_OFF_BEFORE_S = 0.5
+"""Seconds from the cut to the revocation, so that the host can't learn of it."""
+
 START_TIMEOUT_S = 60.0
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
 SERVICE = "leaf"
@@ -145,7 +154,7 @@
         self._hosts.cut_off_first()
 
     async def revoke(self) -> float:
-        """Replace the key; return when the operator got the acknowledgement."""
+        """Replace the key; return the time at which it was acknowledged."""
         await self._wait_until(lambda: self._put_document(2, NEW_KEY))
         return time.monotonic()
 
@@ -179,7 +188,7 @@
             body = json.dumps(_announcement(address, sequence, born)).encode()
             path = self._platform.instances_path + UPSTREAM_ID
             await self._request(self._hosts.operator_addresses[0], "PUT", path, body)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(ANNOUNCE_PERIOD_S)
 
     async def _is_served(self, host: int) -> bool:
         return await self._call(host, f"warm-{host}-{time.monotonic_ns()}") == 200
--- a/src/greengagehaven/daemons/measure/usage_caps.py
+++ b/src/greengagehaven/daemons/measure/usage_caps.py
@@ -33,9 +33,13 @@
     burst=20.0,
 )
 USUAL_RATE = 14.0
+"""Requests per second over all hosts, within the team's rate."""
+
 FLOOD_FACTOR = 7
 CALM_S = 4.0
 FLOOD_S = 6.5
+"""Seconds of the flood, longer than the window of the caps."""
+
 CONTROL_HOST_COUNT = 3
 HOST = "measure.example"
 SERVICE = "measured"
@@ -45,6 +49,9 @@
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
 SETTLE_S = 2.0
+"""Seconds for control hosts to give totals after their start (1 s) and for entry hosts
+to ask for them (0.5 s). Requests sent while starting leave the window after it."""
+
 HEADERS = header_names.HeaderNames()
 
 
@@ -269,7 +276,7 @@
 
 
 def _evaluate(sent: list[Sent], ran_at: list[float]) -> dict[str, float]:
-    """Return the errors in both directions, counted in sliding windows."""
+    """Return requests above the limit and refusals within it, in sliding windows."""
     limit = CAPS.limit_of(TEAM)
     sent_at, ran_at = sorted(each.at for each in sent), sorted(ran_at)
     most = max(_count(ran_at, at) for at in ran_at)
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -96,10 +96,10 @@
             clock=clock,
             rng=rng,
         )
-        self._usage_collector = (
+        self._usage_aggregator = (
             None
             if usage_window is None
-            else usage_reports.UsageCollector(
+            else usage_reports.UsageAggregator(
                 window=usage_window,
                 channel=self._client,
                 addresses=self._other_control_addresses,
@@ -165,8 +165,8 @@
         if self._http_server is not None:
             await self._http_server.close()
         await self._metrics.close()
-        if self._usage_collector is not None:
-            await self._usage_collector.close()
+        if self._usage_aggregator is not None:
+            await self._usage_aggregator.close()
         await self._close_host()
         if self._peer_server is not None:
             await self._peer_server.stop(STOP_GRACE)
@@ -181,7 +181,7 @@
         """Ignore the configuration; a control host gets it from the log."""
 
     def on_configuration_confirmed(self, revision: int, confirmed_at: float) -> None:
-        """Ignore it; a control host accepts no keys."""
+        """Ignore the confirmation; a control host accepts no keys of teams."""
 
     def on_entry_host_count(self, count: int) -> None:
         """Ignore the count; each control host counts its own watchers."""
@@ -235,9 +235,9 @@
 
     def _usage_handlers(self) -> dict[str, typing.Any]:
         """Return the handlers of usage reports, which do not depend on the log."""
-        if self._usage_collector is None:
+        if self._usage_aggregator is None:
             return {}
-        return self._usage_collector.handlers_by_method
+        return self._usage_aggregator.handlers_by_method
 
     def _deferred_handler(self, method: str) -> typing.Any:
         async def handle(body: bytes) -> bytes:
--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -17,6 +17,7 @@
 REPORT_METHOD = "usage/report"
 EXCHANGE_METHOD = "usage/exchange"
 PERIOD_S = 0.2
+"""Seconds between reports, and between exchanges of control hosts, in general."""
 
 URGENT_PERIOD_S = 0.05
 """Seconds between reports while a team is near its target. With 0.2 s, a team at 200
@@ -27,7 +28,11 @@
 requests, so that a host that sees the first request of one knows of the others."""
 
 CALL_TIMEOUT_S = 0.3
+"""Limit of a call. A report that was lost is replaced by the next one, which holds
+totals, so there is no need to wait longer or to retry."""
+
 RUN_ID_BYTES = 6
+"""Random bytes of the id of a process's run, which tells restarts apart."""
 
 
 class UsageReporter:
@@ -36,7 +41,7 @@
     :param host_id: id of this host.
     :param channel: calls to control hosts.
     :param addresses: returns the peer addresses of the control hosts that are followed.
-    :param shares: what is reported, and what the replies are for.
+    :param shares: gives the usage to report, and takes the totals of the replies.
     :param clock: monotonic time.
     """
 
@@ -63,7 +68,7 @@
         self._sent_at = float("-inf")
 
     def set_enabled(self, is_enabled: bool) -> None:
-        """Report from now on, or stop; without limited teams nothing is sent."""
+        """Start or stop reporting; it is needed only while a team has a limit."""
         if not is_enabled and self._task is not None:
             self._task.cancel()
             self._task = None
@@ -71,7 +76,7 @@
             self._task = asyncio.ensure_future(self._report_forever())
 
     def on_request(self, team_id: str) -> None:
-        """Report soon that a team sent a request, earlier if it is near its target."""
+        """Schedule a report of a request, earlier if the team is near its target."""
         is_near = self._shares.is_near_target(team_id, self._clock.monotonic())
         self._schedule(self._sent_at + (URGENT_PERIOD_S if is_near else PERIOD_S))
 
@@ -134,8 +139,10 @@
             log.debug("usage_totals_unused", address=addresses[0], hosts=totals.hosts)
 
 
-class UsageCollector:
-    """Adds up the reports that reach any control host.
+class UsageAggregator:
+    """Adds up the reports of all entry hosts, on a control host.
+
+    It forwards those that it received from entry hosts to the other control hosts.
 
     :param window: seconds of the usage window.
     :param channel: calls to other control hosts.
@@ -214,7 +221,7 @@
         self._timer = asyncio.get_running_loop().call_later(delay, self._exchange)
 
     def _exchange(self) -> None:
-        """Forward new reports; there is no timer while nothing is held."""
+        """Forward new reports, and schedule the next time unless no report is held."""
         self._next_at = float("inf")
         self._sent_at = now = self._clock.monotonic()
         self._sums.expire(now)
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -245,11 +245,9 @@
     def _long_poll(self, position: _Position) -> float:
         """Return the seconds for which the next call may be held.
 
-        Renewing a lease takes no calls of its own: calls are held for 1.3 instead of
-        1.5 s, which is 0.1 calls per second and host more, and a reply carries 5 bytes
-        more. The comparisons with the other control hosts renew it as well.
-        The first call that asks for a confirmation is not held, as requests with keys
-        are refused until its reply.
+        A call is held no longer than the confirmation period, since its reply renews
+        the key lease. The first call that asks for a confirmation is not held, as
+        requests with keys are refused until its reply.
         """
         period = self._confirmation_period()
         if period is None:
--- a/src/greengagehaven/platform/settings.py
+++ b/src/greengagehaven/platform/settings.py
@@ -31,8 +31,9 @@
     :param quota_overage: share of a team's limit that is tolerated above it.
     :param quota_slack: requests that are tolerated in addition.
     :param grace_s: maximum seconds of a graceful shutdown.
-    :param strict_revoke: whether a revoked key is refused by every host, in contact
-        or not, ``revoke_s`` after its revocation.
+    :param strict_revoke: whether every host, also one without contact to the control
+        hosts, refuses a revoked key ``revoke_s`` after its revocation.
+    :param revoke_s: seconds, counted from the acknowledgement of the revocation.
     """
 
     node: str
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -31,7 +31,8 @@
 
 MIN_WORK_PERCENT = 10.0
 MAX_WORK_PERCENT = 10_000.0
-"""Limits of the work time in a load report; other values are ignored."""
+"""Least and greatest work time of a load report that is used, in percent of the usual.
+Work that takes no time, or forever, would decide every choice of an upstream."""
 
 NOT_FORWARDED_HEADERS = frozenset(
     {
@@ -478,6 +479,5 @@
         work_percent = float(text)
     except ValueError:
         return None
-    # Work that takes no time, or forever, would decide every choice of an upstream.
     is_plausible = MIN_WORK_PERCENT <= work_percent <= MAX_WORK_PERCENT
     return work_percent if is_plausible else None
