--- a/src/greengagehaven/coordination/membership/anti_entropy.py
+++ b/src/greengagehaven/coordination/membership/anti_entropy.py
@@ -217,7 +217,7 @@
         elif record.is_gone and record.zone != reply.zone:
             # A host that restarted may keep a delayed announcement in its own zone.
             # Digests don't cover tombstones, so without this offer it would neither
-            # receive that of the announced zone nor notice that it lacks one.
+            # receive the tombstone of the other zone nor notice that it lacks it.
             sync.offered_upstreams.append(upstream_id)
     for summary in own:
         version = their_version_by_id.get(summary.id)
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -30,6 +30,8 @@
     :param clock: monotonic clock; its rate error is at most ``timing.max_drift``.
     :param rng: random source for election timeouts.
     :param timing: timeouts and size limits.
+
+    ``started_at`` is when this member started; clock stamps carry it.
     """
 
     def __init__(
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -35,6 +35,8 @@
     :param clock: monotonic time.
     :param rng: chooses among the weighted services of a route.
     :param usage_limit: limits of teams over all hosts, ``None`` without caps.
+
+    ``table`` is the routing table in force, ``None`` if there is none yet.
     """
 
     def __init__(
@@ -49,7 +51,6 @@
         rng: rngs.Rng,
         usage_limit: usage_limit.UsageLimit | None = None,
     ) -> None:
-        self._usage_limit = usage_limit
         self.table: routes.RoutingTable | None = None
         self._caller_times = caller_times
         self._crashes = crashes
@@ -57,6 +58,7 @@
         self._retry_delays = retry_delays
         self._used = used
         self._clock = clock
+        self._usage_limit = usage_limit
         self._weights = weights.Weights(rng=rng)
 
     def set_table(self, table: routes.RoutingTable) -> None:
@@ -126,6 +128,7 @@
         return team
 
     def _answer_by(self, route: routes.Route, now: float, waited: float) -> float:
+        """Return the time at which a sweep is answered if it has enough parts."""
         if not self._used.partial_answers:
             return float("inf")
         return now + self._caller_times.answer_within(route, waited)
--- a/src/greengagehaven/coordination/routing/attempt_outcomes.py
+++ b/src/greengagehaven/coordination/routing/attempt_outcomes.py
@@ -27,7 +27,7 @@
     """Records how attempts end, and retries those that failed.
 
     :param attempts_by_id: attempts in flight; one that ends is removed.
-    :param availability: which upstreams answer.
+    :param availability: marks upstreams as silent.
     :param observer: applies outcomes to the state of upstreams.
     :param extra_attempts: decides on retries.
     :param crashes: lost attempts whose upstream is being checked.
@@ -64,14 +64,14 @@
         attempt = self._attempts_by_id.pop(ended.attempt, None)
         if attempt is None:
             return None
-        if isinstance(ended.outcome, events.Replied) and not attempt.helper_address:
-            attempt.request.replied_at = self._clock.monotonic()
+        routed, outcome = attempt.request, ended.outcome
+        if isinstance(outcome, events.Replied) and not attempt.helper_address:
+            routed.replied_at = self._clock.monotonic()
         attempt.upstream.sent_at_by_attempt.pop(attempt.id, None)
         if attempt in attempt.shard.attempts:
             attempt.shard.attempts.remove(attempt)
-        self._availability.record_end(attempt, ended.outcome)
-        self._observer.apply_outcome(attempt, ended.outcome, actions)
-        routed, outcome = attempt.request, ended.outcome
+        self._availability.record_end(attempt, outcome)
+        self._observer.apply_outcome(attempt, outcome, actions)
         is_success = isinstance(outcome, events.Replied) and outcome.is_success
         # Records that were merged with those of other parts cannot be left out any
         # more, so this part is used even if a hedge has delivered another one.
--- a/src/greengagehaven/coordination/routing/availability.py
+++ b/src/greengagehaven/coordination/routing/availability.py
@@ -28,16 +28,24 @@
 Pauses last up to 250 ms; timers and replies are up to 50 ms late on a busy host."""
 
 MAX_SLOWNESS = 3.0
-"""Multiple of the usual latency that is allowed for. Attempts that were given up count
-as slow replies, so without this limit a silent upstream would seem ever slower."""
+"""Greatest slowness of an upstream for which its attempts get more time. Attempts that
+were given up count as slow replies, so without this limit a silent upstream would seem
+ever slower."""
 
 PROBE_PERIOD_S = 1.0
 """Seconds between two requests that are sent although a shard is unavailable. Each one
 holds its caller until its attempt is overdue."""
 
-LIFETIME_S = 4.0
+SILENCE_LIFETIME_S = 4.0
 """Seconds after which an upstream no longer counts as silent unless an overdue attempt
-confirms it. A service may get only requests that must not be sent as probes."""
+confirms it. Without this limit, a service that gets only requests that must not be sent
+as probes would stay unavailable after it has recovered."""
+
+FAULTS_WITHOUT_RESPONSE = events.NOT_SENT | {
+    events.Fault.CANCELLED,
+    events.Fault.HELPER,
+}
+"""Faults that end an attempt although nothing arrived from its upstream."""
 
 
 class Availability:
@@ -106,9 +114,12 @@
     def record_end(
         self, attempt: request.Attempt, outcome: events.Replied | events.Failed
     ) -> None:
-        """Apply the end of an attempt: whatever arrives ends the silence."""
+        """Apply the end of an attempt; any response ends its upstream's silence."""
         upstream, now = attempt.upstream, self._clock.monotonic()
-        if isinstance(outcome, events.Failed) and outcome.fault in _SAYS_NOTHING:
+        if (
+            isinstance(outcome, events.Failed)
+            and outcome.fault in FAULTS_WITHOUT_RESPONSE
+        ):
             was_given_up = outcome.fault is events.Fault.CANCELLED
             if was_given_up and self._used.availability:
                 self._mark_if_overdue(attempt, now)
@@ -118,7 +129,7 @@
             log.info("upstream_answers_again", upstream=upstream.entry.id)
 
     def is_silent(self, upstream: upstreams.Upstream) -> bool:
-        """Return whether an upstream counts as silent."""
+        """Return whether an upstream was marked as silent after its last reply."""
         silent_at = self._silent_at_by_id.get(upstream.entry.id, -math.inf)
         return silent_at > upstream.replied_at
 
@@ -140,7 +151,10 @@
         )
 
     def reply_ages_ms(self, services: abc.Iterable[str]) -> dict[str, int]:
-        """Return the milliseconds since the last reply of each service, for the log."""
+        """Return the milliseconds since the last reply of each service, for the log.
+
+        Services without a reachable upstream are left out.
+        """
         now = self._clock.monotonic()
         return {
             service: round(min((now - each.replied_at) * 1000 for each in available))
@@ -185,7 +199,7 @@
     def _drop_expired(self, now: float) -> None:
         for upstream_id, silent_at in list(self._silent_at_by_id.items()):
             upstream = self._fleet.upstreams_by_id.get(upstream_id)
-            is_expired = now - silent_at >= LIFETIME_S
+            is_expired = now - silent_at >= SILENCE_LIFETIME_S
             if upstream is None or is_expired or not self.is_silent(upstream):
                 del self._silent_at_by_id[upstream_id]
         for service, probed_at in list(self._probed_at_by_service.items()):
@@ -193,10 +207,6 @@
                 del self._probed_at_by_service[service]
 
 
-_SAYS_NOTHING = events.NOT_SENT | {events.Fault.CANCELLED, events.Fault.HELPER}
-"""Faults that end an attempt without anything from its upstream."""
-
-
 def _allowance(attempt: request.Attempt, now: float) -> float:
     """Return the seconds after which an attempt is overdue at its upstream.
 
--- a/src/greengagehaven/coordination/routing/borrowing.py
+++ b/src/greengagehaven/coordination/routing/borrowing.py
@@ -33,7 +33,7 @@
 
 
 class BudgetBorrower:
-    """Asks hosts of the zone to lend extra attempts for retries.
+    """Asks hosts of the zone to lend extra attempts for retries and hedges.
 
     :param budget: extra-attempt budget of this host, which receives the loans.
     :param clock: monotonic time.
@@ -140,6 +140,6 @@
 
 
 def _still_needs_loan(attempt: request.Attempt) -> bool:
-    """Return whether an attempt is held for its retry, or straggles still."""
+    """Return whether an attempt is held for its retry or has still not ended."""
     shard = attempt.shard
     return shard.is_pending and (shard.held is attempt or attempt in shard.attempts)
--- a/src/greengagehaven/coordination/routing/callers.py
+++ b/src/greengagehaven/coordination/routing/callers.py
@@ -37,10 +37,9 @@
 MAX_LAG_S = 0.02
 """Seconds; a longer stall of the host does not predict the lag of the next answer."""
 
-
 MAX_MARGIN_SHARE = 0.1
-"""Share of the objective that the writing of answers may take of it. Answers that need
-more lack so many parts that being late costs less."""
+"""Share of the objective that is kept at most for writing the answer. If more were
+kept, answers would lack so many parts that being late would cost less."""
 
 MAX_NETWORK_MARGIN_S = 0.01
 """Seconds; callers whose round trips vary by more were connected over several networks,
--- a/src/greengagehaven/coordination/routing/counts.py
+++ b/src/greengagehaven/coordination/routing/counts.py
@@ -52,6 +52,9 @@
 
     They are plain numbers rather than objects of the metrics library: that library
     takes 1.7 MB, and a host whose metrics are never scraped does not load it.
+
+    ``refusals`` counts by error code or by the reason of failed shards. ``report_ages``
+    holds, for each attempt, the age of its upstream's last report of work time.
     """
 
     def __init__(self) -> None:
--- a/src/greengagehaven/coordination/routing/observation.py
+++ b/src/greengagehaven/coordination/routing/observation.py
@@ -93,8 +93,9 @@
             # to be reported with others.
             took = now - attempt.sent_at if reply.took is None else reply.took
             upstream.record_success(now)
-            # What the machine's reported state explains passes with it, and must not
-            # be remembered for seconds as slowness of the upstream.
+            # Latency that the reported work time explains ends when the machine
+            # recovers, so it must not be remembered for seconds as slowness of the
+            # upstream.
             ratio = took / attempt.typical_latency
             ratio = min(ratio, max(1.0, ratio / work_time))
             upstream.record_latency(ratio, now)
@@ -113,8 +114,9 @@
     ) -> float:
         """Record a load report; return the work time that applied to its request.
 
-        The request may have started before the period changed, so this is the greater
-        of the work times before and after it. It is 1 if upstreams report none.
+        The machine may have become slow or recovered while the request ran, so this is
+        the greater of the work times before and after the report. It is 1 if the
+        upstream reports none.
         """
         if load is None:
             return 1.0
--- a/src/greengagehaven/coordination/routing/planning.py
+++ b/src/greengagehaven/coordination/routing/planning.py
@@ -18,7 +18,7 @@
     """Chooses the upstream of each shard's first attempt.
 
     :param fleet: the known upstreams.
-    :param sender: knows how long attempts usually take.
+    :param sender: gives the usual latency of attempts.
     :param consolidation: moves shards without an upstream in this zone to one zone.
     :param availability: which shards have an upstream that answers.
     :param budget: counts requests of each service.
@@ -74,7 +74,8 @@
     def _fail_unavailable(self, routed: request.RoutedRequest) -> None:
         """Fail unavailable shards if too few remain, unless the request is a probe.
 
-        Otherwise they are sent as well, which detects that they recovered.
+        If enough remain, the unavailable shards are requested too, which detects that
+        they have recovered.
         """
         if not self._availability.has_silent_upstreams:
             return
--- a/src/greengagehaven/coordination/routing/recent_quantile.py
+++ b/src/greengagehaven/coordination/routing/recent_quantile.py
@@ -8,10 +8,11 @@
 three to ten seconds, so they cover some minutes."""
 
 MIN_SAMPLES = 4
-"""Samples below which there is no quantile. Such a host has no more after half a
-minute; a single one may be a stall that does not repeat."""
+"""Number of samples below which the quantile is 0. Such a host has this many after
+half a minute; a single one may be a stall that does not repeat."""
 
 QUANTILE = 0.9
+"""The estimate of the lag of timers settles at the same quantile."""
 
 
 class RecentQuantile:
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -222,7 +222,7 @@
 
     @property
     def lacked_key_lease(self) -> bool:
-        """Return whether a shard failed as this host had lost its key lease."""
+        """Return whether a shard failed because this host had no key lease."""
         return any(shard.failure.endswith(NO_KEY_LEASE) for shard in self.shards)
 
     @property
--- a/src/greengagehaven/coordination/routing/sending.py
+++ b/src/greengagehaven/coordination/routing/sending.py
@@ -68,10 +68,8 @@
         addresses = self._helper_addresses(routed, chosen_by_service)
         # The same for all shards, so computed once: with many shards it would take most
         # of the time of planning a request.
-        typical_latency, delay = (
-            self.typical_latency(routed),
-            self._hedging.delay(routed),
-        )
+        typical_latency = self.typical_latency(routed)
+        delay = self._hedging.delay(routed)
         sends_by_address: dict[str, list[events.Action]] = {}
         for shard, address in zip(pending, addresses, strict=True):
             chosen = chosen_by_service[shard.service]
@@ -90,25 +88,37 @@
         # Helpers come first, so that they start while this host writes its own
         # attempts.
         for address, sends in sends_by_address.items():
-            self._delegation.record_call(address)
-            self._counts.delegations["asked"] += 1
-            request_log.log_delegation(
-                routed,
-                address,
-                shards=len(sends),
-                shard_seconds=self._delegation.seconds_per_shard,
-            )
-            actions.append(
-                events.Delegate(
-                    number=routed.number,
-                    address=address,
-                    sends=tuple(sends),
-                    report_after=min(delay, routed.route.objective),
-                    top_records=routed.route.top_records,
-                )
-            )
+            actions.append(self._delegate(routed, address, sends, delay=delay))
         actions.extend(own)
 
+    def _delegate(
+        self,
+        routed: request.RoutedRequest,
+        address: str,
+        sends: list[events.Action],
+        *,
+        delay: float,
+    ) -> events.Delegate:
+        """Record and return the call of a helper that is to send attempts.
+
+        :param delay: seconds after which this host would hedge the shards.
+        """
+        self._delegation.record_call(address)
+        self._counts.delegations["asked"] += 1
+        request_log.log_delegation(
+            routed,
+            address,
+            shards=len(sends),
+            shard_seconds=self._delegation.seconds_per_shard,
+        )
+        return events.Delegate(
+            number=routed.number,
+            address=address,
+            sends=tuple(sends),
+            report_after=min(delay, routed.route.objective),
+            top_records=routed.route.top_records,
+        )
+
     def _helper_addresses(
         self,
         routed: request.RoutedRequest,
@@ -183,19 +193,7 @@
             typical_latency=typical_latency,
             helper_address=helper_address,
         )
-        self._counts.attempts[purpose] += 1
-        if purpose != "primary":
-            request_log.log_extra_attempt(purpose, routed, shard, chosen, now)
-        if chosen.work_time.reported_at >= 0.0:
-            self._counts.report_ages.observe(now - chosen.work_time.reported_at)
-        self._reachability.schedule_check()
-        chosen.record_sent(attempt.id, now)
-        self.attempts_by_id[attempt.id] = attempt
-        shard.attempts.append(attempt)
-        shard.tried.add(chosen.entry.id)
-        shard.sends += 1
-        shard.arrivals += 1
-        shard.runs += 1
+        self._record_sent(attempt, purpose)
         shard.hedge_at = now + delay
         if helper_address:
             # A helper reports its straggling shards earlier, unless it has failed.
@@ -213,3 +211,20 @@
                 team=routed.team_id,
             )
         )
+
+    def _record_sent(self, attempt: request.Attempt, purpose: str) -> None:
+        """Count a new attempt, and add it to its upstream and shard."""
+        chosen, shard, now = attempt.upstream, attempt.shard, attempt.sent_at
+        self._counts.attempts[purpose] += 1
+        if purpose != "primary":
+            request_log.log_extra_attempt(purpose, attempt.request, shard, chosen, now)
+        if chosen.work_time.reported_at >= 0.0:
+            self._counts.report_ages.observe(now - chosen.work_time.reported_at)
+        self._reachability.schedule_check()
+        chosen.record_sent(attempt.id, now)
+        self.attempts_by_id[attempt.id] = attempt
+        shard.attempts.append(attempt)
+        shard.tried.add(chosen.entry.id)
+        shard.sends += 1
+        shard.arrivals += 1
+        shard.runs += 1
--- a/src/greengagehaven/coordination/routing/stranded.py
+++ b/src/greengagehaven/coordination/routing/stranded.py
@@ -58,6 +58,7 @@
     def _end_if_stranded(
         self, routed: request.RoutedRequest, actions: list[events.Action]
     ) -> None:
+        """End a request unless hedges on other upstreams leave it enough shards."""
         stranded = self._stranded_shards(routed)
         if not stranded or routed.has_min_shards_without(len(stranded)):
             return
@@ -84,14 +85,16 @@
     def _is_stranded(
         self, routed: request.RoutedRequest, shard: request.ShardState
     ) -> bool:
+        """Return whether a shard only waits for upstreams that do not answer."""
         if shard.held is not None or not shard.attempts:
             return False
         if self._has_extra_attempt(routed, shard) and shard.hedge_at < float("inf"):
             return False
         if not all(self._is_stuck(attempt) for attempt in shard.attempts):
             return False
-        # Work of a request that takes unusually long looks like silence. It does not
-        # if half of its shards have replied, or if no upstream of the shard answers.
+        # A request whose work takes unusually long makes its upstreams look silent.
+        # That is ruled out if half of its shards have replied, or if no upstream of
+        # this shard answers.
         has_replies = routed.part_count >= len(routed.shards) / 2
         return has_replies or self._availability.is_unavailable(shard.service)
 
--- a/src/greengagehaven/coordination/routing/usage_limit.py
+++ b/src/greengagehaven/coordination/routing/usage_limit.py
@@ -14,7 +14,8 @@
 """Seconds between two summaries of a team that is near its limit."""
 
 NEAR_LIMIT_SHARE = 0.8
-"""Share of its limit from which operators should know of a team."""
+"""Share of its limit from which a team is logged, so that operators learn of it before
+requests are refused."""
 
 
 class UsageLimit:
@@ -68,7 +69,7 @@
                 retry_after=retry_after,
                 log_fields={
                     "team": team.id,
-                    **_fields(decision),
+                    **_decision_fields(decision),
                     "retry_after_ms": round(retry_after * 1000),
                 },
             )
@@ -84,12 +85,13 @@
         log.info(
             "usage_near_limit",
             team=team.id,
-            **_fields(decision),
+            **_decision_fields(decision),
             refused=self.refused_by_team[team.id],
         )
 
 
-def _fields(decision: demand_shares.Decision) -> dict[str, float | None]:
+def _decision_fields(decision: demand_shares.Decision) -> dict[str, float | None]:
+    """Return what a decision was based on, as fields of a log line."""
     return {
         "limit": round(decision.limit, 1),
         "own_offered": decision.own_offered,
--- a/src/greengagehaven/coordination/routing/work_time.py
+++ b/src/greengagehaven/coordination/routing/work_time.py
@@ -11,6 +11,7 @@
 from greengagehaven.coordination.routing import events
 
 USUAL_PERCENT = 100.0
+"""Work time in percent that an upstream reports while its machine is not slow."""
 
 HALF_LIFE_S = 0.3
 """Seconds in which a report loses half of its weight. A slow period lasts some 600 ms,
