--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -23,19 +23,21 @@
 """Seconds over which the current rate of a team is measured."""
 
 LONGEST_EXTRAPOLATION_S = 1.0
-"""Seconds over which a rate is extrapolated. The reports of 1 s were enough to learn
-the rates; a rate that has risen does not rise for longer without limit."""
+"""Age of totals, in seconds, up to which they are extrapolated by the current rate;
+beyond, a burst at the time of the report would be taken to last."""
 
 ISOLATED_AFTER_S = 1.0
-"""Seconds without totals after which this host counts as isolated: five periods."""
+"""Seconds without totals after which this host counts as isolated: five periods in
+which reports are sent and answered."""
 
 MIN_COVERAGE = 0.5
-"""Share of the hosts covered before, below which totals are not used."""
+"""Share of the hosts covered before, below which totals are not used. A control host
+that has restarted covers few hosts until the others have sent it all reports again."""
 
 SHORTEST_RETRY_S = 0.02
 RETRY_SPREAD_S = 0.1
-"""Bounds of the time added to a caller's moment, so that callers that were refused
-together do not return together."""
+"""Bounds in seconds of the random delay added to the time at which a refused caller may
+retry, so that callers that were refused together do not return together."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -66,7 +68,7 @@
     """Usage of one team.
 
     :param others: usage at all other hosts, as of ``others_at``.
-    :param own_then: offered requests here when ``others`` was asked for.
+    :param own_offered_before: offered requests here when ``others`` was received.
     :param rounding: part of a request below which a fraction of a share is rounded
         down, drawn anew for each window.
     :param promised_moments: heap of the moments at which refused callers were told to
@@ -77,7 +79,7 @@
     admitted: window.WindowCount
     others: usage_caps.TeamUsage | None = None
     others_at: float = 0.0
-    own_then: int = 0
+    own_offered_before: int = 0
     rounding: float = 0.0
     rounding_until: float = -math.inf
     promised_moments: list[float] = dataclasses.field(default_factory=list)
@@ -96,11 +98,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Decision:
-    """What a refusal or admission was based on, for the log.
+    """What a refusal or admission was based on.
 
+    :param now: time of the decision, in monotonic seconds.
     :param others: estimated offered requests at other hosts.
-    :param age: seconds since the totals of other hosts were asked for, infinite if
-        there never were any.
+    :param others_admitted: estimated admitted requests at other hosts.
+    :param age: seconds since the totals of other hosts were requested, infinite if
+        none were received.
+    :param limit: requests that the team may send in a window.
+    :param share: requests that this host may admit in a window if the target is
+        exceeded.
     """
 
     now: float
@@ -138,7 +145,7 @@
         self._host_count = max(1, count)
 
     def retain(self, team_ids: abc.Container[str]) -> None:
-        """Forget teams that are not in the document any more."""
+        """Discard the usage of all teams but those given."""
         for team_id in list(self._states_by_team):
             if team_id not in team_ids:
                 del self._states_by_team[team_id]
@@ -163,7 +170,7 @@
     def near_target(self, now: float) -> tuple[str, ...]:
         """Return the teams that are above their target or reach it soon.
 
-        Their totals are asked for more often.
+        Reports are sent more often while there are any.
         """
         return tuple(
             team_id
@@ -208,20 +215,21 @@
             self._most_covered, self._most_covered_at = totals.hosts, now
         self._has_totals, self._has_resumed = True, False
         self._totals_at = max(self._totals_at, sent_at)
-        named = {usage.team: usage for usage in totals.teams}
-        for team_id in named.keys() | self._states_by_team.keys():
+        usages_by_team = {usage.team: usage for usage in totals.teams}
+        for team_id in usages_by_team.keys() | self._states_by_team.keys():
             state = self._state_of(team_id)
             if sent_at < state.others_at:
                 continue
             # A team that is not named has few requests at other hosts.
-            state.others, state.others_at = named.get(team_id), sent_at
-            state.own_then = state.offered.count(now)
-        self._discard_idle(named, now)
+            state.others, state.others_at = usages_by_team.get(team_id), sent_at
+            state.own_offered_before = state.offered.count(now)
+        self._discard_idle(usages_by_team, now)
         return True
 
-    def _discard_idle(self, named: abc.Container[str], now: float) -> None:
+    def _discard_idle(self, busy: abc.Container[str], now: float) -> None:
+        """Discard teams without requests here, except those that are busy elsewhere."""
         for team_id, state in list(self._states_by_team.items()):
-            if team_id not in named and not state.offered.count(now):
+            if team_id not in busy and not state.offered.count(now):
                 del self._states_by_team[team_id]
 
     def _state_of(self, team_id: str) -> _TeamState:
@@ -241,7 +249,7 @@
         others, others_admitted = self._estimate_others(state, own, now)
         share = target * own / (own + others) - self._rounding(state, now)
         if not self._has_totals:
-            share = self._blind_share(team)
+            share = self._share_without_totals(team)
         return Decision(
             now=now,
             own_offered=own,
@@ -260,7 +268,7 @@
             return decision.own_admitted < decision.share
         others = state.others
         if self._has_old_totals(decision) and others is not None and others.offered:
-            return decision.own_admitted < self._blind_share(team)
+            return decision.own_admitted < self._share_without_totals(team)
         target = self.caps.target_of(team)
         if decision.own_offered + decision.others <= target:
             return True
@@ -289,14 +297,20 @@
         has_resumed |= self._has_resumed
         return has_resumed and decision.age > self.caps.window
 
-    def _blind_share(self, team: teams_module.Team) -> float:
-        """Return the share of a host that knows nothing of the others."""
+    def _share_without_totals(self, team: teams_module.Team) -> float:
+        """Return the share of a host without usable totals of the others.
+
+        The target is divided by one more than the known hosts.
+        """
         return max(1.0, self.caps.target_of(team) / (self._host_count + 1))
 
     def _estimate_others(
         self, state: _TeamState, own: int, now: float
     ) -> tuple[float, float]:
-        """Return the offered and admitted requests at other hosts by now."""
+        """Return the estimated offered and admitted requests at other hosts now.
+
+        :param own: requests offered to this host in the window.
+        """
         if state.others is None:
             return 0.0, 0.0
         age = now - state.others_at
@@ -306,9 +320,9 @@
         extrapolated = min(age, LONGEST_EXTRAPOLATION_S)
         offered = others.offered + max(0.0, rate - steady_rate) * extrapolated
         if age > ISOLATED_AFTER_S:
-            # The own growth, less what chance explains, since a host's own counts of
-            # a team are small.
-            growth = (own - 2 * math.sqrt(own)) / (state.own_then + 1)
+            # Demand at other hosts is assumed to grow as here. Two standard deviations
+            # are subtracted, since a host's own counts of a team are small.
+            growth = (own - 2 * math.sqrt(own)) / (state.own_offered_before + 1)
             offered = max(offered, others.offered * growth)
         admitted = others.admitted + rate * extrapolated
         return offered, min(admitted, offered)
@@ -325,19 +339,18 @@
         return state.rounding
 
     def _retry_delay(self, state: _TeamState, decision: Decision, now: float) -> float:
-        """Return when there is room for this caller, after those refused before it.
+        """Return the seconds until there is room for a refused caller.
 
         Each refused caller is promised one of the places that become free. Those for
-        which none is left are told to come after a window, spread over another.
+        which none is left are told to retry after a window, spread over another.
         """
         promised = state.promised_moments
         while promised and promised[0] <= now:
             heapq.heappop(promised)
-        allowed = math.ceil(max(0.0, decision.share)) - 1
-        left = allowed - len(promised)
-        if left < 0:
+        max_others = math.ceil(max(0.0, decision.share)) - 1 - len(promised)
+        if max_others < 0:
             return self.caps.window * self._rng.uniform(1.0, 2.0)
-        room_in = state.admitted.seconds_until_at_most(left, now)
+        room_in = state.admitted.seconds_until_at_most(max_others, now)
         moment = now + room_in + self._rng.uniform(SHORTEST_RETRY_S, RETRY_SPREAD_S)
         heapq.heappush(promised, moment)
         return moment - now
--- a/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
@@ -11,7 +11,7 @@
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class _Direct:
+class _DirectReport:
     """The last report that a host sent to this control host."""
 
     report: usage_caps.UsageReport
@@ -19,7 +19,7 @@
     forwarded_at: float
 
 
-class _Queue:
+class _ForwardQueue:
     """Reports that one other control host still has to get.
 
     Only the newest of a run is kept, so that the size is bounded by the number of
@@ -42,13 +42,13 @@
 
     def __init__(self, *, window: float) -> None:
         self._window = window
-        self._direct_by_run: dict[tuple[str, str], _Direct] = {}
-        self._queues_by_address: dict[str, _Queue] = {}
+        self._direct_by_run: dict[tuple[str, str], _DirectReport] = {}
+        self._queues_by_address: dict[str, _ForwardQueue] = {}
 
     def set_addresses(self, addresses: abc.Iterable[str]) -> None:
         """Set the other control hosts."""
         self._queues_by_address = {
-            address: self._queues_by_address.get(address) or _Queue()
+            address: self._queues_by_address.get(address) or _ForwardQueue()
             for address in addresses
         }
 
@@ -65,7 +65,7 @@
         is_due = direct is None or now - direct.forwarded_at >= REFRESH_S
         is_due = is_due or report.teams != direct.report.teams
         forwarded_at = now if is_due else direct.forwarded_at
-        self._direct_by_run[key] = _Direct(
+        self._direct_by_run[key] = _DirectReport(
             report=report, received_at=now, forwarded_at=forwarded_at
         )
         if is_due:
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -20,7 +20,8 @@
 Killed and restarted hosts go one at a time; hosts that are cut off keep admitting."""
 
 PARTITION_RETENTION_S = 60.0
-"""Seconds for which the demand of hosts behind a partition is kept."""
+"""Seconds for which the demand of hosts behind a partition is counted; they go on
+admitting their shares meanwhile."""
 
 QUIET_S = 1.5
 """Seconds without a report after which a host counts as quiet; unchanged reports
@@ -95,7 +96,7 @@
         is_partition = quiet_count >= max(2, PARTITION_SHARE * self.host_count)
         kept_since = now - PARTITION_RETENTION_S
         for host_id, runs in list(self._runs_by_host.items()):
-            self._fade_earlier_runs(runs, now)
+            self._reduce_earlier_runs(runs, now)
             last = _newest(runs).received_at
             if last < (kept_since if is_partition else silent_since):
                 for run in runs.values():
@@ -123,23 +124,34 @@
             self._offered_before = self._history[0][1] if self._history else {}
         for run in quiet:
             self._count(run, run.report.teams)
-        quiet_sums: dict[str, int] = collections.Counter()
+        factors_by_team = self._growth_factors(quiet, self._offered_before)
+        if factors_by_team:
+            for run in quiet:
+                self._count(run, _grow(run.report.teams, factors_by_team))
+
+    def _growth_factors(
+        self, quiet: list[_HostRun], offered_before: abc.Mapping[str, int]
+    ) -> dict[str, tuple[float, float]]:
+        """Return the growth of teams at the hosts that report, as for ``_grow``.
+
+        :param quiet: newest runs of the quiet hosts, counted as last reported.
+        :param offered_before: requests at all hosts before these became quiet.
+        """
+        quiet_offered: dict[str, int] = collections.Counter()
         quiet_admitted: dict[str, int] = collections.Counter()
         for run in quiet:
             for usage in run.report.teams:
-                quiet_sums[usage.team] += usage.offered
+                quiet_offered[usage.team] += usage.offered
                 quiet_admitted[usage.team] += usage.admitted
         factors_by_team: dict[str, tuple[float, float]] = {}
-        for team, offered in quiet_sums.items():
+        for team, offered in quiet_offered.items():
             sums = self._sums_by_team[team]
-            heard, before = sums[0] - offered, self._offered_before.get(team, 0)
-            if heard > before > offered:
-                growth = heard / (before - offered)
-                admitted_share = (sums[1] - quiet_admitted[team]) / heard
+            reported, before = sums[0] - offered, offered_before.get(team, 0)
+            if reported > before > offered:
+                growth = reported / (before - offered)
+                admitted_share = (sums[1] - quiet_admitted[team]) / reported
                 factors_by_team[team] = growth, admitted_share
-        if factors_by_team:
-            for run in quiet:
-                self._count(run, _grow(run.report.teams, factors_by_team))
+        return factors_by_team
 
     def _record_history(self, now: float) -> None:
         offered = {team: sums[0] for team, sums in self._sums_by_team.items()}
@@ -147,12 +159,12 @@
         while self._history[0][0] < now - HISTORY_S:
             self._history.popleft()
 
-    def _fade_earlier_runs(self, runs: dict[str, _HostRun], now: float) -> None:
+    def _reduce_earlier_runs(self, runs: dict[str, _HostRun], now: float) -> None:
         """Count less of what earlier runs of a restarted host admitted.
 
-        It leaves the window within one window. Without it, a restarted host would
-        grant its share twice; counted in full, 264 requests were refused with room
-        in a case with one host.
+        These requests leave the window within its length. If they were not counted, a
+        restarted host would grant its share twice; counted in full, they led to 264
+        refusals with room left in a simulated case with one host.
         """
         if len(runs) < 2:
             return
@@ -160,12 +172,12 @@
         for run_id, run in list(runs.items()):
             if run is newest:
                 continue
-            left = 1 - ((now - run.received_at) / self._window) ** 2
-            if left <= 0:
+            weight = 1 - ((now - run.received_at) / self._window) ** 2
+            if weight <= 0:
                 self._count(run, ())
                 del runs[run_id]
             else:
-                self._count(run, _scale(run.report.teams, left))
+                self._count(run, _scale(run.report.teams, weight))
 
     def totals_for(
         self, report: usage_caps.UsageReport, now: float
@@ -188,10 +200,13 @@
     def _others(
         self, team: str, own: usage_caps.TeamUsage | None
     ) -> usage_caps.TeamUsage:
+        """Return a team's usage at all hosts, less what is counted of one run."""
         sums = self._sums_by_team.get(team, _NO_USAGE)
-        mine = _NO_USAGE if own is None else (own.offered, own.admitted, own.recent)
+        own_counts = (
+            _NO_USAGE if own is None else (own.offered, own.admitted, own.recent)
+        )
         offered, admitted, recent = (
-            max(0, total - part) for total, part in zip(sums, mine, strict=True)
+            max(0, total - part) for total, part in zip(sums, own_counts, strict=True)
         )
         return usage_caps.TeamUsage(
             team=team, offered=offered, admitted=admitted, recent=recent
