--- a/src/greengagehaven/daemons/measure/cut_off.py
+++ b/src/greengagehaven/daemons/measure/cut_off.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import signal
+from collections import abc
 
 from greengagehaven import exceptions
 from greengagehaven.transport import http_peers
@@ -25,7 +26,13 @@
     """Client whose calls time out once this process is cut off."""
 
     async def call(
-        self, address: str, method: str, body: bytes, *, timeout: float
+        self,
+        address: str,
+        method: str,
+        body: bytes,
+        *,
+        timeout: float,
+        on_sending: abc.Callable[[], None] | None = None,
     ) -> bytes:
         """Call another host, unless this process is cut off.
 
@@ -33,7 +40,9 @@
         """
         reply = None
         if not _is_cut_off:
-            reply = await super().call(address, method, body, timeout=timeout)
+            reply = await super().call(
+                address, method, body, timeout=timeout, on_sending=on_sending
+            )
         if _is_cut_off or reply is None:
             await asyncio.sleep(timeout)
             raise exceptions.PeerError(f"{method}: this host is cut off")
