Refuse requests without time left instead of sending them

Cause: a request that arrived with less time left than the margin of 10 ms before its deadline was planned and delegated, and refused as not run in the same step.

Change: nothing is sent for a request whose deadline has passed on arrival.

--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -35,3 +35,12 @@
 
     When a request is sent on a connection whose first write fails
     Then its attempt ends as unsent
+
+  Scenario: A request that arrives without time left is not sent
+    Its caller had waited for a connection until milliseconds before its deadline. The
+    request was sent and refused as not run in the same moment; a host that had passed
+    it on by then would have made the refusal untrue.
+
+    Given a router with a sweep over 3 shards of 2 upstreams each
+    When a sweep arrives with 5 ms left
+    Then it is refused as incomplete and nothing is sent
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -183,3 +183,16 @@
 @behave.then("its attempt ends as unsent")
 def then_wrote_nothing(context):
     assert context.wrote_nothing
+
+
+@behave.when("a sweep arrives with {milliseconds:d} ms left")
+def when_late(context, milliseconds):
+    context.number = context.tier.request("/sweep/1", time_left=milliseconds / 1000)
+
+
+@behave.then("it is refused as incomplete and nothing is sent")
+def then_refused_unsent(context):
+    ending = context.tier.final_actions_by_number[context.number]
+    assert isinstance(ending, events.Refuse), ending
+    assert ending.error.status == 503, ending
+    assert not context.tier.attempts_of(context.number)
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -125,13 +125,21 @@
             return
         self._requests_by_number[routed.number] = routed
         chosen_by_service = self._planner.plan(routed, table=self._table_number)
-        # If too many shards have no upstream, nothing is sent: the replies of the other
-        # shards would be discarded, and the error to the caller could not state that
-        # the request did not run.
-        if routed.can_reach_min_shards or not self._used.early_refusal:
+        if self._is_worth_sending(routed):
             self._sender.send_first(routed, chosen_by_service, actions)
         self._settle(routed, actions)
 
+    def _is_worth_sending(self, routed: request.RoutedRequest) -> bool:
+        """Return whether a request that has just arrived can still be answered.
+
+        If it has no time left, or too many shards have no upstream, nothing is sent:
+        replies would be discarded, and the error to the caller could not state that
+        the request did not run.
+        """
+        if self._clock.monotonic() >= routed.deadline:
+            return False
+        return routed.can_reach_min_shards or not self._used.early_refusal
+
     def _on_started(
         self, started: events.AttemptStarted, actions: list[events.Action]
     ) -> None:
