Use the wake timer for the reports of usage

The reporter and the aggregator of usage each held the timer logic of WakeTimer again: the earliest moment asked for, with a restart if an earlier one comes. Both call it now. usage_caps.feature: 38 scenarios pass, the known red one fails as before.

--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -12,6 +12,7 @@
     report_forwarding,
     report_sums,
 )
+from greengagehaven.daemons import wake_timer
 from greengagehaven.protocol import codec, usage_caps
 
 REPORT_METHOD = "usage/report"
@@ -62,8 +63,7 @@
         self._run_id = secrets.token_hex(RUN_ID_BYTES)
         self._sequence = 0
         self._due = asyncio.Event()
-        self._next_at = float("inf")
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = wake_timer.WakeTimer(on_wake=self._due.set, clock=clock)
         self._task: asyncio.Task[None] | None = None
         self._sent_at = float("-inf")
 
@@ -78,35 +78,24 @@
     def on_request(self, team_id: str) -> None:
         """Schedule a report of a request, earlier if the team is near its target."""
         is_near = self._shares.is_near_target(team_id, self._clock.monotonic())
-        self._schedule(self._sent_at + (URGENT_PERIOD_S if is_near else PERIOD_S))
+        self._timer.schedule(self._sent_at + (URGENT_PERIOD_S if is_near else PERIOD_S))
 
     async def close(self) -> None:
         """Stop reporting."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def _schedule(self, moment: float) -> None:
-        if moment >= self._next_at:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._next_at = moment
-        delay = max(0.0, moment - self._clock.monotonic())
-        self._timer = asyncio.get_running_loop().call_later(delay, self._due.set)
-
     async def _report_forever(self) -> None:
         while True:
             self._due.clear()
-            self._next_at = float("inf")
             self._sent_at = now = self._clock.monotonic()
             near = self._shares.near_target(now)
             usages = self._shares.reports(now)
             await self._report(usages, is_urgent=bool(near))
             period = PERIOD_S if usages else IDLE_PERIOD_S
-            self._schedule(self._sent_at + (URGENT_PERIOD_S if near else period))
+            self._timer.schedule(self._sent_at + (URGENT_PERIOD_S if near else period))
             await self._due.wait()
 
     async def _report(
@@ -165,8 +154,7 @@
         self._sums = report_sums.ReportSums(window=window, started_at=clock.monotonic())
         self._forwarder = report_forwarding.ReportForwarder(window=window)
         self._sent_at = float("-inf")
-        self._next_at = float("inf")
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = wake_timer.WakeTimer(on_wake=self._exchange, clock=clock)
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
 
     @property
@@ -190,7 +178,7 @@
             self._forwarder.set_addresses(self._addresses())
             self._forwarder.add(report, now)
             period = URGENT_PERIOD_S if report.is_urgent else PERIOD_S
-            self._schedule(self._sent_at + period)
+            self._timer.schedule(self._sent_at + period)
         return codec.encode_msgpack(self._sums.totals_for(report, now))
 
     async def handle_exchange(self, body: bytes) -> bytes:
@@ -199,30 +187,19 @@
         now = self._clock.monotonic()
         for report in exchange.reports:
             self._sums.add(report, now)
-        self._schedule(self._sent_at + PERIOD_S)
+        self._timer.schedule(self._sent_at + PERIOD_S)
         return codec.encode_msgpack(usage_caps.UsageExchanged(run=self._run_id))
 
     async def close(self) -> None:
         """Stop forwarding."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         tasks = list(self._tasks_by_address.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _schedule(self, moment: float) -> None:
-        if moment >= self._next_at:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._next_at = moment
-        delay = max(0.0, moment - self._clock.monotonic())
-        self._timer = asyncio.get_running_loop().call_later(delay, self._exchange)
-
     def _exchange(self) -> None:
         """Forward new reports, and schedule the next time unless no report is held."""
-        self._next_at = float("inf")
         self._sent_at = now = self._clock.monotonic()
         self._sums.expire(now)
         self._forwarder.expire(now)
@@ -233,7 +210,7 @@
             if task is None or task.done():
                 self._send(address)
         if self._sums.host_count or self._forwarder.has_unsent:
-            self._schedule(now + PERIOD_S)
+            self._timer.schedule(now + PERIOD_S)
 
     def _send(self, address: str) -> None:
         reports = self._forwarder.take(address)
--- a/src/greengagehaven/daemons/wake_timer.py
+++ b/src/greengagehaven/daemons/wake_timer.py
@@ -33,6 +33,13 @@
         delay = max(0.0, moment - self._clock.monotonic())
         self._timer = loop.call_later(delay, self._wake)
 
+    def cancel(self) -> None:
+        """Call back no more until the next ``schedule``."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = None
+        self._timer_at = float("inf")
+
     def _wake(self) -> None:
         self._timer = None
         self._timer_at = float("inf")
