Name the queueing of a loan for what retries and hedges share

wait_for_loan, which holds a failed attempt, called borrow_for_hedge, which is about neither borrowing at once nor hedges alone. No change of behaviour.

--- a/src/greengagehaven/coordination/routing/borrowing.py
+++ b/src/greengagehaven/coordination/routing/borrowing.py
@@ -71,20 +71,20 @@
     def wait_for_loan(self, attempt: request.Attempt) -> bool:
         """Hold the shard of a failed attempt until a loan arrives.
 
-        :returns: whether it waits, as for :meth:`borrow_for_hedge`.
+        :returns: whether it waits, as for :meth:`queue_loan`.
         """
-        if not self.borrow_for_hedge(attempt):
+        if not self.queue_loan(attempt):
             return False
         until = self._clock.monotonic() + LOAN_TIMEOUT_S
         attempt.shard.hold(attempt, until=until)
         return True
 
-    def borrow_for_hedge(self, attempt: request.Attempt) -> bool:
-        """Borrow an extra attempt with which a straggling attempt can be hedged.
+    def queue_loan(self, attempt: request.Attempt) -> bool:
+        """Queue an attempt whose shard needs an extra attempt for the next request.
 
-        :returns: whether a loan is requested. It is not if it would miss the request's
-            deadline, the shard has had ``MAX_LENDERS`` requests already, or no lender
-            is available.
+        :returns: whether a loan will be requested. It is not if it would miss the
+            request's deadline, the shard has had ``MAX_LENDERS`` requests already, or
+            no lender is available.
         """
         now, shard = self._clock.monotonic(), attempt.shard
         is_late = now + LOAN_TIMEOUT_S >= attempt.request.deadline
--- a/src/greengagehaven/coordination/routing/extra_attempts.py
+++ b/src/greengagehaven/coordination/routing/extra_attempts.py
@@ -172,7 +172,7 @@
         """
         if not (self._used.hedge_loans and routed.is_sweep and routed.lacks_coverage):
             return
-        self._borrower.borrow_for_hedge(shard.attempts[0])
+        self._borrower.queue_loan(shard.attempts[0])
         shard.hedge_at = self._clock.monotonic() + REFUSED_HEDGE_RETRY_S
 
     def _choose_untried(
