Check the key lease before a write the same way on both sides

The gateway left the check out without a lease, as KeyGuard.may_send does by itself, and built it in another way than the delegation server.

--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
+import functools
 import itertools
 import typing
 from collections import abc
@@ -419,7 +420,9 @@
             deadline=self._clock.monotonic() + send.time_left,
             on_start=self._on_start,
             on_end=self._on_end,
-            may_start=self._start_check(send.team),
+            may_start=functools.partial(self._may_start, send.team)
+            if send.team
+            else None,
         )
         request.attempts.append(send.attempt)
         self._exchanges_by_attempt[send.attempt] = exchange
@@ -427,15 +430,9 @@
         loop = asyncio.get_running_loop()
         loop.call_soon(self._start, exchange, send.connections)
 
-    def _start_check(self, team: str) -> abc.Callable[[], bool] | None:
-        """Return the check before an attempt is written; it may wait for a connection.
-
-        :param team: id of the team that sent the request, empty if there is none.
-        """
-        guard = self._router.key_guard
-        if guard.lease is None or not team:
-            return None
-        return lambda: guard.may_send(team, "attempt")
+    def _may_start(self, team: str) -> bool:
+        """Return whether an attempt may be written; it may have waited for long."""
+        return self._router.key_guard.may_send(team, "attempt")
 
     def _start(self, exchange: exchanges.Exchange, connections: int) -> None:
         self._channel.send(exchange, max_connections=connections)
