Pass the settler to what settles requests instead of a callable

The type of the callable was defined twice. No change of behaviour; the scenarios of routing, refusals, availability and extra_attempts pass.

--- a/src/greengagehaven/coordination/routing/attempt_outcomes.py
+++ b/src/greengagehaven/coordination/routing/attempt_outcomes.py
@@ -1,7 +1,5 @@
 """Applies the ends of attempts to their requests: parts, failures and retries."""
 
-from collections import abc
-
 from greengagehaven import clock as clocks
 from greengagehaven.coordination.routing import (
     availability,
@@ -13,6 +11,7 @@
     observation,
     request,
     request_log,
+    settling,
 )
 
 MAX_LISTENER_CHECK_S = 0.03
@@ -20,8 +19,6 @@
 upstream. The check opens one connection, which takes 6 ms at most if the upstream
 listens."""
 
-Settle = abc.Callable[[request.RoutedRequest, list[events.Action]], None]
-
 
 class AttemptOutcomes:
     """Records how attempts end, and retries those that failed.
@@ -32,7 +29,7 @@
     :param extra_attempts: decides on retries.
     :param crashes: lost attempts whose upstream is being checked.
     :param counts: counts failures by reason.
-    :param settle: answers a request if its outcome is certain.
+    :param settler: answers a request if its outcome is certain.
     :param clock: monotonic time.
     """
 
@@ -45,7 +42,7 @@
         extra_attempts: extra_attempts.ExtraAttemptPolicy,
         crashes: crashes.CrashDetector,
         counts: counts.Counts,
-        settle: Settle,
+        settler: settling.RequestSettler,
         clock: clocks.Clock,
     ) -> None:
         self._attempts_by_id = attempts_by_id
@@ -54,7 +51,7 @@
         self._extra_attempts = extra_attempts
         self._crashes = crashes
         self._counts = counts
-        self._settle = settle
+        self._settler = settler
         self._clock = clock
 
     def record_end(
@@ -105,7 +102,7 @@
         shard.resume()
         if not self._extra_attempts.retry(attempt, actions):
             routed.record_failure(shard, shard.failure)
-        self._settle(routed, actions)
+        self._settler.settle(routed, actions)
 
     def fail_unreachable_attempts(self, actions: list[events.Action]) -> None:
         """Fail attempts at unreachable upstreams that may be sent again.
@@ -141,7 +138,7 @@
         attempt.shard.attempts.remove(attempt)
         failed = events.Failed(fault=events.Fault.CANCELLED, detail="out of reach")
         self._record_failure(attempt, failed, actions)
-        self._settle(attempt.request, actions)
+        self._settler.settle(attempt.request, actions)
 
     def _record_failure(
         self,
--- a/src/greengagehaven/coordination/routing/components.py
+++ b/src/greengagehaven/coordination/routing/components.py
@@ -300,7 +300,7 @@
             extra_attempts=self.extra_attempts,
             crashes=self.crashes,
             counts=self.counts,
-            settle=self.settler.settle,
+            settler=self.settler,
             clock=self.clock,
         )
 
@@ -310,6 +310,6 @@
         return stranded.StrandedRequests(
             availability=self.availability,
             extra_attempts=self.extra_attempts,
-            settle=self.settler.settle,
+            settler=self.settler,
             clock=self.clock,
         )
--- a/src/greengagehaven/coordination/routing/stranded.py
+++ b/src/greengagehaven/coordination/routing/stranded.py
@@ -10,10 +10,9 @@
     extra_attempts,
     request,
     request_log,
+    settling,
 )
 
-Settle = abc.Callable[[request.RoutedRequest, list[events.Action]], None]
-
 
 class StrandedRequests:
     """Fails the shards of requests that can't be answered any more.
@@ -23,7 +22,7 @@
 
     :param availability: which upstreams answer.
     :param extra_attempts: sends attempts that the budget did not allow before.
-    :param settle: answers a request if its outcome is certain.
+    :param settler: answers a request if its outcome is certain.
     :param clock: monotonic time.
     """
 
@@ -32,12 +31,12 @@
         *,
         availability: availability.Availability,
         extra_attempts: extra_attempts.ExtraAttemptPolicy,
-        settle: Settle,
+        settler: settling.RequestSettler,
         clock: clocks.Clock,
     ) -> None:
         self._availability = availability
         self._extra_attempts = extra_attempts
-        self._settle = settle
+        self._settler = settler
         self._clock = clock
 
     def end(
@@ -75,7 +74,7 @@
         for shard in stranded:
             routed.record_failure(shard, availability.UNAVAILABLE)
             completion.release(shard.attempts, actions)
-        self._settle(routed, actions)
+        self._settler.settle(routed, actions)
 
     def _stranded_shards(
         self, routed: request.RoutedRequest
