Keep the platform's formats of measure revoked-key in the platform's folder

The measure wrote the platform's document, announcements and settings itself, with their words, outside platform/. platform/loopback.py writes them now from typed descriptions; the strings are as before, except for the service's name.

--- a/features/steps/key_lease_model_steps.py
+++ b/features/steps/key_lease_model_steps.py
@@ -10,7 +10,7 @@
 from greengagehaven.coordination.raft import messages
 from greengagehaven.daemons import control_host
 from greengagehaven.daemons.measure import revoked_key
-from greengagehaven.protocol import header_names
+from greengagehaven.platform import loopback
 
 STEP_S = 0.1
 
@@ -205,12 +205,10 @@
 def given_measure(context):
     assert revoked_key.REVOKE_MS == 5000
     context.bench = revoked_key.Bench(
-        platform=revoked_key.Platform(
-            names=header_names.HeaderNames(), config_path="", instances_path=""
-        ),
+        platform=loopback.PLATFORM,
         folder=pathlib.Path(),
         hosts=2,
-        settings=(),
+        revoke_ms=None,
     )
     context.acknowledged_at = 100.0
 
--- a/src/greengagehaven/commands/measure.py
+++ b/src/greengagehaven/commands/measure.py
@@ -14,7 +14,7 @@
     scenarios,
     usage_caps,
 )
-from greengagehaven.platform import names
+from greengagehaven.platform import loopback
 
 _FIELDS = (
     "queries",
@@ -110,13 +110,10 @@
 
 
 def _run_revoked_key(hosts: int, seconds: float, as_json: bool) -> None:
-    platform = revoked_key.Platform(
-        names=names.HEADERS,
-        config_path=names.CONFIG_PATH,
-        instances_path=names.INSTANCES_PATH,
-    )
     measured = asyncio.run(
-        revoked_key.measure(hosts=max(1, hosts), seconds=seconds, platform=platform)
+        revoked_key.measure(
+            hosts=max(1, hosts), seconds=seconds, platform=loopback.PLATFORM
+        )
     )
     _print_parts(measured, revoked_key.ABOUT, as_json)
 
--- a/src/greengagehaven/daemons/measure/platform_hosts.py
+++ b/src/greengagehaven/daemons/measure/platform_hosts.py
@@ -1,9 +1,11 @@
 """Runs control and entry hosts of the platform as processes on loopback."""
 
 import asyncio
+import dataclasses
 import os
 import pathlib
 import sys
+from collections import abc
 
 from greengagehaven.daemons.measure import cut_off
 
@@ -25,6 +27,22 @@
 """Last part of the address of the first host of a role."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostSettings:
+    """What the settings of a host are written from.
+
+    :param control_addresses: ``IP:PORT`` of each control host for operators.
+    :param revoke_ms: limit for revocations in milliseconds, ``None`` for no limit.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    control_addresses: tuple[str, ...]
+    data_folder: str
+    revoke_ms: int | None
+
+
 class PlatformHosts:
     """Starts three control hosts and some entry hosts, and ends them by their id.
 
@@ -32,14 +50,24 @@
 
     :param folder: for settings, logs and data.
     :param hosts: number of entry hosts; the first can be cut off.
-    :param extra_settings: lines added to the settings of every host.
+    :param revoke_ms: limit for revocations in milliseconds, ``None`` for no limit.
+    :param make_settings: returns the text of a host's settings file.
+    :param settings_variable: environment variable with the path of that file.
     """
 
     def __init__(
-        self, *, folder: pathlib.Path, hosts: int, extra_settings: tuple[str, ...]
+        self,
+        *,
+        folder: pathlib.Path,
+        hosts: int,
+        revoke_ms: int | None,
+        make_settings: abc.Callable[[HostSettings], str],
+        settings_variable: str,
     ) -> None:
         self._folder = folder
-        self._extra_settings = extra_settings
+        self._revoke_ms = revoke_ms
+        self._make_settings = make_settings
+        self._settings_variable = settings_variable
         pid = os.getpid()
         self._subnet = f"127.{64 + pid % _SUBNETS}.{pid // _SUBNETS % 250}"
         self._control_ips = [
@@ -96,29 +124,18 @@
                 role,
                 stdout=log_file,
                 stderr=log_file,
-                env={**os.environ, "GREENGAGEHAVEN_CONFIG": str(settings)},
+                env={**os.environ, self._settings_variable: str(settings)},
             )
         self._processes.append(process)
 
     def _settings(self, name: str, ip: str, zone: str) -> str:
-        lines = (
-            f"node={name}",
-            f"ip={ip}",
-            f"zone={zone}",
-            f"listen.control={ip}:{OPERATOR_PORT}",
-            f"listen.front={ip}:{CALLER_PORT}",
-            f"listen.ready={ip}:{READY_PORT}",
-            f"internalPorts={PEER_PORT},{LAST_INTERNAL_PORT}",
-            f"seeds={','.join(self.operator_addresses)}",
-            f"dataDir={self._folder / name}",
-            "bootstrap=true",
-            "heartbeatMs=1200",
-            "bounds.retryRatio=0.2",
-            "bounds.retryBurst=50",
-            "bounds.budgetWindowS=10",
-            "bounds.graceS=1",
-            "bounds.coldFactor=1.5",
-            "bounds.coldSlack=5",
-            *self._extra_settings,
+        return self._make_settings(
+            HostSettings(
+                name=name,
+                ip=ip,
+                zone=zone,
+                control_addresses=tuple(self.operator_addresses),
+                data_folder=str(self._folder / name),
+                revoke_ms=self._revoke_ms,
+            )
         )
-        return "\n".join(lines) + "\n"
--- a/src/greengagehaven/daemons/measure/revoked_key.py
+++ b/src/greengagehaven/daemons/measure/revoked_key.py
@@ -8,7 +8,6 @@
 import collections
 import dataclasses
 import datetime
-import json
 import pathlib
 import tempfile
 import time
@@ -38,28 +37,60 @@
 
 START_TIMEOUT_S = 60.0
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
-SERVICE = "leaf"
-UPSTREAM_ID = "leaf-1"
+SERVICE = "records"
+UPSTREAM_ID = "records-1"
 HOST = "records.example"
-PATH = "/records/1"
+PATH_PREFIX = "/records/"
+PATH = f"{PATH_PREFIX}1"
 OLD_KEY = "key-that-is-revoked"
 NEW_KEY = "key-that-replaces-it"
-STRICT_SETTINGS = ("bounds.strictRevoke=true", f"bounds.revokeMs={REVOKE_MS}")
-BASELINE_SETTINGS = ("bounds.strictRevoke=false",)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Document:
+    """What the operator's document is written from: one service, route and team."""
+
+    version: int
+    host: str
+    path_prefix: str
+    service: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Announcement:
+    """What an announcement of the upstream is written from.
+
+    :param born: Unix milliseconds of its start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    sequence: int
+    born: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Platform:
-    """Names of the platform's protocol.
+    """Names and formats of the platform's protocol.
 
     :param names: names of the headers.
     :param config_path: path of the operator's document.
     :param instances_path: path under which upstreams announce themselves.
+    :param settings_variable: environment variable with the path of a settings file.
+    :param make_settings: returns the text of a host's settings file.
+    :param make_document: returns the body of an operator's document.
+    :param make_announcement: returns the body of an announcement.
     """
 
     names: header_names.HeaderNames
     config_path: str
     instances_path: str
+    settings_variable: str
+    make_settings: abc.Callable[[platform_hosts.HostSettings], str]
+    make_document: abc.Callable[[Document], bytes]
+    make_announcement: abc.Callable[[Announcement], bytes]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -110,7 +141,7 @@
     :param platform: names of the protocol.
     :param folder: for settings, logs and data.
     :param hosts: number of entry hosts.
-    :param settings: lines added to the settings of every host.
+    :param revoke_ms: limit for revocations in milliseconds, ``None`` for no limit.
     """
 
     def __init__(
@@ -119,11 +150,15 @@
         platform: Platform,
         folder: pathlib.Path,
         hosts: int,
-        settings: tuple[str, ...],
+        revoke_ms: int | None,
     ) -> None:
         self._platform = platform
         self._hosts = platform_hosts.PlatformHosts(
-            folder=folder, hosts=hosts, extra_settings=settings
+            folder=folder,
+            hosts=hosts,
+            revoke_ms=revoke_ms,
+            make_settings=platform.make_settings,
+            settings_variable=platform.settings_variable,
         )
         self.upstream = Upstream(platform=platform)
         self.sent_by_request: dict[str, Sent] = {}
@@ -176,7 +211,15 @@
                 await asyncio.sleep(PERIOD_S)
 
     async def _put_document(self, version: int, key: str) -> bool:
-        body = json.dumps(_document(version, key)).encode()
+        body = self._platform.make_document(
+            Document(
+                version=version,
+                host=HOST,
+                path_prefix=PATH_PREFIX,
+                service=SERVICE,
+                key=key,
+            )
+        )
         address = self._hosts.operator_addresses[0]
         return await self._request(address, "PUT", self._platform.config_path, body)
 
@@ -185,7 +228,15 @@
         sequence = 0
         while True:
             sequence += 1
-            body = json.dumps(_announcement(address, sequence, born)).encode()
+            body = self._platform.make_announcement(
+                Announcement(
+                    service=SERVICE,
+                    address=address,
+                    zone=platform_hosts.ZONES[0],
+                    sequence=sequence,
+                    born=born,
+                )
+            )
             path = self._platform.instances_path + UPSTREAM_ID
             await self._request(self._hosts.operator_addresses[0], "PUT", path, body)
             await asyncio.sleep(ANNOUNCE_PERIOD_S)
@@ -251,20 +302,20 @@
         "scenario": NAME,
         "hosts": hosts,
         "revoke_ms": REVOKE_MS,
-        "baseline": await _run(hosts, seconds, platform, BASELINE_SETTINGS),
-        "run": await _run(hosts, seconds, platform, STRICT_SETTINGS),
+        "baseline": await _run(hosts, seconds, platform, None),
+        "run": await _run(hosts, seconds, platform, REVOKE_MS),
     }
 
 
 async def _run(
-    hosts: int, seconds: float, platform: Platform, settings: tuple[str, ...]
+    hosts: int, seconds: float, platform: Platform, revoke_ms: int | None
 ) -> dict[str, typing.Any]:
     with tempfile.TemporaryDirectory() as folder:
         bench = Bench(
             platform=platform,
             folder=pathlib.Path(folder),
             hosts=hosts,
-            settings=settings,
+            revoke_ms=revoke_ms,
         )
         try:
             await bench.start()
@@ -305,46 +356,3 @@
         "connected_401": sum(counts[401] for counts in connected),
         "connected_503": sum(counts[503] for counts in connected),
     }
-
-
-def _document(version: int, key: str) -> dict[str, typing.Any]:
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": "records",
-                "host": HOST,
-                "pathPrefix": "/records/",
-                "type": "idempotent",
-                "timeoutMs": 1000,
-                "sloMs": 500,
-                "priority": 1,
-                "backend": SERVICE,
-                "attempts": 2,
-            }
-        ],
-        "services": [
-            {
-                "name": SERVICE,
-                "healthPath": "/healthz",
-                "maxConns": 200,
-                "protocol": "h1",
-            }
-        ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
-        "tenants": [{"name": "north", "apiKeys": [key]}],
-    }
-
-
-def _announcement(address: str, sequence: int, born: int) -> dict[str, typing.Any]:
-    return {
-        "backend": SERVICE,
-        "addr": address,
-        "zone": platform_hosts.ZONES[0],
-        "version": "v1",
-        "slots": 64,
-        "state": "ready",
-        "coldLeftMs": 0,
-        "seq": sequence,
-        "born": born,
-    }
