Log to standard error without waiting for its reader

Cause: the commands entry, control, standin and dev wrote log lines to a pipe with blocking writes, on the thread of the event loop.

Change: they write by transport/log_output.py, as the platform's roles do: lines that cannot be written are dropped and counted. A terminal is written to as before, since its descriptor is shared with other processes.

--- a/features/log_output.feature
+++ b/features/log_output.feature
@@ -18,3 +18,10 @@
     When 5000 ordinary lines and 100 failures are logged within a second
     Then all 100 failures are read
     And fewer than 2500 ordinary lines are read
+
+  Scenario: Nobody reads the log of a daemon
+    The pipe was full, the daemon waited in a write, and SIGTERM was not handled.
+
+    Given a daemon whose standard error is a full pipe
+    When it is sent SIGTERM while nobody reads its log
+    Then it exits with 0 while nobody reads its log
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -2,15 +2,25 @@
 
 import datetime
 import os
+import signal
+import socket
+import subprocess
+import sys
+import time
 
 import behave
 
+from fakes import platform_deployment
 from greengagehaven import clock, log
 from greengagehaven.transport import log_output
 
 ORDINARY_EVENT = "ordinary"
 FAILURE_EVENT = "failure"
 READ_BYTES = 1 << 20
+COMMAND = [sys.executable, "-c", "from greengagehaven import cli; cli.main()"]
+START_TIMEOUT_S = 30.0
+SETTLE_S = 1.0
+EXIT_TIMEOUT_S = 20.0
 
 
 class Message(str):
@@ -116,3 +126,45 @@
 @behave.then("fewer than {count:d} ordinary lines are read")
 def then_fewer(context, count):
     assert 0 < context.read.count(b"event=ordinary") < count
+
+
+@behave.given("a daemon whose standard error is a full pipe")
+def given_daemon(context):
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    try:
+        while True:
+            os.write(writing, b"x" * 4096)
+    except BlockingIOError:
+        os.set_blocking(writing, True)
+    (port,) = platform_deployment.free_ports(1)
+    arguments = ["standin", "--id", "u-1", "--zone", "a", "--service", "logged"]
+    arguments += ["--listen", f"127.0.0.1:{port}", "--entry", "127.0.0.1:1"]
+    context.daemon = subprocess.Popen([*COMMAND, *arguments], stderr=writing)
+    context.add_cleanup(os.close, reading)
+    context.add_cleanup(context.daemon.kill)
+    os.close(writing)
+    wait_until_listening(port)
+
+
+def wait_until_listening(port):
+    end = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < end:
+        try:
+            socket.create_connection(("127.0.0.1", port)).close()
+            return
+        except ConnectionRefusedError:
+            time.sleep(0.05)
+    raise AssertionError("the daemon does not listen")
+
+
+@behave.when("it is sent SIGTERM while nobody reads its log")
+def when_sigterm(context):
+    # It logs that it is ready after it listens.
+    time.sleep(SETTLE_S)
+    context.daemon.send_signal(signal.SIGTERM)
+
+
+@behave.then("it exits with 0 while nobody reads its log")
+def then_exits(context):
+    assert context.daemon.wait(timeout=EXIT_TIMEOUT_S) == 0, context.daemon.returncode
--- a/src/greengagehaven/commands/control.py
+++ b/src/greengagehaven/commands/control.py
@@ -14,7 +14,7 @@
 from greengagehaven.commands import certificates, client, daemons
 from greengagehaven.daemons import control_daemon, control_host, recovery
 from greengagehaven.protocol import operator
-from greengagehaven.transport import grpc_peers
+from greengagehaven.transport import grpc_peers, log_output
 
 _KEY_FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
 
@@ -114,7 +114,7 @@
     log_level: str,
 ) -> None:
     """Run a control host."""
-    log.configure(level=log_level)
+    log_output.configure_standard_error(level=log_level)
     host, _ = settings.parse_address("operator address", operator_address)
     tokens_by_operator = _parse_operators(operators)
     if not tokens_by_operator and not settings.is_loopback(host):
--- a/src/greengagehaven/commands/daemons.py
+++ b/src/greengagehaven/commands/daemons.py
@@ -13,6 +13,7 @@
 from greengagehaven.daemons import entry as entry_module
 from greengagehaven.daemons import lifecycle
 from greengagehaven.standin import upstream as standin_module
+from greengagehaven.transport import log_output
 from greengagehaven.transport import tls as tls_module
 
 _UPSTREAM_CHOICES = ("demo", "none")
@@ -74,7 +75,7 @@
     It has three availability zones with entry hosts, control hosts and stand-in
     upstreams. Ctrl-C shuts it down gracefully.
     """
-    log.configure(level=log_level)
+    log_output.configure_standard_error(level=log_level)
     dev_settings = dev_module.DevSettings(
         entry_port=entry_port,
         operator_port=operator_port,
@@ -185,7 +186,7 @@
     log_level: str,
 ) -> None:
     """Run an entry host."""
-    log.configure(level=log_level)
+    log_output.configure_standard_error(level=log_level)
     settings.check_peer_token(peer_token, (peer_listen, *seeds, *controls))
     entry_settings = entry_module.EntrySettings(
         host_id=host_id,
@@ -259,7 +260,7 @@
     log_level: str,
 ) -> None:
     """Run a stand-in upstream that serves generated rows."""
-    log.configure(level=log_level)
+    log_output.configure_standard_error(level=log_level)
     for address in entries:
         settings.parse_address("--entry", address)
     shards = tuple(dev_module.unsharded_service(service) for service in services)
--- a/src/greengagehaven/transport/log_output.py
+++ b/src/greengagehaven/transport/log_output.py
@@ -1,8 +1,10 @@
 """Non-blocking, rate-limited output of log lines to a file descriptor."""
 
 import asyncio
+import atexit
 import collections
 import os
+import sys
 import typing
 
 from greengagehaven import clock as clocks
@@ -124,3 +126,21 @@
         self._buffer += log.format_line(
             self._clock.now(), "warning", "lines_dropped", {"counts": counts}
         ).encode()
+
+
+def configure_standard_error(*, level: str) -> None:
+    """Log to standard error; a daemon never waits for who reads it.
+
+    A terminal is written to as usual: it is shared with other processes, which could
+    not write to a descriptor that would block.
+    """
+    try:
+        descriptor = sys.stderr.fileno()
+    except (OSError, ValueError):
+        descriptor = None
+    if descriptor is None or os.isatty(descriptor):
+        log.configure(level=level)
+        return
+    output = LogOutput(descriptor=descriptor, clock=clocks.SystemClock())
+    atexit.register(output.flush)
+    log.configure(level=level, sink=output.write)
