Send the first document of measure usage-caps again while hosts join

What was seen: beside load, runs ended in quorum_lost at the first document.

Cause, by the logs: the document was sent as soon as there was a leader; orders are refused after 0.9 s, and the leader answered '1 of 3 control hosts have joined' until then. The refusal is true, and operators send a refused document again; the measurement did not.

--- a/src/greengagehaven/daemons/measure/usage_caps.py
+++ b/src/greengagehaven/daemons/measure/usage_caps.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import bisect
+import contextlib
 import dataclasses
 import datetime
 import random
@@ -14,6 +15,7 @@
 import typing
 
 from greengagehaven import clock as clocks
+from greengagehaven import exceptions
 from greengagehaven.coordination.raft import timing
 from greengagehaven.coordination.routing import router
 from greengagehaven.coordination.shared_budgets import demand_shares
@@ -153,11 +155,16 @@
             await asyncio.sleep(POLL_S)
 
     async def _put_document(self) -> None:
+        """Put the document in force, and send it again as an operator would.
+
+        An order is refused after 0.9 s, and beside other processes the control hosts
+        take longer to join.
+        """
         while True:
-            leaders = [each for each in self._controls if each.is_leader]
-            if leaders:
-                await self._orders.put_document(1, b"measured")
-                return
+            if any(each.is_leader for each in self._controls):
+                with contextlib.suppress(exceptions.QuorumLostError):
+                    await self._orders.put_document(1, b"measured")
+                    return
             await asyncio.sleep(POLL_S)
 
     async def _answer(self, request: http.Request) -> http.Response:
