Estimate what silent hosts are offered instead of keeping their last report

What callers saw: after a host was killed its demand counted on for a window, also where its callers had gone, and teams were refused up to 32 requests within their limit; callers that moved away from a zone that was cut off counted twice.

Change: per team, the rate at the hosts that are heard is compared with before, and the silent ones are taken to serve as before, less or more in proportion, or what is left of the demand before if callers may have moved. Reports say when requests were admitted once some were refused, so that what a silent host or an earlier run admitted leaves the window as it did. Unchanged reports with requests are forwarded each 0.4 s, so that silence is noticed after 0.9 s.

--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -10,6 +10,7 @@
 from greengagehaven.coordination.shared_budgets import (
     demand_shares,
     report_forwarding,
+    report_schedule,
     report_sums,
 )
 from greengagehaven.protocol import usage_caps
@@ -102,6 +103,17 @@
     check()
 
 
+@behave.then("the cases with seeds {seeds} stay within both bounds")
+def then_cases(context, seeds):
+    failed = []
+    for seed in map(int, seeds.split(",")):
+        case = usage_cap_simulation.random_case(seed)
+        result = usage_cap_simulation.Simulation(case).run()
+        if result.over > 1e-9 or result.refused_within:
+            failed.append((case, result))
+    assert not failed, failed
+
+
 def make_host(context, *, limit, hosts):
     caps = CAPS
     context.team = teams.Team(id="t", rate=limit / caps.window)
@@ -278,3 +290,142 @@
 @behave.then("{count:d} reports wait to be forwarded")
 def then_waiting(context, count):
     assert len(context.forwarder.take("other")) == count
+
+
+@behave.given("an entry host with a team near its target that sent a report")
+def given_reported(context):
+    context.schedule = report_schedule.ReportSchedule()
+    context.schedule.targets(("c0",), ("c1", "c2"), START)
+    context.schedule.on_sent(START, has_usage=True, is_near_target=True)
+
+
+@behave.when("no reply arrives")
+def when_no_reply(context):
+    assert not context.schedule.is_due(START + 0.04)
+
+
+@behave.then("the next report is due after 50 ms")
+def then_due(context):
+    assert context.schedule.is_due(START + 0.051)
+
+
+@behave.when("no reply arrives for {seconds:g} seconds")
+def when_no_reply_for(context, seconds):
+    context.now = START + seconds
+
+
+@behave.then("the next report goes to the followed control host and to another one")
+def then_two_targets(context):
+    targets = context.schedule.targets(("c0",), ("c1", "c2"), context.now)
+    assert targets[0] == "c0" and len(set(targets)) == 2, targets
+
+
+@behave.given(
+    "a control host whose report of host {host} has {count:d} requests admitted "
+    "{seconds:d} seconds before"
+)
+def given_admitted_before(context, host, count, seconds):
+    make_control(context)
+    by_age = [0] * usage_caps.AGE_SLOTS
+    by_age[seconds * usage_caps.AGE_SLOTS // int(CAPS.window)] = count
+    refused = 10
+    admitted = usage_caps.TeamUsage(
+        team="t",
+        offered=count + refused,
+        admitted=count,
+        recent=refused,
+        admitted_by_age=tuple(by_age),
+    )
+    sent = usage_caps.UsageReport(host_id=host, run="1", sequence=2, teams=(admitted,))
+    context.sums.add(sent, context.now)
+
+
+@behave.then(
+    "{count:d} admitted requests are counted for host {host:w} after {seconds:g} "
+    "seconds"
+)
+def then_admitted_later(context, count, host, seconds):
+    now = context.now + seconds
+    context.sums.expire(now)
+    asked = usage_caps.UsageReport(host_id=host, run="1", sequence=0, teams=(usage(0),))
+    (team,) = context.sums.totals_for(asked, now).teams
+    assert team.admitted == count, team
+
+
+def report_rate(context, host_id, window_count, per_second, now):
+    """Report requests in the window, the recent ones at a rate."""
+    context.sequences[host_id] = context.sequences.get(host_id, 0) + 1
+    recent = round(per_second * demand_shares.RECENT_S)
+    counts = usage_caps.TeamUsage(
+        team="t", offered=window_count, admitted=window_count, recent=recent
+    )
+    sent = usage_caps.UsageReport(
+        host_id=host_id,
+        run="1",
+        sequence=context.sequences[host_id],
+        teams=(counts,),
+    )
+    context.sums.add(sent, now)
+
+
+@behave.given(
+    "a control host that got reports of {hosts:d} hosts with {rate:d} requests per "
+    "second each"
+)
+@behave.given(
+    "a control host that got reports of {hosts:d} hosts with {rate:d} request per "
+    "second each"
+)
+def given_rates(context, hosts, rate):
+    make_control(context)
+    context.sequences = {}
+    context.host_ids = [f"h{number}" for number in range(hosts)]
+    context.rate = rate
+    for step in range(10):
+        context.now = START + step * report_schedule.PERIOD_S
+        for host_id in context.host_ids:
+            report_rate(context, host_id, rate * 5, rate, context.now)
+        context.sums.expire(context.now)
+
+
+def pass_rate(context, host_ids, rate, seconds):
+    """Let hosts get requests at another rate, while the others are silent."""
+    start = context.now
+    for step in range(1, round(seconds / report_schedule.PERIOD_S) + 1):
+        elapsed = step * report_schedule.PERIOD_S
+        context.now = start + elapsed
+        count = round(context.rate * (5 - elapsed) + rate * elapsed)
+        for host_id in host_ids:
+            report_rate(context, host_id, count, rate, context.now)
+        context.sums.expire(context.now)
+
+
+@behave.when(
+    "the first host is killed and its callers use the second for {seconds:d} seconds"
+)
+def when_killed(context, seconds):
+    pass_rate(context, context.host_ids[1:], 2 * context.rate, seconds)
+
+
+@behave.when(
+    "{count:d} of them are cut off and the others get {rate:d} requests per second "
+    "each for {seconds:d} seconds"
+)
+def when_flooded(context, count, rate, seconds):
+    pass_rate(context, context.host_ids[count:], rate, seconds)
+
+
+def counted_over_all(context):
+    return counted_for(context, "none", context.now)
+
+
+@behave.then("no more than {count:d} requests are counted over both")
+def then_at_most(context, count):
+    counted = counted_over_all(context)
+    assert counted <= count * 1.1, counted
+
+
+@behave.then("at least {count:d} requests are counted over all")
+def then_at_least(context, count):
+    counted = counted_over_all(context)
+    assert counted >= count, counted
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -107,6 +107,38 @@
     When the other one replies with the id of a new run
     Then 5 reports wait to be forwarded
 
+  Scenario: A lost reply delays no report
+    While the reply was waited for, 0.3 s passed in which other hosts learned nothing.
+    Given an entry host with a team near its target that sent a report
+    When no reply arrives
+    Then the next report is due after 50 ms
+
+  Scenario: A control host that does not answer is not the only one that gets reports
+    Totals aged until another control host was followed, which took a second.
+    Given an entry host with a team near its target that sent a report
+    When no reply arrives for 0.3 seconds
+    Then the next report goes to the followed control host and to another one
+
+  Scenario: Requests of a host that restarted count until they leave the window
+    They were taken to be spread evenly, so that its flood before the restart was
+    counted less and less while all of it was still in the window.
+    Given a control host whose report of host h1 has 40 requests admitted 3 seconds before
+    When host h1 restarts and reports 5 requests to it
+    Then 45 admitted requests are counted for host h2 after 1.4 seconds
+    And 5 admitted requests are counted for host h2 after 2.6 seconds
+
+  Scenario: Callers of a killed host are not counted there and where they went
+    Their team was refused requests within its limit for a window.
+    Given a control host that got reports of 2 hosts with 10 requests per second each
+    When the first host is killed and its callers use the second for 2 seconds
+    Then no more than 100 requests are counted over both
+
+  Scenario: A flood that begins with a partition is assumed on its other side too
+    Each side took the other's demand to stay as it was, and admitted a whole limit.
+    Given a control host that got reports of 20 hosts with 1 request per second each
+    When 10 of them are cut off and the others get 7 requests per second each for 3 seconds
+    Then at least 300 requests are counted over all
+
   Scenario: Refused callers are told moments at which there is room for each
     Callers that were all told the same moment would meet a full window again.
     Given a host alone and a team with a limit of 100 requests
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -196,14 +196,21 @@
         usages = []
         for team_id, state in self._states_by_team.items():
             offered = state.offered.count(now)
-            if offered:
-                usage = usage_caps.TeamUsage(
+            if not offered:
+                continue
+            admitted = state.admitted.count(now)
+            by_age: tuple[int, ...] = ()
+            if admitted < offered:
+                by_age = state.admitted.count_by_age(now, usage_caps.AGE_SLOTS)
+            usages.append(
+                usage_caps.TeamUsage(
                     team=team_id,
                     offered=offered,
-                    admitted=state.admitted.count(now),
+                    admitted=admitted,
                     recent=state.offered.count_recent(now, RECENT_S),
+                    admitted_by_age=by_age,
                 )
-                usages.append(usage)
+            )
         return tuple(usages)
 
     def apply_totals(
@@ -328,10 +335,13 @@
             others.offered + max(0.0, rate - steady_rate) * unseen_for * GROWTH_SHARE
         )
         if age > ISOLATED_AFTER_S:
-            # Demand at other hosts is assumed to grow as here. Two standard deviations
-            # are subtracted, since a host's own counts of a team are small.
-            growth = (own - 2 * math.sqrt(own)) / (state.own_offered_before + 1)
+            # Demand at other hosts is assumed to grow and to fall as here. Two standard
+            # deviations are left out, since a host's own counts of a team are small.
+            noise = 2 * math.sqrt(own)
+            growth = (own - noise) / (state.own_offered_before + 1)
+            fall = (own + noise + 1) / (state.own_offered_before + 1)
             offered = max(offered, others.offered * growth)
+            offered = min(offered, others.offered * max(fall, growth))
         admitted = others.admitted + rate * unseen_for
         return offered, min(admitted, offered)
 
--- a/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
@@ -7,9 +7,13 @@
 
 from greengagehaven.protocol import usage_caps
 
-REFRESH_S = 1.0
-"""Seconds after which an unchanged report is forwarded again, so that its host does
-not count as silent, which takes a window."""
+REFRESH_S = 0.4
+"""Seconds after which an unchanged report with usage is forwarded again, so that its
+host does not count as silent."""
+
+IDLE_REFRESH_S = 1.0
+"""Seconds after which an unchanged report without usage is forwarded again, so that
+its host does not count as quiet."""
 
 MAX_FAILURES = 2
 """Calls in a row that may fail before only one at a time is made. Otherwise all reports
@@ -84,7 +88,8 @@
         """Record a report that a host sent to this control host."""
         key = report.host_id, report.run
         direct = self._direct_by_run.get(key)
-        is_due = direct is None or now - direct.forwarded_at >= REFRESH_S
+        refresh = REFRESH_S if report.teams else IDLE_REFRESH_S
+        is_due = direct is None or now - direct.forwarded_at >= refresh
         is_due = is_due or report.teams != direct.report.teams
         forwarded_at = now if is_due else direct.forwarded_at
         direct = DirectReport(report=report, received_at=now, forwarded_at=forwarded_at)
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -2,8 +2,10 @@
 
 import collections
 import dataclasses
+import math
 from collections import abc
 
+from greengagehaven.coordination.shared_budgets import silent_demand
 from greengagehaven.protocol import usage_caps
 
 BUSY_TEAM_REQUESTS = 10
@@ -27,9 +29,9 @@
 """Seconds without a report after which a host counts as quiet; unchanged reports
 arrive every 1.2 s."""
 
-HISTORY_S = 2.5
-"""Seconds for which earlier sums are kept: longer than it takes to notice that hosts
-are quiet, since a flood may have begun meanwhile."""
+SILENT_S = 0.9
+"""Seconds without a report after which the demand at a host with usage is estimated;
+its unchanged reports arrive every 0.6 s."""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -85,10 +87,7 @@
         self._settled_at = started_at + SETTLING_S
         self._runs_by_host: dict[str, dict[str, _HostRun]] = {}
         self._sums_by_team: dict[str, _TeamSum] = {}
-        self._history: collections.deque[tuple[float, dict[str, int]]] = (
-            collections.deque()
-        )
-        self._offered_before: dict[str, int] | None = None
+        self._silent_demand = silent_demand.SilentDemand(window=window)
 
     @property
     def host_count(self) -> int:
@@ -111,86 +110,78 @@
         return True
 
     def expire(self, now: float) -> None:
-        """Remove hosts that are silent for longer than a window.
+        """Estimate the demand at silent hosts, and remove those that have ended.
 
-        If many are silent at once, a partition is assumed, in which they go on
-        admitting their shares, so that their demand stays counted.
+        A host that is silent for a window is removed. If many are silent at once, a
+        partition is assumed, in which they go on admitting their shares, so that their
+        demand stays counted.
         """
-        silent_since = now - self._window
         # Counted before any of them is given up: hosts that were cut off together fall
         # silent one by one, as their last reports arrived.
         quiet_count = sum(
             _newest(runs).received_at < now - QUIET_S
             for runs in self._runs_by_host.values()
         )
-        is_partition = quiet_count >= max(2, PARTITION_SHARE * self.host_count)
-        kept_since = now - PARTITION_RETENTION_S
+        is_partition = self._is_partition(quiet_count)
+        retention = PARTITION_RETENTION_S if is_partition else self._window
         for host_id, runs in list(self._runs_by_host.items()):
-            self._reduce_earlier_runs(runs, now)
-            last = _newest(runs).received_at
-            if last < (kept_since if is_partition else silent_since):
+            self._age_earlier_runs(runs, now)
+            if _newest(runs).received_at < now - retention:
                 for run in runs.values():
                     self._count(run, ())
                 del self._runs_by_host[host_id]
-        self._extrapolate_quiet(now)
+        self._estimate_silent(now, is_partition)
 
-    def _extrapolate_quiet(self, now: float) -> None:
-        """Assume that a team's demand at quiet hosts grows as at the others.
+    def _is_partition(self, silent_count: int) -> bool:
+        return silent_count >= max(2, PARTITION_SHARE * self.host_count)
 
-        A flood that begins with a partition would otherwise count with its early part
-        only, and each side would admit nearly a whole limit. Demand that may only have
-        moved from the quiet hosts to the others is no growth.
-        """
-        quiet = [
+    def _estimate_silent(self, now: float, is_partition: bool) -> None:
+        """Count at silent hosts what they are estimated to be offered now."""
+        silent = [
             run
             for runs in self._runs_by_host.values()
-            if (run := _newest(runs)).received_at < now - QUIET_S
+            if (run := _newest(runs)).received_at < now - SILENT_S and run.report.teams
         ]
-        if not quiet:
-            self._offered_before = None
-            self._record_history(now)
+        if not silent:
+            self._silent_demand.record_all_heard(now, self._demand_by_team())
             return
-        if self._offered_before is None:
-            self._offered_before = self._history[0][1] if self._history else {}
-        for run in quiet:
-            self._count(run, run.report.teams)
-        factors_by_team = self._growth_factors(quiet, self._offered_before)
-        if factors_by_team:
-            for run in quiet:
-                self._count(run, _grow(run.report.teams, factors_by_team))
-
-    def _growth_factors(
-        self, quiet: list[_HostRun], offered_before: abc.Mapping[str, int]
-    ) -> dict[str, tuple[float, float]]:
-        """Return the growth of teams at the hosts that report, as for ``_grow``.
-
-        :param quiet: newest runs of the quiet hosts, counted as last reported.
-        :param offered_before: requests at all hosts before these became quiet.
-        """
-        quiet_offered: dict[str, int] = collections.Counter()
-        quiet_admitted: dict[str, int] = collections.Counter()
-        for run in quiet:
-            for usage in run.report.teams:
-                quiet_offered[usage.team] += usage.offered
-                quiet_admitted[usage.team] += usage.admitted
-        factors_by_team: dict[str, tuple[float, float]] = {}
-        for team, offered in quiet_offered.items():
-            total = self._sums_by_team[team]
-            reported, before = total.offered - offered, offered_before.get(team, 0)
-            if reported > before > offered:
-                growth = reported / (before - offered)
-                admitted_share = (total.admitted - quiet_admitted[team]) / reported
-                factors_by_team[team] = growth, admitted_share
-        return factors_by_team
-
-    def _record_history(self, now: float) -> None:
-        offered = {team: total.offered for team, total in self._sums_by_team.items()}
-        self._history.append((now, offered))
-        while self._history[0][0] < now - HISTORY_S:
-            self._history.popleft()
-
-    def _reduce_earlier_runs(self, runs: dict[str, _HostRun], now: float) -> None:
-        """Count less of what earlier runs of a restarted host admitted.
+        for run in silent:
+            self._count(run, ())
+        silent_by_team = _reported_demand(silent)
+        estimates_by_team = self._silent_demand.estimates_by_team(
+            now,
+            heard_at=max(run.received_at for run in silent),
+            is_partition=is_partition or self._is_partition(len(silent)),
+            silent_by_team=silent_by_team,
+            heard_by_team=self._demand_by_team(),
+        )
+        admitted_shares = {
+            team: total.admitted / total.offered
+            for team, total in self._sums_by_team.items()
+            if total.offered > 0
+        }
+        for run in silent:
+            usages = tuple(
+                _estimated(
+                    usage,
+                    age=now - run.made_at,
+                    window=self._window,
+                    estimate=estimates_by_team[usage.team],
+                    share=usage.offered / silent_by_team[usage.team].offered,
+                    admitted_share=admitted_shares.get(usage.team, 1.0),
+                )
+                for usage in run.report.teams
+            )
+            self._count(run, usages)
+
+    def _demand_by_team(self) -> dict[str, silent_demand.Demand]:
+        return {
+            team: silent_demand.Demand(offered=total.offered, recent=total.recent)
+            for team, total in self._sums_by_team.items()
+        }
+
+    def _age_earlier_runs(self, runs: dict[str, _HostRun], now: float) -> None:
+        """Count less of the requests of earlier runs of a restarted host.
 
         These requests leave the window within its length. If they were not counted, a
         restarted host would grant its share twice; counted in full, they led to 264
@@ -202,12 +193,12 @@
         for run_id, run in list(runs.items()):
             if run is newest:
                 continue
-            weight = 1 - ((now - run.received_at) / self._window) ** 2
-            if weight <= 0:
+            age = now - run.made_at
+            if age >= self._window:
                 self._count(run, ())
                 del runs[run_id]
             else:
-                self._count(run, _scale(run.report.teams, weight))
+                self._count(run, _aged(run.report.teams, age, self._window))
 
     def totals_for(
         self, report: usage_caps.UsageReport, now: float
@@ -278,38 +269,86 @@
     return max(runs.values(), key=lambda run: run.received_at)
 
 
-def _scale(
-    usages: tuple[usage_caps.TeamUsage, ...], factor: float
-) -> tuple[usage_caps.TeamUsage, ...]:
-    """Return a fraction of usages of a run that has ended."""
-    return tuple(
-        usage_caps.TeamUsage(
-            team=usage.team,
-            offered=round(usage.offered * factor),
-            admitted=round(usage.admitted * factor),
-            recent=0,
-        )
-        for usage in usages
-    )
-
-
-def _grow(
-    usages: tuple[usage_caps.TeamUsage, ...],
-    factors_by_team: abc.Mapping[str, tuple[float, float]],
+def _aged(
+    usages: tuple[usage_caps.TeamUsage, ...], age: float, window: float
 ) -> tuple[usage_caps.TeamUsage, ...]:
-    """Return usages of a quiet host with its teams' growth at the other hosts.
+    """Return what is left in the window of usages without further requests.
 
-    :param factors_by_team: growth, and the share of requests that the others admit.
+    :param age: seconds since they were reported.
     """
-    grown = []
+    aged = []
     for usage in usages:
-        if usage.team in factors_by_team:
-            growth, admitted_share = factors_by_team[usage.team]
-            usage = usage_caps.TeamUsage(
+        aged.append(
+            usage_caps.TeamUsage(
                 team=usage.team,
-                offered=round(usage.offered * growth),
-                admitted=round(usage.offered * growth * admitted_share),
+                offered=round(_offered_left(usage, age, window)),
+                admitted=math.ceil(_admitted_left(usage, age, window)),
                 recent=0,
             )
-        grown.append(usage)
-    return tuple(grown)
+        )
+    return tuple(aged)
+
+
+def _offered_left(usage: usage_caps.TeamUsage, age: float, window: float) -> float:
+    """Return how many offered requests are left in the window after some seconds.
+
+    Those before the recent ones are taken to be spread evenly.
+    """
+    recent_s = silent_demand.RECENT_S
+    earlier = (usage.offered - usage.recent) * max(0.0, 1 - age / (window - recent_s))
+    return earlier + usage.recent * min(1.0, max(0.0, (window - age) / recent_s))
+
+
+def _admitted_left(usage: usage_caps.TeamUsage, age: float, window: float) -> float:
+    """Return how many admitted requests are left in the window after some seconds."""
+    counts = usage.admitted_by_age
+    if not counts:
+        return _offered_left(usage, age, window) * usage.admitted / usage.offered
+    slot_s = window / len(counts)
+    return sum(
+        count * min(1.0, max(0.0, (window - age) / slot_s - slot))
+        for slot, count in enumerate(counts)
+    )
+
+
+def _reported_demand(
+    runs: abc.Iterable[_HostRun],
+) -> dict[str, silent_demand.Demand]:
+    """Return the demand that runs reported last, added up by team."""
+    offered: collections.Counter[str] = collections.Counter()
+    recent: collections.Counter[str] = collections.Counter()
+    for run in runs:
+        for usage in run.report.teams:
+            offered[usage.team] += usage.offered
+            recent[usage.team] += usage.recent
+    return {
+        team: silent_demand.Demand(offered=count, recent=recent[team])
+        for team, count in offered.items()
+    }
+
+
+def _estimated(
+    usage: usage_caps.TeamUsage,
+    *,
+    age: float,
+    window: float,
+    estimate: silent_demand.Estimate,
+    share: float,
+    admitted_share: float,
+) -> usage_caps.TeamUsage:
+    """Return the estimated usage of a silent host.
+
+    :param usage: its usage as last reported.
+    :param age: seconds since then.
+    :param share: its share of the requests of all silent hosts.
+    :param admitted_share: share of requests that the other hosts admit.
+    """
+    arrived = estimate.arrived * share
+    offered = _offered_left(usage, age, window) + arrived
+    admitted = _admitted_left(usage, age, window) + arrived * admitted_share
+    return usage_caps.TeamUsage(
+        team=usage.team,
+        offered=round(max(offered, usage.offered * estimate.min_share)),
+        admitted=round(max(admitted, usage.admitted * estimate.min_share)),
+        recent=0,
+    )
--- a/src/greengagehaven/coordination/shared_budgets/window.py
+++ b/src/greengagehaven/coordination/shared_budgets/window.py
@@ -47,6 +47,16 @@
             recent += count
         return recent
 
+    def count_by_age(self, now: float, slots: int) -> tuple[int, ...]:
+        """Return the events in each of equal parts of the window, the newest first."""
+        self.count(now)
+        newest = int(now / self._bucket_s)
+        counts = [0] * slots
+        for index, count in self._buckets:
+            age = (newest - index) * slots // BUCKETS_PER_WINDOW
+            counts[min(slots - 1, age)] += count
+        return tuple(counts)
+
     def seconds_until_at_most(self, limit: int, now: float) -> float:
         """Return the seconds until at most ``limit`` of the events are in the window.
 
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+AGE_SLOTS = 10
+"""Parts of the window in which admitted requests are reported."""
+
 
 class TeamUsage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Requests of one team in the window.
@@ -12,6 +15,8 @@
         receiver extrapolates.
     :param age_ms: in totals, milliseconds since the recent requests were counted at
         their hosts, on average.
+    :param admitted_by_age: in reports of a team of which requests were refused, the
+        admitted requests in each tenth of the window, the newest first.
     """
 
     team: str
@@ -19,6 +24,7 @@
     admitted: int
     recent: int
     age_ms: int = 0
+    admitted_by_age: tuple[int, ...] = ()
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
