List the schedules of the log that end without a repair

Traced for 700679: two of five disks are lost while the removal of a third voter, which is not dead, is in the log of one host and not committed. By its own log that host needs 3 of 4 voters and has 2; the others need its vote, and its log is newer than theirs. Not mended: any way of changing members one by one has it.

--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -130,3 +130,17 @@
     Then every invariant of the log held and each schedule ended with an accepted change
     When 20 such schedules over 5 control hosts run from seed 900
     Then every invariant of the log held and each schedule ended with an accepted change
+
+  Scenario: Disks are lost beside a removal that is not committed
+    A voter that is wrongly taken for dead is being removed, so that four voters bear
+    the loss of one disk where five bore two, and no host can be elected again.
+    Given control hosts that remove dead voters after 1 second
+    When 1 such schedules over 5 control hosts run from seed 700679
+    Then every invariant of the log held and each schedule ended with an accepted change
+
+  Scenario: Disks are lost beside a removal that is not committed, without lease reads
+    Given control hosts that remove dead voters after 1 second, without lease reads
+    When 1 such schedules over 4 control hosts run from seed 700587
+    And 1 more such schedules over 5 control hosts run from seed 701123
+    And 1 more such schedules over 5 control hosts run from seed 701309
+    Then every invariant of the log held and each schedule ended with an accepted change
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -149,11 +149,30 @@
     context.walk_options = {"dead_after": float(seconds)}
 
 
+@behave.given(
+    "control hosts that remove dead voters after {seconds:d} second, without lease "
+    "reads"
+)
+def given_dead_after_without_leases(context, seconds):
+    context.walk_options = {"dead_after": float(seconds), "lease_reads": False}
+
+
 @behave.when(
     "{count:d} such schedules over {size:d} control hosts run from seed {seed:d}"
 )
 def when_such_schedules(context, count, size, seed):
     context.broken = []
+    run_such_schedules(context, count, size, seed)
+
+
+@behave.when(
+    "{count:d} more such schedules over {size:d} control hosts run from seed {seed:d}"
+)
+def when_more_schedules(context, count, size, seed):
+    run_such_schedules(context, count, size, seed)
+
+
+def run_such_schedules(context, count, size, seed):
     for number in range(seed, seed + count):
         try:
             raft.run_schedule(number, size=size, **context.walk_options)
