--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -355,7 +355,7 @@
 def report_rate(context, host_id, window_count, per_second, now):
     """Report requests in the window, the recent ones at a rate."""
     context.sequences[host_id] = context.sequences.get(host_id, 0) + 1
-    recent = round(per_second * demand_shares.RECENT_S)
+    recent = round(per_second * usage_caps.RECENT_S)
     counts = usage_caps.TeamUsage(
         team="t", offered=window_count, admitted=window_count, recent=recent
     )
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -19,9 +19,6 @@
 exceeded by up to 14.5 requests after restarts, 0.35 by 5.5; requests that were offered
 within the limit were refused with neither."""
 
-RECENT_S = 0.5
-"""Seconds over which the current rate of a team is measured."""
-
 LONGEST_EXTRAPOLATION_S = 1.0
 """Age of totals, in seconds, up to which they are extrapolated by the current rate;
 beyond, a burst at the time of the report would be taken to last."""
@@ -94,7 +91,7 @@
         own = self.offered.count(now)
         if not own:
             return False
-        soon = own + self.offered.count_recent(now, RECENT_S)
+        soon = own + self.offered.count_recent(now, usage_caps.RECENT_S)
         if self.others is not None:
             soon += self.others.offered + self.others.recent
         return soon >= self.target
@@ -136,8 +133,7 @@
         self.last_decision: Decision | None = None
         self._rng = rng
         self._states_by_team: dict[str, _TeamState] = {}
-        self._host_count = 1
-        self.known_hosts = 0
+        self._known_hosts = 0
         self._has_totals = False
         self._reported_at = math.inf
         self._has_resumed = False
@@ -145,10 +141,14 @@
         self._most_covered = 0
         self._most_covered_at = -math.inf
 
+    @property
+    def known_hosts(self) -> int:
+        """Return the number of entry hosts, 0 if it is not known."""
+        return self._known_hosts
+
     def set_host_count(self, count: int) -> None:
         """Update the number of entry hosts."""
-        self.known_hosts = count
-        self._host_count = max(1, count)
+        self._known_hosts = count
 
     def retain(self, team_ids: abc.Container[str]) -> None:
         """Discard the usage of all teams but those given."""
@@ -207,7 +207,7 @@
                     team=team_id,
                     offered=offered,
                     admitted=admitted,
-                    recent=state.offered.count_recent(now, RECENT_S),
+                    recent=state.offered.count_recent(now, usage_caps.RECENT_S),
                     admitted_by_age=by_age,
                 )
             )
@@ -315,7 +315,7 @@
 
         The target is divided by one more than the known hosts.
         """
-        return max(1.0, self.caps.target_of(team) / (self._host_count + 1))
+        return max(1.0, self.caps.target_of(team) / (max(1, self._known_hosts) + 1))
 
     def _estimate_others(
         self, state: _TeamState, own: int, now: float
@@ -329,7 +329,7 @@
         others = state.others
         age = now - state.others_at
         unseen_for = min(age + others.age_ms / 1000, LONGEST_EXTRAPOLATION_S)
-        rate = others.recent / RECENT_S
+        rate = others.recent / usage_caps.RECENT_S
         steady_rate = others.offered / self.caps.window
         offered = (
             others.offered + max(0.0, rate - steady_rate) * unseen_for * GROWTH_SHARE
--- a/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
@@ -87,13 +87,18 @@
     def add(self, report: usage_caps.UsageReport, now: float) -> None:
         """Record a report that a host sent to this control host."""
         key = report.host_id, report.run
-        direct = self._direct_by_run.get(key)
+        last = self._direct_by_run.get(key)
         refresh = REFRESH_S if report.teams else IDLE_REFRESH_S
-        is_due = direct is None or now - direct.forwarded_at >= refresh
-        is_due = is_due or report.teams != direct.report.teams
-        forwarded_at = now if is_due else direct.forwarded_at
-        direct = DirectReport(report=report, received_at=now, forwarded_at=forwarded_at)
-        self._direct_by_run[key] = direct
+        is_due = (
+            last is None
+            or now - last.forwarded_at >= refresh
+            or report.teams != last.report.teams
+        )
+        direct = self._direct_by_run[key] = DirectReport(
+            report=report,
+            received_at=now,
+            forwarded_at=now if last is None or is_due else last.forwarded_at,
+        )
         if is_due:
             for queue in self._queues_by_address.values():
                 queue.directs_by_run[key] = direct
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -221,8 +221,7 @@
         )
 
     def _is_settled(self, report: usage_caps.UsageReport, now: float) -> bool:
-        """Return whether a report of every active host was received, or enough time
-        has passed for it."""
+        """Return whether every active host has reported, or had the time to."""
         covers_all = 0 < report.known_hosts <= self.host_count
         return covers_all or now >= self._settled_at
 
@@ -294,7 +293,7 @@
 
     Those before the recent ones are taken to be spread evenly.
     """
-    recent_s = silent_demand.RECENT_S
+    recent_s = usage_caps.RECENT_S
     earlier = (usage.offered - usage.recent) * max(0.0, 1 - age / (window - recent_s))
     return earlier + usage.recent * min(1.0, max(0.0, (window - age) / recent_s))
 
--- a/src/greengagehaven/coordination/shared_budgets/silent_demand.py
+++ b/src/greengagehaven/coordination/shared_budgets/silent_demand.py
@@ -5,8 +5,7 @@
 import math
 from collections import abc
 
-RECENT_S = 0.5
-"""Seconds over which recent requests are counted."""
+from greengagehaven.protocol import usage_caps
 
 HISTORY_S = 2.5
 """Seconds for which the demand at all hosts is kept: longer than it takes to notice
@@ -43,7 +42,7 @@
 
         The average of the window is less noisy, unless the rate has changed in it.
         """
-        average = self.offered * RECENT_S / window
+        average = self.offered * usage_caps.RECENT_S / window
         has_changed = is_above(self.recent, average) or is_above(average, self.recent)
         return float(self.recent) if has_changed else average
 
@@ -60,8 +59,8 @@
     min_share: float
 
 
-class _Episode:
-    """What has arrived at silent hosts since they were heard, for one team.
+class _TeamEstimator:
+    """Estimates what one team's silent hosts are offered since they were heard.
 
     :param before: demand at all hosts when the silent ones were last heard.
     """
@@ -93,7 +92,7 @@
         arrived = self._silent_recent(share, heard_recent, recent)
         if not is_partition and self._may_have_moved(share, heard_recent, recent):
             self._record_moved(share, recent, seconds)
-        self._arrivals.append((now, arrived / share * seconds / RECENT_S))
+        self._arrivals.append((now, arrived / share * seconds / usage_caps.RECENT_S))
         while self._arrivals[0][0] <= now - self._window:
             self._arrivals.popleft()
         return Estimate(
@@ -153,7 +152,7 @@
 
     def _has_risen(self, recent: float, before: float) -> bool:
         """Return whether an average rate exceeds another, given its samples."""
-        periods = max(1.0, min(self._smoothed_s, 2 * SMOOTHING_S) / RECENT_S)
+        periods = max(1.0, min(self._smoothed_s, 2 * SMOOTHING_S) / usage_caps.RECENT_S)
         return is_above(recent * periods, before * periods)
 
     def _in_proportion(self, heard_recent: float, share: float) -> float:
@@ -190,12 +189,12 @@
             collections.deque()
         )
         self._started_at: float | None = None
-        self._episodes_by_team: dict[str, _Episode] = {}
+        self._estimators_by_team: dict[str, _TeamEstimator] = {}
 
     def record_all_heard(self, now: float, demand_by_team: dict[str, Demand]) -> None:
         """Record the demand at all hosts while none is silent."""
         self._started_at = None
-        self._episodes_by_team.clear()
+        self._estimators_by_team.clear()
         self._history.append((now, demand_by_team))
         while self._history[0][0] < now - HISTORY_S:
             self._history.popleft()
@@ -220,14 +219,14 @@
         before_by_team = self._demand_at(self._started_at)
         estimates_by_team = {}
         for team, silent in silent_by_team.items():
-            episode = self._episodes_by_team.get(team)
-            if episode is None:
-                episode = self._episodes_by_team[team] = _Episode(
+            estimator = self._estimators_by_team.get(team)
+            if estimator is None:
+                estimator = self._estimators_by_team[team] = _TeamEstimator(
                     before=before_by_team.get(team, silent),
                     started_at=self._started_at,
                     window=self._window,
                 )
-            estimates_by_team[team] = episode.advance(
+            estimates_by_team[team] = estimator.advance(
                 now,
                 silent=silent.offered,
                 heard=heard_by_team.get(team, Demand()),
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+RECENT_S = 0.5
+"""Seconds of the last part of the window, over which recent requests are counted."""
+
 AGE_SLOTS = 10
 """Parts of the window in which admitted requests are reported."""
 
@@ -11,7 +14,7 @@
 
     :param offered: requests that passed every other check.
     :param admitted: those that were not refused by the cap.
-    :param recent: offered requests in the last part of the window, from which a
+    :param recent: offered requests in the last ``RECENT_S`` seconds, from which a
         receiver extrapolates.
     :param age_ms: in totals, milliseconds since the recent requests were counted at
         their hosts, on average.
