Give processes that start together other ports

Cause: free ports were found by binding port 0 and closing the socket, so that they lay in the ephemeral range, where an outgoing connection of any process could take them before the host bound them. The soak had met this and avoids the range; the measurement and two fakes of the features had copies of the older way.

Change: the soak's way is transport/free_ports.py, used by all four.

--- a/features/fakes/platform_deployment.py
+++ b/features/fakes/platform_deployment.py
@@ -4,7 +4,6 @@
 import datetime
 import json
 import random
-import socket
 import tempfile
 
 from greengagehaven import clock
@@ -12,7 +11,7 @@
 from greengagehaven.coordination.routing import router
 from greengagehaven.daemons import control_host, gateway, registry_daemon
 from greengagehaven.platform import control_api, documents, names
-from greengagehaven.transport import http, http_client, http_server
+from greengagehaven.transport import free_ports, http, http_client, http_server
 
 HOST = "leno12.example"
 SHARDS = ("huvo11a", "lohu93e")
@@ -23,16 +22,6 @@
 SWEEP_PATH = "/nono601/no91/2f"
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def configuration(version=7, **changed):
     route = {
         "name": "r-1",
@@ -135,7 +124,7 @@
         self.control_zones = control_zones
         self.clock = clock.SystemClock()
         self.folder = tempfile.TemporaryDirectory()
-        ports = free_ports(2 * CONTROL_COUNT + 4)
+        ports = free_ports.find(2 * CONTROL_COUNT + 4)
         self.operator_addresses = [
             f"127.0.0.1:{port}" for port in ports[:CONTROL_COUNT]
         ]
--- a/features/steps/control_daemons_steps.py
+++ b/features/steps/control_daemons_steps.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +12,7 @@
 import behave
 
 from fakes import environment as environments
+from greengagehaven.transport import free_ports
 
 COMMAND = [sys.executable, "-c", "from greengagehaven import cli; cli.main()"]
 TIMEOUT_S = 30.0
@@ -24,7 +24,7 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
-        self.ports = free_ports(6)
+        self.ports = free_ports.find(6)
         self.processes = {}
 
     def operator(self, number):
@@ -83,17 +83,6 @@
             process.stderr.close()
 
 
-def free_ports(count):
-    """Return ports that no socket used a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def is_consistent(status):
     """Return whether three voters answer and have the same revision."""
     members = status["members"]
--- a/features/steps/log_output_steps.py
+++ b/features/steps/log_output_steps.py
@@ -10,9 +10,8 @@
 
 import behave
 
-from fakes import platform_deployment
 from greengagehaven import clock, log
-from greengagehaven.transport import log_output
+from greengagehaven.transport import free_ports, log_output
 
 ORDINARY_EVENT = "ordinary"
 FAILURE_EVENT = "failure"
@@ -137,7 +136,7 @@
             os.write(writing, b"x" * 4096)
     except BlockingIOError:
         os.set_blocking(writing, True)
-    (port,) = platform_deployment.free_ports(1)
+    (port,) = free_ports.find(1)
     arguments = ["standin", "--id", "u-1", "--zone", "a", "--service", "logged"]
     arguments += ["--listen", f"127.0.0.1:{port}", "--entry", "127.0.0.1:1"]
     context.daemon = subprocess.Popen([*COMMAND, *arguments], stderr=writing)
--- a/features/steps/usage_caps_platform_steps.py
+++ b/features/steps/usage_caps_platform_steps.py
@@ -12,6 +12,7 @@
 from greengagehaven.daemons import usage_reports
 from greengagehaven.platform import names
 from greengagehaven.state import routes, teams
+from greengagehaven.transport import free_ports
 
 KEY = "key-of-the-limited-team"
 CAPS = demand_shares.CapSettings(window=5.0, overage=0.1, slack=4.0)
@@ -39,7 +40,7 @@
         usage_caps=CAPS, control_zones=("midt-a", "midt-b", "midt-c")
     )
     await platform.start()
-    ports = platform_deployment.free_ports(3)
+    ports = free_ports.find(3)
     platform.second = platform.make_gateway(
         "front-2", *(f"127.0.0.1:{port}" for port in ports), zone="midt-b"
     )
--- a/src/greengagehaven/daemons/measure/usage_caps.py
+++ b/src/greengagehaven/daemons/measure/usage_caps.py
@@ -10,7 +10,6 @@
 import dataclasses
 import datetime
 import random
-import socket
 import tempfile
 import typing
 
@@ -22,7 +21,7 @@
 from greengagehaven.daemons import control_host, gateway, registry_daemon
 from greengagehaven.protocol import header_names, watching
 from greengagehaven.state import routes, teams
-from greengagehaven.transport import http, http_client, http_server
+from greengagehaven.transport import free_ports, http, http_client, http_server
 
 NAME = "usage-caps"
 ABOUT = "seven times a team's usual rate, over several entry hosts"
@@ -96,7 +95,7 @@
         self.ran_at: list[float] = []
         self._caps = caps
         self._rng = rng
-        ports = _free_ports(2 * CONTROL_HOST_COUNT + 2 * hosts)
+        ports = free_ports.find(2 * CONTROL_HOST_COUNT + 2 * hosts)
         peers = [f"127.0.0.1:{ports.pop()}" for _ in range(CONTROL_HOST_COUNT)]
         self._registrar: typing.Any = None
         self._orders: typing.Any = None
@@ -320,13 +319,3 @@
         cold_left_ms=0,
         version="",
     )
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
--- a/src/greengagehaven/soak/cluster.py
+++ b/src/greengagehaven/soak/cluster.py
@@ -5,11 +5,11 @@
 import pathlib
 import shutil
 import signal
-import socket
 import sys
 
 from greengagehaven import exceptions
 from greengagehaven.soak import schedule
+from greengagehaven.transport import free_ports
 
 _COMMAND = (sys.executable, "-c", "from greengagehaven import cli; cli.main()")
 _READY_TIMEOUT_S = 20.0
@@ -17,12 +17,6 @@
 _COMMAND_TIMEOUT_S = 20.0
 _PEER_TOKEN = "soak"  # noqa: S105
 
-_MIN_PORT = 12_000
-_PORT_COUNT = 20_000
-"""Ports from 12,000 to 31,999, below the ephemeral range, which starts at 32,768."""
-
-_PORTS_PER_PROCESS = 64
-
 
 class Cluster:
     """Control and entry hosts as processes on loopback.
@@ -39,7 +33,7 @@
         self.host_ids = [*schedule.CONTROLS, *self.entry_ids]
         self._folder = folder
         self._document = document
-        ports = iter(_free_ports(2 * len(self.host_ids)))
+        ports = iter(free_ports.find(2 * len(self.host_ids)))
         # (address for operators or callers, address for other hosts)
         self._addresses_by_id = {
             host_id: (f"127.0.0.1:{next(ports)}", f"127.0.0.1:{next(ports)}")
@@ -194,26 +188,3 @@
             if other != host_id:
                 arguments += ["--seed", self._addresses_by_id[other][1]]
         return arguments
-
-
-def _free_ports(count: int) -> list[int]:
-    """Return free ports.
-
-    They lie below the ephemeral range, and the search starts at an offset by process
-    id, so that no outgoing connection and no other soak takes a port before its host
-    binds it.
-    """
-    first = _MIN_PORT + os.getpid() * _PORTS_PER_PROCESS % _PORT_COUNT
-    ports: list[int] = []
-    for offset in range(_PORT_COUNT):
-        port = _MIN_PORT + (first - _MIN_PORT + offset) % _PORT_COUNT
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            break
-    return ports
