Count either set of voters until a change of voters has ended

Callers saw every request of teams refused for good: with no leader after two disks of five were lost, key leases ran out, and nothing changed until an operator ran `recover`. With five control hosts as processes (one voter paused for over 4 s, the others paused 0.25 s before it counted as dead, all killed, two emptied, all started): answers 200 to none of about 1,500 requests from 12 s on and accepts no change in 40 s.

Cause: a membership counted from the moment it was in a member's log.

Now a change takes two entries. Until the second one, a majority of the voters before or after it is a quorum; they overlap, as they differ by one voter. The second is appended once a majority of the voters after the change has the first, and the next change waits until it is committed. A change that can't be ended is reversed. Members say in replies whether they know the rule; changes take one entry while a voter is not known to.

Two new faults are planted, one for each half of the rule.

--- a/features/fakes/raft.py
+++ b/features/fakes/raft.py
@@ -70,6 +70,8 @@
     :param dead_after: seconds after which the leader removes a silent voter.
     :param lease_reads: whether leaders answer reads under their lease.
     :param stamps_replies: whether hosts get upper bounds of their staleness.
+    :param knows_transitions: whether the first membership says that its members read
+        ``Membership.previous``; one that an earlier version wrote doesn't.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         dead_after=math.inf,
         lease_reads=True,
         stamps_replies=False,
+        knows_transitions=True,
     ):
         self.rng = random.Random(seed)
         self.faults = frozenset(faults)
@@ -108,6 +111,7 @@
         self.number = 0
         self.follower_revision = 0
         self.counts = {}
+        self.knows_transitions = knows_transitions
         self.hosts = [self._new_host(f"c{n}") for n in range(size)]
         self._bootstrap()
 
@@ -384,7 +388,11 @@
             records.Member(id=f"{host.name}-0", host=host.name, address="", voter=True)
             for host in self.hosts
         )
-        self.membership = records.Membership(members=members)
+        transition_ids = tuple(sorted(member.id for member in members))
+        self.membership = records.Membership(
+            members=members,
+            transition_ids=transition_ids if self.knows_transitions else (),
+        )
         first = records.Snapshot(
             last=records.Position(1, 0),
             membership=self.membership,
@@ -529,6 +537,7 @@
         members = {host.replica.raft.member_id for host in self.hosts}
         return (
             raft.log.membership.voter_ids == members
+            and not raft.log.membership.previous
             and raft.log.membership_index <= raft.commit_index
             and {host.replica.raft.commit_index for host in self.hosts}
             == {raft.log.last.index}
@@ -674,7 +683,14 @@
 
 
 def run_schedule(
-    seed, *, size=3, steps=160, faults=(), dead_after=math.inf, lease_reads=True
+    seed,
+    *,
+    size=3,
+    steps=160,
+    faults=(),
+    dead_after=math.inf,
+    lease_reads=True,
+    knows_transitions=True,
 ):
     """Run the random schedule of a seed, then repair everything."""
     rng = random.Random(seed * 7919 + size)
@@ -684,6 +700,7 @@
         faults=faults,
         dead_after=dead_after,
         lease_reads=lease_reads,
+        knows_transitions=knows_transitions,
     )
     names = [name for name, _ in ACTIONS]
     weights = [weight for _, weight in ACTIONS]
--- a/features/fakes/raft_faults.py
+++ b/features/fakes/raft_faults.py
@@ -3,8 +3,10 @@
 import contextlib
 from unittest import mock
 
+import msgspec
+
 from greengagehaven.coordination.raft import election, leadership, log_receiver, timing
-from greengagehaven.state import audit
+from greengagehaven.state import audit, records
 
 # Injected by ``raft.Cluster`` itself: on its disks and at the start of a host.
 IN_CLUSTER = (
@@ -28,6 +30,28 @@
         self._send_new()
 
 
+def _change_before_the_last_ended(self, membership):
+    log = self._raft.log
+    changed = membership.voter_ids ^ log.membership.voter_ids
+    is_pending = log.membership_index > self._raft.commit_index
+    if len(changed) > 1 or is_pending or not self.has_committed_in_term:
+        return
+    updated = self._with_versions(membership)
+    if changed:
+        updated = msgspec.structs.replace(updated, previous=log.membership.members)
+    if membership.voter_ids and updated != log.membership:
+        self._append_membership(updated)
+
+
+def _finish_late(self):
+    log = self._raft.log
+    elapsed = self._raft.clock.monotonic() - self._membership_proposed_at
+    is_committed = log.membership_index <= self._raft.commit_index
+    is_due = is_committed and elapsed > self._raft.timing.election_max
+    if is_due and log.membership.previous and self.has_committed_in_term:
+        self._append_membership(msgspec.structs.replace(log.membership, previous=()))
+
+
 def _restore_only_count(self, records, count):
     self.count = count
 
@@ -40,6 +64,17 @@
     "change two members at once": (
         (leadership.Leadership, "change_membership", _change_membership_at_once),
     ),
+    "begin a change before the last one ended": (
+        (leadership.Leadership, "_finish_transition", _finish_late),
+        (leadership.Leadership, "change_membership", _change_before_the_last_ended),
+    ),
+    "count only the members after a change": (
+        (
+            records.Membership,
+            "voter_sets",
+            property(lambda self: (self.voter_ids,)),
+        ),
+    ),
     "truncate the log at every request": (
         (
             log_receiver.LogReceiver,
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -56,9 +56,24 @@
       | read before a commit in the term       | 20   |
       | omit change ids from a snapshot        | 14   |
       | apply a change id twice                | 1    |
-      | forget the leader at a restart         | 257  |
+      | forget the leader at a restart         | 187  |
       | keep the lease too long                | 720  |
 
+  Scenario: The checks detect a change of voters that begins before the last one ended
+    A host that counts the voters before the last change could lead beside one that
+    counts those after the next.
+
+    Given control hosts that remove dead voters after 1 second
+    When the fault "begin a change before the last one ended" is injected and such schedules over 4 control hosts run from seed 346
+    Then an invariant of the log is broken
+
+  Scenario: The checks detect a change of voters that counts before it is committed
+    A host with a change that nobody else has could neither lead nor let others lead.
+
+    Given control hosts that remove dead voters after 1 second
+    When the fault "count only the members after a change" is injected and such schedules over 5 control hosts run from seed 700679
+    Then an invariant of the log is broken
+
   Scenario: The last record is incomplete
     The power fails in the middle of a write, before the record is acknowledged.
     If the host refused to start because of it, every power failure would need a
@@ -131,6 +146,16 @@
     When 20 such schedules over 5 control hosts run from seed 900
     Then every invariant of the log held and each schedule ended with an accepted change
 
+  Scenario: Control hosts find the data of an earlier version
+    Its memberships don't say which members count both sets of voters during a change.
+
+    Given control hosts that remove dead voters after 1 second
+    And the data of an earlier version
+    When 20 such schedules over 3 control hosts run from seed 5500
+    Then every invariant of the log held and each schedule ended with an accepted change
+    When 20 such schedules over 5 control hosts run from seed 5600
+    Then every invariant of the log held and each schedule ended with an accepted change
+
   Scenario: Disks are lost beside a removal that is not committed
     A voter that is wrongly taken for dead is being removed, so that four voters bear
     the loss of one disk where five bore two, and no host can be elected again.
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -59,6 +59,22 @@
                 break
 
 
+@behave.when(
+    'the fault "{fault}" is injected and such schedules over {size:d} control hosts '
+    "run from seed {seed:d}"
+)
+def when_injected_in_such(context, fault, size, seed):
+    context.broken = None
+    context.walk_options["faults"] = (fault,)
+    with raft_faults.injected(fault):
+        for number in range(seed, seed + SEEDS_PER_FAULT):
+            try:
+                raft.run_schedule(number, size=size, **context.walk_options)
+            except raft.InvariantBrokenError as error:
+                context.broken = error
+                break
+
+
 @behave.then("an invariant of the log is broken")
 def then_broken(context):
     assert context.broken is not None
@@ -157,6 +173,11 @@
     context.walk_options = {"dead_after": float(seconds), "lease_reads": False}
 
 
+@behave.given("the data of an earlier version")
+def given_earlier_data(context):
+    context.walk_options["knows_transitions"] = False
+
+
 @behave.when(
     "{count:d} such schedules over {size:d} control hosts run from seed {seed:d}"
 )
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -128,8 +128,9 @@
 
     @property
     def is_voter(self) -> bool:
-        """Return whether this member counts towards the quorum."""
-        return self.member_id in self.log.membership.voter_ids
+        """Return whether this member counts towards a quorum."""
+        voter_sets = self.log.membership.voter_sets
+        return any(self.member_id in voter_ids for voter_ids in voter_sets)
 
     @property
     def next_timer_at(self) -> float:
@@ -243,13 +244,15 @@
         return writes
 
     def _flush_commits(self) -> None:
-        if self.commit_target <= self.commit_index:
-            return
-        entries = self.log.entries_between(self.commit_index + 1, self.commit_target)
-        self.commit_index = self.commit_target
-        self.emit(events.Apply(entries=entries))
-        if self._leadership is not None:
-            self._leadership.after_commit()
+        # A commit may make the leader append an entry, which a sole voter commits at
+        # once.
+        while self.commit_target > self.commit_index:
+            first = self.commit_index + 1
+            entries = self.log.entries_between(first, self.commit_target)
+            self.commit_index = self.commit_target
+            self.emit(events.Apply(entries=entries))
+            if self._leadership is not None:
+                self._leadership.after_commit()
 
     def _on_timer(self) -> None:
         if self._leadership is not None:
@@ -270,6 +273,25 @@
         """Send a message with the current term."""
         self.emit(events.Send(message=kind(**self.header(receiver), **fields)))
 
+    def reply_append(
+        self,
+        request: messages.AppendRequest | messages.SnapshotChunk,
+        *,
+        success: bool,
+        match_index: int,
+        stamp: messages.ClockStamp | None = None,
+    ) -> None:
+        """Reply to a leader's message with the state of this member's log."""
+        self.send(
+            messages.AppendReply,
+            request.sender,
+            success=success,
+            match_index=match_index,
+            sent_at=request.sent_at,
+            stamp=stamp,
+            knows_transitions=True,
+        )
+
     def _on_message(self, message: messages.Message) -> None:
         is_addressed_here = message.receiver == self.member_id
         if not is_addressed_here or message.group_id != self.group_id:
@@ -296,13 +318,7 @@
     ) -> bool:
         """Become a follower of the sender, or reject it if its term is outdated."""
         if message.term < self.term:
-            self.send(
-                messages.AppendReply,
-                message.sender,
-                success=False,
-                match_index=0,
-                sent_at=message.sent_at,
-            )
+            self.reply_append(message, success=False, match_index=0)
             return False
         self.become_follower(message.term, message.sender)
         self.last_leader_contact_at = self.clock.monotonic()
--- a/src/greengagehaven/coordination/raft/election.py
+++ b/src/greengagehaven/coordination/raft/election.py
@@ -109,9 +109,8 @@
             self._on_quorum()
             return
         term = self._raft.term + 1 if pre_vote else self._raft.term
-        for member_id in sorted(
-            self._raft.log.membership.voter_ids - {self._raft.member_id}
-        ):
+        voter_ids = frozenset().union(*self._raft.log.membership.voter_sets)
+        for member_id in sorted(voter_ids - {self._raft.member_id}):
             request = messages.VoteRequest(
                 **self._raft.header(member_id, term),
                 last=self._raft.log.last,
@@ -120,8 +119,7 @@
             self._raft.emit(events.Send(message=request))
 
     def _has_quorum(self) -> bool:
-        membership = self._raft.log.membership
-        return len(self._votes & membership.voter_ids) >= membership.quorum
+        return self._raft.log.membership.has_quorum(self._votes)
 
     def _on_quorum(self) -> None:
         if self._is_pre_vote:
--- a/src/greengagehaven/coordination/raft/leadership.py
+++ b/src/greengagehaven/coordination/raft/leadership.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+import msgspec
 import xxhash
 
 from greengagehaven import exceptions
@@ -30,6 +31,7 @@
     :param stamp_received_at: when it was received, on the leader's clock.
     :param confirmed: the member's newest stamp after which a quorum has confirmed the
         leader.
+    :param knows_transitions: what its last reply said; ``None`` before the first.
     """
 
     next_index: int
@@ -39,6 +41,7 @@
     stamp: messages.ClockStamp | None = None
     stamp_received_at: float = NEVER
     confirmed: messages.ClockStamp | None = None
+    knows_transitions: bool | None = None
 
     def add_stamp(self, stamp: messages.ClockStamp, now: float) -> None:
         """Keep a stamp until it is confirmed, unless an earlier one still waits.
@@ -78,6 +81,7 @@
         self._raft = raft
         self._started_at = raft.clock.monotonic()
         self._heartbeat_at = self._started_at
+        self._membership_proposed_at = self._started_at
         self._term_start_index = 0
         self._pending_reads: list[tuple[int, float]] = []
         self._progress_by_id: dict[str, Progress] = {}
@@ -151,22 +155,28 @@
     def change_membership(self, membership: records.Membership) -> None:
         """Append a membership that differs from the current one by at most one voter.
 
-        Majorities of two memberships that differ by one voter always overlap. A change
-        is dropped while an earlier one is uncommitted, since majorities of the
-        memberships before and after both changes may be disjoint. An invalid change is
-        dropped without an error; the caller proposes again later.
+        Majorities of two memberships that differ by one voter always overlap, so each
+        of them is a quorum until ``_finish_transition`` ends the change. A change is
+        dropped while an earlier one is under way, since majorities of the memberships
+        before and after both changes may be disjoint. An invalid change is dropped
+        without an error; the caller proposes again later.
         """
         log = self._raft.log
         changed = membership.voter_ids ^ log.membership.voter_ids
         is_pending = log.membership_index > self._raft.commit_index
-        if len(changed) > 1 or is_pending or not self.has_committed_in_term:
+        if len(changed) > 1 or is_pending or log.membership.previous:
             return
-        if not membership.voter_ids or membership == log.membership:
+        if not self.has_committed_in_term or not membership.voter_ids:
             return
-        payload = codec.encode_msgpack(membership)
-        self._append(records.EntryKind.MEMBERSHIP, payload)
-        self._refresh_members()
-        self._send_new()
+        if changed:
+            self._begin_transition(membership.members)
+        elif self._with_versions(membership) != log.membership:
+            self._append_membership(self._with_versions(membership))
+
+    def is_version_outdated(self) -> bool:
+        """Return whether the membership lacks what members reported of themselves."""
+        membership = self._raft.log.membership
+        return self._with_versions(membership) != membership
 
     def request_read(self, read_id: int) -> None:
         """Allow a read at once under the lease, else after a quorum has answered."""
@@ -198,6 +208,7 @@
     def after_commit(self) -> None:
         """Allow pending reads; step down if this member is no longer a voter."""
         self._allow_reads()
+        self._finish_transition()
         log = self._raft.log
         is_committed = log.membership_index <= self._raft.commit_index
         if is_committed and not self._raft.is_voter:
@@ -211,9 +222,11 @@
         if progress is None:
             return
         progress.answered_sent_at = max(progress.answered_sent_at, reply.sent_at)
-        if isinstance(reply, messages.AppendReply) and reply.stamp is not None:
-            progress.confirm_stamp(self.quorum_answered_sent_at)
-            progress.add_stamp(reply.stamp, self._raft.clock.monotonic())
+        if isinstance(reply, messages.AppendReply):
+            progress.knows_transitions = reply.knows_transitions
+            if reply.stamp is not None:
+                progress.confirm_stamp(self.quorum_answered_sent_at)
+                progress.add_stamp(reply.stamp, self._raft.clock.monotonic())
         if isinstance(reply, messages.SnapshotReply):
             self._on_snapshot_reply(reply, progress)
         elif reply.success:
@@ -221,6 +234,7 @@
         else:
             self._on_append_rejected(reply, progress)
         self._allow_reads()
+        self._finish_transition()
 
     def is_caught_up(self, member_id: str) -> bool:
         """Return whether a member's log is nearly complete and it is answering."""
@@ -245,8 +259,68 @@
         self._advance_commit()
         return records.Position(index, self._raft.term)
 
+    def _begin_transition(self, members: tuple[records.Member, ...]) -> None:
+        """Append a change to ``members`` that differ by one voter from the current."""
+        changed = self._with_versions(records.Membership(members=members))
+        if all(map(self._knows_transitions, changed.voter_ids)):
+            changed = msgspec.structs.replace(
+                changed, previous=self._raft.log.membership.members
+            )
+        # Otherwise a member of an earlier version might become the leader and begin
+        # the next change without ending this one. One that is being removed doesn't:
+        # for it, it is no voter any more.
+        self._append_membership(changed)
+
+    def _append_membership(self, membership: records.Membership) -> None:
+        payload = codec.encode_msgpack(membership)
+        self._membership_proposed_at = self._raft.clock.monotonic()
+        self._append(records.EntryKind.MEMBERSHIP, payload)
+        self._refresh_members()
+        self._send_new()
+
+    def _finish_transition(self) -> None:
+        """End a committed change of a voter, or reverse it if it can't be ended.
+
+        The entry that ends a change is appended only when a majority of the members
+        after it has the change. Without that entry a host that was elected by a
+        majority of the members before could follow a second change that it has not
+        seen. If that majority doesn't answer, its disks may be lost: the change is
+        reversed, so that those who elected this leader can go on.
+        """
+        log = self._raft.log
+        membership = log.membership
+        is_committed = log.membership_index <= self._raft.commit_index
+        if not membership.previous or not is_committed:
+            return
+        if not self.has_committed_in_term:
+            return
+        reached = self._majority_value(
+            membership.voter_ids, log.last.index, lambda progress: progress.match_index
+        )
+        if reached >= log.membership_index:
+            self._append_membership(msgspec.structs.replace(membership, previous=()))
+            return
+        elapsed = self._raft.clock.monotonic() - self._membership_proposed_at
+        if elapsed >= self._raft.timing.election_max:
+            self._begin_transition(membership.previous)
+
+    def _with_versions(self, membership: records.Membership) -> records.Membership:
+        """Return a membership with the ids of the members that know transitions."""
+        member_ids = filter(self._knows_transitions, membership.members_by_id)
+        return msgspec.structs.replace(
+            membership, transition_ids=tuple(sorted(member_ids))
+        )
+
+    def _knows_transitions(self, member_id: str) -> bool:
+        if member_id == self._raft.member_id:
+            return True
+        progress = self._progress_by_id.get(member_id)
+        if progress is None or progress.knows_transitions is None:
+            return member_id in self._raft.log.membership.transition_ids
+        return progress.knows_transitions
+
     def _refresh_members(self) -> None:
-        members = self._raft.log.membership.members_by_id
+        members = self._raft.log.membership.reachable_by_id
         next_index = self._raft.log.last.index + 1
         self._progress_by_id = {
             member_id: self._progress_by_id.get(member_id)
@@ -259,15 +333,26 @@
         return self._raft.log.membership.voter_ids == {self._raft.member_id}
 
     def _quorum_value(self, own: float, value_of: typing.Callable[[Progress], float]):
-        """Return the highest value that a majority of voters has reached."""
-        membership = self._raft.log.membership
+        """Return the highest value that a quorum has reached."""
+        voter_sets = self._raft.log.membership.voter_sets
+        return max(
+            self._majority_value(voter_ids, own, value_of) for voter_ids in voter_sets
+        )
+
+    def _majority_value(
+        self,
+        voter_ids: frozenset[str],
+        own: float,
+        value_of: typing.Callable[[Progress], float],
+    ):
+        """Return the highest value that a majority of the voters has reached."""
         values = [
             own
             if voter == self._raft.member_id
             else value_of(self._progress_by_id[voter])
-            for voter in membership.voter_ids
+            for voter in voter_ids
         ]
-        return sorted(values, reverse=True)[membership.quorum - 1]
+        return sorted(values, reverse=True)[len(voter_ids) // 2]
 
     @property
     def quorum_answered_sent_at(self) -> float:
--- a/src/greengagehaven/coordination/raft/log_receiver.py
+++ b/src/greengagehaven/coordination/raft/log_receiver.py
@@ -57,13 +57,7 @@
             # discard those.
             self._raft.commit(chunk.last.index)
         if chunk.last.index <= self._raft.commit_target:
-            self._raft.send(
-                messages.AppendReply,
-                chunk.sender,
-                success=True,
-                match_index=chunk.last.index,
-                sent_at=chunk.sent_at,
-            )
+            self._raft.reply_append(chunk, success=True, match_index=chunk.last.index)
             return
         if self._assembly is None or not self._assembly.accepts(chunk):
             self._assembly = _SnapshotAssembly(first=chunk)
@@ -82,23 +76,15 @@
             last=chunk.last, membership=chunk.membership, data=data
         )
         self._raft.install(snapshot)
-        self._raft.send(
-            messages.AppendReply,
-            chunk.sender,
-            success=True,
-            match_index=chunk.last.index,
-            sent_at=chunk.sent_at,
-        )
+        self._raft.reply_append(chunk, success=True, match_index=chunk.last.index)
 
     def _reply_append(
         self, request: messages.AppendRequest, success: bool, match_index: int
     ) -> None:
-        self._raft.send(
-            messages.AppendReply,
-            request.sender,
+        self._raft.reply_append(
+            request,
             success=success,
             match_index=match_index,
-            sent_at=request.sent_at,
             stamp=self._raft.stamp(),
         )
 
--- a/src/greengagehaven/coordination/raft/membership_change.py
+++ b/src/greengagehaven/coordination/raft/membership_change.py
@@ -27,6 +27,8 @@
         change = _change_for_candidate(membership, leader, candidate)
         if change is not None:
             return change
+    if leader.is_version_outdated():
+        return membership
     return _without_dead_voter(raft, membership, leader)
 
 
--- a/src/greengagehaven/coordination/raft/messages.py
+++ b/src/greengagehaven/coordination/raft/messages.py
@@ -77,12 +77,15 @@
     :param match_index: on success, the highest index at which the logs match; on
         failure, the highest index at which they may match.
     :param stamp: the sender's time, which the leader returns as ``confirmed``.
+    :param knows_transitions: whether the sender reads ``Membership.previous``; earlier
+        versions don't.
     """
 
     success: bool
     match_index: int
     sent_at: float
     stamp: ClockStamp | None = None
+    knows_transitions: bool = False
 
 
 class SnapshotChunk(_Message, frozen=True, kw_only=True, tag=True):
--- a/src/greengagehaven/daemons/raft_driver.py
+++ b/src/greengagehaven/daemons/raft_driver.py
@@ -14,6 +14,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import peers
 from greengagehaven.coordination.raft import events, messages, replica
+from greengagehaven.state import records
 
 RAFT_METHOD = "control/raft"
 CALL_TIMEOUT_S = 1.0
@@ -55,6 +56,7 @@
         self._pending_proposals: list[events.Event] = []
         self._stepped = asyncio.Event()
         self._timer_task: asyncio.Task[None] | None = None
+        self._logged_membership: records.Membership | None = None
 
     def start(self) -> None:
         """Start the timer task."""
@@ -128,10 +130,29 @@
                     replies.append(message)
                 case message:
                     self._get_outbox(message.receiver).put(message)
+        self._log_membership()
         self._stepped.set()
         self._on_step()
         return replies
 
+    def _log_membership(self) -> None:
+        """Log the membership if it differs from the last one logged."""
+        raft = self.replica.raft
+        membership = raft.log.membership
+        if membership == self._logged_membership:
+            return
+        self._logged_membership = membership
+        log.info(
+            "control_membership",
+            member=raft.member_id,
+            index=raft.log.membership_index,
+            committed=raft.commit_index,
+            voters=",".join(sorted(membership.voter_ids)),
+            previous=",".join(
+                sorted(member.id for member in membership.previous if member.voter)
+            ),
+        )
+
     def _new_waiter(self) -> tuple[int, asyncio.Future[typing.Any]]:
         if self.replica.storage_error is not None:
             raise exceptions.StorageFailedError(self.replica.storage_error.detail)
@@ -186,7 +207,7 @@
     def address_of(self, member_id: str) -> str | None:
         """Return the peer address of a member, ``None`` if it is unknown."""
         membership = self.replica.raft.log.membership
-        member = membership.members_by_id.get(member_id)
+        member = membership.reachable_by_id.get(member_id)
         return None if member is None else member.address
 
     async def _run_timer(self) -> None:
--- a/src/greengagehaven/daemons/recovery.py
+++ b/src/greengagehaven/daemons/recovery.py
@@ -98,11 +98,11 @@
 
     :raises SettingError: its log never had it as a member.
     """
-    members_by_id = dict(stored.snapshot.membership.members_by_id)
+    members_by_id = dict(stored.snapshot.membership.reachable_by_id)
     for entry in stored.entries:
         if entry.kind is records.EntryKind.MEMBERSHIP:
             membership = codec.decode_msgpack(entry.payload, records.Membership)
-            members_by_id.update(membership.members_by_id)
+            members_by_id.update(membership.reachable_by_id)
     if identity.member_id not in members_by_id:
         raise exceptions.SettingError(
             place="data folder",
--- a/src/greengagehaven/state/records.py
+++ b/src/greengagehaven/state/records.py
@@ -21,10 +21,19 @@
     voter: bool
 
 
-class Membership(msgspec.Struct, frozen=True, kw_only=True):
-    """The members of the replicated log, in the order in which they joined."""
+class Membership(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The members of the replicated log, in the order in which they joined.
+
+    :param members: the members once no change is under way.
+    :param previous: during a change of one voter, the members before it. A majority
+        of the voters of either is a quorum then. Empty if no change is under way.
+    :param transition_ids: ids of the members known to run a version that reads
+        ``previous``, sorted.
+    """
 
     members: tuple[Member, ...] = ()
+    previous: tuple[Member, ...] = ()
+    transition_ids: tuple[str, ...] = ()
 
     @property
     def members_by_id(self) -> dict[str, Member]:
@@ -33,14 +42,33 @@
 
     @property
     def voter_ids(self) -> frozenset[str]:
-        """Return the ids of the members that count towards the quorum."""
-        return frozenset(member.id for member in self.members if member.voter)
+        """Return the ids of the voters once no change is under way."""
+        return _voter_ids(self.members)
 
     @property
     def quorum(self) -> int:
-        """Return the number of voters that make a majority."""
+        """Return the number of ``voter_ids`` that make a majority."""
         return len(self.voter_ids) // 2 + 1
 
+    @property
+    def voter_sets(self) -> tuple[frozenset[str], ...]:
+        """Return the sets of voter ids of which any majority is a quorum."""
+        if not self.previous:
+            return (self.voter_ids,)
+        return (self.voter_ids, _voter_ids(self.previous))
+
+    @property
+    def reachable_by_id(self) -> dict[str, Member]:
+        """Return the members by id, and those that a change under way removes."""
+        return {member.id: member for member in self.previous + self.members}
+
+    def has_quorum(self, member_ids: set[str]) -> bool:
+        """Return whether the members contain a quorum."""
+        return any(
+            len(member_ids & voter_ids) > len(voter_ids) // 2
+            for voter_ids in self.voter_sets
+        )
+
     def with_member(self, member: Member) -> "Membership":
         """Return this membership with a member added or replaced."""
         others = tuple(other for other in self.members if other.id != member.id)
@@ -52,6 +80,10 @@
         return Membership(members=others)
 
 
+def _voter_ids(members: tuple[Member, ...]) -> frozenset[str]:
+    return frozenset(member.id for member in members if member.voter)
+
+
 class EntryKind(enum.IntEnum):
     """Type of the payload of a log entry."""
 
