Let requests wait for newer usage totals before a refusal that may be wrong

Callers within their team's limit got 429 where the totals of other hosts were old: from a host that had been frozen (after less than a window, requests that had waited in its sockets looked like growth, which was assumed at the other hosts too; after more it admitted 1 / (hosts + 1) of the target and refused the rest), from one whose first reply was lost, and 5 s after requests that came all at once, which had left the window and were still counted. The same 1 / (hosts + 1) ran above the tolerance, as the others had taken over the share of the frozen host.

A request whose refusal may be wrong now waits until a reply to a report that was sent after it came decides again: 0.3 s or a quarter of its time at most. It does while totals are missing since the start or since a freeze, or if what may have left the window makes the difference; reports tell that part. Refusals in a flood or of a host that is cut off don't wait. On a host that was frozen for a window each request waits.

The simulation's oracle is unchanged; requests that still wait when a host ends or the case is over count as refused.

--- a/features/fakes/usage_cap_simulation.py
+++ b/features/fakes/usage_cap_simulation.py
@@ -11,6 +11,7 @@
 
 from greengagehaven.coordination.shared_budgets import (
     demand_shares,
+    reply_waits,
     report_forwarding,
     report_schedule,
     report_sums,
@@ -92,6 +93,7 @@
         self.limit_changes = [(0.0, CAPS.limit_of(self.team))]
         self.admitted, self.refused, self.offered = [], [], []
         self.messages = self.bytes = 0
+        self.waits = []
         self.controls = [
             SimulatedControl(self, f"c{number}", number % 3)
             for number in range(case.controls)
@@ -151,6 +153,8 @@
         while self.queue and self.queue[0][0] <= end:
             self.now, _, action = heapq.heappop(self.queue)
             action()
+        for host in self.hosts:
+            host.refuse_waiting()
         return self.judge()
 
     def change_limit(self):
@@ -316,6 +320,8 @@
         self.schedule = report_schedule.ReportSchedule()
         self.transit = 0.0
         self.planned_at = None
+        self.waits = reply_waits.ReplyWaits(shares=self.shares)
+        self.request_count = 0
 
     def request(self):
         simulation = self.simulation
@@ -326,12 +332,60 @@
             return
         simulation.offered.append(simulation.now)
         delay = self.shares.try_admit(simulation.team, simulation.now)
-        target = simulation.admitted if delay is None else simulation.refused
-        target.append(simulation.now)
+        if delay is not None and self.shares.may_be_wrong(
+            simulation.team, simulation.now
+        ):
+            self.wait(delay)
+        else:
+            self.decide(is_admitted=delay is None)
         is_near = self.shares.is_near_target("t", simulation.now)
         self.schedule.on_request(is_near_target=is_near)
         self.plan_tick()
 
+    def decide(self, *, is_admitted):
+        simulation = self.simulation
+        moments = simulation.admitted if is_admitted else simulation.refused
+        moments.append(simulation.now)
+
+    def wait(self, retry_after):
+        """Let a refused request wait for newer totals."""
+        simulation = self.simulation
+        self.request_count += 1
+        self.waits.add(
+            self.request_count,
+            simulation.team,
+            simulation.now,
+            retry_after=retry_after,
+        )
+        self.schedule.on_wait(simulation.now)
+        run = self.run
+        simulation.at(reply_waits.MAX_WAIT_S, lambda: self.end_waits(run))
+
+    def end_waits(self, run):
+        simulation = self.simulation
+        if self.run != run:
+            return
+        if self.frozen_until > simulation.now:
+            delay = self.frozen_until - simulation.now
+            simulation.at(delay, lambda: self.end_waits(run))
+            return
+        self.record(self.waits.end_due(simulation.now))
+
+    def record(self, outcomes):
+        for outcome in outcomes:
+            self.simulation.waits.append(outcome.waited)
+            self.decide(is_admitted=outcome.retry_after is None)
+
+    def stop(self):
+        self.refuse_waiting()
+        super().stop()
+
+    def refuse_waiting(self):
+        """Count requests that nobody will decide about any more as refused."""
+        for _ in range(len(self.waits)):
+            self.decide(is_admitted=False)
+        self.waits = reply_waits.ReplyWaits(shares=self.shares)
+
     def freeze(self, seconds):
         self.frozen_until = self.simulation.now + seconds
 
@@ -399,6 +453,7 @@
             self.transit = (simulation.now - sent_at) / 2
             if self.shares.apply_totals(reply, sent_at=sent_at, now=simulation.now):
                 self.schedule.on_reply(sent_at)
+                self.record(self.waits.apply_totals(sent_at, simulation.now))
             if is_followed:
                 self.failing_since = None
         elif not is_followed:
--- a/features/usage_cap_cases.feature
+++ b/features/usage_cap_cases.feature
@@ -24,6 +24,10 @@
       | refused as callers moved in a partition     | 100, 346, 576, 1339, 1603, 1689   |
       | refused as a cut-off host kept a flood      | 503                               |
       | went over with 77 hosts and no fault        | 1629                              |
+      | refused as a backlog looked like growth     | 10556, 11034                      |
+      | refused after a freeze of over a window     | 11454                             |
+      | went over after a freeze of over a window   | 10413, 11370                      |
+      | refused as a burst was leaving the window   | 11275, 11578, 11911               |
 
   Scenario: Late totals hide the first half second of a flood
     Then the cases with seeds 102, 161, 1553 stay within both bounds
@@ -49,6 +53,12 @@
   Scenario: A host that wakes from a freeze refuses until its first reply
     Then the cases with seeds 732, 832, 1314 stay within both bounds
 
+  Scenario: A frozen host is taken to go on admitting while the limit is halved
+    Then the cases with seeds 10507 stay within both bounds
+
+  Scenario: Requests that came all at once leave the window while another fault hides it
+    Then the cases with seeds 10344, 10422, 10573, 11959 stay within both bounds
+
   Scenario: One of few hosts is cut off for longer than a window
     Then the cases with seeds 840, 1233, 1437 stay within both bounds
 
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -17,8 +17,12 @@
     usage_limit,
     weights,
 )
+from greengagehaven.coordination.shared_budgets import reply_waits
 from greengagehaven.state import routes, teams
 
+MAX_WAIT_SHARE = 0.25
+"""Share of a request's time that it may wait for newer usage totals."""
+
 DEADLINE_MARGIN_S = 0.01
 """Seconds before a caller's deadline at which the request is ended; a packet to the
 caller takes 1 to 3 ms, and timers fire up to 1 ms late."""
@@ -70,9 +74,42 @@
         if self._usage_limit is not None:
             self._usage_limit.set_teams(table.teams)
 
-    def admit(self, arrived: events.RequestArrived) -> request.RoutedRequest:
+    def admit(self, arrived: events.RequestArrived) -> request.RoutedRequest | None:
         """Return the routed request for an arrived one.
 
+        :returns: ``None`` if it waits for newer usage totals; ``resume`` follows.
+        :raises RequestError: the request is refused.
+        """
+        route, team = self._check(arrived)
+        time_left = self._time_left(arrived, route)
+        # Last, so that a request refused for another reason does not count.
+        if team is not None and self._usage_limit is not None:
+            max_wait = MAX_WAIT_SHARE * time_left
+            number = arrived.number
+            if not self._usage_limit.check(team, number=number, max_wait=max_wait):
+                return None
+        return self._route(arrived, route, team, waited=0.0)
+
+    def resume(
+        self, arrived: events.RequestArrived, outcome: reply_waits.Outcome
+    ) -> request.RoutedRequest:
+        """Return the routed request for one that has waited for usage totals.
+
+        :raises RequestError: the request is refused.
+        """
+        if outcome.retry_after is not None:
+            assert self._usage_limit is not None
+            raise self._usage_limit.refusal(
+                outcome.team, retry_after=outcome.retry_after, waited=outcome.waited
+            )
+        route, team = self._check(arrived)
+        return self._route(arrived, route, team, waited=outcome.waited)
+
+    def _check(
+        self, arrived: events.RequestArrived
+    ) -> tuple[routes.Route, teams.Team | None]:
+        """Return the route and the team of a request.
+
         :raises RequestError: the request is refused.
         """
         if self.table is None:
@@ -87,14 +124,29 @@
         self._crashes.check(
             arrived.fingerprint, retry_after=self._retry_delays.after_failure()
         )
-        # Last, so that a request refused for another reason does not count.
-        if team is not None and self._usage_limit is not None:
-            self._usage_limit.check(team)
-        now = self._clock.monotonic()
-        waited = self._caller_times.observe(route, arrived.time_left)
-        time_left = route.timeout
-        if arrived.time_left is not None:
-            time_left = min(time_left, arrived.time_left)
+        return route, team
+
+    def _time_left(self, arrived: events.RequestArrived, route: routes.Route) -> float:
+        """Return the seconds from the arrival of a request to its deadline."""
+        if arrived.time_left is None:
+            return route.timeout
+        return min(route.timeout, arrived.time_left)
+
+    def _route(
+        self,
+        arrived: events.RequestArrived,
+        route: routes.Route,
+        team: teams.Team | None,
+        *,
+        waited: float,
+    ) -> request.RoutedRequest:
+        """Return the routed request.
+
+        :param waited: seconds since its arrival.
+        """
+        arrived_at = self._clock.monotonic() - waited
+        time_left = self._time_left(arrived, route)
+        spent = self._caller_times.observe(route, arrived.time_left)
         services = route.shards or (self._weights.pick(route),)
         return request.RoutedRequest(
             number=arrived.number,
@@ -102,9 +154,9 @@
             fingerprint=arrived.fingerprint,
             route=route,
             services=services,
-            started_at=now,
-            deadline=now + time_left - DEADLINE_MARGIN_S,
-            answer_by=self._answer_by(route, now, waited),
+            started_at=arrived_at,
+            deadline=arrived_at + time_left - DEADLINE_MARGIN_S,
+            answer_by=self._answer_by(route, arrived_at, spent),
             team=team,
         )
 
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -323,6 +323,16 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UsageTotalsReceived:
+    """The usage of teams at other hosts was updated.
+
+    :param sent_at: monotonic seconds at which it was requested.
+    """
+
+    sent_at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeReached:
     """The clock reached the time of the last ``WakeAt``."""
@@ -349,6 +359,7 @@
     | CrashesReported
     | OutliersReported
     | LoanReceived
+    | UsageTotalsReceived
     | TimeReached
 )
 
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -5,6 +5,7 @@
 
 from greengagehaven import exceptions, log
 from greengagehaven.coordination.routing import events, request, upstreams
+from greengagehaven.coordination.shared_budgets import reply_waits
 
 MAX_LOGGED_SHARDS = 8
 """Unavailable shards named in one log line; a cut-off zone may hide hundreds."""
@@ -53,6 +54,18 @@
     )
 
 
+def log_usage_wait(
+    arrived: events.RequestArrived, outcome: reply_waits.Outcome
+) -> None:
+    """Log that a request was admitted after it had waited for newer usage totals."""
+    log.info(
+        "usage_waited",
+        request=arrived.request_id,
+        team=outcome.team.id,
+        waited_ms=round(outcome.waited * 1000, 1),
+    )
+
+
 def log_lag(late: float, lag: float) -> None:
     """Log how late an answer was written, and the lag that is now expected.
 
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -21,6 +21,7 @@
     state_events,
     timers,
 )
+from greengagehaven.coordination.shared_budgets import reply_waits
 from greengagehaven.protocol import rollouts
 from greengagehaven.state import routes
 
@@ -51,6 +52,7 @@
         self._caller_times = parts.caller_times
         self._crashes = parts.crashes
         self._requests_by_number = parts.requests_by_number
+        self._waiting_by_number: dict[int, events.RequestArrived] = {}
         self._timers = parts.timers
         self._admission = parts.admission
         self._reachability = parts.reachability
@@ -78,6 +80,7 @@
             events.ListenerChecked: self._on_listener_checked,
             events.UpstreamProbed: self._on_probed,
             events.LoanReceived: self._on_loan,
+            events.UsageTotalsReceived: self._on_usage_totals,
             events.TimeReached: self._on_time,
         }
 
@@ -89,7 +92,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests that are not answered yet."""
-        return len(self._requests_by_number)
+        return len(self._requests_by_number) + len(self._waiting_by_number)
 
     @property
     def _table_number(self) -> int:
@@ -119,16 +122,64 @@
         try:
             routed = self._admission.admit(arrived)
         except exceptions.RequestError as error:
-            self.counts.refusals[error.code] += 1
-            request_log.log_refusal(arrived, error, table=self._table_number)
-            actions.append(events.Refuse(number=arrived.number, error=error))
+            self._refuse(arrived, error, actions)
             return
+        if routed is None:
+            self._waiting_by_number[arrived.number] = arrived
+            self._schedule_end_of_wait()
+            return
+        self._begin(routed, actions)
+
+    def _refuse(
+        self,
+        arrived: events.RequestArrived,
+        error: exceptions.RequestError,
+        actions: list[events.Action],
+    ) -> None:
+        self.counts.refusals[error.code] += 1
+        request_log.log_refusal(arrived, error, table=self._table_number)
+        actions.append(events.Refuse(number=arrived.number, error=error))
+
+    def _begin(
+        self, routed: request.RoutedRequest, actions: list[events.Action]
+    ) -> None:
+        """Send the first attempts of an admitted request."""
         self._requests_by_number[routed.number] = routed
         chosen_by_service = self._planner.plan(routed, table=self._table_number)
         if self._is_worth_sending(routed):
             self._sender.send_first(routed, chosen_by_service, actions)
         self._settle(routed, actions)
 
+    def _on_usage_totals(
+        self, received: events.UsageTotalsReceived, actions: list[events.Action]
+    ) -> None:
+        assert self.usage_limit is not None
+        now = self._clock.monotonic()
+        outcomes = self.usage_limit.waits.apply_totals(received.sent_at, now)
+        self._end_waits(outcomes, actions)
+
+    def _end_waits(
+        self,
+        outcomes: abc.Iterable[reply_waits.Outcome],
+        actions: list[events.Action],
+    ) -> None:
+        """Begin or refuse the requests that have waited for newer usage totals."""
+        for outcome in outcomes:
+            arrived = self._waiting_by_number.pop(outcome.number)
+            try:
+                routed = self._admission.resume(arrived, outcome)
+            except exceptions.RequestError as error:
+                self._refuse(arrived, error, actions)
+                continue
+            request_log.log_usage_wait(arrived, outcome)
+            self._begin(routed, actions)
+
+    def _schedule_end_of_wait(self) -> None:
+        assert self.usage_limit is not None
+        ends_at = self.usage_limit.waits.next_end_at
+        if ends_at is not None:
+            self._timers.add(ends_at, timers.USAGE_TIMER)
+
     def _is_worth_sending(self, routed: request.RoutedRequest) -> bool:
         """Return whether a request that has just arrived can still be answered.
 
@@ -217,6 +268,9 @@
     def _on_abandoned(
         self, abandoned: events.RequestAbandoned, actions: list[events.Action]
     ) -> None:
+        if self._waiting_by_number.pop(abandoned.number, None) is not None:
+            assert self.usage_limit is not None
+            self.usage_limit.waits.remove(abandoned.number)
         routed = self._requests_by_number.get(abandoned.number)
         if routed is not None:
             self._completion.end(routed, "caller_left", actions)
@@ -241,6 +295,10 @@
                 self._borrower.request_loan(actions)
             elif number == timers.KEY_LEASE_TIMER:
                 self.key_guard.update(is_timer=True)
+            elif number == timers.USAGE_TIMER:
+                assert self.usage_limit is not None
+                self._end_waits(self.usage_limit.waits.end_due(now), actions)
+                self._schedule_end_of_wait()
             elif number == timers.REACHABILITY_TIMER:
                 self._check_upstreams(due_at, actions)
             elif number in self._requests_by_number:
--- a/src/greengagehaven/coordination/routing/usage_limit.py
+++ b/src/greengagehaven/coordination/routing/usage_limit.py
@@ -7,7 +7,7 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
-from greengagehaven.coordination.shared_budgets import demand_shares
+from greengagehaven.coordination.shared_budgets import demand_shares, reply_waits
 from greengagehaven.state import teams
 
 SUMMARY_PERIOD_S = 1.0
@@ -25,14 +25,18 @@
     :param clock: monotonic time.
     :param rng: rounds this host's shares.
 
-    ``on_request`` is called with the id of a limited team that sent a request.
+    ``on_request`` is called with the id of a limited team that sent a request,
+    ``on_wait`` when a request begins to wait for newer totals. ``waits`` holds those
+    requests.
     """
 
     def __init__(
         self, *, caps: demand_shares.CapSettings, clock: clocks.Clock, rng: rngs.Rng
     ) -> None:
         self.on_request: abc.Callable[[str], None] = lambda team_id: None
+        self.on_wait: abc.Callable[[], None] = lambda: None
         self.shares = demand_shares.DemandShares(caps=caps, rng=rng)
+        self.waits = reply_waits.ReplyWaits(shares=self.shares)
         self.refused_by_team: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._summarized_at_by_team: dict[str, float] = {}
@@ -46,33 +50,54 @@
         for team_id in self.refused_by_team.keys() - known.keys():
             del self.refused_by_team[team_id]
 
-    def check(self, team: teams.Team) -> None:
-        """Count a request of a team.
+    def check(self, team: teams.Team, *, number: int, max_wait: float) -> bool:
+        """Count a request of a team; return whether it is admitted.
 
+        If not, it waits for newer totals in ``waits``.
+
+        :param number: number of the request.
+        :param max_wait: longest wait in seconds.
         :raises UsageCapExceededError: the team is above its limit.
         """
         if team.rate <= 0:
-            return
+            return True
         now = self._clock.monotonic()
         retry_after = self.shares.try_admit(team, now)
         decision = self.shares.last_decision
         assert decision is not None
         self.on_request(team.id)
-        if retry_after is not None:
-            self.refused_by_team[team.id] += 1
         total = decision.own_offered + decision.others
         if total >= NEAR_LIMIT_SHARE * decision.limit:
             self._summarize(team, decision, now)
-        if retry_after is not None:
-            raise exceptions.UsageCapExceededError(
-                f"team {team.id} is above its limit",
-                retry_after=retry_after,
-                log_fields={
-                    "team": team.id,
-                    **_decision_fields(decision),
-                    "retry_after_ms": round(retry_after * 1000),
-                },
-            )
+        if retry_after is None:
+            return True
+        if not self.shares.may_be_wrong(team, now):
+            raise self.refusal(team, retry_after=retry_after, waited=0.0)
+        self.waits.add(number, team, now, retry_after=retry_after, max_wait=max_wait)
+        self.on_wait()
+        return False
+
+    def refusal(
+        self, team: teams.Team, *, retry_after: float, waited: float
+    ) -> exceptions.UsageCapExceededError:
+        """Count a refused request and return its error.
+
+        :param retry_after: seconds after which its caller may retry.
+        :param waited: seconds that it waited for newer totals.
+        """
+        self.refused_by_team[team.id] += 1
+        decision = self.shares.last_decision
+        assert decision is not None
+        return exceptions.UsageCapExceededError(
+            f"team {team.id} is above its limit",
+            retry_after=retry_after,
+            log_fields={
+                "team": team.id,
+                **_decision_fields(decision),
+                "waited_ms": round(waited * 1000),
+                "retry_after_ms": round(retry_after * 1000),
+            },
+        )
 
     def _summarize(
         self, team: teams.Team, decision: demand_shares.Decision, now: float
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -135,6 +135,7 @@
         self._states_by_team: dict[str, _TeamState] = {}
         self._known_hosts = 0
         self._has_totals = False
+        self._started_at: float | None = None
         self._reported_at = math.inf
         self._has_resumed = False
         self._totals_at = -math.inf
@@ -163,15 +164,62 @@
         """
         if team.rate <= 0:
             return None
+        if self._started_at is None:
+            self._started_at = now
         state = self._state_of(team.id)
         state.offered.add(now)
+        if self.try_again(team, now):
+            return None
+        assert self.last_decision is not None
+        return self._retry_delay(state, self.last_decision, now)
+
+    def try_again(self, team: teams_module.Team, now: float) -> bool:
+        """Return whether a request that ``try_admit`` refused is admitted now."""
+        state = self._state_of(team.id)
         state.target = self.caps.target_of(team)
         decision = self._decide(team, state, now)
         self.last_decision = decision
-        if self._is_admitted(team, state, decision):
+        is_admitted = self._is_admitted(team, state, decision)
+        if is_admitted:
             state.admitted.add(now)
-            return None
-        return self._retry_delay(state, decision, now)
+        return is_admitted
+
+    def try_unanswered(self, team: teams_module.Team, now: float) -> bool:
+        """Return whether a refused request is admitted though no totals came.
+
+        A host that was frozen for a window doesn't know what the others have admitted
+        since. It admits what it would without totals.
+        """
+        state = self._state_of(team.id)
+        decision = self._decide(team, state, now)
+        is_admitted = self._has_old_totals(
+            decision
+        ) and decision.own_admitted < self._share_without_totals(team)
+        if is_admitted:
+            state.admitted.add(now)
+        return is_admitted
+
+    def may_be_wrong(self, team: teams_module.Team, now: float) -> bool:
+        """Return whether newer totals may show that the last refusal was wrong.
+
+        The totals may be missing since the start or since this host was frozen, and
+        requests that are counted may have left the window since.
+        """
+        decision = self.last_decision
+        if decision is None:
+            return False
+        state = self._state_of(team.id)
+        room = decision.limit - decision.own_offered
+        room += state.offered.count_leaving(now, 0.0)
+        if room < 0:
+            return False
+        if not self._has_totals:
+            assert self._started_at is not None
+            return now - self._started_at < ISOLATED_AFTER_S
+        if decision.age > ISOLATED_AFTER_S:
+            return self._was_frozen(now)
+        others = state.others
+        return others is None or others.offered - others.leaving <= room
 
     def near_target(self, now: float) -> tuple[str, ...]:
         """Return the teams that are above their target or reach it soon.
@@ -209,6 +257,7 @@
                     admitted=admitted,
                     recent=state.offered.count_recent(now, usage_caps.RECENT_S),
                     admitted_by_age=by_age,
+                    leaving=state.offered.count_leaving(now, usage_caps.LEAVING_S),
                 )
             )
         return tuple(usages)
@@ -281,7 +330,7 @@
             return decision.own_admitted < decision.share
         others = state.others
         if self._has_old_totals(decision) and others is not None and others.offered:
-            return decision.own_admitted < self._share_without_totals(team)
+            return False
         target = self.caps.target_of(team)
         if decision.own_offered + decision.others <= target:
             return True
@@ -306,9 +355,11 @@
         Others have taken over its share by then. Requests that waited meanwhile arrive
         together, and with the old totals 64 of them ran above the tolerance.
         """
-        has_resumed = decision.now - self._reported_at > ISOLATED_AFTER_S
-        has_resumed |= self._has_resumed
-        return has_resumed and decision.age > self.caps.window
+        return self._was_frozen(decision.now) and decision.age > self.caps.window
+
+    def _was_frozen(self, now: float) -> bool:
+        """Return whether this host was frozen and has received no totals since."""
+        return self._has_resumed or now - self._reported_at > ISOLATED_AFTER_S
 
     def _share_without_totals(self, team: teams_module.Team) -> float:
         """Return the share of a host without usable totals of the others.
--- a/src/greengagehaven/coordination/shared_budgets/report_schedule.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_schedule.py
@@ -21,6 +21,9 @@
 RETRY_AFTER_S = 0.15
 """Seconds without a reply after which the next report is sent early."""
 
+REFRESH_PERIOD_S = 0.01
+"""Seconds between reports while a request waits for newer totals."""
+
 SECOND_TARGET_AFTER_S = 0.25
 """Seconds without a usable reply after which reports go to a second control host too.
 The followed one may have stopped, restarted or lost contact."""
@@ -54,6 +57,10 @@
         period = URGENT_PERIOD_S if is_near_target else PERIOD_S
         self.next_at = min(self.next_at, self.sent_at + period)
 
+    def on_wait(self, now: float) -> None:
+        """Let the next report be sent at once, as a request waits for its reply."""
+        self.next_at = min(self.next_at, max(now, self.sent_at + REFRESH_PERIOD_S))
+
     def on_sent(self, now: float, *, has_usage: bool, is_near_target: bool) -> None:
         """Schedule the report after one that is sent now."""
         period = PERIOD_S if has_usage else IDLE_PERIOD_S
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -62,12 +62,14 @@
     admitted: int = 0
     recent: int = 0
     recent_as_of: float = 0.0
+    leaving: int = 0
 
     def add(self, usage: usage_caps.TeamUsage, sign: int, as_of: float) -> None:
         """Add the usage at a host, or subtract it."""
         self.offered += sign * usage.offered
         self.admitted += sign * usage.admitted
         self.recent += sign * usage.recent
+        self.leaving += sign * usage.leaving
         self.recent_as_of += sign * usage.recent * as_of
 
     @property
@@ -243,6 +245,7 @@
             admitted=max(0, others.admitted),
             recent=max(0, others.recent),
             age_ms=max(0, round(1000 * age)),
+            leaving=max(0, others.leaving),
         )
 
     def _count(self, run: _HostRun, usages: tuple[usage_caps.TeamUsage, ...]) -> None:
--- a/src/greengagehaven/coordination/shared_budgets/window.py
+++ b/src/greengagehaven/coordination/shared_budgets/window.py
@@ -47,6 +47,20 @@
             recent += count
         return recent
 
+    def count_leaving(self, now: float, seconds: float) -> int:
+        """Return the number of events that may leave the window within ``seconds``.
+
+        With 0 seconds these are the events of the bucket that is leaving it now.
+        """
+        self.count(now)
+        newest = int((now + seconds) / self._bucket_s) - BUCKETS_PER_WINDOW
+        leaving = 0
+        for index, count in self._buckets:
+            if index > newest:
+                break
+            leaving += count
+        return leaving
+
     def count_by_age(self, now: float, slots: int) -> tuple[int, ...]:
         """Return the events in each of equal parts of the window, the newest first."""
         self.count(now)
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -305,7 +305,10 @@
             shares=limit.shares,
             clock=self._clock,
         )
-        limit.on_request = reporter.on_request
+        limit.on_request, limit.on_wait = reporter.on_request, reporter.on_wait
+        reporter.on_totals = lambda sent_at: self._submit(
+            events.UsageTotalsReceived(sent_at=sent_at)
+        )
         return reporter
 
     def _make_registry(self) -> typing.Any:
--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -32,6 +32,9 @@
     :param known: returns the peer addresses of all known control hosts.
     :param shares: gives the usage to report, and takes the totals of the replies.
     :param clock: monotonic time.
+
+    ``on_totals`` is called after a usable reply, with the time at which its report was
+    sent.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         shares: demand_shares.DemandShares,
         clock: clocks.Clock,
     ) -> None:
+        self.on_totals: abc.Callable[[float], None] = lambda sent_at: None
         self._host_id = host_id
         self._channel = channel
         self._followed = followed
@@ -74,6 +78,11 @@
         self._schedule.on_request(is_near_target=is_near)
         self._timer.schedule(self._schedule.wake_at)
 
+    def on_wait(self) -> None:
+        """Send a report at once, as a request waits for its reply."""
+        self._schedule.on_wait(self._clock.monotonic())
+        self._timer.schedule(self._schedule.wake_at)
+
     async def close(self) -> None:
         """Stop reporting."""
         self.set_enabled(False)
@@ -126,6 +135,7 @@
         self._transit = (now - sent_at) / 2
         if self._shares.apply_totals(totals, sent_at=sent_at, now=now):
             self._schedule.on_reply(sent_at)
+            self.on_totals(sent_at)
         else:
             log.debug("usage_totals_unused", address=address, hosts=totals.hosts)
 
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -5,6 +5,10 @@
 RECENT_S = 0.5
 """Seconds of the last part of the window, over which recent requests are counted."""
 
+LEAVING_S = 0.15
+"""Seconds for which a report tells what leaves the window after it was made: the usual
+age of totals."""
+
 AGE_SLOTS = 10
 """Parts of the window in which admitted requests are reported."""
 
@@ -20,6 +24,7 @@
         their hosts, on average.
     :param admitted_by_age: in reports of a team of which requests were refused, the
         admitted requests in each tenth of the window, the newest first.
+    :param leaving: offered requests that leave the window within ``LEAVING_S``.
     """
 
     team: str
@@ -28,6 +33,7 @@
     recent: int
     age_ms: int = 0
     admitted_by_age: tuple[int, ...] = ()
+    leaving: int = 0
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
