Give the control hosts of the development environment other ports

Read in the code, not seen to fail. Also names the host that the docstring of `estimates_by_team` means.

--- a/src/greengagehaven/coordination/shared_budgets/silent_demand.py
+++ b/src/greengagehaven/coordination/shared_budgets/silent_demand.py
@@ -210,7 +210,7 @@
     ) -> dict[str, Estimate]:
         """Return what the silent hosts are estimated to be offered now.
 
-        :param heard_at: when the first of the silent hosts was last heard.
+        :param heard_at: when the last of the silent hosts was heard.
         :param silent_by_team: demand at the silent hosts, as last reported.
         :param heard_by_team: demand at all other hosts now.
         """
--- a/src/greengagehaven/daemons/dev.py
+++ b/src/greengagehaven/daemons/dev.py
@@ -6,7 +6,6 @@
 import hashlib
 import importlib.resources
 import random
-import socket
 import tempfile
 import typing
 import uuid
@@ -24,7 +23,7 @@
 from greengagehaven.protocol import upstream
 from greengagehaven.standin import upstream as standin
 from greengagehaven.state import configuration, document
-from greengagehaven.transport import direct_channel
+from greengagehaven.transport import direct_channel, free_ports
 
 ZONES = ("a", "b", "c")
 SERVICES = tuple(f"credits-{number}" for number in range(10))
@@ -182,7 +181,12 @@
         self._data_folder.cleanup()
 
     async def _start_controls(self) -> None:
-        addresses_by_id = {f"control-{zone}": _free_address() for zone in ZONES}
+        # Recorders need each other's addresses before they start.
+        ports = free_ports.find(len(ZONES))
+        addresses_by_id = {
+            f"control-{zone}": f"{HOST}:{port}"
+            for zone, port in zip(ZONES, ports, strict=True)
+        }
         for host_id, address in addresses_by_id.items():
             port = 0 if self.controls else self.settings.operator_port
             others = [each for each in addresses_by_id.values() if each != address]
@@ -266,13 +270,6 @@
         return stand_in
 
 
-def _free_address() -> str:
-    # Recorders need each other's addresses before they start.
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
-
-
 def example_document(key: str = DEMO_KEY) -> bytes:
     """Return the example document with the digest of the demo key."""
     resource = importlib.resources.files("greengagehaven.daemons") / "dev.toml"
