Time out waits for usage totals by the timer of each request

The router looked through all waiting requests at each arrival to find the next end of a wait, which is quadratic after a freeze with many requests.

--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -125,8 +125,10 @@
             self._refuse(arrived, error, actions)
             return
         if routed is None:
+            assert self.usage_limit is not None
             self._waiting_by_number[arrived.number] = arrived
-            self._schedule_end_of_wait()
+            ends_at = self.usage_limit.waits.ends_at(arrived.number)
+            self._timers.add(ends_at, arrived.number)
             return
         self._begin(routed, actions)
 
@@ -174,12 +176,6 @@
             request_log.log_usage_wait(arrived, outcome)
             self._begin(routed, actions)
 
-    def _schedule_end_of_wait(self) -> None:
-        assert self.usage_limit is not None
-        ends_at = self.usage_limit.waits.next_end_at
-        if ends_at is not None:
-            self._timers.add(ends_at, timers.USAGE_TIMER)
-
     def _is_worth_sending(self, routed: request.RoutedRequest) -> bool:
         """Return whether a request that has just arrived can still be answered.
 
@@ -295,12 +291,11 @@
                 self._borrower.request_loan(actions)
             elif number == timers.KEY_LEASE_TIMER:
                 self.key_guard.update(is_timer=True)
-            elif number == timers.USAGE_TIMER:
-                assert self.usage_limit is not None
-                self._end_waits(self.usage_limit.waits.end_due(now), actions)
-                self._schedule_end_of_wait()
             elif number == timers.REACHABILITY_TIMER:
                 self._check_upstreams(due_at, actions)
+            elif number in self._waiting_by_number:
+                assert self.usage_limit is not None
+                self._end_waits(self.usage_limit.waits.end_due(now), actions)
             elif number in self._requests_by_number:
                 self._wake(self._requests_by_number[number], now, actions)
 
--- a/src/greengagehaven/coordination/routing/timers.py
+++ b/src/greengagehaven/coordination/routing/timers.py
@@ -11,10 +11,6 @@
 KEY_LEASE_TIMER = -2
 """Used in place of a request number for the timer at the end of the key lease."""
 
-USAGE_TIMER = -3
-"""Used in place of a request number for the timer at the end of the next wait for newer
-usage totals."""
-
 
 class Timers:
     """Timers in the order of their moments, each with the number of a request."""
--- a/src/greengagehaven/coordination/shared_budgets/reply_waits.py
+++ b/src/greengagehaven/coordination/shared_budgets/reply_waits.py
@@ -53,11 +53,9 @@
     def __len__(self) -> int:
         return len(self._waits_by_number)
 
-    @property
-    def next_end_at(self) -> float | None:
-        """Return when the next wait ends without an answer, ``None`` without waits."""
-        ends = (wait.ends_at for wait in self._waits_by_number.values())
-        return min(ends, default=None)
+    def ends_at(self, number: int) -> float:
+        """Return when the wait of a request ends without an answer."""
+        return self._waits_by_number[number].ends_at
 
     def add(
         self,
