--- a/src/greengagehaven/coordination/raft/leadership.py
+++ b/src/greengagehaven/coordination/raft/leadership.py
@@ -262,13 +262,13 @@
     def _begin_transition(self, members: tuple[records.Member, ...]) -> None:
         """Append a change to ``members`` that differ by one voter from the current."""
         changed = self._with_versions(records.Membership(members=members))
+        # A member of an earlier version might become the leader and begin the next
+        # change without ending this one, so that the change then takes one entry. A
+        # member that is being removed need not know: by the entry it is no voter.
         if all(map(self._knows_transitions, changed.voter_ids)):
             changed = msgspec.structs.replace(
                 changed, previous=self._raft.log.membership.members
             )
-        # Otherwise a member of an earlier version might become the leader and begin
-        # the next change without ending this one. One that is being removed doesn't:
-        # for it, it is no voter any more.
         self._append_membership(changed)
 
     def _append_membership(self, membership: records.Membership) -> None:
--- a/src/greengagehaven/coordination/raft/membership_change.py
+++ b/src/greengagehaven/coordination/raft/membership_change.py
@@ -28,6 +28,7 @@
         if change is not None:
             return change
     if leader.is_version_outdated():
+        # The leader fills in the versions when it appends the membership.
         return membership
     return _without_dead_voter(raft, membership, leader)
 
