--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -79,6 +79,15 @@
     When its ban ends and it is sent through every host within 15 s
     Then it was answered once by a trial, and then by every host
 
+  Scenario: A query that two upstreams lost by coincidence is served again soon
+    Two connections broke while the same query ran, and it crashes nothing. Callers who
+    send it often are refused until its ban ends, and a soak allows 20 s.
+
+    Given 4 entry hosts and 8 replicas, and a query that crashes them after 10 ms
+    And the query was quarantined and has become harmless
+    When it is sent through every host for 20 s
+    Then it was answered by every host in the end
+
   Scenario: After its ban a crashing query costs at most one upstream
     The query still crashes upstreams when its ban ends. All hosts would try it at
     once if one did not go first.
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -197,9 +197,24 @@
 def when_ban_ends(context):
     context.tier.hosts.clock.advance(quarantine.INITIAL_BAN_S - 3.0)
     context.tier.run(0.001)
+    send_through_every_host(context, ticks=60)
+
+
+@behave.when("it is sent through every host for 20 s")
+def when_sent_for_20_s(context):
+    send_through_every_host(context, ticks=80)
+
+
+@behave.then("it was answered by every host in the end")
+def then_answered_in_the_end(context):
+    assert context.answered_counts[-1] == len(context.host_ids), context.answered_counts
+
+
+def send_through_every_host(context, *, ticks):
+    """Send the query through every host each 0.25 s."""
     context.answered_counts = []
     host_count = len(context.host_ids)
-    for tick in range(60):
+    for tick in range(ticks):
         numbers = range(100 + tick * host_count, 100 + (tick + 1) * host_count)
         for number in numbers:
             send(context, number, kind="sweep")
--- a/features/usage_cap_cases.feature
+++ b/features/usage_cap_cases.feature
@@ -56,6 +56,9 @@
   Scenario: A frozen host is taken to go on admitting while the limit is halved
     Then the cases with seeds 10507 stay within both bounds
 
+  Scenario: A frozen host is taken to go on admitting while a flood begins
+    Then the cases with seeds 20135, 20429, 20612, 20803 stay within both bounds
+
   Scenario: Requests that came all at once leave the window while another fault hides it
     Then the cases with seeds 10344, 10422, 10573, 11959 stay within both bounds
 
