Log a refusal after a wait with the decision about its own request

Waits that end together are decided one after the other, and the refusals were logged afterwards with the last decision, which may be of another team. Which requests are admitted is the same.

--- a/features/steps/usage_waits_steps.py
+++ b/features/steps/usage_waits_steps.py
@@ -122,3 +122,35 @@
     action = context.tier.final_actions_by_number[context.numbers[1]]
     assert isinstance(action, events.Refuse), action
     assert context.tier.attempts_of(context.numbers[1])
+
+
+@behave.when(
+    "a request of another team with a limit of 20 waits too, and no totals come"
+)
+def when_two_wait(context):
+    limit = context.tier.router.usage_limit
+    now = context.tier.clock.monotonic()
+    other = teams.Team(id="u", rate=4.0)
+    for team, offered in (("t", 9), ("u", 19)):
+        usage = usage_caps.TeamUsage(
+            team=team, offered=offered, admitted=offered, recent=0, leaving=3
+        )
+        totals = usage_caps.UsageTotals(hosts=9, is_settled=True, teams=(usage,))
+        limit.shares.apply_totals(totals, sent_at=now - 0.02, now=now)
+        if team == "u":
+            assert limit.check(other, number=900, max_wait=1.0)
+            assert not limit.check(other, number=901, max_wait=1.0)
+    context.outcomes = limit.waits.end_due(now + 1.0)
+
+
+@behave.then("each refusal shows the limit of its own team")
+def then_own_limits(context):
+    limit = context.tier.router.usage_limit
+    errors = [
+        limit.refusal(
+            each.team, each.decision, retry_after=each.retry_after, waited=each.waited
+        )
+        for each in context.outcomes
+    ]
+    shown = {error.log_fields["team"]: error.log_fields["limit"] for error in errors}
+    assert shown == {"t": 10.0, "u": 20.0}, shown
--- a/features/usage_waits.feature
+++ b/features/usage_waits.feature
@@ -47,3 +47,9 @@
   Scenario: A team above its limit by this host's own count doesn't wait
     When the team sends 9 requests with 1000 ms left
     Then the last is refused with 429 and a time to retry
+
+  Scenario: Waits of two teams end with the same totals
+    A refusal that showed what the decision about the other team was based on would
+    mislead operators.
+    When a request of another team with a limit of 20 waits too, and no totals come
+    Then each refusal shows the limit of its own team
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -100,7 +100,10 @@
         if outcome.retry_after is not None:
             assert self._usage_limit is not None
             raise self._usage_limit.refusal(
-                outcome.team, retry_after=outcome.retry_after, waited=outcome.waited
+                outcome.team,
+                outcome.decision,
+                retry_after=outcome.retry_after,
+                waited=outcome.waited,
             )
         route, team = self._check(arrived)
         return self._route(arrived, route, team, waited=outcome.waited)
--- a/src/greengagehaven/coordination/routing/usage_limit.py
+++ b/src/greengagehaven/coordination/routing/usage_limit.py
@@ -72,13 +72,18 @@
         if retry_after is None:
             return True
         if not self.shares.may_be_wrong(team, now):
-            raise self.refusal(team, retry_after=retry_after, waited=0.0)
+            raise self.refusal(team, decision, retry_after=retry_after, waited=0.0)
         self.waits.add(number, team, now, retry_after=retry_after, max_wait=max_wait)
         self.on_wait()
         return False
 
     def refusal(
-        self, team: teams.Team, *, retry_after: float, waited: float
+        self,
+        team: teams.Team,
+        decision: demand_shares.Decision,
+        *,
+        retry_after: float,
+        waited: float,
     ) -> exceptions.UsageCapExceededError:
         """Count a refused request and return its error.
 
@@ -86,8 +91,6 @@
         :param waited: seconds that it waited for newer totals.
         """
         self.refused_by_team[team.id] += 1
-        decision = self.shares.last_decision
-        assert decision is not None
         return exceptions.UsageCapExceededError(
             f"team {team.id} is above its limit",
             retry_after=retry_after,
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -191,7 +191,7 @@
         since. It admits what it would without totals.
         """
         state = self._state_of(team.id)
-        decision = self._decide(team, state, now)
+        self.last_decision = decision = self._decide(team, state, now)
         is_admitted = self._has_old_totals(
             decision
         ) and decision.own_admitted < self._share_without_totals(team)
--- a/src/greengagehaven/coordination/shared_budgets/reply_waits.py
+++ b/src/greengagehaven/coordination/shared_budgets/reply_waits.py
@@ -32,12 +32,14 @@
     :param waited: seconds.
     :param retry_after: seconds after which a refused caller may retry, ``None`` if the
         request is admitted.
+    :param decision: what the last decision about the request was based on.
     """
 
     number: int
     team: teams_module.Team
     waited: float
     retry_after: float | None
+    decision: demand_shares.Decision
 
 
 class ReplyWaits:
@@ -115,10 +117,13 @@
 
     def _end(self, number: int, now: float, *, is_admitted: bool) -> Outcome:
         wait = self._waits_by_number.pop(number)
+        decision = self._shares.last_decision
+        assert decision is not None
         retry_after = max(demand_shares.SHORTEST_RETRY_S, wait.retry_at - now)
         return Outcome(
             number=number,
             team=wait.team,
             waited=now - wait.started_at,
             retry_after=None if is_admitted else retry_after,
+            decision=decision,
         )
