Let callers finish their orders before a soak ends

The callers of a soak are cancelled at its end, and the last attempt at an order is then not recorded: an order that was refused once as not run, and ran in the attempt that was cancelled, is reported as a false refusal. A scenario with such a host shows it: it fails before with the reported violation and passes now.

Callers now finish what they have sent, so no order in flight goes unchecked.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,13 @@
       | work after an upstream had left              | what leaves gets no new work    |
       | an older revision than was accepted          | what was accepted is never lost |
 
+  Scenario: An order that is in flight when a soak ends is not taken for a false refusal
+    The order is refused once as not run, and its second attempt runs.
+
+    Given a host that refuses an order once and then runs it slowly
+    When the callers stop during the second attempt
+    Then the checker reports nothing
+
   Scenario: A seed always generates the same faults
     Given the schedules of 200 seeds
     Then each is the same when it is generated again
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,19 +1,25 @@
 """Steps for the soak test with fault injection."""
 
 import asyncio
+import os
 import pathlib
+import re
+import shutil
 import tempfile
 
 import behave
+import msgspec
 
 from greengagehaven import client, exceptions
 from greengagehaven.protocol import search
-from greengagehaven.soak import fault_proxy, invariants, runner, schedule
+from greengagehaven.soak import callers, fault_proxy, invariants, runner, schedule
 from greengagehaven.standin import dataset, upstream
 
+ROOT = pathlib.Path(__file__).parents[2]
 SERVICES = ("credits-0", "credits-1")
 SNAPSHOT = 42
 REPLY_TIMEOUT_S = 0.5
+SLOW_RUN_S = 0.2
 
 
 @behave.given(
@@ -47,7 +53,25 @@
 def then_no_violation(context):
     assert context.verdict.counts["answers"] > 0, context.verdict
     assert context.verdict.counts["orders"] > 0, context.verdict
-    assert not context.verdict.broken, context.verdict.broken
+    assert not context.verdict.broken, describe_violations(context)
+
+
+def describe_violations(context):
+    """Return the violations and the log lines of the requests that they quote.
+
+    The whole folder is kept in ``data/`` for a trace.
+    """
+    kept = ROOT / "data" / f"soak-{context.verdict.seed}-{os.getpid()}"
+    shutil.copytree(context.folder, kept, dirs_exist_ok=True)
+    details = " ".join(each.detail for each in context.verdict.broken)
+    request_ids = set(re.findall(r"r-[0-9a-f]{32}", details))
+    lines = [
+        f"{path.stem} {line}"
+        for path in sorted(context.folder.glob("*.log"))
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines()
+        if any(request_id in line for request_id in request_ids)
+    ]
+    return "\n".join([str(context.verdict.broken), *lines, f"kept in {kept}"])
 
 
 @behave.then("its folder holds the schedule, the verdict and the log of every process")
@@ -153,6 +177,57 @@
 }
 
 
+@behave.given("a host that refuses an order once and then runs it slowly")
+def given_refusing_host(context):
+    context.tally = upstream.Counters()
+    context.checker = invariants.InvariantChecker(shard_count=1, counters=context.tally)
+    context.seen_orders = set()
+
+
+@behave.when("the callers stop during the second attempt")
+def when_callers_stop(context):
+    asyncio.run(stop_callers(context))
+    context.checker.check_orders()
+
+
+async def stop_callers(context):
+    second_attempt = asyncio.Event()
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        order = re.search(rb"(?i)idempotency-key: (\S+)", head)
+        if order and order[1] in context.seen_orders:
+            second_attempt.set()
+            context.tally.count_billed_run((order[1].decode(), "credits-0", "0"))
+            await asyncio.sleep(SLOW_RUN_S)
+            writer.write(make_response(200, msgspec.json.encode(make_answer())))
+        else:
+            context.seen_orders.update(order.groups() if order else ())
+            refusal = b'{"code":"incomplete","title":"","status":503,"ran":"no"}'
+            writer.write(make_response(503, refusal))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    load = callers.Callers(
+        urls_by_id={"e1": f"http://127.0.0.1:{port}"},
+        services=SERVICES,
+        checker=context.checker,
+        is_planned=lambda host_id: False,
+        seed=1,
+    )
+    load.start(1)
+    async with asyncio.timeout(10.0):
+        await second_attempt.wait()
+        await load.stop()
+    server.close()
+
+
+def make_response(status, body):
+    head = f"HTTP/1.1 {status} -\r\nContent-Length: {len(body)}\r\n"
+    return f"{head}Connection: close\r\n\r\n".encode() + body
+
+
 @behave.then("the checker reports {invariant}")
 def then_reported(context, invariant):
     reported = {each.promise for each in context.checker.violations}
--- a/src/greengagehaven/soak/callers.py
+++ b/src/greengagehaven/soak/callers.py
@@ -5,8 +5,11 @@
 import random
 from collections import abc
 
+import msgspec
+
 import greengagehaven
 from greengagehaven import exceptions
+from greengagehaven.protocol import search
 from greengagehaven.soak import invariants
 
 _TIMEOUT = datetime.timedelta(seconds=3)
@@ -43,6 +46,7 @@
         self._is_planned = is_planned
         self._seed = seed
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_stopping = False
         self._order_count = 0
 
     def start(self, count: int) -> None:
@@ -52,10 +56,12 @@
             self._tasks.append(asyncio.ensure_future(self._send_forever(rng)))
 
     async def stop(self) -> None:
-        """Cancel all callers and wait until they have ended."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Let every caller finish what it has sent, and wait until all have ended.
+
+        An order that was cancelled could have run without a reply to its last attempt.
+        """
+        self._is_stopping = True
+        await asyncio.gather(*self._tasks)
 
     async def wait_for_recovery(self, seconds: float) -> bool:
         """Return whether sweeps are answered completely again within a time.
@@ -75,7 +81,7 @@
         return False
 
     async def _send_forever(self, rng: random.Random) -> None:
-        while True:
+        while not self._is_stopping:
             host_id = rng.choice(list(self._urls_by_id))
             if rng.random() < _ORDER_SHARE:
                 await self._order(rng)
@@ -130,7 +136,20 @@
                 continue
             except exceptions.GreengagehavenError as failure:
                 error = failure
-            self._checker.record_order(order, error)
+            attempt = f"{host_id} {_read_request_id(error)}"
+            self._checker.record_order(order, error, attempt=attempt)
             if error is None:
                 return
             await asyncio.sleep(_MAX_PAUSE_S)
+
+
+def _read_request_id(error: Exception | None) -> str:
+    """Return the id that the host gave a failed request, empty if it sent none."""
+    reply = getattr(error, "response", None)
+    if reply is None:
+        return ""
+    try:
+        problem = msgspec.json.decode(reply.body, type=search.Problem)
+    except msgspec.DecodeError:
+        return ""
+    return problem.request_id or ""
--- a/src/greengagehaven/soak/invariants.py
+++ b/src/greengagehaven/soak/invariants.py
@@ -39,6 +39,7 @@
         self._counters = counters
         self._not_run_orders: dict[str, float] = {}
         self._maybe_run_orders: set[str] = set()
+        self._refusals_by_order: dict[str, list[str]] = {}
         self._acknowledged_revision = 0
 
     def check_answer(self, answer: client.Answer, services: abc.Sequence[str]) -> None:
@@ -71,15 +72,21 @@
                         f"{key} of snapshot {answer.snapshot}: {rows_by_shard[key]}",
                     )
 
-    def record_order(self, order: str, error: Exception | None) -> None:
+    def record_order(
+        self, order: str, error: Exception | None, *, attempt: str = ""
+    ) -> None:
         """Record the result of one attempt at an order, which must run at most once.
 
         :param error: ``None`` if the attempt was answered.
+        :param attempt: host and request id, quoted if the order violates an invariant.
         """
         self.counts["orders"] += 1
         ran = getattr(error, "ran", exceptions.Ran.UNKNOWN)
         if error is not None and ran is exceptions.Ran.NO:
             self._not_run_orders.setdefault(order, self.now)
+            code = getattr(error, "code", type(error).__name__)
+            refusals = self._refusals_by_order.setdefault(order, [])
+            refusals.append(f"{attempt} {code}")
         else:
             self._maybe_run_orders.add(order)
 
@@ -122,8 +129,10 @@
                     "a billed request runs once", f"{order} ran {runs} times"
                 )
             if order in self._not_run_orders and order not in self._maybe_run_orders:
+                refusals = "; ".join(self._refusals_by_order[order])
                 self._record_violation(
-                    "a refusal is true", f"{order} ran and was told not to have"
+                    "a refusal is true",
+                    f"{order} ran and was told not to have: {refusals}",
                 )
         after_drain = self._counters.violations_by_name["work_after_drain"]
         if after_drain:
