Take an entry host that closed its connections to have ended

Callers of a team within its limit got 429 after another entry host had ended: control hosts can't tell a silent host that ended from one that is cut off, so they took it to go on serving while its callers were counted elsewhere.

A process that ends closes its connections, one that is cut off or frozen doesn't. The control host that sees the connection of a host's last report closed from the other side counts no further requests there, and names the run in its next usage/exchange; a newer report ends that. Where a tenth of the hosts falls silent together it does not apply, as hosts that are cut off in one direction close their connections too.

--- a/features/fakes/usage_cap_simulation.py
+++ b/features/fakes/usage_cap_simulation.py
@@ -9,18 +9,11 @@
 import itertools
 import random
 
-from greengagehaven.coordination.shared_budgets import (
-    demand_shares,
-    reply_waits,
-    report_forwarding,
-    report_schedule,
-    report_sums,
-)
-from greengagehaven.protocol import codec, usage_caps
+from fakes import usage_cap_members
+from greengagehaven.coordination.shared_budgets import demand_shares, report_schedule
+from greengagehaven.protocol import codec
 from greengagehaven.state import teams
 
-CAPS = demand_shares.CapSettings(window=5.0, overage=0.1, slack=20.0)
-SWITCH_AFTER_S = 1.0
 FAULTS = (
     "none",
     "host_restart",
@@ -39,7 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Case:
-    """One random case: who sends what where, and the fault."""
+    """One random case: who sends what where, and the fault.
+
+    :param loses_power: whether a host that stops does so without closing its
+        connections, as a machine without power does.
+    """
 
     seed: int
     hosts: int = 77
@@ -51,6 +48,7 @@
     fault: str = "none"
     limit_change: float = 1.0
     seconds: float = 22.0
+    loses_power: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,7 +79,7 @@
         self.case = case
         self.rng = random.Random(case.seed)
         self.make_shares = make_shares or (
-            lambda rng: demand_shares.DemandShares(caps=CAPS, rng=rng)
+            lambda rng: demand_shares.DemandShares(caps=usage_cap_members.CAPS, rng=rng)
         )
         self.now = 100.0
         self.queue = []
@@ -90,16 +88,16 @@
         self.slowest = 0.15 if case.fault == "delays" else 0.004
         self.cut = {}
         self.team = teams.Team(id="t", rate=case.rate, burst=case.burst)
-        self.limit_changes = [(0.0, CAPS.limit_of(self.team))]
+        self.limit_changes = [(0.0, usage_cap_members.CAPS.limit_of(self.team))]
         self.admitted, self.refused, self.offered = [], [], []
         self.messages = self.bytes = 0
         self.waits = []
         self.controls = [
-            SimulatedControl(self, f"c{number}", number % 3)
+            usage_cap_members.SimulatedControl(self, f"c{number}", number % 3)
             for number in range(case.controls)
         ]
         self.hosts = [
-            SimulatedHost(self, f"h{number}", number % 3)
+            usage_cap_members.SimulatedHost(self, f"h{number}", number % 3)
             for number in range(case.hosts)
         ]
 
@@ -162,7 +160,9 @@
         self.team = teams.Team(
             id="t", rate=self.case.rate * change, burst=self.case.burst * change
         )
-        self.limit_changes.append((self.now, CAPS.limit_of(self.team)))
+        self.limit_changes.append(
+            (self.now, usage_cap_members.CAPS.limit_of(self.team))
+        )
 
     def plan_requests(self):
         case = self.case
@@ -257,7 +257,10 @@
         )
 
     def excess(self, admitted, at):
-        tolerated = self.largest_limit(at) * (1 + CAPS.overage) + CAPS.slack
+        tolerated = (
+            self.largest_limit(at) * (1 + usage_cap_members.CAPS.overage)
+            + usage_cap_members.CAPS.slack
+        )
         return count_in_window(admitted, at) - tolerated
 
     def largest_limit(self, at, *, smallest=False):
@@ -268,7 +271,8 @@
             if since <= at
             and (
                 number + 1 == len(self.limit_changes)
-                or self.limit_changes[number + 1][0] > at - CAPS.window
+                or self.limit_changes[number + 1][0]
+                > at - usage_cap_members.CAPS.window
             )
         ]
         return min(limits) if smallest else max(limits)
@@ -276,265 +280,10 @@
 
 def count_in_window(moments, at):
     """Return how many sorted moments are in the window that ends at one."""
-    low = bisect.bisect_right(moments, at - CAPS.window)
+    low = bisect.bisect_right(moments, at - usage_cap_members.CAPS.window)
     return bisect.bisect_right(moments, at) - low
 
 
-class SimulatedMember:
-    """What hosts and control hosts have in common."""
-
-    zone_side = 0
-
-    def __init__(self, simulation, name, zone):
-        self.simulation = simulation
-        self.name, self.zone = name, zone
-        self.run_count = 0
-        self.frozen_until = 0.0
-        self.is_down = False
-        self.reset()
-
-    @property
-    def run(self):
-        return f"{self.name}-{self.run_count}"
-
-    def stop(self):
-        self.is_down = True
-        self.run_count += 1
-
-    def restart(self):
-        self.is_down = False
-        self.reset()
-        self.tick()
-
-
-class SimulatedHost(SimulatedMember):
-    """An entry host: admits requests and reports."""
-
-    def reset(self):
-        rng = random.Random(self.simulation.rng.randrange(2**32))
-        self.shares = self.simulation.make_shares(rng)
-        self.shares.set_host_count(self.simulation.case.hosts)
-        self.sequence = 0
-        self.followed = self.zone % len(self.simulation.controls)
-        self.failing_since = None
-        self.schedule = report_schedule.ReportSchedule()
-        self.transit = 0.0
-        self.planned_at = None
-        self.waits = reply_waits.ReplyWaits(shares=self.shares)
-        self.request_count = 0
-
-    def request(self):
-        simulation = self.simulation
-        if self.is_down:
-            return
-        if self.frozen_until > simulation.now:
-            simulation.at(self.frozen_until - simulation.now, self.request)
-            return
-        simulation.offered.append(simulation.now)
-        delay = self.shares.try_admit(simulation.team, simulation.now)
-        if delay is not None and self.shares.may_be_wrong(
-            simulation.team, simulation.now
-        ):
-            self.wait(delay)
-        else:
-            self.decide(is_admitted=delay is None)
-        is_near = self.shares.is_near_target("t", simulation.now)
-        self.schedule.on_request(is_near_target=is_near)
-        self.plan_tick()
-
-    def decide(self, *, is_admitted, waited=0.0):
-        """Record a decision; a refusal is judged by the time of the arrival."""
-        simulation = self.simulation
-        if is_admitted:
-            simulation.admitted.append(simulation.now)
-        else:
-            simulation.refused.append(simulation.now - waited)
-
-    def wait(self, retry_after):
-        """Let a refused request wait for newer totals."""
-        simulation = self.simulation
-        self.request_count += 1
-        self.waits.add(
-            self.request_count,
-            simulation.team,
-            simulation.now,
-            retry_after=retry_after,
-        )
-        self.schedule.on_wait(simulation.now)
-        run = self.run
-        simulation.at(reply_waits.MAX_WAIT_S, lambda: self.end_waits(run))
-
-    def end_waits(self, run):
-        simulation = self.simulation
-        if self.run != run:
-            return
-        if self.frozen_until > simulation.now:
-            delay = self.frozen_until - simulation.now
-            simulation.at(delay, lambda: self.end_waits(run))
-            return
-        self.record(self.waits.end_due(simulation.now))
-
-    def record(self, outcomes):
-        for outcome in outcomes:
-            self.simulation.waits.append(outcome.waited)
-            is_admitted = outcome.retry_after is None
-            self.decide(is_admitted=is_admitted, waited=outcome.waited)
-
-    def stop(self):
-        self.refuse_waiting()
-        super().stop()
-
-    def refuse_waiting(self):
-        """Count requests that nobody will decide about any more as refused."""
-        for _ in range(len(self.waits)):
-            self.decide(is_admitted=False)
-        self.waits = reply_waits.ReplyWaits(shares=self.shares)
-
-    def freeze(self, seconds):
-        self.frozen_until = self.simulation.now + seconds
-
-    def plan_tick(self):
-        moment = self.schedule.wake_at
-        if self.planned_at is not None and self.planned_at <= moment:
-            return
-        self.planned_at = moment
-        run = self.run
-        delay = max(0.0, moment - self.simulation.now)
-        self.simulation.at(delay, lambda: self.tick_at(moment, run))
-
-    def tick_at(self, moment, run):
-        if self.run == run and self.planned_at == moment:
-            self.tick()
-
-    def tick(self):
-        simulation = self.simulation
-        if self.is_down:
-            return
-        if self.frozen_until > simulation.now:
-            simulation.at(self.frozen_until - simulation.now, self.tick)
-            return
-        self.planned_at = None
-        if self.schedule.is_due(simulation.now):
-            self.send_report()
-        self.plan_tick()
-
-    def send_report(self):
-        now = self.simulation.now
-        self.sequence += 1
-        is_urgent = self.shares.is_near_target("t", now)
-        report = usage_caps.UsageReport(
-            host_id=self.name,
-            run=self.run,
-            sequence=self.sequence,
-            is_urgent=is_urgent,
-            teams=self.shares.reports(now),
-            known_hosts=self.shares.known_hosts,
-            age_ms=round(1000 * self.transit),
-        )
-        names = [each.name for each in self.simulation.controls]
-        followed = names.pop(self.followed)
-        targets = self.schedule.targets((followed,), names, now)
-        self.schedule.on_sent(
-            now, has_usage=bool(report.teams), is_near_target=is_urgent
-        )
-        for control in self.simulation.controls:
-            if control.name in targets:
-                self.send_to(control, report, now)
-
-    def send_to(self, control, report, sent_at):
-        self.simulation.call(
-            self,
-            control,
-            "handle",
-            report,
-            lambda reply: self.on_reply(reply, control, sent_at),
-        )
-
-    def on_reply(self, reply, control, sent_at):
-        simulation = self.simulation
-        is_followed = control is simulation.controls[self.followed]
-        if reply is not None:
-            self.transit = (simulation.now - sent_at) / 2
-            if self.shares.apply_totals(reply, sent_at=sent_at, now=simulation.now):
-                self.schedule.on_reply(sent_at)
-                self.record(self.waits.apply_totals(sent_at, simulation.now))
-            if is_followed:
-                self.failing_since = None
-        elif not is_followed:
-            return
-        elif self.failing_since is None:
-            self.failing_since = simulation.now
-        elif simulation.now - self.failing_since > SWITCH_AFTER_S:
-            self.followed = (self.followed + 1) % len(simulation.controls)
-            self.failing_since = None
-
-
-class SimulatedControl(SimulatedMember):
-    """A control host: adds up reports and passes them on."""
-
-    def reset(self):
-        self.sums = report_sums.ReportSums(
-            window=CAPS.window, started_at=self.simulation.now
-        )
-        self.forwarder = report_forwarding.ReportForwarder(window=CAPS.window)
-        self.sent_at = 0.0
-        self.transit = 0.0
-
-    @property
-    def others_by_name(self):
-        return {
-            each.name: each for each in self.simulation.controls if each is not self
-        }
-
-    def handle(self, report):
-        now = self.simulation.now
-        if self.sums.add(report, now):
-            self.forwarder.add(report, now)
-            if report.is_urgent:
-                due = self.sent_at + report_schedule.URGENT_PERIOD_S
-                self.simulation.at(max(0.0, due - now), self.exchange)
-        return self.sums.totals_for(report, now)
-
-    def handle_exchange(self, message):
-        for report in message.reports:
-            self.sums.add(report, self.simulation.now)
-        return usage_caps.UsageExchanged(run=self.run)
-
-    def tick(self):
-        if self.is_down:
-            return
-        self.sums.expire(self.simulation.now)
-        self.forwarder.expire(self.simulation.now)
-        self.forwarder.set_addresses(self.others_by_name)
-        self.exchange()
-        self.simulation.at(report_schedule.PERIOD_S, self.tick)
-
-    def exchange(self):
-        now = self.simulation.now
-        if self.is_down or now - self.sent_at < report_schedule.URGENT_PERIOD_S * 0.99:
-            return
-        self.sent_at = now
-        for name, other in self.others_by_name.items():
-            self.send(other, self.forwarder.take(name))
-
-    def send(self, other, directs):
-        if not directs:
-            return
-        sent_at = self.simulation.now
-
-        def on_reply(reply):
-            if reply is None:
-                self.forwarder.restore(other.name, directs)
-            else:
-                self.transit = (self.simulation.now - sent_at) / 2
-                self.forwarder.record_reply(other.name, reply.run)
-
-        arrival = sent_at + self.transit
-        reports = tuple(direct.as_of(arrival) for direct in directs)
-        message = usage_caps.UsageExchange(reports=reports)
-        self.simulation.call(self, other, "handle_exchange", message, on_reply)
-
-
 def random_case(seed):
     """Return a case with everything drawn from a seed."""
     rng = random.Random(seed)
--- a/features/steps/usage_caps_platform_steps.py
+++ b/features/steps/usage_caps_platform_steps.py
@@ -114,6 +114,34 @@
     run(context, send(context, count, context.platform.second_address))
 
 
+@behave.when(
+    "a team sends 5 requests a second, of 6 that it may, and one of two hosts ends"
+)
+def when_host_ends(context):
+    run(context, put_and_wait(context.platform, LIMITED))
+    context.replies = []
+    run(context, send_while_host_ends(context))
+
+
+async def send_while_host_ends(context):
+    """Send through both hosts for 6 s, then through the one that is left for 7 s."""
+    platform = context.platform
+    interval = 0.2
+    for number in range(30):
+        is_first = number % 2 == 0
+        address = platform.entry_address if is_first else platform.second_address
+        await asyncio.gather(send(context, 1, address), asyncio.sleep(interval))
+    await platform.second.close()
+    for _ in range(35):
+        sending = send(context, 1, platform.entry_address)
+        await asyncio.gather(sending, asyncio.sleep(interval))
+
+
+@behave.then("none of its requests was refused")
+def then_none_refused(context):
+    assert {reply.status for reply in context.replies} == {200}, context.replies
+
+
 async def send(context, count, address):
     for _ in range(count):
         reply = await context.platform.sweep(HEADERS, address=address)
--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -1,12 +1,13 @@
 """Steps about usage caps: the pure parts and the simulation of many hosts."""
 
+import dataclasses
 import random
 
 import behave
 import hypothesis
 from hypothesis import strategies
 
-from fakes import usage_cap_simulation
+from fakes import usage_cap_members, usage_cap_simulation
 from greengagehaven.coordination.shared_budgets import (
     demand_shares,
     report_forwarding,
@@ -19,7 +20,7 @@
 START = 100.0
 SEED = 7
 LARGEST_SEED = 10**6
-CAPS = usage_cap_simulation.CAPS
+CAPS = usage_cap_members.CAPS
 
 
 def usage(requests, *, team="t"):
@@ -105,9 +106,19 @@
 
 @behave.then("the cases with seeds {seeds} stay within both bounds")
 def then_cases(context, seeds):
+    assert_within(seeds)
+
+
+@behave.then("the cases without power with seeds {seeds} stay within both bounds")
+def then_cases_without_power(context, seeds):
+    assert_within(seeds, loses_power=True)
+
+
+def assert_within(seeds, **changed):
     failed = []
     for seed in map(int, seeds.split(",")):
         case = usage_cap_simulation.random_case(seed)
+        case = dataclasses.replace(case, **changed)
         result = usage_cap_simulation.Simulation(case).run()
         if result.over > 1e-9 or result.refused_within:
             failed.append((case, result))
@@ -276,7 +287,7 @@
     context.forwarder.set_addresses(("other",))
     context.forwarder.record_reply("other", "run-1")
     for number in range(hosts):
-        context.forwarder.add(report(f"h{number}", 1), START)
+        context.forwarder.add(report(f"h{number}", 1), START, connection=str(number))
     assert len(context.forwarder.take("other")) == hosts
 
 
--- a/features/usage_cap_cases.feature
+++ b/features/usage_cap_cases.feature
@@ -47,6 +47,10 @@
   Scenario: A killed host's demand is counted after its callers moved
     Then the cases with seeds 799, 1088, 1493, 1627 stay within both bounds
 
+  Scenario: A host without power is counted after its callers moved
+    Its connections are not closed, as those of a process that ends are.
+    Then the cases without power with seeds 799, 1088, 1493, 1627 stay within both bounds
+
   Scenario: A restarted host's earlier requests are taken to be spread evenly
     Then the cases with seeds 1886, 1893 stay within both bounds
 
--- a/src/greengagehaven/coordination/peers.py
+++ b/src/greengagehaven/coordination/peers.py
@@ -4,6 +4,9 @@
 
 Handler = typing.Callable[[bytes], typing.Awaitable[bytes]]
 
+ConnectionHandler = typing.Callable[[bytes, str], typing.Awaitable[bytes]]
+"""Handler that also gets the caller's ``IP:PORT``, which identifies its connection."""
+
 
 class PeerChannel(typing.Protocol):
     """Client for unary calls between hosts.
--- a/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_forwarding.py
@@ -25,11 +25,15 @@
     """The last report that a host sent to this control host.
 
     :param forwarded_at: when a report with these counts was first queued.
+    :param connection: address of the host's side of the connection it came on.
+    :param has_ended: whether the host has closed that connection since.
     """
 
     report: usage_caps.UsageReport
     received_at: float
     forwarded_at: float
+    connection: str
+    has_ended: bool = False
 
     def as_of(self, moment: float) -> usage_caps.UsageReport:
         """Return the report with the age that it has at a moment."""
@@ -38,6 +42,16 @@
         return msgspec.structs.replace(self.report, age_ms=age_ms)
 
 
+def make_exchange(
+    directs: abc.Iterable[DirectReport], arrival: float
+) -> usage_caps.UsageExchange:
+    """Return the message that forwards reports, as of the time of its arrival."""
+    return usage_caps.UsageExchange(
+        reports=tuple(direct.as_of(arrival) for direct in directs),
+        ended_runs=tuple(direct.report.run for direct in directs if direct.has_ended),
+    )
+
+
 class _ForwardQueue:
     """Reports that one other control host still has to get.
 
@@ -69,6 +83,7 @@
     def __init__(self, *, window: float) -> None:
         self._window = window
         self._direct_by_run: dict[tuple[str, str], DirectReport] = {}
+        self._runs_by_connection: dict[str, tuple[str, str]] = {}
         self._queues_by_address: dict[str, _ForwardQueue] = {}
 
     def set_addresses(self, addresses: abc.Iterable[str]) -> None:
@@ -84,8 +99,18 @@
         queues = self._queues_by_address.values()
         return any(queue.directs_by_run for queue in queues)
 
-    def add(self, report: usage_caps.UsageReport, now: float) -> None:
-        """Record a report that a host sent to this control host."""
+    @property
+    def connection_count(self) -> int:
+        """Return the number of connections whose end would be noticed."""
+        return len(self._runs_by_connection)
+
+    def add(
+        self, report: usage_caps.UsageReport, now: float, *, connection: str
+    ) -> None:
+        """Record a report that a host sent to this control host.
+
+        :param connection: address of the host's side of the connection.
+        """
         key = report.host_id, report.run
         last = self._direct_by_run.get(key)
         refresh = REFRESH_S if report.teams else IDLE_REFRESH_S
@@ -98,16 +123,40 @@
             report=report,
             received_at=now,
             forwarded_at=now if last is None or is_due else last.forwarded_at,
+            connection=connection,
         )
+        if last is not None:
+            self._runs_by_connection.pop(last.connection, None)
+        self._runs_by_connection[connection] = key
         if is_due:
-            for queue in self._queues_by_address.values():
-                queue.directs_by_run[key] = direct
+            self._queue(key, direct)
+
+    def end(self, connection: str, now: float) -> usage_caps.UsageReport | None:
+        """Record that a host has closed a connection.
+
+        A host that closed the connection of its last report has probably ended. One
+        that has not will send another report.
+
+        :returns: the last report, to be counted as that of a host that has ended.
+        """
+        key = self._runs_by_connection.pop(connection, None)
+        if key is None:
+            return None
+        direct = dataclasses.replace(self._direct_by_run[key], has_ended=True)
+        self._direct_by_run[key] = direct
+        self._queue(key, direct)
+        return direct.as_of(now)
+
+    def _queue(self, key: tuple[str, str], direct: DirectReport) -> None:
+        for queue in self._queues_by_address.values():
+            queue.directs_by_run[key] = direct
 
     def expire(self, now: float) -> None:
         """Forget hosts that have not reported here for a window."""
         for key, direct in list(self._direct_by_run.items()):
             if now - direct.received_at > self._window:
                 del self._direct_by_run[key]
+                self._runs_by_connection.pop(direct.connection, None)
 
     def take(self, address: str) -> tuple[DirectReport, ...]:
         """Return the reports to forward to a control host, and remove them.
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -39,6 +39,7 @@
     """The last report of one process run of a host.
 
     :param made_at: estimated time at which the report was made.
+    :param has_ended: whether the host closed the connection after the report.
     :param counted: the part of its usages that is in the sums.
     :param counted_as_of: time as of which they were counted.
     """
@@ -46,6 +47,7 @@
     report: usage_caps.UsageReport
     received_at: float
     made_at: float
+    has_ended: bool = False
     counted: tuple[usage_caps.TeamUsage, ...] = ()
     counted_as_of: float = 0.0
 
@@ -96,8 +98,19 @@
         """Return the number of hosts that the sums cover."""
         return len(self._runs_by_host)
 
-    def add(self, report: usage_caps.UsageReport, now: float) -> bool:
-        """Record a report; return whether it is newer than the one held."""
+    def add_exchange(self, exchange: usage_caps.UsageExchange, now: float) -> None:
+        """Record reports that another control host received."""
+        for report in exchange.reports:
+            has_ended = report.run in exchange.ended_runs
+            self.add(report, now, has_ended=has_ended)
+
+    def add(
+        self, report: usage_caps.UsageReport, now: float, *, has_ended: bool = False
+    ) -> bool:
+        """Record a report; return whether it says more than the one held.
+
+        :param has_ended: whether the host closed the connection after the report.
+        """
         runs = self._runs_by_host.setdefault(report.host_id, {})
         made_at = now - report.age_ms / 1000
         run = runs.get(report.run)
@@ -105,9 +118,13 @@
             run = runs[report.run] = _HostRun(
                 report=report, received_at=now, made_at=made_at
             )
-        elif report.sequence <= run.report.sequence:
+        elif report.sequence < run.report.sequence or (
+            report.sequence == run.report.sequence and has_ended <= run.has_ended
+        ):
             return False
-        run.report, run.received_at, run.made_at = report, now, made_at
+        if not has_ended:
+            run.received_at = now
+        run.report, run.made_at, run.has_ended = report, made_at, has_ended
         self._count(run, report.teams)
         return True
 
@@ -144,6 +161,10 @@
             for runs in self._runs_by_host.values()
             if (run := _newest(runs)).received_at < now - SILENT_S and run.report.teams
         ]
+        is_partition = is_partition or self._is_partition(len(silent))
+        if not is_partition:
+            silent = [run for run in silent if not run.has_ended]
+            self._age_ended_hosts(now)
         if not silent:
             self._silent_demand.record_all_heard(now, self._demand_by_team())
             return
@@ -153,7 +174,7 @@
         estimates_by_team = self._silent_demand.estimates_by_team(
             now,
             heard_at=max(run.received_at for run in silent),
-            is_partition=is_partition or self._is_partition(len(silent)),
+            is_partition=is_partition,
             silent_by_team=silent_by_team,
             heard_by_team=self._demand_by_team(),
         )
@@ -176,6 +197,18 @@
             )
             self._count(run, usages)
 
+    def _age_ended_hosts(self, now: float) -> None:
+        """Count no further requests at hosts that have ended.
+
+        In a partition, hosts that are cut off in one direction close their connections
+        as well, so that all hosts are taken to go on.
+        """
+        for runs in self._runs_by_host.values():
+            run = _newest(runs)
+            if run.has_ended and run.report.teams:
+                age = now - run.made_at
+                self._count(run, _aged(run.report.teams, age, self._window))
+
     def _demand_by_team(self) -> dict[str, silent_demand.Demand]:
         return {
             team: silent_demand.Demand(offered=total.offered, recent=total.recent)
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -223,22 +223,23 @@
         )
         self._handlers_by_method = {}
         self._handler: http.Handler | None = None
+        handlers = {method: self._deferred_handler(method) for method in methods}
+        usage_options: dict[str, typing.Any] = {}
+        if self._usage_aggregator is not None:
+            # Usage does not depend on the log, so its handlers are ready at once.
+            handlers |= self._usage_aggregator.handlers_by_method
+            usage_options = {
+                "connection_handlers_by_method": (
+                    self._usage_aggregator.connection_handlers_by_method
+                ),
+                "on_connection_closed": self._usage_aggregator.on_connection_closed,
+            }
         self._peer_server = http_peers.HttpPeerServer(
-            handlers_by_method={
-                **{method: self._deferred_handler(method) for method in methods},
-                **self._usage_handlers(),
-            },
-            clock=self._clock,
+            handlers_by_method=handlers, clock=self._clock, **usage_options
         )
         bind = settings.parse_address("peer address", self._settings.peer_address)
         await self._peer_server.start(*bind)
 
-    def _usage_handlers(self) -> dict[str, typing.Any]:
-        """Return the handlers of usage reports, which do not depend on the log."""
-        if self._usage_aggregator is None:
-            return {}
-        return self._usage_aggregator.handlers_by_method
-
     def _deferred_handler(self, method: str) -> typing.Any:
         async def handle(body: bytes) -> bytes:
             handler = self._handlers_by_method.get(method)
--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -172,24 +172,48 @@
 
     @property
     def handlers_by_method(self) -> dict[str, peers.Handler]:
-        """Return the handler of each method."""
-        return {
-            REPORT_METHOD: self.handle_report,
-            EXCHANGE_METHOD: self.handle_exchange,
-        }
+        """Return the handler of each method that needs no connection."""
+        return {EXCHANGE_METHOD: self.handle_exchange}
+
+    @property
+    def connection_handlers_by_method(self) -> dict[str, peers.ConnectionHandler]:
+        """Return the handler of each method that gets the caller's connection."""
+        return {REPORT_METHOD: self.handle_report}
 
     @property
     def host_count(self) -> int:
         """Return the number of entry hosts whose usage is counted."""
         return self._sums.host_count
 
-    async def handle_report(self, body: bytes) -> bytes:
-        """Record a report of an entry host; return the usage at the others."""
+    def on_connection_closed(self, connection: str) -> None:
+        """Handle the end of a connection that its caller closed.
+
+        :param connection: ``IP:PORT`` of the caller.
+        """
+        now = self._clock.monotonic()
+        report = self._forwarder.end(connection, now)
+        if report is None:
+            return
+        log.info(
+            "usage_host_ended",
+            host=report.host_id,
+            run=report.run,
+            teams=len(report.teams),
+            report_age_ms=report.age_ms,
+        )
+        self._sums.add(report, now, has_ended=True)
+        self._timer.schedule(self._sent_at + report_schedule.URGENT_PERIOD_S)
+
+    async def handle_report(self, body: bytes, connection: str) -> bytes:
+        """Record a report of an entry host; return the usage at the others.
+
+        :param connection: ``IP:PORT`` of the caller.
+        """
         report = codec.decode_msgpack(body, usage_caps.UsageReport)
         now = self._clock.monotonic()
         if self._sums.add(report, now):
             self._forwarder.set_addresses(self._addresses())
-            self._forwarder.add(report, now)
+            self._forwarder.add(report, now, connection=connection)
             period = (
                 report_schedule.URGENT_PERIOD_S
                 if report.is_urgent
@@ -201,9 +225,7 @@
     async def handle_exchange(self, body: bytes) -> bytes:
         """Record reports that another control host received."""
         exchange = codec.decode_msgpack(body, usage_caps.UsageExchange)
-        now = self._clock.monotonic()
-        for report in exchange.reports:
-            self._sums.add(report, now)
+        self._sums.add_exchange(exchange, self._clock.monotonic())
         self._timer.schedule(self._sent_at + report_schedule.PERIOD_S)
         return codec.encode_msgpack(usage_caps.UsageExchanged(run=self._run_id))
 
@@ -241,8 +263,7 @@
         sent_at: float,
     ) -> None:
         arrival = sent_at + self._transit_by_address.get(address, 0.0)
-        reports = tuple(direct.as_of(arrival) for direct in directs)
-        message = usage_caps.UsageExchange(reports=reports)
+        message = report_forwarding.make_exchange(directs, arrival)
         try:
             data = await self._channel.call(
                 address,
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -74,9 +74,14 @@
 
 
 class UsageExchange(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Reports that a control host received, for the other control hosts."""
+    """Reports that a control host received, for the other control hosts.
+
+    :param ended_runs: runs of these reports whose hosts have closed the connection
+        since, as a process that ended does.
+    """
 
     reports: tuple[UsageReport, ...]
+    ended_runs: tuple[str, ...] = ()
 
 
 class UsageExchanged(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/greengagehaven/transport/http_peers.py
+++ b/src/greengagehaven/transport/http_peers.py
@@ -30,17 +30,29 @@
     :param handlers_by_method: handler of each ``SERVICE/METHOD``. A handler that
         was started runs to its end even if the caller cancels the call.
     :param clock: monotonic clock.
+    :param connection_handlers_by_method: the same for handlers that also get the
+        caller's ``IP:PORT``.
+    :param on_connection_closed: called with the ``IP:PORT`` of a caller that has closed
+        its connection.
     """
 
     def __init__(
-        self, *, handlers_by_method: dict[str, peers.Handler], clock: clocks.Clock
+        self,
+        *,
+        handlers_by_method: dict[str, peers.Handler],
+        clock: clocks.Clock,
+        connection_handlers_by_method: abc.Mapping[str, peers.ConnectionHandler]
+        | None = None,
+        on_connection_closed: abc.Callable[[str], None] | None = None,
     ) -> None:
         self._handlers_by_method = handlers_by_method
+        self._connection_handlers_by_method = connection_handlers_by_method or {}
         self._tasks: set[asyncio.Task[bytes]] = set()
         self._server = http_server.HttpServer(
             handler=self._handle,
             clock=clock,
             limits=http_server.ServerLimits(body_bytes=MAX_MESSAGE_BYTES),
+            on_closed_by_client=on_connection_closed,
         )
 
     async def start(self, host: str, port: int) -> str:
@@ -60,18 +72,25 @@
             task.cancel()
 
     async def _handle(self, request: http.Request) -> http.Response:
-        handler = self._handlers_by_method.get(request.path.removeprefix("/"))
-        if handler is None:
-            raise exceptions.NotFoundError(f"unknown method: {request.path}")
+        call = self._start_handler(request)
         # This coroutine is cancelled when the caller disconnects. A handler that was
         # interrupted between writing to disk and updating memory would leave the two
         # inconsistent, so it runs shielded in its own task.
-        task = asyncio.ensure_future(handler(request.body))
+        task = asyncio.ensure_future(call)
         self._tasks.add(task)
         task.add_done_callback(self._discard_task)
         body = await asyncio.shield(task)
         return http.Response(status=HTTP_OK, body=body, content_type=None)
 
+    def _start_handler(self, request: http.Request) -> abc.Awaitable[bytes]:
+        method = request.path.removeprefix("/")
+        if method in self._connection_handlers_by_method:
+            handler = self._connection_handlers_by_method[method]
+            return handler(request.body, request.peer)
+        if method in self._handlers_by_method:
+            return self._handlers_by_method[method](request.body)
+        raise exceptions.NotFoundError(f"unknown method: {request.path}")
+
     def _discard_task(self, task: asyncio.Task[bytes]) -> None:
         self._tasks.discard(task)
         if not task.cancelled():
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -63,6 +63,8 @@
     :param clock: monotonic clock for all timeouts.
     :param limits: limits of connections, sizes and times.
     :param tls: server TLS context, ``None`` for plain TCP.
+    :param on_closed_by_client: called with the ``IP:PORT`` of a client that has closed
+        or reset its connection; not if the server closed it or the network failed.
     :ivar buffered_bytes: total size of the request bodies held now.
     :ivar draining: whether the server is draining.
     :ivar close_after_response: whether each response closes its connection, so that
@@ -76,6 +78,7 @@
         clock: clocks.Clock | None = None,
         limits: ServerLimits | None = None,
         tls: "ssl.SSLContext | None" = None,
+        on_closed_by_client: typing.Callable[[str], None] | None = None,
     ) -> None:
         self.handler = handler
         self.clock = clock or clocks.SystemClock()
@@ -84,6 +87,7 @@
         self.draining = False
         self.close_after_response = False
         self._tls = tls
+        self._on_closed_by_client = on_closed_by_client
         self._listener: asyncio.Server | None = None
         self._deadline_task: asyncio.Task | None = None
         self._connections: set[http_server_connection.ServerConnection] = set()
@@ -214,6 +218,8 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
         self._idle.pop(connection, None)
+        if connection.closed_by_client and self._on_closed_by_client is not None:
+            self._on_closed_by_client(connection.peer)
 
     def connection_idle(
         self, connection: http_server_connection.ServerConnection
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -39,6 +39,8 @@
     :param owner: the server, which provides the handler, limits, clock and counts.
     :ivar deadline: monotonic time, in seconds, at which the server calls ``expire``.
     :ivar peer: ``IP:PORT`` of the client.
+    :ivar closed_by_client: whether the client has closed or reset the connection, which
+        this server had not begun to close.
     """
 
     def __init__(self, *, owner: typing.Any) -> None:
@@ -58,6 +60,7 @@
         self._write_blocked = False
         self._close_after_write = False
         self.peer = ""
+        self.closed_by_client = False
 
     @property
     def _limits(self) -> typing.Any:
@@ -86,6 +89,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel its handler."""
+        if isinstance(exc, ConnectionResetError):
+            self._record_close_by_client()
         self._state = State.CLOSED
         self.deadline = NEVER
         self._release_body()
@@ -95,8 +100,13 @@
 
     def eof_received(self) -> bool:
         """Close the transport: a client that sends EOF has abandoned its request."""
+        self._record_close_by_client()
         return False
 
+    def _record_close_by_client(self) -> None:
+        is_ours = self._state in (State.LINGERING, State.CLOSED)
+        self.closed_by_client = self.closed_by_client or not is_ours
+
     def pause_writing(self) -> None:
         """Mark the write buffer as not empty."""
         self._write_blocked = True
