Serve connections that wait to be accepted when a stop begins

Cause: a client that connects while the event loop is busy waits in the kernel's queue, and closing the listening socket resets what waits there, request or not.

A stop now closes the listener, accepts what waits and serves it like any open connection. The new scenario connects while the loop is blocked: the connection was reset before and is answered now.

--- a/features/http.feature
+++ b/features/http.feature
@@ -58,6 +58,15 @@
     Then both requests of the drain are answered with status 200
     And new connections are refused
 
+  Scenario: A connection that waits to be accepted when a stop begins is served
+    The event loop was busy while a client connected and sent its request. Closing the
+    listener would reset the connection.
+
+    Given an HTTP listener with small limits
+    When a client has sent a request that the listener did not accept, and it drains
+    Then the client of the drain is answered with status 200
+    And new connections are refused
+
   Scenario: Arbitrary bytes never stop the listener
     Fuzzers, port scanners and broken clients send arbitrary bytes.
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import json
+import socket
 
 import behave
 import hypothesis
@@ -201,6 +202,34 @@
     assert context.left == 0
 
 
+@behave.when(
+    "a client has sent a request that the listener did not accept, and it drains"
+)
+def when_not_accepted(context):
+    async def connect_and_drain():
+        loop = asyncio.get_running_loop()
+        address = (context.listener.host, int(context.listener.port))
+        # Both calls block, so that the event loop can't accept the connection.
+        client = socket.create_connection(address, timeout=WAIT_S)
+        client.sendall(ORDINARY)
+        drain = asyncio.ensure_future(context.listener.server.drain())
+        try:
+            return await loop.run_in_executor(None, client.recv, LARGE_BODY_BYTES)
+        except ConnectionResetError:
+            return b""
+        finally:
+            client.close()
+            await drain
+
+    context.answer = context.runner.run(connect_and_drain())
+
+
+@behave.then("the client of the drain is answered with status {status:d}")
+def then_drain_answered(context, status):
+    assert context.answer, "the connection was reset"
+    assert _parse_response(context.answer)[0] == status, context.answer
+
+
 @behave.then("new connections are refused")
 def then_refused(context):
     try:
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import datetime
+import socket
 import typing
 
 from greengagehaven import clock as clocks
@@ -123,7 +125,7 @@
         )
         try:
             self._listener = await loop.create_server(
-                lambda: http_server_connection.ServerConnection(owner=self),
+                self._make_connection,
                 host,
                 port,
                 ssl=self._tls,
@@ -162,7 +164,7 @@
         end = now + timeout.total_seconds()
         if accept_for:
             await asyncio.sleep(accept_for.total_seconds())
-        self._stop_listening()
+        await self._serve_waiting(self._stop_listening())
         now = self.clock.monotonic()
         idle_end = now + min(timeout - accept_for, self.limits.linger).total_seconds()
         while self._connections and self.clock.monotonic() < end:
@@ -176,7 +178,8 @@
 
     async def close(self) -> None:
         """Stop immediately: abort every connection and cancel every handler."""
-        self._stop_listening()
+        for waiting in self._stop_listening():
+            waiting.close()
         tasks = [connection.abort() for connection in list(self._connections)]
         if self._deadline_task is not None:
             self._deadline_task.cancel()
@@ -235,10 +238,46 @@
         """Mark a connection as busy with a request."""
         self._idle.pop(connection, None)
 
-    def _stop_listening(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+    def _stop_listening(self) -> list[socket.socket]:
+        """Close the listener; return the connections that waited to be accepted.
+
+        The kernel resets the connections that wait when the listening socket is closed,
+        although their clients may have sent requests.
+        """
+        if self._listener is None:
+            return []
+        listening = [each.dup() for each in self._listener.sockets]
+        self._listener.close()
+        self._listener = None
+        waiting = []
+        for each in listening:
+            with contextlib.suppress(OSError):
+                while True:
+                    waiting.append(each.accept()[0])
+            each.close()
+        return waiting
+
+    async def _serve_waiting(self, waiting: list[socket.socket]) -> None:
+        """Serve accepted connections, with TLS if their handshakes end in time."""
+        loop = asyncio.get_running_loop()
+        for each in waiting:
+            each.setblocking(False)
+        tasks = [
+            loop.create_task(
+                loop.connect_accepted_socket(self._make_connection, each, ssl=self._tls)
+            )
+            for each in waiting
+        ]
+        if tasks:
+            await asyncio.wait(tasks, timeout=self.limits.linger.total_seconds())
+        for task in tasks:
+            if not task.done():
+                task.cancel()
+            elif not task.cancelled():
+                task.exception()
+
+    def _make_connection(self) -> http_server_connection.ServerConnection:
+        return http_server_connection.ServerConnection(owner=self)
 
     async def _check_deadlines_forever(self) -> None:
         # All deadlines are checked in one periodic pass. At thousands of requests a
