--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -48,12 +48,17 @@
 
 @behave.when('the fault "{fault}" is injected and schedules run from seed {seed:d}')
 def when_injected(context, fault, seed):
+    run_with_fault(context, fault, seed)
+
+
+def run_with_fault(context, fault, seed, **options):
+    """Run schedules until one breaks an invariant."""
     context.broken = None
     assert fault in raft_faults.ALL, fault
     with raft_faults.injected(fault):
         for number in range(seed, seed + SEEDS_PER_FAULT):
             try:
-                raft.run_schedule(number, faults=(fault,))
+                raft.run_schedule(number, faults=(fault,), **options)
             except raft.InvariantBrokenError as error:
                 context.broken = error
                 break
@@ -64,15 +69,7 @@
     "run from seed {seed:d}"
 )
 def when_injected_in_such(context, fault, size, seed):
-    context.broken = None
-    context.walk_options["faults"] = (fault,)
-    with raft_faults.injected(fault):
-        for number in range(seed, seed + SEEDS_PER_FAULT):
-            try:
-                raft.run_schedule(number, size=size, **context.walk_options)
-            except raft.InvariantBrokenError as error:
-                context.broken = error
-                break
+    run_with_fault(context, fault, seed, size=size, **context.walk_options)
 
 
 @behave.then("an invariant of the log is broken")
--- a/src/greengagehaven/client.py
+++ b/src/greengagehaven/client.py
@@ -210,14 +210,15 @@
 ) -> typing.Any:
     if reply.status == HTTP_OK:
         return codec.decode_json(reply.body, message_type, place="answer")
-    problem = _read_problem(reply)
+    problem = read_problem(reply)
     error = _build_error(problem)
     error.request = request
     error.response = reply
     raise error
 
 
-def _read_problem(reply: client_connection.Reply) -> messages.Problem:
+def read_problem(reply: client_connection.Reply) -> messages.Problem:
+    """Return the problem document of an error response, or one in its place."""
     try:
         return msgspec.json.decode(reply.body, type=messages.Problem)
     except msgspec.DecodeError:
--- a/src/greengagehaven/coordination/raft/leadership.py
+++ b/src/greengagehaven/coordination/raft/leadership.py
@@ -170,8 +170,10 @@
             return
         if changed:
             self._begin_transition(membership.members)
-        elif self._with_versions(membership) != log.membership:
-            self._append_membership(self._with_versions(membership))
+            return
+        updated = self._with_versions(membership)
+        if updated != log.membership:
+            self._append_membership(updated)
 
     def is_version_outdated(self) -> bool:
         """Return whether the membership lacks what members reported of themselves."""
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -206,8 +206,7 @@
         for runs in self._runs_by_host.values():
             run = _newest(runs)
             if run.has_ended and run.report.teams:
-                age = now - run.made_at
-                self._count(run, _aged(run.report.teams, age, self._window))
+                self._count_aged(run, now)
 
     def _demand_by_team(self) -> dict[str, silent_demand.Demand]:
         return {
@@ -228,12 +227,16 @@
         for run_id, run in list(runs.items()):
             if run is newest:
                 continue
-            age = now - run.made_at
-            if age >= self._window:
+            if now - run.made_at >= self._window:
                 self._count(run, ())
                 del runs[run_id]
             else:
-                self._count(run, _aged(run.report.teams, age, self._window))
+                self._count_aged(run, now)
+
+    def _count_aged(self, run: _HostRun, now: float) -> None:
+        """Count what is left in the window of a run without further requests."""
+        age = now - run.made_at
+        self._count(run, _aged(run.report.teams, age, self._window))
 
     def totals_for(
         self, report: usage_caps.UsageReport, now: float
--- a/src/greengagehaven/soak/callers.py
+++ b/src/greengagehaven/soak/callers.py
@@ -5,11 +5,8 @@
 import random
 from collections import abc
 
-import msgspec
-
 import greengagehaven
-from greengagehaven import exceptions
-from greengagehaven.protocol import search
+from greengagehaven import client, exceptions
 from greengagehaven.soak import invariants
 
 _TIMEOUT = datetime.timedelta(seconds=3)
@@ -148,8 +145,4 @@
     reply = getattr(error, "response", None)
     if reply is None:
         return ""
-    try:
-        problem = msgspec.json.decode(reply.body, type=search.Problem)
-    except msgspec.DecodeError:
-        return ""
-    return problem.request_id or ""
+    return client.read_problem(reply).request_id or ""
--- a/src/greengagehaven/soak/invariants.py
+++ b/src/greengagehaven/soak/invariants.py
@@ -37,7 +37,6 @@
         self.now = 0.0
         self._shard_count = shard_count
         self._counters = counters
-        self._not_run_orders: dict[str, float] = {}
         self._maybe_run_orders: set[str] = set()
         self._refusals_by_order: dict[str, list[str]] = {}
         self._acknowledged_revision = 0
@@ -83,7 +82,6 @@
         self.counts["orders"] += 1
         ran = getattr(error, "ran", exceptions.Ran.UNKNOWN)
         if error is not None and ran is exceptions.Ran.NO:
-            self._not_run_orders.setdefault(order, self.now)
             code = getattr(error, "code", type(error).__name__)
             refusals = self._refusals_by_order.setdefault(order, [])
             refusals.append(f"{attempt} {code}")
@@ -128,8 +126,8 @@
                 self._record_violation(
                     "a billed request runs once", f"{order} ran {runs} times"
                 )
-            if order in self._not_run_orders and order not in self._maybe_run_orders:
-                refusals = "; ".join(self._refusals_by_order[order])
+            refusals = "; ".join(self._refusals_by_order.get(order, ()))
+            if refusals and order not in self._maybe_run_orders:
                 self._record_violation(
                     "a refusal is true",
                     f"{order} ran and was told not to have: {refusals}",
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -262,19 +262,15 @@
         loop = asyncio.get_running_loop()
         for each in waiting:
             each.setblocking(False)
-        tasks = [
-            loop.create_task(
+        connecting = asyncio.gather(
+            *(
                 loop.connect_accepted_socket(self._make_connection, each, ssl=self._tls)
-            )
-            for each in waiting
-        ]
-        if tasks:
-            await asyncio.wait(tasks, timeout=self.limits.linger.total_seconds())
-        for task in tasks:
-            if not task.done():
-                task.cancel()
-            elif not task.cancelled():
-                task.exception()
+                for each in waiting
+            ),
+            return_exceptions=True,
+        )
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(connecting, self.limits.linger.total_seconds())
 
     def _make_connection(self) -> http_server_connection.ServerConnection:
         return http_server_connection.ServerConnection(owner=self)
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -104,8 +104,7 @@
         return False
 
     def _record_close_by_client(self) -> None:
-        is_ours = self._state in (State.LINGERING, State.CLOSED)
-        self.closed_by_client = self.closed_by_client or not is_ours
+        self.closed_by_client |= self._state not in (State.LINGERING, State.CLOSED)
 
     def pause_writing(self) -> None:
         """Mark the write buffer as not empty."""
