--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -373,6 +373,7 @@
 
     :ivar runs: the requests that it ran: (monotonic time, id, path).
     :ivar extra_headers: returns further header lines of an answer.
+    :ivar work_s: seconds that it works on a request.
     :ivar late_bytes: returns bytes that follow an answer; they arrive when the next
         answer on that connection is expected.
     """
@@ -389,6 +390,7 @@
         self.runs: list[tuple[float, str, str]] = []
         self.extra_headers = lambda request_id: b""
         self.late_bytes = lambda: b""
+        self.work_s = 0.01
         self._sequence = 0
         self._running = 0
         self._server: asyncio.Server | None = None
@@ -485,7 +487,7 @@
                 f"id={request_id} body={len(body)}",
             )
             self._running += 1
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.work_s)
             self._running -= 1
             stamp = f"{self.id}.{len(self.runs)}.{request_id[:6]}"
             status, lines = 200, [f"{PREFIX}Response-Stamp: {stamp}"]
