--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -617,6 +617,10 @@
     """
 
     async def run() -> bool:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        assert task is not None
+        # Without this, a stopped script would leave its processes behind.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         record = Record(folder / "record.txt")
         cluster = Cluster(record, fronts=fronts)
         try:
@@ -628,7 +632,7 @@
 
     try:
         is_broken = asyncio.run(run())
-    except (CouldNotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__} {error}")
         return 2
     print("the rule was broken" if is_broken else "the rule held")
