--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -131,6 +132,17 @@
         self.tasks: list[asyncio.Task] = []
         with (REPOSITORY / "deploy/system.toml").open("rb") as file:
             roles = tomllib.load(file)["roles"]
+        # Started in a session of its own, so that it outlives a killed script.
+        self._watchdog = subprocess.Popen(
+            [
+                sys.executable,
+                str(pathlib.Path(__file__).with_name("watchdog.py")),
+                str(self.folder),
+            ],
+            stdin=subprocess.PIPE,
+            text=True,
+            start_new_session=True,
+        )
         self._commands = {
             name: shlex.split(role["run"]) for name, role in roles.items()
         }
@@ -171,6 +183,12 @@
             stderr=log,
         )
         log.close()
+        self._tell_watchdog(str(node.process.pid))
+
+    def _tell_watchdog(self, line: str) -> None:
+        assert self._watchdog.stdin is not None
+        self._watchdog.stdin.write(f"{line}\n")
+        self._watchdog.stdin.flush()
 
     def _settings_of(self, node: Node) -> str:
         seeds = ",".join(f"{each.ip}:{self.control_port}" for each in self.controls)
@@ -362,6 +380,8 @@
         for node in self.nodes:
             if node.process is not None:
                 node.process.wait()
+        self._tell_watchdog("done")
+        self._watchdog.wait()
         if os.environ.get("KEEP") == "1":
             print(f"kept {self.folder}")
         else:
@@ -619,8 +639,8 @@
     async def run() -> bool:
         loop, task = asyncio.get_running_loop(), asyncio.current_task()
         assert task is not None
-        # Without this, a stopped script would leave its processes behind.
-        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         record = Record(folder / "record.txt")
         cluster = Cluster(record, fronts=fronts)
         try:
