Report tasks that end unexpectedly, and the contact with control hosts

New log lines: task_failed, event_loop_error, control_watched, control_contact_lost and control_contact_regained. New metrics: task_failures_total, routed_control_age_seconds, routed_control_hosts and routed_newest_revision. explain shows both. No decision changes.

--- a/src/greengagehaven/daemons/control_host.py
+++ b/src/greengagehaven/daemons/control_host.py
@@ -36,6 +36,7 @@
     records,
     storage,
 )
+from greengagehaven.transport import background_tasks
 
 if typing.TYPE_CHECKING:
     import prometheus_client
@@ -240,8 +241,8 @@
         elif self.settings.bootstrap and not self.settings.peer_addresses:
             self._open_log(self._create_identity(""))
         self._tasks = [
-            asyncio.ensure_future(self._become_member()),
-            asyncio.ensure_future(self._manage_membership()),
+            background_tasks.start(self._become_member, task="become_member"),
+            background_tasks.start(self._manage_membership, task="manage_membership"),
         ]
 
     async def close(self) -> None:
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -5,7 +5,7 @@
 
 from greengagehaven import exceptions, log
 from greengagehaven.coordination.routing import counts, key_lease
-from greengagehaven.transport import http, http_peers, http_server
+from greengagehaven.transport import background_tasks, http, http_peers, http_server
 
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -208,6 +208,27 @@
         return []
 
 
+class TaskCollector:
+    """Metric family of unexpected errors of tasks in this process."""
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield the metric family; imports the Prometheus library on first use."""
+        from prometheus_client import core
+
+        family = core.CounterMetricFamily(
+            f"{METRIC_PREFIX}_task_failures",
+            "Unexpected errors of tasks that run in the background",
+            labels=("task",),
+        )
+        for task, count in background_tasks.failures_by_task.items():
+            family.add_metric((task,), count)
+        yield family
+
+    def describe(self) -> list[typing.Any]:
+        """Return an empty list, so that registering does not call ``collect``."""
+        return []
+
+
 class UsageCollector:
     """Metric family of requests refused above their team's limit.
 
--- a/src/greengagehaven/daemons/follower.py
+++ b/src/greengagehaven/daemons/follower.py
@@ -13,6 +13,7 @@
 from greengagehaven.daemons import publisher
 from greengagehaven.protocol import codec, control
 from greengagehaven.state import configuration, configuration_history
+from greengagehaven.transport import background_tasks
 
 
 class ConfigurationFollower:
@@ -93,8 +94,8 @@
     def start(self) -> None:
         """Start following."""
         self._tasks = [
-            asyncio.ensure_future(self._follow_forever()),
-            asyncio.ensure_future(self._probe_forever()),
+            background_tasks.start(self._follow_forever, task="follow"),
+            background_tasks.start(self._probe_forever, task="probe_source"),
         ]
 
     async def wait_in_force(self) -> None:
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -317,6 +317,7 @@
             delegations=self._delegation_server,
             channel=self._channel,
             client=self._client,
+            contact=self._watcher.contact,
             revision=lambda: self._revision,
             has_refused_settings=lambda: self.has_refused_settings,
         )
--- a/src/greengagehaven/daemons/gateway_metrics.py
+++ b/src/greengagehaven/daemons/gateway_metrics.py
@@ -3,6 +3,7 @@
 import typing
 from collections import abc
 
+from greengagehaven.coordination import control_contact
 from greengagehaven.coordination.routing import router as router_module
 from greengagehaven.daemons import delegation_server, exposition
 from greengagehaven.transport import exchanges, http_peers
@@ -14,6 +15,7 @@
     delegations: delegation_server.DelegationServer,
     channel: exchanges.ExchangeChannel,
     client: http_peers.HttpPeerClient,
+    contact: control_contact.ControlContact,
     revision: abc.Callable[[], int],
     has_refused_settings: abc.Callable[[], bool],
 ) -> typing.Any:
@@ -22,6 +24,7 @@
     :param delegations: attempts that other entry hosts delegate to this one.
     :param channel: connections to upstreams.
     :param client: calls to other hosts.
+    :param contact: contact with the control hosts.
     :param revision: returns the revision of the configuration in force.
     :param has_refused_settings: returns whether the newest settings were refused.
     """
@@ -35,6 +38,18 @@
             lambda: delegations.in_flight,
         ),
         "routed_revision": ("Revision of the configuration in force", revision),
+        "routed_newest_revision": (
+            "Newest configuration revision that a control host named",
+            lambda: contact.newest_revision,
+        ),
+        "routed_control_age_seconds": (
+            "Time since a control host that reaches a majority replied",
+            lambda: contact.age,
+        ),
+        "routed_control_hosts": (
+            "Control hosts that reach a majority and replied recently",
+            lambda: len(contact.current_addresses),
+        ),
         "routed_rollouts": (
             "Roll-outs in progress that this host knows of",
             lambda: len(router.rollout_reports()),
@@ -55,6 +70,7 @@
         exposition.GatewayCollector(counted=router.counts, gauges=gauges),
         exposition.TrafficCollector(traffic=client.call_counts),
         exposition.SettingsCollector(is_refused=has_refused_settings),
+        exposition.TaskCollector(),
     ]
     limit = router.usage_limit
     if limit is not None:
--- a/src/greengagehaven/daemons/lifecycle.py
+++ b/src/greengagehaven/daemons/lifecycle.py
@@ -5,6 +5,7 @@
 import typing
 
 from greengagehaven import log
+from greengagehaven.transport import background_tasks
 
 SIGNALS = (signal.SIGINT, signal.SIGTERM)
 EXIT_OK = 0
@@ -35,6 +36,7 @@
     """
     received: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
+    background_tasks.report_loop_errors(loop)
     for number in SIGNALS:
         loop.add_signal_handler(number, received.put_nowait, number)
     try:
--- a/src/greengagehaven/daemons/membership_loop.py
+++ b/src/greengagehaven/daemons/membership_loop.py
@@ -16,6 +16,7 @@
 from greengagehaven.daemons import membership_metrics
 from greengagehaven.protocol import codec, membership, notices, upstream
 from greengagehaven.state import directory
+from greengagehaven.transport import background_tasks
 
 TICK_S = 0.1
 LEAVE_TIMEOUT_S = 1.0
@@ -109,7 +110,7 @@
 
     def start(self) -> None:
         """Start probing hosts and looking for others to join."""
-        self._tick_task = asyncio.ensure_future(self._tick_forever())
+        self._tick_task = background_tasks.start(self._tick_forever, task="membership")
 
     async def wait_joined(self) -> None:
         """Wait until this host has joined through a peer or found none.
--- a/src/greengagehaven/daemons/raft_driver.py
+++ b/src/greengagehaven/daemons/raft_driver.py
@@ -15,6 +15,7 @@
 from greengagehaven.coordination import peers
 from greengagehaven.coordination.raft import events, messages, replica
 from greengagehaven.state import records
+from greengagehaven.transport import background_tasks
 
 RAFT_METHOD = "control/raft"
 CALL_TIMEOUT_S = 1.0
@@ -60,7 +61,7 @@
 
     def start(self) -> None:
         """Start the timer task."""
-        self._timer_task = asyncio.ensure_future(self._run_timer())
+        self._timer_task = background_tasks.start(self._run_timer, task="raft_timer")
 
     async def close(self) -> None:
         """Stop; waiting callers get ``QuorumLostError``: their outcome is unknown."""
@@ -239,7 +240,9 @@
         )
         self._has_messages = asyncio.Event()
         self._calls: set[asyncio.Task[None]] = set()
-        self._sender_task = asyncio.ensure_future(self._send_queued())
+        self._sender_task = background_tasks.start(
+            self._send_queued, task="raft_send", member=member_id
+        )
 
     def put(self, message: messages.Message) -> None:
         """Add a message to the queue."""
--- a/src/greengagehaven/daemons/recorder_host.py
+++ b/src/greengagehaven/daemons/recorder_host.py
@@ -12,6 +12,7 @@
 from greengagehaven.coordination.idempotency import recorder
 from greengagehaven.protocol import claims, codec
 from greengagehaven.state import claim_journal
+from greengagehaven.transport import background_tasks
 
 CLAIMS_METHOD = "claims/ask"
 CALL_TIMEOUT_S = 1.0
@@ -116,8 +117,9 @@
             abstains=self._recorder.abstains,
         )
         if self._recorder.abstains:
-            loop = asyncio.get_running_loop()
-            self._copier = loop.create_task(self._copy_until_complete())
+            self._copier = background_tasks.start(
+                self._copy_until_complete, task="copy_records"
+            )
 
     async def close(self) -> None:
         """Stop; every grant that a caller was told of is already on disk."""
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -23,7 +23,7 @@
 )
 from greengagehaven.protocol import watching
 from greengagehaven.state import configuration, folder, roster
-from greengagehaven.transport import http, http_peers, http_server
+from greengagehaven.transport import background_tasks, http, http_peers, http_server
 
 STOP_GRACE = datetime.timedelta(seconds=1)
 MAX_BODY_BYTES = 8_000_000
@@ -204,6 +204,7 @@
             self._host.metrics,
             exposition.TrafficCollector(traffic=self._client.call_counts),
             exposition.SettingsCollector(is_refused=lambda: self.has_refused_settings),
+            exposition.TaskCollector(),
         )
 
     async def _handle(self, request: http.Request) -> http.Response:
@@ -297,7 +298,9 @@
 
     def _on_failure(self, error: exceptions.StorageError) -> None:
         if self._reopen_task is None or self._reopen_task.done():
-            self._reopen_task = asyncio.ensure_future(self._reopen_host())
+            self._reopen_task = background_tasks.start(
+                self._reopen_host, task="reopen_host"
+            )
 
     async def _reopen_host(self) -> None:
         """Restart the control host from disk after a disk failure.
--- a/src/greengagehaven/daemons/rollout_controller.py
+++ b/src/greengagehaven/daemons/rollout_controller.py
@@ -17,6 +17,7 @@
 from greengagehaven.protocol import codec, rollouts, watching
 from greengagehaven.state import audit, configuration
 from greengagehaven.state import rollouts as rollout_state
+from greengagehaven.transport import background_tasks
 
 if typing.TYPE_CHECKING:
     from greengagehaven.daemons import control_host, roster_feed
@@ -67,7 +68,7 @@
 
     def start(self) -> None:
         """Start the control loop."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = background_tasks.start(self._run, task="control_rollouts")
 
     async def close(self) -> None:
         """Stop the control loop."""
--- a/src/greengagehaven/daemons/rollout_reports.py
+++ b/src/greengagehaven/daemons/rollout_reports.py
@@ -8,6 +8,7 @@
 from greengagehaven import exceptions, log
 from greengagehaven.coordination import peers
 from greengagehaven.protocol import codec, rollouts
+from greengagehaven.transport import background_tasks
 
 REPORT_METHOD = "rollout/report"
 REPORT_PERIOD_S = 0.25
@@ -65,7 +66,9 @@
         self._changed.set()
         if self._task is None or self._task.done():
             self._acknowledged_at = self._clock.monotonic()
-            self._task = asyncio.ensure_future(self._report_forever())
+            self._task = background_tasks.start(
+                self._report_forever, task="report_rollouts"
+            )
 
     async def close(self) -> None:
         """Stop reporting."""
--- a/src/greengagehaven/daemons/roster_feed.py
+++ b/src/greengagehaven/daemons/roster_feed.py
@@ -20,6 +20,7 @@
 from greengagehaven.daemons import publisher, roster_file
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import crashes, outliers, roster
+from greengagehaven.transport import background_tasks
 
 WATCH_METHOD = "roster/watch"
 CRASH_METHOD = "roster/report-crash"
@@ -118,7 +119,9 @@
 
     def start(self) -> None:
         """Start the periodic check for upstreams that stopped announcing themselves."""
-        self._silence_check_task = asyncio.ensure_future(self._check_silence_forever())
+        self._silence_check_task = background_tasks.start(
+            self._check_silence_forever, task="check_silence"
+        )
 
     async def close(self) -> None:
         """Stop the background tasks and answer every waiting watcher."""
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -8,11 +8,16 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven import rng as rngs
-from greengagehaven.coordination import control_host_selection, peers
+from greengagehaven.coordination import (
+    control_contact,
+    control_host_selection,
+    peers,
+)
 from greengagehaven.coordination.routing import key_lease
-from greengagehaven.daemons import change_handler, roster_feed
+from greengagehaven.daemons import change_handler, entry_host_list, roster_feed
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import configuration, configuration_history, roster
+from greengagehaven.transport import background_tasks
 
 LONG_POLL_S = 1.5
 """Longest time in seconds that a control host holds a call until it has changes to
@@ -26,9 +31,6 @@
 REPORT_TIMEOUT_S = 1.0
 LOST_AFTER_S = 3.0
 
-HOSTS_LIFETIME_S = 15.0
-"""Seconds for which the entry hosts that a control host named are counted."""
-
 MAX_REVISION = 2**62
 """Held revision that a host sends if it doesn't follow the configuration this way."""
 
@@ -41,6 +43,7 @@
 
 OUTLIER_PERIOD_S = 0.1
 COMPARE_RETRY_S = 1.0
+MONITOR_PERIOD_S = 0.5
 JITTER = (0.75, 1.25)
 
 
@@ -117,10 +120,9 @@
         self._is_entry = is_entry
         self._own_address = own_address
         self._delegation_address = delegation_address
-        self._hosts_by_control_address: dict[
-            str, tuple[float, tuple[watching.HostEntry, ...]]
-        ] = {}
-        self._reported_hosts: tuple[watching.HostEntry, ...] = ()
+        self.contact = control_contact.ControlContact(clock=clock)
+        self._monitor_task: asyncio.Task[None] | None = None
+        self._entry_hosts = entry_host_list.EntryHostList(sink=sink, clock=clock)
         self._follows_configuration = follows_configuration
         self._control_host_selector = control_host_selector
         self._confirmation_period = confirmation_period
@@ -132,7 +134,6 @@
         self._roster = roster.Roster(host_name=host_id, silence_timeout=float("inf"))
         self._history = configuration_history.ConfigurationHistory()
         self._needs_full_state = False
-        self._host_counts_by_address: dict[str, tuple[float, int]] = {}
         self._seeds = tuple(control_addresses)
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._is_closed = False
@@ -142,17 +143,23 @@
     def start(self) -> None:
         """Start calling control hosts."""
         self.set_seeds(self._seeds)
+        if self._is_entry:
+            self._monitor_task = background_tasks.start(
+                self._monitor_forever, task="monitor_contact"
+            )
 
     def set_seeds(self, addresses: abc.Iterable[str]) -> None:
         """Watch these control hosts as well."""
         self._seeds = tuple(addresses)
         for address in self._seeds:
-            self._watch(address)
+            self._watch(address, source="settings")
 
     async def close(self) -> None:
         """Stop calling control hosts."""
         self._is_closed = True
         tasks = [*self._tasks_by_address.values(), *self._reports]
+        if self._monitor_task is not None:
+            tasks.append(self._monitor_task)
         self._tasks_by_address.clear()
         for task in tasks:
             task.cancel()
@@ -203,11 +210,26 @@
                 "report_failed", address=address, method=method, error=error.detail
             )
 
-    def _watch(self, address: str) -> None:
+    async def _monitor_forever(self) -> None:
+        while True:
+            await asyncio.sleep(MONITOR_PERIOD_S)
+            self.contact.update(
+                held_revision=self._history.revision,
+                known_count=len(self._tasks_by_address),
+            )
+
+    def _watch(self, address: str, *, source: str) -> None:
+        """Start calling a control host unless it is called already.
+
+        :param source: who named it, for the log.
+        """
         is_known = address == self._own_address or address in self._tasks_by_address
         if is_known or self._is_closed:
             return
-        task = asyncio.ensure_future(self._watch_forever(address))
+        log.info("control_watched", address=address, source=source)
+        task = background_tasks.start(
+            lambda: self._watch_forever(address), task="watch", address=address
+        )
         self._tasks_by_address[address] = task
 
     async def _watch_forever(self, address: str) -> None:
@@ -219,6 +241,7 @@
             sent_at = self._clock.monotonic()
             try:
                 reply = await self._call(address, request)
+                self.contact.on_revision(reply.revision)
                 self._apply_reply(address, reply)
                 self._apply_confirmation(reply, sent_at)
             except (
@@ -239,7 +262,7 @@
                 wait = INITIAL_WAIT_S
                 await self._wait_before_next(address, position)
                 continue
-            self._apply_hosts(address, reply.hosts + reply.remote_hosts)
+            self._entry_hosts.apply_hosts(address, reply.hosts + reply.remote_hosts)
             self._advance(position, reply)
             position.outlier_version = reply.outlier_version
             # The next call immediately confirms that these changes are held. Only
@@ -344,6 +367,7 @@
             log.info("control_reached", address=address, feed=reply.feed)
         position.is_lost = False
         position.heard_at = self._clock.monotonic()
+        self.contact.on_reply(address, has_quorum=reply.has_quorum)
         self._control_host_selector.on_reply(
             address, zone=reply.availability_zone, has_quorum=reply.has_quorum
         )
@@ -403,9 +427,9 @@
             self._sink.on_crashes(reply.crashes)
         if reply.outliers:
             self._sink.on_outliers(reply.outliers)
-        self._apply_host_count(address, reply.entry_host_count)
+        self._entry_hosts.apply_count(address, reply.entry_host_count)
         for other in reply.control_addresses:
-            self._watch(other)
+            self._watch(other, source="members")
 
     def _apply_confirmation(self, reply: watching.WatchReply, sent_at: float) -> None:
         """Pass on the confirmation in a reply, after its changes were applied."""
@@ -444,38 +468,3 @@
             raise
         if self._history.revision != before:
             self._sink.on_configuration(self._history.state)
-
-    def _apply_hosts(self, address: str, hosts: tuple[watching.HostEntry, ...]) -> None:
-        """Pass on the entry hosts that any control host named recently.
-
-        Older lists expire: a control host that is gone would keep naming hosts that
-        may be gone as well, and each of those costs a sweep a hedge now and then.
-
-        :param hosts: empty if they are the same as before.
-        """
-        now = self._clock.monotonic()
-        _, previous = self._hosts_by_control_address.get(address, (now, ()))
-        self._hosts_by_control_address[address] = now, hosts or previous
-        known = {
-            host.id: host
-            for heard_at, named in self._hosts_by_control_address.values()
-            if now - heard_at < HOSTS_LIFETIME_S
-            for host in named
-        }
-        hosts = tuple(known[host_id] for host_id in sorted(known))
-        if hosts != self._reported_hosts:
-            self._reported_hosts = hosts
-            self._sink.on_entry_hosts(hosts)
-
-    def _apply_host_count(self, address: str, count: int) -> None:
-        now = self._clock.monotonic()
-        self._host_counts_by_address[address] = (now, count)
-        # A control host that has just started does not know all entry hosts yet.
-        # Counting too few would make this host's share of a limit too large and
-        # break the limit; counting too many does not.
-        recent_counts = [
-            reported
-            for reported_at, reported in self._host_counts_by_address.values()
-            if now - reported_at < HOSTS_LIFETIME_S
-        ]
-        self._sink.on_entry_host_count(max(recent_counts))
--- a/src/greengagehaven/explain/host_state.py
+++ b/src/greengagehaven/explain/host_state.py
@@ -17,6 +17,9 @@
     :param zone: availability zone of the host.
     :param revision: revision of the configuration in force.
     :param drained: drained zones, as logged.
+    :param contact_lost_at: when it last heard from a control host that reaches a
+        majority, ``None`` while it does.
+    :param failed_tasks: tasks that had an unexpected error since the start.
     :param is_cut_off: whether the host is partitioned from every other zone.
     :param lease_lost_at: when the host lost its key lease, ``None`` if it has not.
     :param unreachable_since_by_id: unreachable upstreams, since when.
@@ -29,6 +32,8 @@
     revision: str = "none"
     drained: str = ""
     is_cut_off: bool = False
+    contact_lost_at: datetime.datetime | None = None
+    failed_tasks: set[str] = dataclasses.field(default_factory=set)
     lease_lost_at: datetime.datetime | None = None
     unreachable_since_by_id: dict[str, datetime.datetime] = dataclasses.field(
         default_factory=dict
@@ -67,6 +72,13 @@
             case "key_lease_lost":
                 late = datetime.timedelta(milliseconds=line.parse_number("noticed_ms"))
                 self.lease_lost_at = line.moment - late
+            case "control_contact_lost":
+                age = datetime.timedelta(milliseconds=line.parse_number("age_ms"))
+                self.contact_lost_at = line.moment - age
+            case "control_contact_regained":
+                self.contact_lost_at = None
+            case "task_failed":
+                self.failed_tasks.add(fields.get("task", ""))
             case "key_lease_acquired":
                 self.lease_lost_at = None
             case "cut_off":
@@ -77,10 +89,14 @@
     def _reset(self) -> None:
         """Reset everything that a host forgets when it restarts."""
         self.revision, self.drained, self.is_cut_off = "none", "", False
-        self.lease_lost_at = None
+        self.lease_lost_at = self.contact_lost_at = None
         for times_by_id in (self.unreachable_since_by_id, self.ejected_until_by_id):
             times_by_id.clear()
-        for members in (self.unreachable_controls, self.quarantined_fingerprints):
+        for members in (
+            self.unreachable_controls,
+            self.quarantined_fingerprints,
+            self.failed_tasks,
+        ):
             members.clear()
 
     def describe(self, moment: datetime.datetime) -> list[str]:
@@ -99,6 +115,13 @@
             described.append(
                 f"without a key lease for {_to_ms(moment - self.lease_lost_at)} ms"
             )
+        if self.contact_lost_at is not None:
+            described.append(
+                "without contact to the control hosts for "
+                f"{_to_ms(moment - self.contact_lost_at)} ms"
+            )
+        if self.failed_tasks:
+            described.append("failed tasks: " + ", ".join(sorted(self.failed_tasks)))
         if self.unreachable_controls:
             described.append(
                 "unreachable control hosts: " + ", ".join(self.unreachable_controls)
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -14,7 +14,7 @@
 from greengagehaven.coordination.shared_budgets import demand_shares
 from greengagehaven.daemons import gateway, lifecycle, reloading
 from greengagehaven.platform import documents, names, settings
-from greengagehaven.transport import log_output
+from greengagehaven.transport import background_tasks, log_output
 
 EXIT_BAD_SETTINGS = 2
 MIN_VOTERS = 3
@@ -71,7 +71,7 @@
     reloader = reloading.Reloader(
         daemon=daemon, load=lambda: settings.load(settings.file_path()), settings=node
     )
-    task = asyncio.ensure_future(reloader.run())
+    task = background_tasks.start(reloader.run, task="reload_settings")
     try:
         return await lifecycle.run(daemon)
     finally:
--- a/src/greengagehaven/transport/direct_channel.py
+++ b/src/greengagehaven/transport/direct_channel.py
@@ -11,7 +11,12 @@
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log
 from greengagehaven.protocol import upstream
-from greengagehaven.transport import client_connection, upstream_pool, upstream_wire
+from greengagehaven.transport import (
+    background_tasks,
+    client_connection,
+    upstream_pool,
+    upstream_wire,
+)
 
 TICK_INTERVAL_S = 0.01
 TRIM_INTERVAL_S = 0.5
@@ -100,8 +105,8 @@
     ) -> None:
         """Send every sub-request; report each outcome exactly once."""
         if self._tick_task is None:
-            self._tick_task = asyncio.get_running_loop().create_task(
-                self._tick_forever()
+            self._tick_task = background_tasks.start(
+                self._tick_forever, task="check_stalls"
             )
         now = self._clock.monotonic()
         for sub_request in batch:
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -14,7 +14,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
-from greengagehaven.transport import http, http_server_connection
+from greengagehaven.transport import background_tasks, http, http_server_connection
 
 if typing.TYPE_CHECKING:
     import ssl
@@ -138,7 +138,9 @@
                 value=settings.format_address(host, port),
                 expected=f"an address that can be bound ({error.strerror or error})",
             ) from error
-        self._deadline_task = loop.create_task(self._check_deadlines_forever())
+        self._deadline_task = background_tasks.start(
+            self._check_deadlines_forever, task="check_deadlines"
+        )
         bound_host, bound_port = self._listener.sockets[0].getsockname()[:2]
         return settings.format_address(bound_host, bound_port)
 
