Add failing tests of an entry host that keeps an old configuration

The steps called a stand-in that had the method the reloader calls; they drive the daemons themselves now, and check as much.

--- /dev/null
+++ b/features/steps/control_hosts_replaced_steps.py
@@ -0,0 +1,89 @@
+"""Steps for the replacement of control hosts, with real processes."""
+
+import asyncio
+import copy
+import signal
+
+import behave
+
+from fakes import platform_deployment, platform_processes
+
+ADDED_PATH = "/added/1"
+NOT_FOUND = 404
+PAUSED = 2
+"""Index of the entry host that is paused."""
+
+
+def run(context, coroutine):
+    return context.runner_loop.run_until_complete(coroutine)
+
+
+def with_added_route(config):
+    route = copy.deepcopy(config["routes"][1])
+    route |= {"name": "r-added", "pathPrefix": "/added/"}
+    config["routes"].append(route)
+    return config
+
+
+@behave.given("control and entry hosts of the platform as processes")
+def given_processes(context):
+    context.runner_loop = asyncio.new_event_loop()
+    context.processes = platform_processes.PlatformProcesses(entries=3)
+    context.add_cleanup(close_processes, context)
+    run(context, start(context.processes))
+
+
+def close_processes(context):
+    run(context, context.processes.close())
+    context.runner_loop.close()
+
+
+async def start(processes):
+    await processes.start()
+    await processes.put(platform_deployment.configuration(version=7))
+    for entry in processes.entries:
+        await processes.wait_until(lambda entry=entry: processes.is_ready(entry))
+
+
+@behave.when("an entry host is paused")
+def when_paused(context):
+    context.old_seeds = context.processes.seeds
+    context.paused = context.processes.entries[PAUSED]
+    context.paused.send_signal(signal.SIGSTOP)
+
+
+@behave.when("every control host is replaced, one after another, {how}")
+def when_replaced(context, how):
+    is_planned = how == "before it is stopped"
+    for number in range(len(context.processes.controls)):
+        run(context, context.processes.replace_control(number, is_planned=is_planned))
+
+
+@behave.when("the operator adds a route")
+def when_added(context):
+    config = with_added_route(platform_deployment.configuration(version=8))
+    run(context, context.processes.put(config))
+
+
+@behave.when("the entry host resumes, and its settings name the {which} control hosts")
+def when_resumed(context, which):
+    processes = context.processes
+    context.paused.write_settings(
+        processes.seeds if which == "new" else context.old_seeds
+    )
+    context.paused.send_signal(signal.SIGCONT)
+    context.paused.send_signal(signal.SIGHUP)
+
+
+@behave.then("it serves the added route within {seconds:d} seconds")
+def then_served(context, seconds):
+    processes = context.processes
+
+    async def is_added():
+        status = await processes.request_status(context.paused, ADDED_PATH)
+        return status not in (0, NOT_FOUND)
+
+    try:
+        run(context, processes.wait_until(is_added, timeout=seconds))
+    except TimeoutError as error:
+        raise AssertionError(context.paused.log_text[-4000:]) from error
