Apply changed settings: name the method that the reloader calls

Callers of an entry host that had missed the replacement of all control hosts were answered by the old configuration for good, although its settings named the new ones. Reloader calls set_control_addresses; both daemons had set_seeds, so each reload ended with AttributeError after it had logged success, and the task that reloads with it.

Both daemons have the method now, and the role's functions are typed, so that mypy compares the daemons with the protocols. A list that could not be applied is tried again. A control host joins through the new control hosts as well, but creates a group only among those that were named at the start: later settings may differ between hosts, and two groups could be created.

--- a/src/greengagehaven/daemons/admission.py
+++ b/src/greengagehaven/daemons/admission.py
@@ -36,30 +36,38 @@
     ) -> None:
         self.own_member = own_member
         self._channel = channel
+        self._founders = peer_addresses
         self._peer_addresses = peer_addresses
         self._clock = clock
         self._candidates_by_id: dict[str, tuple[float, records.Member]] = {}
 
+    def set_peer_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Join through these control hosts from now on."""
+        self._peer_addresses = addresses
+
     async def find_group_id(self, *, bootstrap: bool) -> str | None:
         """Return the id of the other hosts' group, or "" to create a new group.
 
         A group is created only if every other control host replies that it has
         none, and only by the host with the lowest address. Otherwise a host that
         lost its disk during a partition would create a second group, and two
-        leaders would accept changes.
+        leaders would accept changes. For the same reason these are the control hosts
+        named at the start: later settings may differ between hosts.
 
         :return: ``None`` if neither can be decided yet.
         """
+        addresses = tuple(dict.fromkeys((*self._founders, *self._peer_addresses)))
         replies = await asyncio.gather(
-            *(self._identify(address) for address in self._peer_addresses)
+            *(self._identify(address) for address in addresses)
         )
         for reply in replies:
             if reply is not None and reply.group_id:
                 return reply.group_id
         has_lowest_address = all(
-            self.own_member.address < other for other in self._peer_addresses
+            self.own_member.address < other for other in self._founders
         )
-        if bootstrap and has_lowest_address and None not in replies:
+        founders_replied = None not in replies[: len(self._founders)]
+        if bootstrap and has_lowest_address and founders_replied:
             return ""
         return None
 
--- a/src/greengagehaven/daemons/control_host.py
+++ b/src/greengagehaven/daemons/control_host.py
@@ -224,6 +224,10 @@
             return None
         return self.driver.address_of(raft.leader_id)
 
+    def set_peer_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Join through these control hosts from now on."""
+        self._admission.set_peer_addresses(addresses)
+
     async def start(self) -> None:
         """Load the state from disk and start joining; return before it is a member.
 
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -169,7 +169,7 @@
                 await server.start(*settings_module.parse_address(name, address))
         self._watcher.start()
 
-    def set_seeds(self, addresses: abc.Iterable[str]) -> None:
+    def set_control_addresses(self, addresses: abc.Iterable[str]) -> None:
         """Watch these control hosts as well."""
         self._watcher.set_seeds(addresses)
 
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -1,6 +1,7 @@
 """A control host that also accepts upstream announcements and numbered documents."""
 
 import asyncio
+import dataclasses
 import datetime
 import typing
 from collections import abc
@@ -146,9 +147,18 @@
         await self._open_host()
         self._watcher.start()
 
-    def set_seeds(self, addresses: abc.Iterable[str]) -> None:
-        """Watch these control hosts as well."""
-        self._watcher.set_seeds(addresses)
+    def set_control_addresses(self, addresses: abc.Iterable[str]) -> None:
+        """Watch these control hosts as well, and join their group through them."""
+        others = tuple(
+            address for address in addresses if address != self._settings.peer_address
+        )
+        # A group is created only among the control hosts named at the start.
+        self._settings = dataclasses.replace(
+            self._settings, peer_addresses=others, bootstrap=False
+        )
+        if self._host is not None:
+            self._host.set_peer_addresses(others)
+        self._watcher.set_seeds(others)
 
     async def drain(self) -> int:
         """Drain HTTP requests, then stop; return the number of unfinished requests."""
--- a/src/greengagehaven/daemons/reloading.py
+++ b/src/greengagehaven/daemons/reloading.py
@@ -72,9 +72,9 @@
         self._last_error = ""
         self._daemon.has_refused_settings = False
         if loaded.control_addresses != self._addresses:
+            log.info("reloaded", seeds=",".join(loaded.control_addresses))
+            self._daemon.set_control_addresses(loaded.control_addresses)
             self._addresses = loaded.control_addresses
-            log.info("reloaded", seeds=",".join(self._addresses))
-            self._daemon.set_control_addresses(self._addresses)
 
     def _reject(self, error: exceptions.SettingError) -> None:
         self._daemon.has_refused_settings = True
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -4,6 +4,8 @@
 import datetime
 import random
 import sys
+import typing
+from collections import abc
 
 import click
 
@@ -49,7 +51,17 @@
     sys.exit(_run(_make_control))
 
 
-def _run(make_daemon) -> int:
+class _Daemon(lifecycle.Daemon, reloading.Reloadable, typing.Protocol):
+    """A daemon that is started, reloaded and stopped here."""
+
+    async def start(self) -> None:
+        """Bind the sockets and start."""
+
+
+_MakeDaemon = abc.Callable[[settings.NodeSettings], _Daemon]
+
+
+def _run(make_daemon: _MakeDaemon) -> int:
     output = log_output.LogOutput(
         descriptor=sys.stdout.fileno(), clock=clocks.SystemClock()
     )
@@ -64,7 +76,7 @@
         output.flush()
 
 
-async def _serve(make_daemon, node: settings.NodeSettings) -> int:
+async def _serve(make_daemon: _MakeDaemon, node: settings.NodeSettings) -> int:
     daemon = make_daemon(node)
     await daemon.start()
     log.info("started", host=node.node, zone=node.zone, seeds=",".join(node.seeds))
@@ -123,7 +135,7 @@
     )
 
 
-def _make_control(node: settings.NodeSettings):
+def _make_control(node: settings.NodeSettings) -> _Daemon:
     # Imported here since an entry host never uses these modules and would only
     # spend memory on them.
     from greengagehaven.coordination.raft import timing
