Restart background tasks after unexpected errors

A change came into force seconds late or never at an entry host after one of its configurations could not be applied: Watcher._watch_forever catches three kinds of errors, a task that ended with another one stayed in the watcher's table, and its control host still counted as followed. Any value or fault that raises in the router does this, one task at a time.

- Tasks that run as long as their owner are restarted, after 0.5 to 10 s, with a line and a count for each error.
All of them are started this way now.
- A control host whose changes could not be applied is not followed meanwhile; its restarted watch begins with the full state.
- A configuration that could not be applied is tried again after 5 s, since control hosts don't send it again, and doesn't keep other changes away.
- Timers that schedule themselves go on after an error (WakeTimer, and the expiry of connections).

--- a/features/steps/background_tasks_steps.py
+++ b/features/steps/background_tasks_steps.py
@@ -1,11 +1,13 @@
 """Steps for tasks and timers that fail unexpectedly."""
 
 import asyncio
+import functools
 from unittest import mock
 
 import behave
 
-from greengagehaven.daemons import exposition
+from fakes import control_fakes
+from greengagehaven.daemons import exposition, wake_timer
 from greengagehaven.transport import background_tasks
 
 TASK = "example"
@@ -68,3 +70,47 @@
         "greengagehaven_task_failures_total", {"task": TASK}
     )
     assert value - context.failures_before == count, value
+
+
+@behave.given("a background task that fails the first {count:d} times it runs")
+def given_failing_task(context, count):
+    context.runs = 0
+
+    async def run():
+        context.runs += 1
+        if context.runs <= count:
+            raise_error()
+
+    context.start = functools.partial(background_tasks.start, run, task=TASK)
+
+
+@behave.given("a wake timer whose callback fails the first time")
+def given_failing_timer(context):
+    context.runs = 0
+
+    def on_wake():
+        context.runs += 1
+        if context.runs == 1:
+            raise_error()
+
+    def start():
+        clock = asyncio.get_running_loop().clock
+        wake_timer.WakeTimer(on_wake=on_wake, clock=clock).schedule(0.0)
+
+    context.start = start
+
+
+@behave.when("it has been started for {seconds:d} seconds")
+def when_started(context, seconds):
+    async def play():
+        context.start()
+        await asyncio.sleep(seconds)
+
+    loop = control_fakes.VirtualLoop()
+    context.add_cleanup(loop.close)
+    loop.run_until_complete(play())
+
+
+@behave.then("it has run {count:d} times")
+def then_run(context, count):
+    assert context.runs == count, context.runs
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -204,8 +204,7 @@
 
     def on_configuration(self, state: configuration.ConfigurationState) -> None:
         """Put a newer configuration in force."""
-        zones = frozenset(state.drained_zones)
-        self._submit(events.ZonesDrained(zones=zones))
+        self._submit(events.ZonesDrained(zones=frozenset(state.drained_zones)))
         self._submit(events.RolloutsChanged(rollouts=state.rollouts))
         self._rollout_reporter.set_running(rollouts.running(state.rollouts))
         number = 0
--- a/src/greengagehaven/daemons/wake_timer.py
+++ b/src/greengagehaven/daemons/wake_timer.py
@@ -4,11 +4,17 @@
 from collections import abc
 
 from greengagehaven import clock as clocks
+from greengagehaven.transport import background_tasks
+
+RETRY_DELAY_S = 1.0
 
 
 class WakeTimer:
     """Calls back at the earliest of the moments scheduled since the last call.
 
+    If the callback fails, it is called again after ``RETRY_DELAY_S``: it schedules the
+    next call itself, so that its timers would have ended.
+
     It may run early by the resolution of the event loop's clock, so the callback has to
     schedule what is not due yet again.
 
@@ -43,4 +49,10 @@
     def _wake(self) -> None:
         self._timer = None
         self._timer_at = float("inf")
-        self._on_wake()
+        try:
+            self._on_wake()
+        except Exception as error:
+            background_tasks.record_failure(
+                "timer", error, callback=self._on_wake.__qualname__
+            )
+            self.schedule(self._clock.monotonic() + RETRY_DELAY_S)
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -44,6 +44,7 @@
 OUTLIER_PERIOD_S = 0.1
 COMPARE_RETRY_S = 1.0
 MONITOR_PERIOD_S = 0.5
+REDELIVERY_DELAY_S = 5.0
 JITTER = (0.75, 1.25)
 
 
@@ -134,6 +135,8 @@
         self._roster = roster.Roster(host_name=host_id, silence_timeout=float("inf"))
         self._history = configuration_history.ConfigurationHistory()
         self._needs_full_state = False
+        self._delivered_revision = 0
+        self._redeliver_at = 0.0
         self._seeds = tuple(control_addresses)
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._is_closed = False
@@ -217,6 +220,9 @@
                 held_revision=self._history.revision,
                 known_count=len(self._tasks_by_address),
             )
+            is_due = self._clock.monotonic() >= self._redeliver_at
+            if is_due and self._history.revision != self._delivered_revision:
+                self._deliver_configuration()
 
     def _watch(self, address: str, *, source: str) -> None:
         """Start calling a control host unless it is called already.
@@ -256,6 +262,11 @@
                 )
                 await asyncio.sleep(COMPARE_RETRY_S if is_redundant else RETRY_DELAY_S)
                 continue
+            except Exception as error:
+                # Its changes are not applied, so another control host is followed
+                # until this task has been restarted, and then gets the full state.
+                self._on_failure(address, position, error)
+                raise
             self._on_reply(address, position, reply)
             if compares:
                 self._compare(position, reply)
@@ -377,13 +388,14 @@
         self,
         address: str,
         position: _Position,
-        error: exceptions.GreengagehavenError,
+        error: Exception,
     ) -> None:
         now, heard_at = self._clock.monotonic(), position.heard_at
         is_overdue = heard_at is None or now - heard_at > LOST_AFTER_S
         if is_overdue and not position.is_lost:
             position.is_lost = True
-            log.warning("control_lost", address=address, error=error.detail)
+            detail = getattr(error, "detail", "") or type(error).__name__
+            log.warning("control_lost", address=address, error=detail)
         self._control_host_selector.on_failure(address)
         self._update_followed()
 
@@ -451,7 +463,6 @@
         self._roster.evict_gone(now)
 
     def _apply_configuration(self, reply: control.FollowReply) -> None:
-        before = self._history.revision
         try:
             if reply.state:
                 state = codec.decode_msgpack(
@@ -466,5 +477,22 @@
         except exceptions.StateMismatchError:
             self._needs_full_state = True
             raise
-        if self._history.revision != before:
-            self._sink.on_configuration(self._history.state)
+        if self._history.revision != self._delivered_revision:
+            self._deliver_configuration()
+
+    def _deliver_configuration(self) -> None:
+        """Pass on the newest configuration; if that fails, it is repeated later.
+
+        Control hosts don't send it again, and a failure must not keep the other
+        changes of the same reply away.
+        """
+        state = self._history.state
+        try:
+            self._sink.on_configuration(state)
+        except Exception as error:
+            background_tasks.record_failure(
+                "apply_configuration", error, revision=state.revision
+            )
+            self._redeliver_at = self._clock.monotonic() + REDELIVERY_DELAY_S
+            return
+        self._delivered_revision = state.revision
--- a/src/greengagehaven/transport/background_tasks.py
+++ b/src/greengagehaven/transport/background_tasks.py
@@ -1,7 +1,7 @@
-"""Tasks that run as long as their owner, whose unexpected errors are reported.
+"""Tasks that run as long as their owner and are restarted after unexpected errors.
 
-An asyncio task that nobody awaits keeps its exception to itself: its owner goes on as
-if the task still ran.
+An asyncio task that nobody awaits keeps its exception to itself: its owner would go on
+as if the task still ran.
 """
 
 import asyncio
@@ -16,17 +16,24 @@
 failures_by_task: collections.Counter[str] = collections.Counter()
 """Number of unexpected errors in this process, by the name of the task."""
 
+MIN_RESTART_DELAY_S = 0.5
+MAX_RESTART_DELAY_S = 10.0
+"""Bounds of the seconds until a task is restarted; they double with each error."""
+
+STABLE_AFTER_S = 30.0
+"""Seconds after which a task that runs counts as stable again."""
+
 Run = abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]]
 
 
 def start(run: Run, *, task: str, **fields: object) -> asyncio.Task[None]:
-    """Start a task and report the error that ends it.
+    """Start a task; report and restart it after an unexpected error.
 
-    :param run: coroutine function without parameters.
+    :param run: coroutine function without parameters, called again at each restart.
     :param task: name of the task in logs and metrics.
     :param fields: further fields of the log line.
     """
-    return asyncio.get_running_loop().create_task(_run_reported(run, task, fields))
+    return asyncio.get_running_loop().create_task(_run_restarting(run, task, fields))
 
 
 def record_failure(task: str, error: Exception, **fields: object) -> None:
@@ -61,12 +68,22 @@
         log.warning("event_loop_error", detail=context.get("message"))
 
 
-async def _run_reported(run: Run, task: str, fields: abc.Mapping[str, object]) -> None:
-    try:
-        await run()
-    except Exception as error:
-        record_failure(task, error, **fields)
-        raise
+async def _run_restarting(
+    run: Run, task: str, fields: abc.Mapping[str, object]
+) -> None:
+    loop = asyncio.get_running_loop()
+    delay = MIN_RESTART_DELAY_S
+    while True:
+        started_at = loop.time()
+        try:
+            await run()
+            return
+        except Exception as error:
+            record_failure(task, error, **fields)
+        if loop.time() - started_at > STABLE_AFTER_S:
+            delay = MIN_RESTART_DELAY_S
+        await asyncio.sleep(delay)
+        delay = min(MAX_RESTART_DELAY_S, 2 * delay)
 
 
 def _raised_at(error: Exception) -> str:
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -219,12 +219,13 @@
             exchange.connection.abort("exchange was withdrawn")
 
     def _close_expired(self) -> None:
+        # First, so that an unexpected error does not end the checks.
+        self._schedule_expiry()
         now = self._clock.monotonic()
         for address, pool in list(self._pools_by_address.items()):
             pool.close_expired(now)
             if pool.is_unused:
                 del self._pools_by_address[address]
-        self._schedule_expiry()
 
     def _schedule_expiry(self) -> None:
         loop = asyncio.get_running_loop()
