Limit the timeouts of a document to what a timer can represent

An acknowledged configuration with an idle timeout of 2^63-1 ms came into force nowhere: timedelta raised OverflowError at each entry host.

The scenario in features/unapplied_configuration.feature failed before.

--- a/src/greengagehaven/daemons/caller_requests.py
+++ b/src/greengagehaven/daemons/caller_requests.py
@@ -19,6 +19,7 @@
     request_head,
 )
 
+MAX_TIMEOUT_S = 86_400.0
 MIN_REQUEST_TIMEOUT_S = 10.0
 """Least time in which a whole request may arrive; the document limits its head only."""
 
@@ -207,8 +208,11 @@
     return http_server.ServerLimits(
         body_bytes=limits.body_bytes,
         head_bytes=limits.head_bytes,
-        request_timeout=datetime.timedelta(
-            seconds=max(limits.head_timeout, MIN_REQUEST_TIMEOUT_S)
-        ),
-        idle_timeout=datetime.timedelta(seconds=limits.idle_timeout),
+        request_timeout=_timeout(max(limits.head_timeout, MIN_REQUEST_TIMEOUT_S)),
+        idle_timeout=_timeout(limits.idle_timeout),
     )
+
+
+def _timeout(seconds: float) -> datetime.timedelta:
+    """Return a timeout within the range that a ``timedelta`` can represent."""
+    return datetime.timedelta(seconds=max(0.0, min(seconds, MAX_TIMEOUT_S)))
