Find control hosts again through other entry hosts, and know when alone

An entry host that was frozen, slow or cut off while all control hosts were replaced obeyed its old configuration for good. Its list of control hosts grew by what the control hosts themselves told, and was never renewed from anywhere else; and nothing told it, its callers or the load balancer that it was old.

- After 2.5 s without a control host that reaches a majority, it asks two other entry hosts each second for those that they hear from.
- Without contact for 3 s it logs so.
If another entry host has contact, or none answers, it is not ready and closes connections after each response.
If the control hosts are down for all, nothing changes.
- An address is forgotten 30 s after its last reply if members and settings leave it out.
Each was called for good, up to 7 times a second.

--- a/features/steps/control_contact_steps.py
+++ b/features/steps/control_contact_steps.py
@@ -8,6 +8,9 @@
 from greengagehaven.coordination import control_contact
 
 ADDRESS = "control-1:1"
+SEED_ADDRESS = "control-2:1"
+REMOVED_ADDRESS = "control-3:1"
+ENTRY_ADDRESSES = tuple(f"entry-{number}:1" for number in range(5))
 STEP_S = 0.5
 
 
@@ -19,7 +22,8 @@
     context.revision = revision
     context.contact = control_contact.ControlContact(clock=context.clock)
     context.contact.on_revision(revision)
-    context.contact.on_reply(ADDRESS, has_quorum=True)
+    context.contact.on_reply(ADDRESS, has_quorum=True, members=[ADDRESS])
+    context.asked = []
     update(context)
     patch = mock.patch.object(control_contact, "log")
     context.logged = patch.start()
@@ -27,7 +31,7 @@
 
 
 def update(context):
-    context.contact.update(held_revision=context.revision, known_count=3)
+    context.contact.update(held_revision=context.revision)
 
 
 @behave.when("{seconds:d} seconds pass without a reply")
@@ -77,3 +81,56 @@
     assert event == "control_contact_regained", event
     assert (fields["newest_revision"], fields["current"]) == (revision, 1), fields
     assert not context.contact.is_lost
+
+
+@behave.given("it calls a control host that was removed and one that the settings name")
+def given_calls(context):
+    context.contact.set_seeds([SEED_ADDRESS])
+    for address in (ADDRESS, SEED_ADDRESS, REMOVED_ADDRESS):
+        context.contact.on_watched(address)
+
+
+@behave.when("{seconds:d} seconds pass with replies of a member")
+def when_member_replies(context, seconds):
+    pass_time(
+        context, seconds, lambda: context.contact.on_reply(ADDRESS, has_quorum=True)
+    )
+
+
+@behave.when(
+    "{seconds:d} seconds pass without a reply, and the other entry hosts {answer}"
+)
+def when_others(context, seconds, answer):
+    known = () if answer == "are not known" else ENTRY_ADDRESSES
+
+    def ask():
+        for address in context.contact.hosts_to_ask(known):
+            context.asked.append(address)
+            context.contact.on_asked()
+            if answer != "do not answer":
+                context.contact.on_entry_host_reply(
+                    is_in_contact=answer == "hear from a control host", revision=7
+                )
+
+    pass_time(context, seconds, ask)
+
+
+@behave.then("the entry host counts as isolated: {answer}")
+def then_isolated(context, answer):
+    assert context.contact.is_isolated is (answer == "yes")
+
+
+@behave.then("each of the {count:d} others was asked, and {calls:d} calls were made")
+def then_asked(context, count, calls):
+    assert len(set(context.asked)) == count, context.asked
+    assert len(context.asked) == calls, context.asked
+
+
+@behave.then("it forgets no control host")
+def then_none_forgotten(context):
+    assert context.contact.removed_addresses() == ()
+
+
+@behave.then("it forgets the control host that was removed")
+def then_forgotten(context):
+    assert context.contact.removed_addresses() == (REMOVED_ADDRESS,)
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -181,7 +181,7 @@
     for _ in range(times):
         for entry in context.fleet.entries[:2]:
             found = outlier_of(upstream_id)
-            context.fleet.loop.call_soon(entry.watcher.report_outlier, found)
+            context.fleet.loop.call_soon(entry.watcher.reporter.report_outlier, found)
         context.fleet.run_for(1.0 / times)
 
 
--- a/src/greengagehaven/daemons/entry_host_list.py
+++ b/src/greengagehaven/daemons/entry_host_list.py
@@ -31,6 +31,11 @@
         """Return the entry hosts that were named last."""
         return self._reported_hosts
 
+    def forget(self, control_address: str) -> None:
+        """Forget what a control host said that is no longer called."""
+        self._hosts_by_control_address.pop(control_address, None)
+        self._counts_by_control_address.pop(control_address, None)
+
     def apply_hosts(
         self, control_address: str, hosts: tuple[watching.HostEntry, ...]
     ) -> None:
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -43,7 +43,6 @@
 STOP_MARGIN = datetime.timedelta(seconds=0.8)
 """Part of the grace period that is reserved for closing after the drain."""
 
-
 DocumentParser = abc.Callable[[bytes], routes.RoutingTable]
 
 
@@ -124,6 +123,7 @@
             handlers_by_method={
                 **self._delegation_server.handlers_by_method,
                 **self._lender.handlers_by_method,
+                **self._watcher.recovery.handlers_by_method,
             },
             clock=clock,
         )
@@ -275,6 +275,11 @@
     def _on_reports_acknowledged(self, is_acknowledged: bool) -> None:
         self._submit(events.RolloutReportsAcknowledged(is_acknowledged=is_acknowledged))
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Return whether other entry hosts serve callers better than this one."""
+        return self._router.is_cut_off or self._watcher.contact.is_isolated
+
     def _make_watcher(self, rng: rngs.Rng) -> watcher.Watcher:
         return watcher.Watcher(
             channel=self._client,
@@ -324,12 +329,9 @@
     async def _handle_ready(self, request: http.Request) -> http.Response:
         if request.path != self._settings.ready_path:
             raise exceptions.NotFoundError("no such path")
-        has_table = self._router.table is not None
-        is_ready = has_table and not (
-            self._is_stopping
-            or self._router.is_cut_off
-            or self._router.key_guard.is_missing
-        )
+        should_yield = self._is_cut_off or self._router.key_guard.is_missing
+        is_configured = self._router.table is not None
+        is_ready = is_configured and not (self._is_stopping or should_yield)
         return http.Response(status=200 if is_ready else 503, content_type=None)
 
     async def _handle(self, request: http.Request) -> http.Response:
@@ -367,7 +369,7 @@
             self._carry_out(action)
         # Failing readiness checks keep new connections away, but callers go on using
         # the open ones, so each response closes its connection.
-        self._server.close_after_response = self._router.is_cut_off
+        self._server.close_after_response = self._is_cut_off
 
     def _carry_out(self, action: events.Action) -> None:
         match action:
@@ -394,11 +396,11 @@
             case events.ProbeUpstream():
                 self._probe(action)
             case events.ReportOutlier(outlier=outlier):
-                self._watcher.report_outlier(outlier)
+                self._watcher.reporter.report_outlier(outlier)
             case events.RequestLoan():
                 self._lender.borrow(action)
             case events.ReportCrash(crash=crash):
-                self._watcher.report_crash(crash)
+                self._watcher.reporter.report_crash(crash)
             case events.WakeAt(moment=moment):
                 self._wake_timer.schedule(moment)
 
@@ -431,8 +433,7 @@
         request.attempts.append(send.attempt)
         self._exchanges_by_attempt[send.attempt] = exchange
         # Deferred: an attempt that ends at once must not submit its end within a step.
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self._start, exchange, send.connections)
+        asyncio.get_running_loop().call_soon(self._start, exchange, send.connections)
 
     def _may_start(self, team: str) -> bool:
         """Return whether an attempt may be written; it may have waited for long."""
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -14,7 +14,13 @@
     peers,
 )
 from greengagehaven.coordination.routing import key_lease
-from greengagehaven.daemons import change_handler, entry_host_list, roster_feed
+from greengagehaven.daemons import (
+    change_handler,
+    contact_recovery,
+    entry_host_list,
+    fault_reports,
+    roster_feed,
+)
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import configuration, configuration_history, roster
 from greengagehaven.transport import background_tasks
@@ -28,7 +34,6 @@
 
 INITIAL_WAIT_S = 0.0
 RETRY_DELAY_S = 0.15
-REPORT_TIMEOUT_S = 1.0
 LOST_AFTER_S = 3.0
 
 MAX_REVISION = 2**62
@@ -41,9 +46,8 @@
 SETTLING_PERIOD_S = 0.25
 """Seconds between comparisons while the control hosts to follow are being chosen."""
 
-OUTLIER_PERIOD_S = 0.1
 COMPARE_RETRY_S = 1.0
-MONITOR_PERIOD_S = 0.5
+MAINTENANCE_PERIOD_S = 0.5
 REDELIVERY_DELAY_S = 5.0
 JITTER = (0.75, 1.25)
 
@@ -122,7 +126,20 @@
         self._own_address = own_address
         self._delegation_address = delegation_address
         self.contact = control_contact.ControlContact(clock=clock)
-        self._monitor_task: asyncio.Task[None] | None = None
+        self.recovery = contact_recovery.ContactRecovery(
+            channel=channel,
+            contact=self.contact,
+            entry_addresses=self._entry_addresses,
+            on_found=self._on_control_hosts_told,
+            held_revision=lambda: self._history.revision,
+        )
+        self.reporter = fault_reports.FaultReporter(
+            channel=channel,
+            host_id=host_id,
+            known=lambda: self.known_control_addresses,
+            followed=lambda: self._followed,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
         self._entry_hosts = entry_host_list.EntryHostList(sink=sink, clock=clock)
         self._follows_configuration = follows_configuration
         self._control_host_selector = control_host_selector
@@ -140,33 +157,33 @@
         self._seeds = tuple(control_addresses)
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._is_closed = False
-        self._reports: set[asyncio.Task[None]] = set()
-        self._outliers: set[watching.Outlier] = set()
 
     def start(self) -> None:
         """Start calling control hosts."""
         self.set_seeds(self._seeds)
+        self._tasks = [
+            background_tasks.start(self._maintain_forever, task="maintain_watches")
+        ]
         if self._is_entry:
-            self._monitor_task = background_tasks.start(
-                self._monitor_forever, task="monitor_contact"
-            )
+            recover = background_tasks.start(self.recovery.run, task="recover_contact")
+            self._tasks.append(recover)
 
     def set_seeds(self, addresses: abc.Iterable[str]) -> None:
         """Watch these control hosts as well."""
         self._seeds = tuple(addresses)
+        self.contact.set_seeds(self._seeds)
         for address in self._seeds:
             self._watch(address, source="settings")
 
     async def close(self) -> None:
         """Stop calling control hosts."""
         self._is_closed = True
-        tasks = [*self._tasks_by_address.values(), *self._reports]
-        if self._monitor_task is not None:
-            tasks.append(self._monitor_task)
+        tasks = [*self._tasks_by_address.values(), *self._tasks]
         self._tasks_by_address.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.reporter.close()
 
     @property
     def followed(self) -> frozenset[str]:
@@ -178,48 +195,21 @@
         """Return the peer addresses of all control hosts that this host calls."""
         return tuple(self._tasks_by_address)
 
-    def report_crash(self, crash: watching.Crash) -> None:
-        """Report a crash to every control host; they pass it on to other hosts."""
-        body = codec.encode_msgpack(crash)
-        for address in self._tasks_by_address:
-            self._spawn_report(address, roster_feed.CRASH_METHOD, body)
-
-    def report_outlier(self, outlier: watching.Outlier) -> None:
-        """Report an outlier to the followed control hosts, in a batch with others."""
-        if not self._outliers:
-            loop = asyncio.get_running_loop()
-            loop.call_later(OUTLIER_PERIOD_S, self._report_outliers)
-        self._outliers.add(outlier)
-
-    def _report_outliers(self) -> None:
-        found, self._outliers = self._outliers, set()
-        if self._is_closed:
-            return
-        message = watching.OutlierReport(host_id=self._host_id, outliers=tuple(found))
-        body = codec.encode_msgpack(message)
-        for address in self._followed:
-            self._spawn_report(address, roster_feed.OUTLIERS_METHOD, body)
-
-    def _spawn_report(self, address: str, method: str, body: bytes) -> None:
-        task = asyncio.ensure_future(self._report(address, method, body))
-        self._reports.add(task)
-        task.add_done_callback(self._reports.discard)
+    def _entry_addresses(self) -> tuple[str, ...]:
+        """Return the peer addresses of the other entry hosts that were named last."""
+        return tuple(
+            host.address for host in self._entry_hosts.hosts if host.id != self._host_id
+        )
 
-    async def _report(self, address: str, method: str, body: bytes) -> None:
-        try:
-            await self._channel.call(address, method, body, timeout=REPORT_TIMEOUT_S)
-        except exceptions.PeerError as error:
-            log.debug(
-                "report_failed", address=address, method=method, error=error.detail
-            )
+    def _on_control_hosts_told(self, addresses: tuple[str, ...]) -> None:
+        for address in addresses:
+            self._watch(address, source="entry_host")
 
-    async def _monitor_forever(self) -> None:
+    async def _maintain_forever(self) -> None:
         while True:
-            await asyncio.sleep(MONITOR_PERIOD_S)
-            self.contact.update(
-                held_revision=self._history.revision,
-                known_count=len(self._tasks_by_address),
-            )
+            await asyncio.sleep(MAINTENANCE_PERIOD_S)
+            for address in self.contact.removed_addresses():
+                self._unwatch(address)
             is_due = self._clock.monotonic() >= self._redeliver_at
             if is_due and self._history.revision != self._delivered_revision:
                 self._deliver_configuration()
@@ -233,11 +223,21 @@
         if is_known or self._is_closed:
             return
         log.info("control_watched", address=address, source=source)
+        self.contact.on_watched(address)
         task = background_tasks.start(
             lambda: self._watch_forever(address), task="watch", address=address
         )
         self._tasks_by_address[address] = task
 
+    def _unwatch(self, address: str) -> None:
+        """Stop calling a control host that was removed from the group."""
+        log.info("control_forgotten", address=address)
+        self.contact.forget(address)
+        self._entry_hosts.forget(address)
+        self._control_host_selector.on_failure(address)
+        self._tasks_by_address.pop(address).cancel()
+        self._update_followed()
+
     async def _watch_forever(self, address: str) -> None:
         position = _Position()
         wait = INITIAL_WAIT_S
@@ -378,7 +378,9 @@
             log.info("control_reached", address=address, feed=reply.feed)
         position.is_lost = False
         position.heard_at = self._clock.monotonic()
-        self.contact.on_reply(address, has_quorum=reply.has_quorum)
+        self.contact.on_reply(
+            address, has_quorum=reply.has_quorum, members=reply.control_addresses
+        )
         self._control_host_selector.on_reply(
             address, zone=reply.availability_zone, has_quorum=reply.has_quorum
         )
--- a/src/greengagehaven/protocol/watching.py
+++ b/src/greengagehaven/protocol/watching.py
@@ -180,6 +180,18 @@
     availability_zone: str = ""
 
 
+class ControlHosts(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Answer of an entry host to one that hears from no control host.
+
+    :param addresses: peer addresses of the control hosts that reach a majority and
+        replied to it recently.
+    :param revision: configuration revision that it holds.
+    """
+
+    addresses: tuple[str, ...]
+    revision: int
+
+
 class WatchRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Request the changes at a control host since the last reply.
 
