--- a/features/control_hosts_replaced.feature
+++ b/features/control_hosts_replaced.feature
@@ -15,3 +15,12 @@
       | how                  | which |
       | after it was killed  | new   |
       | before it is stopped | old   |
+
+  Scenario: A control host that was replaced while it was paused joins again
+    Its settings named control hosts that were gone, and it asked no others. It ran
+    without being a member, for good.
+
+    Given control and entry hosts of the platform as processes
+    When the first two control hosts are replaced, one after another
+    And the last control host is paused until it has been replaced too
+    Then it is a voter again within 15 seconds
--- a/features/fakes/platform_processes.py
+++ b/features/fakes/platform_processes.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -24,6 +25,7 @@
 TIMEOUT_S = 30.0
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
 RETRY_DELAY_S = 0.1
+VOTERS = re.compile(r"\bvoters=(\S*)")
 
 
 class Host:
@@ -141,20 +143,21 @@
             await host.end()
         self._folder.cleanup()
 
-    async def replace_control(self, number, *, is_planned=False):
+    async def replace_control(self, number, *, is_planned=False, ends_old=True):
         """Replace a control host by an empty one at another address.
 
         :param is_planned: the new one is a voter before the old one is stopped;
             otherwise the old one is killed first.
+        :param ends_old: whether the old one is ended at all.
         """
         old = self.controls[number]
-        if not is_planned:
+        if ends_old and not is_planned:
             await old.end()
         new = self._host("control", old.zone, False)
         new.write_settings(self.seeds)
         await new.start()
         await self.wait_until(lambda: self.is_voter(new))
-        if is_planned:
+        if ends_old and is_planned:
             await old.end(signal.SIGTERM)
         self.ended.append(old)
         self.controls[number] = new
@@ -162,20 +165,22 @@
         await self.wait_until(lambda: self.is_removed(old, others))
 
     async def is_voter(self, host):
-        return f"voters={host.name}" in host.log_text or any(
-            host.name in line
-            for line in host.log_text.splitlines()
-            if "event=control_membership" in line
-        )
+        """Return whether a host has logged a membership with itself as a voter."""
+        voters = (VOTERS.search(line)[1] for line in self._membership_lines([host]))
+        return any(host.name in names for names in voters)
 
     async def is_removed(self, host, others):
-        lines = [
+        """Return whether the newest membership that ``others`` logged lacks a host."""
+        lines = self._membership_lines(others)
+        return host.name not in max(lines, key=lambda line: line.split()[0])
+
+    def _membership_lines(self, hosts):
+        return [
             line
-            for other in others
-            for line in other.log_text.splitlines()
+            for host in hosts
+            for line in host.log_text.splitlines()
             if "event=control_membership" in line
         ]
-        return host.name not in max(lines, key=lambda line: line.split()[0])
 
     async def put(self, config):
         """Send a configuration to the control hosts until one acknowledges it."""
--- a/features/steps/control_hosts_replaced_steps.py
+++ b/features/steps/control_hosts_replaced_steps.py
@@ -87,3 +87,29 @@
         run(context, processes.wait_until(is_added, timeout=seconds))
     except TimeoutError as error:
         raise AssertionError(context.paused.log_text[-4000:]) from error
+
+
+@behave.when("the first two control hosts are replaced, one after another")
+def when_two_replaced(context):
+    for number in range(2):
+        run(context, context.processes.replace_control(number))
+
+
+@behave.when("the last control host is paused until it has been replaced too")
+def when_last_paused(context):
+    context.paused_control = context.processes.controls[2]
+    context.paused_control.send_signal(signal.SIGSTOP)
+    run(context, context.processes.replace_control(2, ends_old=False))
+    context.paused_control.send_signal(signal.SIGCONT)
+
+
+@behave.then("it is a voter again within {seconds:d} seconds")
+def then_voter(context, seconds):
+    processes = context.processes
+
+    async def is_voter():
+        return not await processes.is_removed(
+            context.paused_control, processes.controls
+        )
+
+    run(context, processes.wait_until(is_voter, timeout=seconds))
--- a/src/greengagehaven/daemons/admission.py
+++ b/src/greengagehaven/daemons/admission.py
@@ -71,8 +71,12 @@
             return ""
         return None
 
-    async def request_membership(self) -> None:
-        """Ask the leader to add this host to the membership."""
+    async def request_membership(self, membership: records.Membership) -> None:
+        """Ask the leader to add this host to the membership.
+
+        :param membership: the newest one that this host knows. Its members are asked as
+            well, as the control hosts in the settings may have been replaced.
+        """
         request = codec.encode_msgpack(
             control.JoinRequest(
                 member_id=self.own_member.id,
@@ -82,7 +86,8 @@
             )
         )
         tried = set()
-        pending = list(self._peer_addresses)
+        pending = [member.address for member in membership.members]
+        pending += self._peer_addresses
         while pending:
             address = pending.pop(0)
             if address in tried or address == self.own_member.address:
--- a/src/greengagehaven/daemons/control_host.py
+++ b/src/greengagehaven/daemons/control_host.py
@@ -384,7 +384,7 @@
                         _join_request(self._admission.own_member)
                     )
                 else:
-                    await self._admission.request_membership()
+                    await self._admission.request_membership(raft.log.membership)
             await asyncio.sleep(JOIN_RETRY_PERIOD_S)
 
     async def _manage_membership(self) -> None:
