Bound replies of upstreams without end in time and memory

An upstream may send bytes that are no answer for as long as its caller keeps the connection. Each reply was limited to 16 MB, so 24 at the same time took 386 MB, above the memory of a small host; interim responses, chunks of one byte and slow bytes were read without end under a request that must run once, whose connection is not closed when it is answered.

- Incomplete replies share 32 MB; the largest is dropped.
- A reply with more framing than body, beyond the size of a head, is refused.
- An exchange ends a second after its deadline in any case, as cancelled, so that the upstream does not count as crashed.
- The body is one buffer instead of a list of chunks.

--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -12,10 +12,15 @@
 import h11
 
 from greengagehaven import clock as clocks
-from greengagehaven.transport import http, request_head, sockets
+from greengagehaven.transport import http, receive_budget, request_head, sockets
 
 MAX_HEAD_BYTES = 65_536
 MAX_REPLY_BYTES = 16_000_000
+
+MAX_OVERHEAD_RATIO = 1.0
+"""Bytes of framing for each byte of a body, beyond ``MAX_HEAD_BYTES``. Chunks of one
+byte take 5 bytes each, and far more time to parse than the same bytes in one chunk."""
+
 _END = h11.EndOfMessage()
 
 
@@ -49,6 +54,8 @@
 
     :param owner: receives replies and the end of the connection.
     :param clock: clock used for ``last_progress``.
+    :param budget: memory that the replies of many connections share, ``None`` to limit
+        each reply only.
     :ivar exchange: the owner's state for the request in flight, ``None`` if idle.
     :ivar reusable: whether another request may be sent after the current one.
     :ivar has_replied: whether any reply has been received on this connection.
@@ -57,7 +64,13 @@
         or last received data.
     """
 
-    def __init__(self, *, owner: ConnectionOwner, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        owner: ConnectionOwner,
+        clock: clocks.Clock,
+        budget: receive_budget.ReceiveBudget | None = None,
+    ) -> None:
         self.exchange: typing.Any = None
         self.reusable = True
         self.has_replied = False
@@ -65,14 +78,14 @@
         self.last_progress = -math.inf
         self._owner = owner
         self._clock = clock
+        self._budget = budget
         self._transport: typing.Any = None
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._detail = "connection closed by peer"
         self._head: h11.Response | None = None
-        self._chunks: list[bytes] = []
-        self._reply_bytes = 0
+        self._body = bytearray()
         self._received_bytes = 0
         self._sent_bytes = 0
         self._awaits_reply = False
@@ -111,6 +124,7 @@
             self._detail = str(exc) or type(exc).__name__
         elif self._head is not None:
             self._complete_reply_at_eof()
+        self._discard_body()
         self._owner.on_closed(self, self._detail)
 
     def send(
@@ -177,6 +191,8 @@
             self._read_events()
         except h11.RemoteProtocolError as error:
             self.abort(f"invalid HTTP/1.1 response: {error}")
+            return
+        self._check_overhead()
 
     def close(self) -> None:
         """Close the connection once buffered data has been sent."""
@@ -189,6 +205,7 @@
         self.reusable = False
         self._detail = detail
         self._head = None
+        self._discard_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -199,7 +216,7 @@
             if kind is h11.Response:
                 self._head = event
             elif kind is h11.Data:
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             elif kind is h11.EndOfMessage:
                 self._complete_reply()
                 return
@@ -207,10 +224,26 @@
                 return
 
     def _append_body(self, data: bytes) -> None:
-        self._reply_bytes += len(data)
-        self._chunks.append(data)
-        if self._reply_bytes > MAX_REPLY_BYTES:
+        if self._head is None:
+            return
+        self._body += data
+        if len(self._body) > MAX_REPLY_BYTES:
             self.abort(f"reply exceeds {MAX_REPLY_BYTES} bytes")
+        elif self._budget is not None:
+            self._budget.add(self, len(data))
+
+    def _check_overhead(self) -> None:
+        """Abort a reply with too few bytes of body, such as an endless head."""
+        if not self._awaits_reply:
+            return
+        overhead = self._received_bytes - len(self._body)
+        if overhead > MAX_HEAD_BYTES + MAX_OVERHEAD_RATIO * len(self._body):
+            self.abort(f"reply has {overhead} bytes of heads and framing")
+
+    def _discard_body(self) -> None:
+        self._body = bytearray()
+        if self._budget is not None:
+            self._budget.release(self)
 
     def _complete_reply(self) -> None:
         reply = self._build_reply()
@@ -245,11 +278,10 @@
         head = self._head
         if head is None:
             return None
-        body = b"".join(self._chunks)
+        body = bytes(self._body)
         self.has_replied = True
         self._head = None
-        self._chunks = []
-        self._reply_bytes = 0
+        self._discard_body()
         headers = http.Headers.from_wire(head.headers)
         return Reply(
             status=head.status_code,
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -17,9 +17,15 @@
 from greengagehaven import settings
 from greengagehaven.coordination.routing import events
 from greengagehaven.protocol import header_names as names_module
-from greengagehaven.transport import client_connection, request_head
+from greengagehaven.transport import client_connection, receive_budget, request_head
 
 CONNECT_TIMEOUT_S = 0.4
+MAX_INCOMPLETE_BYTES = 32_000_000
+
+OVERDUE_AFTER_S = 1.0
+"""Seconds after its deadline at which even an exchange that must not be cancelled ends:
+its reply may be without end, and its upstream stops working at the deadline."""
+
 RELEASE_GRACE_S = 0.3
 DEFAULT_KEEP_ALIVE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 0.7
@@ -95,11 +101,13 @@
     :param names: header names of the routing protocol.
     :param clock: monotonic clock.
     :ivar connections_opened: number of connection attempts so far.
+    :ivar budget: memory of the replies that are being received.
     """
 
     def __init__(self, *, names: names_module.HeaderNames, clock: clocks.Clock) -> None:
         self.names = names
         self.connections_opened = 0
+        self.budget = receive_budget.ReceiveBudget(limit=MAX_INCOMPLETE_BYTES)
         self._clock = clock
         self._pools_by_address: dict[str, _Pool] = {}
         self._exchanges_by_attempt: dict[int, Exchange] = {}
@@ -136,8 +144,14 @@
             self._pools_by_address[exchange.address].withdraw(exchange)
             self.finish(exchange, events.Failed(fault=events.Fault.UNSENT))
         elif may_cancel:
-            loop = asyncio.get_running_loop()
-            loop.call_later(RELEASE_GRACE_S, self._abort_released, exchange)
+            asyncio.get_running_loop().call_later(RELEASE_GRACE_S, self.abort, exchange)
+
+    def abort(self, exchange: Exchange) -> None:
+        """End an exchange in flight and close its connection."""
+        if exchange.connection is not None and exchange.connection.exchange is exchange:
+            if not exchange.is_over:
+                self.finish(exchange, events.Failed(fault=events.Fault.CANCELLED))
+            exchange.connection.abort("exchange was withdrawn")
 
     def check_listener(self, address: str, on_checked: OnListenerChecked) -> None:
         """Open a connection to an address and report whether it is accepted.
@@ -213,11 +227,6 @@
             self._schedule_expiry()
         return pool
 
-    def _abort_released(self, exchange: Exchange) -> None:
-        if not exchange.is_over and exchange.connection is not None:
-            self.finish(exchange, events.Failed(fault=events.Fault.CANCELLED))
-            exchange.connection.abort("exchange was withdrawn")
-
     def _close_expired(self) -> None:
         # First, so that an unexpected error does not end the checks.
         self._schedule_expiry()
@@ -283,7 +292,11 @@
                 connection.close()
 
     def close_expired(self, now: float) -> None:
-        """Close idle connections before the upstream's keep-alive timeout ends."""
+        """Close connections that are near their keep-alive timeout, or overdue."""
+        for connection in list(self._open):
+            exchange = connection.exchange
+            if exchange is not None and now > exchange.deadline + OVERDUE_AFTER_S:
+                self._channel.abort(exchange)
         for connection in list(self._idle):
             if self._expiry_by_connection.get(connection, math.inf) <= now:
                 self._idle.remove(connection)
@@ -390,7 +403,9 @@
 
     async def _connect(self, on_checked: OnListenerChecked | None = None) -> None:
         loop = asyncio.get_running_loop()
-        connection = client_connection.ClientConnection(owner=self, clock=self._clock)
+        connection = client_connection.ClientConnection(
+            owner=self, clock=self._clock, budget=self._channel.budget
+        )
         listener, detail = events.Listener.OPEN, ""
         self._channel.connections_opened += 1
         try:
