Refuse announcements with integers that other hosts can't be sent

An acknowledged configuration came into force at no entry host after another writer had announced an upstream with an integer of 128 bits: the roster kept it, msgpack refuses integers of more than 64 bits, and each reply that would have brought the configuration contained the entry.

Integers of announcements, also of the product's own interface, and versions of configurations are limited where they come in, and so is the cold start.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -83,6 +83,10 @@
       | an address without a port |
       | slots that are text       |
       | a start time that is text |
+      | a sequence of 128 bits    |
+      | a start time of 128 bits  |
+      | slots of 128 bits         |
+      | a cold start of 1e300 ms  |
       | invalid JSON              |
 
   Scenario: A sweep is served, leafs drain and a zone is evacuated
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -203,6 +203,14 @@
             context.heartbeat["slots"] = "two"
         case "a start time that is text":
             context.heartbeat["born"] = "today"
+        case "a sequence of 128 bits":
+            context.heartbeat["seq"] = 2**127
+        case "a start time of 128 bits":
+            context.heartbeat["born"] = 2**127
+        case "slots of 128 bits":
+            context.heartbeat["slots"] = 2**127
+        case "a cold start of 1e300 ms":
+            context.heartbeat["coldLeftMs"] = 1e300
         case "invalid JSON":
             context.heartbeat = None
         case _:
--- a/src/greengagehaven/platform/announcements.py
+++ b/src/greengagehaven/platform/announcements.py
@@ -1,5 +1,7 @@
 """Parser for the announcements of upstreams (leafs) to control hosts."""
 
+import typing
+
 import msgspec
 
 from greengagehaven import exceptions, settings
@@ -11,20 +13,23 @@
 }
 
 
+MAX_COLD_MS = 86_400_000.0
+
+
 class _Beat(msgspec.Struct, frozen=True, rename="camel"):
     backend: str
     addr: str
     zone: str
-    slots: int
+    slots: codec.Integer
     state: str
-    seq: int
-    born: int = 0
-    cold_left_ms: float = 0.0
+    seq: codec.Integer
+    born: codec.Integer = 0
+    cold_left_ms: typing.Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
     version: str = ""
 
 
 class _Goodbye(msgspec.Struct, frozen=True):
-    born: int | None = None
+    born: codec.Integer | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/greengagehaven/platform/documents.py
+++ b/src/greengagehaven/platform/documents.py
@@ -56,7 +56,7 @@
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: codec.Integer
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
--- a/src/greengagehaven/protocol/codec.py
+++ b/src/greengagehaven/protocol/codec.py
@@ -9,6 +9,10 @@
 
 T = typing.TypeVar("T")
 
+Integer = typing.Annotated[int, msgspec.Meta(ge=-(2**62), lt=2**62)]
+"""Integer that comes from outside as JSON, which has no limit. One of more than 64 bits
+can't be encoded for other hosts, and would keep back every message that contains it."""
+
 _JSON_ENCODER = msgspec.json.Encoder()
 _MSGPACK_ENCODER = msgspec.msgpack.Encoder()
 _DECODE_ERROR = re.compile(r"^(?P<expected>.*?)(?: - at `(?P<place>.*)`)?$", re.DOTALL)
--- a/src/greengagehaven/protocol/upstream.py
+++ b/src/greengagehaven/protocol/upstream.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from greengagehaven.protocol import codec
+
 
 class ShardRef(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Identifies a shard by its service and its number within the service."""
@@ -29,9 +31,9 @@
     """A shard that an upstream serves, with the partitioning it belongs to."""
 
     service: str
-    shard: int
-    shard_count: int
-    partitioning: int
+    shard: codec.Integer
+    shard_count: codec.Integer
+    partitioning: codec.Integer
 
     @property
     def ref(self) -> ShardRef:
@@ -42,8 +44,8 @@
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """Load as reported by an upstream; it may be outdated or wrong."""
 
-    in_flight: int = 0
-    queued: int = 0
+    in_flight: codec.Integer = 0
+    queued: codec.Integer = 0
 
 
 class Announcement(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,14 +55,14 @@
     """
 
     id: str
-    incarnation: int
-    sequence: int
+    incarnation: codec.Integer
+    sequence: codec.Integer
     address: str
     availability_zone: str
     state: UpstreamState
-    slots: int
-    max_connections: int
-    snapshots: tuple[int, ...]
+    slots: codec.Integer
+    max_connections: codec.Integer
+    snapshots: tuple[codec.Integer, ...]
     shards: tuple[HostedShard, ...]
     load: LoadReport = LoadReport()
 
