--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -1,9 +1,9 @@
 """Run every check of the project and print ``N passed, N failed`` as the last line.
 
-The checks are format, lint, layers, documentation, replays and behave scenarios.
-A failing scenario that is listed in KNOWN-RED.txt is reported separately and counts
-neither as passed nor as failed. A listed scenario that passes counts as failed, so
-that entries are removed once the fault is fixed.
+The checks are format, lint, layers, protocols, documentation, replays and behave
+scenarios. A failing scenario that is listed in KNOWN-RED.txt is reported separately
+and counts neither as passed nor as failed. A listed scenario that passes counts as
+failed, so that entries are removed once the fault is fixed.
 """
 
 import concurrent.futures
@@ -46,6 +46,7 @@
         run_command("format", [BIN / "ruff", "format", "--check", "."]),
         run_command("lint", [BIN / "ruff", "check", "."]),
         run_command("layers", [sys.executable, "tools/check_layers.py"]),
+        run_command("protocols", [sys.executable, "tools/check_protocols.py"]),
     ]
     for name, *arguments in DOCUMENTATION_CHECKS:
         checks.append(run_command(name, [sys.executable, *arguments]))
