Spread the calls that ask entry hosts for control hosts

If the control hosts are down, every entry host of a zone asked the same two others at the same time: at the target size 900 hosts call one of them each second. Each starts with another host now. The log lines are named after what happens: control_hosts_received, control_hosts_request_failed.

--- a/features/steps/control_contact_steps.py
+++ b/features/steps/control_contact_steps.py
@@ -1,5 +1,6 @@
 """Steps for the contact of an entry host with the control hosts."""
 
+import random
 from unittest import mock
 
 import behave
@@ -20,7 +21,9 @@
 def given_contact(context, revision):
     context.clock = clocks.ManualClock()
     context.revision = revision
-    context.contact = control_contact.ControlContact(clock=context.clock)
+    context.contact = control_contact.ControlContact(
+        clock=context.clock, rng=random.Random(1)
+    )
     context.contact.on_revision(revision)
     context.contact.on_reply(ADDRESS, has_quorum=True, members=[ADDRESS])
     context.asked = []
--- a/src/greengagehaven/coordination/control_contact.py
+++ b/src/greengagehaven/coordination/control_contact.py
@@ -10,6 +10,7 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import log
+from greengagehaven import rng as rngs
 
 LOST_AFTER_S = 3.0
 """Seconds without a reply from a control host that reaches a majority after which the
@@ -20,6 +21,7 @@
 
 ASK_PERIOD_S = 1.0
 HOSTS_PER_ROUND = 2
+MAX_FIRST_TO_ASK = 10_000
 
 FORGET_AFTER_S = 30.0
 """Seconds without a reply after which a control host that was removed from the group
@@ -39,9 +41,10 @@
     cut off goes on replying with the state that it had.
 
     :param clock: monotonic time, including the time in suspension.
+    :param rng: chooses the entry host to ask first, so that not all ask the same one.
     """
 
-    def __init__(self, *, clock: clocks.Clock) -> None:
+    def __init__(self, *, clock: clocks.Clock, rng: rngs.Rng) -> None:
         self._clock = clock
         now = clock.monotonic()
         self._heard_at = now
@@ -56,7 +59,7 @@
         self._asked_at = float("-inf")
         self._unanswered_since: float | None = None
         self._other_in_contact_at = float("-inf")
-        self._ask_count = 0
+        self._next_to_ask = rng.randrange(MAX_FIRST_TO_ASK)
 
     @property
     def age(self) -> float:
@@ -149,8 +152,8 @@
         if now - self._asked_at < ASK_PERIOD_S:
             return ()
         self._asked_at = now
-        first = self._ask_count
-        self._ask_count += HOSTS_PER_ROUND
+        first = self._next_to_ask
+        self._next_to_ask += HOSTS_PER_ROUND
         chosen = (
             addresses[(first + n) % len(addresses)] for n in range(HOSTS_PER_ROUND)
         )
--- a/src/greengagehaven/daemons/contact_recovery.py
+++ b/src/greengagehaven/daemons/contact_recovery.py
@@ -72,10 +72,10 @@
             )
             reply = codec.decode_msgpack(data, watching.ControlHosts)
         except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
-            log.info("control_hosts_not_told", host=address, error=error.detail)
+            log.info("control_hosts_request_failed", host=address, error=error.detail)
             return
         log.info(
-            "control_hosts_told",
+            "control_hosts_received",
             host=address,
             addresses=",".join(reply.addresses),
             revision=reply.revision,
--- a/src/greengagehaven/daemons/watcher.py
+++ b/src/greengagehaven/daemons/watcher.py
@@ -125,12 +125,12 @@
         self._is_entry = is_entry
         self._own_address = own_address
         self._delegation_address = delegation_address
-        self.contact = control_contact.ControlContact(clock=clock)
+        self.contact = control_contact.ControlContact(clock=clock, rng=rng)
         self.recovery = contact_recovery.ContactRecovery(
             channel=channel,
             contact=self.contact,
             entry_addresses=self._entry_addresses,
-            on_found=self._on_control_hosts_told,
+            on_found=self._on_control_hosts_received,
             held_revision=lambda: self._history.revision,
         )
         self.reporter = fault_reports.FaultReporter(
@@ -201,7 +201,7 @@
             host.address for host in self._entry_hosts.hosts if host.id != self._host_id
         )
 
-    def _on_control_hosts_told(self, addresses: tuple[str, ...]) -> None:
+    def _on_control_hosts_received(self, addresses: tuple[str, ...]) -> None:
         for address in addresses:
             self._watch(address, source="entry_host")
 
