Bound the text of unexpected errors; keep the first reason of an abort

An error may quote a whole message, and log lines are bounded. A reply that was aborted for its size was then reported as one with too much framing, as its body had been discarded by then.

--- a/features/fakes/platform_processes.py
+++ b/features/fakes/platform_processes.py
@@ -44,6 +44,11 @@
     def operator_address(self):
         return f"{self.ip}:{OPERATOR_PORT}"
 
+    @property
+    def member_prefix(self):
+        """Return what the ids of its group members begin with."""
+        return f"{self.name}-"
+
     @property
     def log_text(self):
         return (self.folder / f"{self.name}.log").read_text(encoding="utf-8")
@@ -167,12 +172,13 @@
     async def is_voter(self, host):
         """Return whether a host has logged a membership with itself as a voter."""
         voters = (VOTERS.search(line)[1] for line in self._membership_lines([host]))
-        return any(host.name in names for names in voters)
+        return any(host.member_prefix in names for names in voters)
 
     async def is_removed(self, host, others):
         """Return whether the newest membership that ``others`` logged lacks a host."""
         lines = self._membership_lines(others)
-        return host.name not in max(lines, key=lambda line: line.split()[0])
+        newest = max(lines, key=lambda line: line.split()[0])
+        return host.member_prefix not in newest
 
     def _membership_lines(self, hosts):
         return [
--- a/src/greengagehaven/transport/background_tasks.py
+++ b/src/greengagehaven/transport/background_tasks.py
@@ -20,6 +20,9 @@
 MAX_RESTART_DELAY_S = 10.0
 """Bounds of the seconds until a task is restarted; they double with each error."""
 
+MAX_LOGGED_CHARS = 200
+"""Characters of an error's text in the log; it may quote a whole message."""
+
 STABLE_AFTER_S = 30.0
 """Seconds after which a task that runs counts as stable again."""
 
@@ -46,7 +49,7 @@
     log.error(
         "task_failed",
         task=task,
-        error=f"{type(error).__name__}: {error}",
+        error=f"{type(error).__name__}: {error}"[:MAX_LOGGED_CHARS],
         raised_at=_raised_at(error),
         failures=failures_by_task[task],
         **fields,
--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -234,7 +234,7 @@
 
     def _check_overhead(self) -> None:
         """Abort a reply with too few bytes of body, such as an endless head."""
-        if not self._awaits_reply:
+        if not (self._awaits_reply and self.is_open):
             return
         overhead = self._received_bytes - len(self._body)
         if overhead > MAX_HEAD_BYTES + MAX_OVERHEAD_RATIO * len(self._body):
