Count refused calls and earlier silence right when a host is alone

During an upgrade, entry hosts of the earlier release refuse the call for control hosts with 404, which counted as no answer: with the control hosts down, every upgraded host would have left the load balancer. And an answer missing before a contact counted towards the 3 s after the next loss of contact.

Two scenarios in features/control_contact.feature failed before and pass.

--- a/features/control_contact.feature
+++ b/features/control_contact.feature
@@ -42,6 +42,21 @@
     And a control host with revision 9 replies
     Then the entry host counts as isolated: no
 
+  Scenario: An answer that was missing before an earlier contact does not count
+    Given an entry host that holds revision 7 and hears from a control host
+    When 5 seconds pass without a reply, and the other entry hosts do not answer
+    And a control host with revision 9 replies
+    And 4 seconds pass without a reply, and the other entry hosts do not answer
+    Then the entry host counts as isolated: no
+
+  Scenario: Other entry hosts of an earlier release do not know the call
+    They refuse it, which shows that this host is not cut off. During an upgrade, it
+    would have counted as isolated as soon as the control hosts were down.
+
+    Given an entry host whose calls to other entry hosts are refused
+    When 9 seconds pass for its contact recovery
+    Then the entry host counts as isolated: no
+
   Scenario: Entry hosts are asked in turn, at most two a second
     If the control hosts are down, every entry host asks others all the time.
 
--- a/features/steps/control_contact_steps.py
+++ b/features/steps/control_contact_steps.py
@@ -1,12 +1,16 @@
 """Steps for the contact of an entry host with the control hosts."""
 
+import asyncio
 import random
 from unittest import mock
 
 import behave
 
+from fakes import control_fakes
 from greengagehaven import clock as clocks
+from greengagehaven import exceptions
 from greengagehaven.coordination import control_contact
+from greengagehaven.daemons import contact_recovery
 
 ADDRESS = "control-1:1"
 SEED_ADDRESS = "control-2:1"
@@ -137,3 +141,38 @@
 @behave.then("it forgets the control host that was removed")
 def then_forgotten(context):
     assert context.contact.removed_addresses() == (REMOVED_ADDRESS,)
+
+
+class RefusingChannel:
+    """Refuses every call, as a host does that does not know its method."""
+
+    async def call(self, address, method, body, *, timeout):
+        raise exceptions.PeerRefusedError(f"{address} {method}: 404")
+
+
+@behave.given("an entry host whose calls to other entry hosts are refused")
+def given_refused(context):
+    context.loop = control_fakes.VirtualLoop()
+    context.add_cleanup(context.loop.close)
+    context.contact = control_contact.ControlContact(
+        clock=context.loop.clock, rng=random.Random(1)
+    )
+    context.recovery = contact_recovery.ContactRecovery(
+        channel=RefusingChannel(),
+        contact=context.contact,
+        entry_addresses=lambda: ENTRY_ADDRESSES,
+        on_found=lambda addresses: None,
+        held_revision=lambda: 7,
+    )
+
+
+@behave.when("{seconds:d} seconds pass for its contact recovery")
+def when_recovering(context, seconds):
+    async def play():
+        task = asyncio.ensure_future(context.recovery.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    context.loop.run_until_complete(play())
+    assert context.contact.is_lost
--- a/src/greengagehaven/coordination/control_contact.py
+++ b/src/greengagehaven/coordination/control_contact.py
@@ -123,6 +123,7 @@
         if has_quorum:
             self._heard_at = now
             self._members = named
+            self._unanswered_since = None
 
     def on_asked(self) -> None:
         """Record that another entry host was asked and has not answered yet."""
--- a/src/greengagehaven/daemons/contact_recovery.py
+++ b/src/greengagehaven/daemons/contact_recovery.py
@@ -73,6 +73,9 @@
             reply = codec.decode_msgpack(data, watching.ControlHosts)
         except (exceptions.PeerError, exceptions.InvalidRequestError) as error:
             log.info("control_hosts_request_failed", host=address, error=error.detail)
+            if isinstance(error, exceptions.PeerRefusedError):
+                # A host of a release without this method is reachable all the same.
+                self._contact.on_entry_host_reply(is_in_contact=False, revision=0)
             return
         log.info(
             "control_hosts_received",
