--- a/features/fakes/platform_processes.py
+++ b/features/fakes/platform_processes.py
@@ -125,6 +125,11 @@
     def seeds(self):
         return [host.operator_address for host in self.controls]
 
+    @property
+    def hosts(self):
+        """Return all hosts, including those that were replaced."""
+        return (*self.ended, *self.controls, *self.entries)
+
     def _host(self, role, zone, bootstrap):
         number = next(self._numbers)
         return Host(
@@ -144,7 +149,7 @@
     async def close(self):
         for client in self._clients_by_address.values():
             client.close()
-        for host in (*self.ended, *self.controls, *self.entries):
+        for host in self.hosts:
             await host.end()
         self._folder.cleanup()
 
