--- a/features/fakes/platform_soak.py
+++ b/features/fakes/platform_soak.py
@@ -12,6 +12,16 @@
 BURSTS = 3
 CLIENT_PERIOD_S = 0.05
 
+MAX_ENTRY_DELAY_S = 2.0
+"""Seconds from the beginning of a burst; replacing one control host takes longer."""
+
+TURNOVER_SHARE = 0.5
+"""Share of the bursts in which every control host is replaced."""
+
+REPLACEMENTS = ("kill", "replace")
+CONTROL_FAULTS = (*REPLACEMENTS, "restart", "pause")
+ENTRY_FAULTS = ("pause", "pause_until_controls_done", "restart", "hangups")
+
 CONTACT_S = 4.0
 APPLY_S = 3.0
 """Seconds without a fault after which a host is in contact, and from the
@@ -75,6 +85,7 @@
             await asyncio.sleep(CLIENT_PERIOD_S)
 
     async def _burst(self):
+        self._controls_done = asyncio.Event()
         old_seeds = self.processes.seeds
         entries = self.processes.entries
         chosen = self._rng.sample(entries, self._rng.randint(1, len(entries)))
@@ -88,9 +99,10 @@
         self.events.append(f"settings name {seeds}")
 
     async def _disturb_controls(self):
-        numbers = self._rng.sample(range(3), self._rng.randint(1, 3))
+        is_turnover = self._rng.random() < TURNOVER_SHARE
+        numbers = self._rng.sample(range(3), 3 if is_turnover else 2)
         for number in numbers:
-            fault = self._rng.choice(("kill", "replace", "restart", "pause"))
+            fault = self._rng.choice(REPLACEMENTS if is_turnover else CONTROL_FAULTS)
             self.events.append(f"control {number}: {fault}")
             host = self.processes.controls[number]
             match fault:
@@ -103,14 +115,19 @@
                 case "pause":
                     await self._pause(host, self._rng.uniform(0.5, 6))
                     await asyncio.sleep(2)
+        self._controls_done.set()
 
     async def _disturb_entry(self, host):
-        await asyncio.sleep(self._rng.uniform(0, 4))
-        fault = self._rng.choice(("pause", "pause", "restart", "hangups"))
+        await asyncio.sleep(self._rng.uniform(0, MAX_ENTRY_DELAY_S))
+        fault = self._rng.choice(ENTRY_FAULTS)
         self.events.append(f"{host.name}: {fault}")
         match fault:
             case "pause":
                 await self._pause(host, self._rng.uniform(1, 20))
+            case "pause_until_controls_done":
+                host.send_signal(signal.SIGSTOP)
+                await self._controls_done.wait()
+                host.send_signal(signal.SIGCONT)
             case "restart":
                 host.write_settings(self.processes.seeds)
                 await self._restart(host)
--- a/features/steps/platform_soak_steps.py
+++ b/features/steps/platform_soak_steps.py
@@ -6,7 +6,7 @@
 
 from fakes import platform_soak
 
-SEED = 100
+SEED = 5
 ENTRIES = 3
 
 
