--- a/features/explain.feature
+++ b/features/explain.feature
@@ -40,6 +40,12 @@
     When the sweep is looked up in the log
     Then the report says that the host was without a key lease for 800 ms
 
+  Scenario: The report shows since when the host heard from no control host
+    Given a log in which a sweep matches no route of an old configuration
+    When the sweep is looked up in the log
+    Then its outcome is refused and its cause no_route
+    And the report says that the host was without contact for 15000 ms
+
   Scenario: Logs of several hosts are merged into one
     Given a log in which each line of two hosts is prefixed with the host name
     When the sweep is looked up in the log
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -15,6 +15,7 @@
     "upstream_out_of_reach upstream=u-3 service=s3 zone=b reason=connect"
 )
 
+CONTACT_LOST = "control_contact_lost age_ms=14999 known=3 current=0 revision=1"
 KEY_LEASE_LOST = "key_lease_lost confirmed_ms=5299 noticed_ms=799"
 
 
@@ -33,6 +34,7 @@
     "is answered completely": [PLANNED, ended("answered")],
     "arrives before the host has a route table": [refused("not_configured")],
     "matches no route": [refused("not_found")],
+    "matches no route of an old configuration": [CONTACT_LOST, refused("not_found")],
     "has an unknown key": [refused("unauthorized")],
     "arrives after the key lease expired": [
         KEY_LEASE_LOST,
@@ -209,3 +211,10 @@
     (report,) = context.reports
     # The refusal is logged 1 ms after the loss in this log.
     assert f"without a key lease for {ms} ms" in report.state_lines, report.state_lines
+
+
+@behave.then("the report says that the host was without contact for {ms:d} ms")
+def then_without_contact(context, ms):
+    (report,) = context.reports
+    expected = f"without contact to the control hosts for {ms} ms"
+    assert expected in report.state_lines, report.state_lines
