Log what a stop does to each request

`left` counts connections with an open cycle, lingering ones too, so the log could not tell a drain that ran out of time from one that a second signal aborted, or from requests that nothing counted.

Each signal after the first is logged, the listener's end and the drain's end with the connections by state, each request that is cut off with its time since it was read, each request that is still at upstreams when the host closes, input behind a response that closes the connection, and clients that end their side first. The metrics show connections by state, the stop and the requests cut. What a drain does is unchanged.

--- a/features/fakes/key_lease.py
+++ b/features/fakes/key_lease.py
@@ -14,7 +14,13 @@
 from greengagehaven import log
 from greengagehaven.coordination import control_host_selection
 from greengagehaven.coordination.routing import router
-from greengagehaven.daemons import gateway, publisher, roster_feed, watcher
+from greengagehaven.daemons import (
+    gateway,
+    gateway_settings,
+    publisher,
+    roster_feed,
+    watcher,
+)
 from greengagehaven.platform import documents, names
 from greengagehaven.protocol import codec, watching
 from greengagehaven.state import configuration, configuration_history, roster
@@ -121,7 +127,7 @@
         self.network = control_fakes.Network()
         self.controls = [ControlHost(self, number) for number in range(3)]
         self.gateway = gateway.Gateway(
-            settings=gateway.GatewaySettings(
+            settings=gateway_settings.GatewaySettings(
                 host_id="front-1",
                 zone=ZONE,
                 listen="127.0.0.1:0",
--- a/features/fakes/platform_deployment.py
+++ b/features/fakes/platform_deployment.py
@@ -9,7 +9,12 @@
 from greengagehaven import clock
 from greengagehaven.coordination.raft import timing
 from greengagehaven.coordination.routing import router
-from greengagehaven.daemons import control_host, gateway, registry_daemon
+from greengagehaven.daemons import (
+    control_host,
+    gateway,
+    gateway_settings,
+    registry_daemon,
+)
 from greengagehaven.platform import control_api, documents, names
 from greengagehaven.transport import free_ports, http, http_client, http_server
 
@@ -151,7 +156,7 @@
 
     def make_gateway(self, host_id, listen, ready, metrics, *, zone="midt-a"):
         return gateway.Gateway(
-            settings=gateway.GatewaySettings(
+            settings=gateway_settings.GatewaySettings(
                 host_id=host_id,
                 zone=zone,
                 listen=listen,
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -26,8 +26,10 @@
     Given a daemon whose drain never ends and 3 requests in flight
     When it gets SIGTERM twice
     Then it exits with code 1 and logs that 3 were left
+    And it logs the second signal and the times of its drain and closing
 
   Scenario: After one signal a daemon completes its drain
     Given a daemon whose drain ends and 0 requests in flight
     When it gets SIGTERM once
     Then it exits with code 0 and logs that 0 were left
+    And it logs the time of its drain
--- a/features/steps/reloading_steps.py
+++ b/features/steps/reloading_steps.py
@@ -15,6 +15,7 @@
     control_host,
     exposition,
     gateway,
+    gateway_settings,
     registry_daemon,
     reloading,
 )
@@ -27,7 +28,7 @@
 
 def make_entry_host(address):
     return gateway.Gateway(
-        settings=gateway.GatewaySettings(
+        settings=gateway_settings.GatewaySettings(
             host_id="front-1",
             zone="midt-a",
             listen="127.0.0.1:0",
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import os
+import re
 import signal
 
 import behave
@@ -172,3 +173,19 @@
 def then_exits(context, code, count):
     assert context.code == code
     assert f"event=stopped left={count}" in context.lines[-1], context.lines
+
+
+@behave.then("it logs the second signal and the times of its drain and closing")
+def then_second_signal(context):
+    assert len(context.lines) == 3, context.lines
+    assert re.search(
+        r"event=stop_signal signal=SIGTERM since_stop_ms=\d+ in_flight=3$",
+        context.lines[1],
+    ), context.lines
+    assert re.search(r" drain_ms=\d+ close_ms=\d+$", context.lines[2]), context.lines
+
+
+@behave.then("it logs the time of its drain")
+def then_drain_time(context):
+    assert len(context.lines) == 2, context.lines
+    assert re.search(r" drain_ms=\d+$", context.lines[1]), context.lines
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -94,6 +94,11 @@
         """Return the number of requests that are not answered yet."""
         return len(self._requests_by_number) + len(self._waiting_by_number)
 
+    @property
+    def requests(self) -> abc.Collection[request.RoutedRequest]:
+        """Return the requests that were admitted and are not answered yet."""
+        return self._requests_by_number.values()
+
     @property
     def _table_number(self) -> int:
         return 0 if self.table is None else self.table.number
--- a/src/greengagehaven/daemons/exposition.py
+++ b/src/greengagehaven/daemons/exposition.py
@@ -1,11 +1,18 @@
 """Metrics in the Prometheus text format, collected on each scrape."""
 
+import collections
 import typing
 from collections import abc
 
 from greengagehaven import exceptions, log
 from greengagehaven.coordination.routing import counts, key_lease
-from greengagehaven.transport import background_tasks, http, http_peers, http_server
+from greengagehaven.transport import (
+    background_tasks,
+    http,
+    http_peers,
+    http_server,
+    http_server_connection,
+)
 
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -208,6 +215,50 @@
         return []
 
 
+class ServerCollector:
+    """Metric families of the connections of callers and of the stop of a host.
+
+    :param server: server of the callers.
+    """
+
+    def __init__(self, *, server: http_server.HttpServer) -> None:
+        self._server = server
+
+    def collect(self) -> abc.Iterator[typing.Any]:
+        """Yield every metric family; imports the Prometheus library on first use."""
+        from prometheus_client import core
+
+        connections = core.GaugeMetricFamily(
+            f"{METRIC_PREFIX}_caller_connections",
+            "Open connections of callers",
+            labels=("state",),
+        )
+        counts = collections.Counter(self._server.connection_states)
+        for state in http_server_connection.State:
+            connections.add_metric((state.value,), counts[state.value])
+        yield connections
+        report = self._server.report
+        yield core.GaugeMetricFamily(
+            f"{METRIC_PREFIX}_stopping",
+            "1 once the host drains",
+            value=report.draining_since is not None,
+        )
+        yield core.GaugeMetricFamily(
+            f"{METRIC_PREFIX}_stopping_seconds",
+            "Time since the drain began, 0 before it",
+            value=report.since_drain,
+        )
+        yield core.CounterMetricFamily(
+            f"{METRIC_PREFIX}_requests_cut",
+            "Requests that were read and cut off without a complete response",
+            value=report.cut_count,
+        )
+
+    def describe(self) -> list[typing.Any]:
+        """Return an empty list, so that registering does not call ``collect``."""
+        return []
+
+
 class TaskCollector:
     """Metric family of unexpected errors of tasks in this process."""
 
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -1,7 +1,6 @@
 """An entry host that routes requests to upstreams: input and output of the router."""
 
 import asyncio
-import dataclasses
 import datetime
 import functools
 import itertools
@@ -20,8 +19,10 @@
     delegation_server,
     exposition,
     gateway_metrics,
+    gateway_settings,
     lender,
     rollout_reports,
+    stop_report,
     usage_reports,
     wake_timer,
     watcher,
@@ -46,32 +47,6 @@
 DocumentParser = abc.Callable[[bytes], routes.RoutingTable]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class GatewaySettings:
-    """Settings of an entry host that routes requests.
-
-    :param listen: ``IP:PORT`` for callers.
-    :param ready_listen: ``IP:PORT`` for readiness checks of the load balancer.
-    :param ready_path: path of the readiness checks.
-    :param control_addresses: peer addresses of control hosts to start from.
-    :param metrics_listen: ``IP:PORT`` for metrics, ``None`` for no metrics.
-    :param peer_listen: ``IP:PORT`` where other entry hosts of the zone delegate
-        attempts of sweeps to this one, ``None`` if they can't.
-    :param grace: longest time from the stop signal to the end of the process.
-    """
-
-    host_id: str
-    zone: str
-    listen: str
-    ready_listen: str
-    ready_path: str = "/readyz"
-    control_addresses: tuple[str, ...]
-    grace: datetime.timedelta
-    router: router.Options
-    metrics_listen: str | None = None
-    peer_listen: str | None = None
-
-
 class Gateway:
     """Accepts requests of callers and routes them to upstreams.
 
@@ -85,7 +60,7 @@
     def __init__(
         self,
         *,
-        settings: GatewaySettings,
+        settings: gateway_settings.GatewaySettings,
         names: names_module.HeaderNames,
         parse_document: DocumentParser,
         clock: clocks.Clock,
@@ -138,7 +113,9 @@
         self.has_refused_settings = False
         self._revision = 0
         self._metrics = exposition.MetricsServer(registry=self._make_registry)
-        self._server = http_server.HttpServer(handler=self._handle, clock=clock)
+        self._server = http_server.HttpServer(
+            handler=self._handle, clock=clock, id_header=names.request_id
+        )
         self._ready_server = http_server.HttpServer(
             handler=self._handle_ready, clock=clock
         )
@@ -189,6 +166,9 @@
         if self._usage_reporter is not None:
             await self._usage_reporter.close()
         await self._watcher.close()
+        stop_report.log_requests_in_flight(
+            self._router.requests, now=self._clock.monotonic()
+        )
         await self._server.close()
         await self._ready_server.close()
         await self._metrics.close()
@@ -321,6 +301,7 @@
             delegations=self._delegation_server,
             channel=self._channel,
             client=self._client,
+            server=self._server,
             contact=self._watcher.contact,
             revision=lambda: self._revision,
             has_refused_settings=lambda: self.has_refused_settings,
--- a/src/greengagehaven/daemons/gateway_metrics.py
+++ b/src/greengagehaven/daemons/gateway_metrics.py
@@ -6,7 +6,7 @@
 from greengagehaven.coordination import control_contact
 from greengagehaven.coordination.routing import router as router_module
 from greengagehaven.daemons import delegation_server, exposition
-from greengagehaven.transport import exchanges, http_peers
+from greengagehaven.transport import exchanges, http_peers, http_server
 
 
 def make_registry(
@@ -15,6 +15,7 @@
     delegations: delegation_server.DelegationServer,
     channel: exchanges.ExchangeChannel,
     client: http_peers.HttpPeerClient,
+    server: http_server.HttpServer,
     contact: control_contact.ControlContact,
     revision: abc.Callable[[], int],
     has_refused_settings: abc.Callable[[], bool],
@@ -24,6 +25,7 @@
     :param delegations: attempts that other entry hosts delegate to this one.
     :param channel: connections to upstreams.
     :param client: calls to other hosts.
+    :param server: connections of callers.
     :param contact: contact with the control hosts.
     :param revision: returns the revision of the configuration in force.
     :param has_refused_settings: returns whether the newest settings were refused.
@@ -71,6 +73,7 @@
         exposition.TrafficCollector(traffic=client.call_counts),
         exposition.SettingsCollector(is_refused=has_refused_settings),
         exposition.TaskCollector(),
+        exposition.ServerCollector(server=server),
     ]
     limit = router.usage_limit
     if limit is not None:
--- a/src/greengagehaven/daemons/measure/usage_caps.py
+++ b/src/greengagehaven/daemons/measure/usage_caps.py
@@ -18,7 +18,12 @@
 from greengagehaven.coordination.raft import timing
 from greengagehaven.coordination.routing import router
 from greengagehaven.coordination.shared_budgets import demand_shares
-from greengagehaven.daemons import control_host, gateway, registry_daemon
+from greengagehaven.daemons import (
+    control_host,
+    gateway,
+    gateway_settings,
+    registry_daemon,
+)
 from greengagehaven.protocol import header_names, watching
 from greengagehaven.state import routes, teams
 from greengagehaven.transport import free_ports, http, http_client, http_server
@@ -181,7 +186,7 @@
         host_id = f"e{number}"
         options = router.Options(zone="a", host_id=host_id, usage_caps=self._caps)
         return gateway.Gateway(
-            settings=gateway.GatewaySettings(
+            settings=gateway_settings.GatewaySettings(
                 host_id=host_id,
                 zone="a",
                 listen=address,
--- a/src/greengagehaven/platform/roles.py
+++ b/src/greengagehaven/platform/roles.py
@@ -14,7 +14,7 @@
 from greengagehaven import settings as common_settings
 from greengagehaven.coordination.routing import fleet, mechanisms, router, versions
 from greengagehaven.coordination.shared_budgets import demand_shares
-from greengagehaven.daemons import gateway, lifecycle, reloading
+from greengagehaven.daemons import gateway, gateway_settings, lifecycle, reloading
 from greengagehaven.platform import documents, names, settings
 from greengagehaven.transport import background_tasks, log_output
 
@@ -108,7 +108,7 @@
         revoke_within=node.revoke_s if node.strict_revoke else None,
     )
     return gateway.Gateway(
-        settings=gateway.GatewaySettings(
+        settings=gateway_settings.GatewaySettings(
             host_id=node.node,
             zone=node.zone,
             listen=node.listen_address("front"),
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -14,7 +14,12 @@
 
 from greengagehaven import clock as clocks
 from greengagehaven import exceptions, log, settings
-from greengagehaven.transport import background_tasks, http, http_server_connection
+from greengagehaven.transport import (
+    background_tasks,
+    connection_report,
+    http,
+    http_server_connection,
+)
 
 if typing.TYPE_CHECKING:
     import ssl
@@ -67,6 +72,8 @@
     :param tls: server TLS context, ``None`` for plain TCP.
     :param on_closed_by_client: called with the ``IP:PORT`` of a client that has closed
         or reset its connection; not if the server closed it or the network failed.
+    :param id_header: name of the header with the id of a request, for the log.
+    :ivar report: logs and counts requests that are cut off.
     :ivar buffered_bytes: total size of the request bodies held now.
     :ivar draining: whether the server is draining.
     :ivar close_after_response: whether each response closes its connection, so that
@@ -81,10 +88,13 @@
         limits: ServerLimits | None = None,
         tls: "ssl.SSLContext | None" = None,
         on_closed_by_client: typing.Callable[[str], None] | None = None,
+        id_header: str = "",
     ) -> None:
         self.handler = handler
         self.clock = clock or clocks.SystemClock()
         self.limits = limits or ServerLimits()
+        self.id_header = id_header.lower().encode()
+        self.report = connection_report.ConnectionReport(clock=self.clock)
         self.buffered_bytes = 0
         self.draining = False
         self.close_after_response = False
@@ -107,6 +117,11 @@
         """Return the number of connections with an unanswered request."""
         return len(self._connections) - len(self._idle)
 
+    @property
+    def connection_states(self) -> list[str]:
+        """Return the state of each open connection."""
+        return [connection.state.value for connection in self._connections]
+
     @property
     def blocked_connection_count(self) -> int:
         """Return the number of connections whose client is not reading its response."""
@@ -142,7 +157,8 @@
             self._check_deadlines_forever, task="check_deadlines"
         )
         bound_host, bound_port = self._listener.sockets[0].getsockname()[:2]
-        return settings.format_address(bound_host, bound_port)
+        self.report.address = settings.format_address(bound_host, bound_port)
+        return self.report.address
 
     async def drain(
         self,
@@ -163,10 +179,13 @@
         """
         self.draining = True
         now = self.clock.monotonic()
+        self.report.drain_began(now)
         end = now + timeout.total_seconds()
         if accept_for:
             await asyncio.sleep(accept_for.total_seconds())
-        await self._serve_waiting(self._stop_listening())
+        waiting = self._stop_listening()
+        self.report.listener_closed(self.connection_states, unaccepted=len(waiting))
+        await self._serve_waiting(waiting)
         now = self.clock.monotonic()
         idle_end = now + min(timeout - accept_for, self.limits.linger).total_seconds()
         while self._connections and self.clock.monotonic() < end:
@@ -176,13 +195,18 @@
             if not self._connections:
                 break
             await asyncio.sleep(DEADLINE_CHECK_INTERVAL_S / 5)
-        return self.busy_connection_count
+        left = self.busy_connection_count
+        self.report.drain_ended(
+            self.connection_states, left=left, is_timed_out=bool(self._connections)
+        )
+        return left
 
     async def close(self) -> None:
         """Stop immediately: abort every connection and cancel every handler."""
         for waiting in self._stop_listening():
             waiting.close()
         tasks = [connection.abort() for connection in list(self._connections)]
+        self.report.flush()
         if self._deadline_task is not None:
             self._deadline_task.cancel()
             tasks.append(self._deadline_task)
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -12,7 +12,7 @@
 
 from greengagehaven import exceptions, log, settings
 from greengagehaven.protocol import codec, problem
-from greengagehaven.transport import http, sockets
+from greengagehaven.transport import connection_report, http, sockets
 
 NEVER = math.inf
 MAX_PARAMETERS = 32
@@ -57,6 +57,8 @@
         self._body_bytes = 0
         self._pipelined_bytes = 0
         self._discarded_bytes = 0
+        self._read_at: float | None = None
+        self._unread_bytes = 0
         self._write_blocked = False
         self._close_after_write = False
         self.peer = ""
@@ -68,6 +70,11 @@
         # also applies to connections that have been open for hours.
         return self._owner.limits
 
+    @property
+    def state(self) -> State:
+        """Return the state."""
+        return self._state
+
     @property
     def is_blocked(self) -> bool:
         """Return whether a response is waiting for the client to read it."""
@@ -90,7 +97,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel its handler."""
         if isinstance(exc, ConnectionResetError):
-            self._record_close_by_client()
+            self._record_close_by_client(is_reset=True)
+        if self._unread_bytes:
+            self._owner.report.input_discarded(self.peer, self._unread_bytes)
         self._state = State.CLOSED
         self.deadline = NEVER
         self._release_body()
@@ -100,10 +109,13 @@
 
     def eof_received(self) -> bool:
         """Close the transport: a client that sends EOF has abandoned its request."""
-        self._record_close_by_client()
+        self._record_close_by_client(is_reset=False)
         return False
 
-    def _record_close_by_client(self) -> None:
+    def _record_close_by_client(self, *, is_reset: bool) -> None:
+        request = self._unanswered_request()
+        if request is not None and not self.closed_by_client:
+            self._owner.report.closed_by_client(request, is_reset=is_reset)
         self.closed_by_client |= self._state not in (State.LINGERING, State.CLOSED)
 
     def pause_writing(self) -> None:
@@ -120,6 +132,8 @@
         """Parse received data, or buffer it while a request is handled."""
         if self._state is State.LINGERING:
             self._discarded_bytes += len(data)
+            if self._is_request_read:
+                self._unread_bytes += len(data)
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
                 self.close()
             return
@@ -147,6 +161,7 @@
             return
         if self._state is State.WRITING:
             log.warning("slow_reader_cut", peer=self.peer)
+            self._report_cut()
             self._transport.abort()
             return
         self.close()
@@ -165,6 +180,7 @@
 
     def abort(self) -> asyncio.Task | None:
         """Abort the connection; return the task of the handler, if one runs."""
+        self._report_cut()
         if self._task is not None:
             self._task.cancel()
         self._transport.abort()
@@ -176,6 +192,32 @@
         self._state = State.CLOSED
         self.deadline = NEVER
 
+    @property
+    def _is_request_read(self) -> bool:
+        return self._codec.their_state in (h11.DONE, h11.MUST_CLOSE)
+
+    def _report_cut(self) -> None:
+        # A client that closed the connection itself was not cut off.
+        request = self._unanswered_request()
+        if request is not None and not self.closed_by_client:
+            self._owner.report.request_cut(
+                request, unsent_bytes=self._transport.get_write_buffer_size()
+            )
+
+    def _unanswered_request(self) -> connection_report.UnansweredRequest | None:
+        is_unanswered = self._state in (State.HANDLING, State.WRITING)
+        if not is_unanswered or self._head is None or self._read_at is None:
+            return None
+        ids = [v for name, v in self._head.headers if name == self._owner.id_header]
+        return connection_report.UnansweredRequest(
+            request_id=ids[0].decode("latin-1") if ids else "",
+            peer=self.peer,
+            method=self._head.method.decode("latin-1"),
+            target=self._head.target.decode("latin-1"),
+            read_at=self._read_at,
+            state=self._state.value,
+        )
+
     def _wait_for_request(self) -> None:
         self._state = State.IDLE
         idle_timeout = self._limits.idle_timeout.total_seconds()
@@ -184,6 +226,7 @@
 
     def _begin_request(self) -> None:
         self._state = State.READING
+        self._read_at = None
         request_timeout = self._limits.request_timeout.total_seconds()
         self.deadline = self._owner.clock.monotonic() + request_timeout
         self._owner.connection_busy(self)
@@ -246,6 +289,7 @@
         assert self._head is not None
         request = _parse_request(self._head, b"".join(self._chunks), self.peer)
         self._state = State.HANDLING
+        self._read_at = self._owner.clock.monotonic()
         self.deadline = NEVER
         self._pipelined_bytes = 0
         self._task = asyncio.get_running_loop().create_task(self._run_handler(request))
@@ -291,6 +335,7 @@
             data = self._encode(response)
         except h11.LocalProtocolError as error:
             log.error("response_failed", detail=error)
+            self._report_cut()
             self.close()
             return
         self._state = State.WRITING
@@ -348,6 +393,8 @@
             self.close()
             return
         self._state = State.LINGERING
+        if self._is_request_read:
+            self._unread_bytes = len(self._codec.trailing_data[0])
         linger = self._limits.linger.total_seconds()
         self.deadline = self._owner.clock.monotonic() + linger
         try:
