--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -5,17 +5,20 @@
 import http as http_status
 import math
 import typing
-import urllib.parse
 
 import h11
 import msgspec
 
 from greengagehaven import exceptions, log, settings
 from greengagehaven.protocol import codec, problem
-from greengagehaven.transport import connection_report, http, sockets
+from greengagehaven.transport import (
+    connection_report,
+    http,
+    request_parsing,
+    sockets,
+)
 
 NEVER = math.inf
-MAX_PARAMETERS = 32
 MAX_DISCARDED_BYTES = 8_000_000
 _REASONS = {status.value: status.phrase.encode() for status in http_status.HTTPStatus}
 
@@ -240,7 +243,7 @@
                     return
                 self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            self._reject(_to_request_error(error))
+            self._reject(request_parsing.to_request_error(error))
         except exceptions.RequestError as error:
             self._reject(error)
 
@@ -287,7 +290,9 @@
 
     def _start_handler(self) -> None:
         assert self._head is not None
-        request = _parse_request(self._head, b"".join(self._chunks), self.peer)
+        request = request_parsing.parse_request(
+            self._head, b"".join(self._chunks), self.peer
+        )
         self._state = State.HANDLING
         self._read_at = self._owner.clock.monotonic()
         self.deadline = NEVER
@@ -435,42 +440,3 @@
         body=codec.encode_json(message),
         content_type=problem.CONTENT_TYPE,
     )
-
-
-def _to_request_error(error: h11.RemoteProtocolError) -> exceptions.RequestError:
-    if error.error_status_hint == exceptions.HeadersTooLargeError.status:
-        return exceptions.HeadersTooLargeError("request head is too large")
-    return exceptions.InvalidRequestError(
-        place="request", value=str(error), expected="HTTP/1.1"
-    )
-
-
-def _parse_request(head: h11.Request, body: bytes, peer: str) -> http.Request:
-    target = head.target.decode("latin-1")
-    path, _, query_string = target.partition("?")
-    parameters: dict[str, str] = {}
-    if query_string:
-        parameters = _parse_parameters(query_string)
-    if "%" in path:
-        path = urllib.parse.unquote(path)
-    return http.Request(
-        method=head.method.decode("latin-1"),
-        path=path,
-        parameters=parameters,
-        headers=http.Headers.from_wire(head.headers),
-        body=body,
-        peer=peer,
-        target=target,
-    )
-
-
-def _parse_parameters(query_string: str) -> dict[str, str]:
-    try:
-        pairs = urllib.parse.parse_qsl(query_string, max_num_fields=MAX_PARAMETERS)
-    except ValueError as error:
-        raise exceptions.InvalidRequestError(
-            place="query string",
-            value=query_string[:80],
-            expected=f"at most {MAX_PARAMETERS} parameters",
-        ) from error
-    return dict(pairs)
