Answer every request before a stopping host closes

What callers saw: requests that an entry host had read and passed on ended with a closed connection and no answer when the host was stopped.

Cause: the drain had a bound of its own, 5.2 s, of which the requests knew nothing. The host passed requests on for 3.2 s on new connections and 4.2 s on open ones, with deadlines of up to the route's timeout, and closed everything at its bound. What it counted as left were connections, also those that only lingered.

Change: a stop is a deadline for all requests. The server answers what is left after that, counts as left only responses that are not sent completely, and keeps to its bound when the time for accepting connections is longer.

--- a/features/http.feature
+++ b/features/http.feature
@@ -67,6 +67,21 @@
     Then the client of the drain is answered with status 200
     And new connections are refused
 
+  Scenario: A stop that runs out of time answers the requests that are left
+    A closed connection doesn't tell the client whether its request ran.
+
+    Given an HTTP listener with small limits
+    When a drain ends while a request runs and another is not read completely
+    Then the clients of the drain get the statuses 504 503
+    And 0 requests were left
+
+  Scenario: A drain counts no connection on which nothing is cut off
+    Operators would look for requests that were lost, and the exit code would be 1.
+
+    Given an HTTP listener with small limits
+    When a drain ends while a client has its response and keeps its connection open
+    Then 0 requests were left
+
   Scenario: Arbitrary bytes never stop the listener
     Fuzzers, port scanners and broken clients send arbitrary bytes.
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import json
+import re
 import socket
 
 import behave
@@ -13,6 +14,8 @@
 from greengagehaven.transport import http, http_server
 
 ORDINARY = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+KEPT_OPEN = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+STATUS_LINE = re.compile(rb"HTTP/1.1 (\d+)")
 HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 LIMITS = http_server.ServerLimits(
@@ -239,6 +242,90 @@
     raise AssertionError("a connection was accepted after the drain")
 
 
+@behave.when("a client has sent {count:d} requests at once and the listener drains")
+def when_pipelined(context, count):
+    listener = context.listener
+
+    async def send_and_drain():
+        reader, writer = await listener.connect()
+        writer.write(KEPT_OPEN.replace(b" / ", b" /wait ") + KEPT_OPEN * (count - 1))
+        await listener.entered.wait()
+        drain = asyncio.ensure_future(listener.server.drain())
+        await listener.wait_until(lambda: listener.server.draining)
+        listener.gate.set()
+        context.answers = [await asyncio.wait_for(reader.read(), WAIT_S)]
+        writer.close()
+        await drain
+
+    context.runner.run(send_and_drain())
+
+
+@behave.when("a drain ends while a request runs and another is not read completely")
+def when_drain_ends(context):
+    listener = context.listener
+
+    async def send_and_drain():
+        pairs = [await listener.connect() for _ in range(2)]
+        pairs[0][1].write(ORDINARY.replace(b" / ", b" /wait "))
+        pairs[1][1].write(HEAD + b"Content-Length: 5\r\n\r\nab")
+        await listener.entered.wait()
+        await listener.wait_until(lambda: listener.server.busy_connection_count == 2)
+        context.left = await listener.server.drain(datetime.timedelta())
+        await listener.server.close()
+        context.answers = [await reader.read() for reader, _ in pairs]
+
+    context.runner.run(send_and_drain())
+
+
+@behave.when(
+    "a drain ends while a client has its response and keeps its connection open"
+)
+def when_lingering(context):
+    listener = context.listener
+
+    async def send_and_drain():
+        reader, writer = await listener.connect()
+        writer.write(ORDINARY)
+        await asyncio.wait_for(reader.read(), WAIT_S)
+        context.left = await listener.server.drain(datetime.timedelta())
+        writer.close()
+
+    context.runner.run(send_and_drain())
+
+
+@behave.when("a client sends a request that runs, and EOF")
+def when_half_closed(context):
+    listener = context.listener
+
+    async def send():
+        reader, writer = await listener.connect()
+        writer.write(KEPT_OPEN.replace(b" / ", b" /wait "))
+        await listener.entered.wait()
+        writer.write_eof()
+        context.answers = [await asyncio.wait_for(reader.read(), WAIT_S)]
+        writer.close()
+
+    context.runner.run(send())
+
+
+@behave.then("the client is told with status {status:d} that its request may have run")
+def then_may_have_run(context, status):
+    answered_status, problem = _parse_response(context.answers[0])
+    assert (answered_status, problem["ran"]) == (status, "unknown"), problem
+
+
+@behave.then("the client of the drain gets the statuses {statuses}")
+@behave.then("the clients of the drain get the statuses {statuses}")
+def then_statuses(context, statuses):
+    received = b"".join(context.answers)
+    assert STATUS_LINE.findall(received) == statuses.encode().split(), received
+
+
+@behave.then("{count:d} requests were left")
+def then_left(context, count):
+    assert context.left == count, context.left
+
+
 @behave.when("arbitrary bytes are sent to the listener many times")
 def when_arbitrary(context):
     pieces = strategies.sampled_from(
--- /dev/null
+++ b/features/steps/stop_deadline_steps.py
@@ -0,0 +1,19 @@
+"""Steps for a router whose host is stopping."""
+
+import behave
+
+from greengagehaven.coordination.routing import events
+
+
+@behave.when("{count:d} requests have taken {ms:d} ms each")
+def when_have_taken(context, count, ms):
+    numbers = [context.tier.request("/single/1") for _ in range(count)]
+    context.tier.advance_clock(ms / 1000)
+    for number in numbers:
+        context.tier.answer_attempt(context.tier.attempts_of(number)[0])
+
+
+@behave.when("the host stops in {ms:d} ms")
+def when_stopping(context, ms):
+    answer_by = context.tier.clock.monotonic() + ms / 1000
+    context.tier.step(events.Stopping(answer_by=answer_by))
--- a/features/stop_report.feature
+++ b/features/stop_report.feature
@@ -40,7 +40,7 @@
     And the line has connections=2 reading=0 handling=1 writing=0 lingering=0 idle=1
     And the line has unaccepted=0 since_stop_ms=0
     And there is 1 "drain_ended" line
-    And the line has connections=1 handling=1 idle=0 timed_out=1
+    And the line has connections=1 lingering=1 idle=0 timed_out=1 ended=1 left=0
 
   Scenario: Input behind a response that closes the connection is logged
     A client sends its next request before it learns that the connection closes. The
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -14,6 +14,7 @@
     mechanisms,
     request,
     retry_delays,
+    stop_deadline,
     usage_limit,
     weights,
 )
@@ -35,6 +36,7 @@
     :param crashes: requests that crash upstreams.
     :param key_guard: refuses requests of teams while this host has no lease.
     :param retry_delays: delays after which refused callers may retry.
+    :param stop_deadline: refuses requests that would outlast this host.
     :param used: mechanisms that are enabled.
     :param clock: monotonic time.
     :param rng: chooses among the weighted services of a route.
@@ -50,6 +52,7 @@
         crashes: crashes.CrashDetector,
         key_guard: key_lease.KeyGuard,
         retry_delays: retry_delays.RetryDelays,
+        stop_deadline: stop_deadline.StopDeadline,
         used: mechanisms.Mechanisms,
         clock: clocks.Clock,
         rng: rngs.Rng,
@@ -60,6 +63,7 @@
         self._crashes = crashes
         self._key_guard = key_guard
         self._retry_delays = retry_delays
+        self._stop_deadline = stop_deadline
         self._used = used
         self._clock = clock
         self._usage_limit = usage_limit
@@ -70,6 +74,7 @@
         self.table = table
         names = frozenset(route.name for route in table.routes)
         self._caller_times.retain(names)
+        self._stop_deadline.retain(names)
         self._weights.retain(names)
         if self._usage_limit is not None:
             self._usage_limit.set_teams(table.teams)
@@ -127,6 +132,7 @@
         self._crashes.check(
             arrived.fingerprint, retry_after=self._retry_delays.after_failure()
         )
+        self._stop_deadline.check(route.name, self._clock.monotonic())
         return route, team
 
     def _time_left(self, arrived: events.RequestArrived, route: routes.Route) -> float:
@@ -158,7 +164,9 @@
             route=route,
             services=services,
             started_at=arrived_at,
-            deadline=arrived_at + time_left - DEADLINE_MARGIN_S,
+            deadline=min(
+                arrived_at + time_left - DEADLINE_MARGIN_S, self._stop_deadline.at
+            ),
             answer_by=self._answer_by(route, arrived_at, spent),
             team=team,
         )
--- a/src/greengagehaven/coordination/routing/completion.py
+++ b/src/greengagehaven/coordination/routing/completion.py
@@ -13,6 +13,7 @@
     refusals,
     request,
     request_log,
+    stop_deadline,
 )
 
 
@@ -22,6 +23,7 @@
     :param refusals: creates the errors.
     :param delegation: records how long this host takes for a shard.
     :param caller_times: measured timer lag, for the log.
+    :param stop_deadline: records how long requests take.
     :param counts: counts requests.
     :param requests_by_number: requests in flight; a request that ends is removed.
     :param clock: monotonic time.
@@ -33,6 +35,7 @@
         refusals: refusals.Refusals,
         delegation: delegation.Delegation,
         caller_times: callers.CallerTimes,
+        stop_deadline: stop_deadline.StopDeadline,
         counts: counts.Counts,
         requests_by_number: dict[int, request.RoutedRequest],
         clock: clocks.Clock,
@@ -40,6 +43,7 @@
         self._refusals = refusals
         self._delegation = delegation
         self._caller_times = caller_times
+        self._stop_deadline = stop_deadline
         self._counts = counts
         self._requests_by_number = requests_by_number
         self._clock = clock
@@ -77,6 +81,8 @@
         took = self._clock.monotonic() - routed.started_at
         missing = len(routed.shards) - routed.part_count
         self._counts.record_end(routed.route.name, outcome, took, missing)
+        if outcome != "caller_left" and any(shard.sends for shard in routed.shards):
+            self._stop_deadline.record_time(routed.route.name, took)
         own = [part for part in routed.parts if not part.helper_address]
         self._delegation.record_shard_times(
             sent=(part.started_at for part in own if part.started_at is not None),
--- a/src/greengagehaven/coordination/routing/components.py
+++ b/src/greengagehaven/coordination/routing/components.py
@@ -34,6 +34,7 @@
     sending,
     service_demand,
     settling,
+    stop_deadline,
     stranded,
     timers,
     usage_limit,
@@ -147,6 +148,11 @@
             caps=self.options.usage_caps, clock=self.clock, rng=self.rng
         )
 
+    @functools.cached_property
+    def stop_deadline(self) -> stop_deadline.StopDeadline:
+        """Return what limits deadlines once this host is stopping."""
+        return stop_deadline.StopDeadline(retry_delays=self.retry_delays)
+
     @functools.cached_property
     def admission(self) -> admission.RequestAdmission:
         """Return what admits or refuses arrived requests."""
@@ -155,6 +161,7 @@
             caller_times=self.caller_times,
             crashes=self.crashes,
             retry_delays=self.retry_delays,
+            stop_deadline=self.stop_deadline,
             used=self.used,
             clock=self.clock,
             rng=self.rng,
@@ -280,6 +287,7 @@
             ),
             delegation=self.delegation,
             caller_times=self.caller_times,
+            stop_deadline=self.stop_deadline,
             counts=self.counts,
             requests_by_number=self.requests_by_number,
             clock=self.clock,
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -333,6 +333,16 @@
     sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Stopping:
+    """The host is stopping; every request has to be answered in time.
+
+    :param answer_by: monotonic time, in seconds, at which no request is left.
+    """
+
+    answer_by: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeReached:
     """The clock reached the time of the last ``WakeAt``."""
@@ -360,6 +370,7 @@
     | OutliersReported
     | LoanReceived
     | UsageTotalsReceived
+    | Stopping
     | TimeReached
 )
 
--- a/src/greengagehaven/coordination/routing/router.py
+++ b/src/greengagehaven/coordination/routing/router.py
@@ -55,6 +55,7 @@
         self._waiting_by_number: dict[int, events.RequestArrived] = {}
         self._timers = parts.timers
         self._admission = parts.admission
+        self._stop_deadline = parts.stop_deadline
         self._reachability = parts.reachability
         self._partition = parts.partition
         self._delegation = parts.delegation
@@ -81,6 +82,7 @@
             events.UpstreamProbed: self._on_probed,
             events.LoanReceived: self._on_loan,
             events.UsageTotalsReceived: self._on_usage_totals,
+            events.Stopping: self._on_stopping,
             events.TimeReached: self._on_time,
         }
 
@@ -181,6 +183,25 @@
             request_log.log_usage_wait(arrived, outcome)
             self._begin(routed, actions)
 
+    def _on_stopping(
+        self, stopping: events.Stopping, actions: list[events.Action]
+    ) -> None:
+        """Bring the deadlines of all requests forward to the end of the host."""
+        self._stop_deadline.at = stopping.answer_by
+        self._timers.add(stopping.answer_by, timers.STOP_TIMER)
+        for routed in list(self._requests_by_number.values()):
+            routed.deadline = min(routed.deadline, stopping.answer_by)
+            self._settle(routed, actions)
+
+    def _refuse_waiting(self, actions: list[events.Action]) -> None:
+        """Refuse the requests that still wait for newer usage totals."""
+        assert self.usage_limit is not None
+        error = exceptions.DrainingError("the host is stopping")
+        for number, arrived in list(self._waiting_by_number.items()):
+            del self._waiting_by_number[number]
+            self.usage_limit.waits.remove(number)
+            self._refuse(arrived, error, actions)
+
     def _is_worth_sending(self, routed: request.RoutedRequest) -> bool:
         """Return whether a request that has just arrived can still be answered.
 
@@ -298,6 +319,9 @@
                 self.key_guard.update(is_timer=True)
             elif number == timers.REACHABILITY_TIMER:
                 self._check_upstreams(due_at, actions)
+            elif number == timers.STOP_TIMER:
+                if self._waiting_by_number:
+                    self._refuse_waiting(actions)
             elif number in self._waiting_by_number:
                 assert self.usage_limit is not None
                 self._end_waits(self.usage_limit.waits.end_due(now), actions)
--- a/src/greengagehaven/coordination/routing/timers.py
+++ b/src/greengagehaven/coordination/routing/timers.py
@@ -11,6 +11,9 @@
 KEY_LEASE_TIMER = -2
 """Used in place of a request number for the timer at the end of the key lease."""
 
+STOP_TIMER = -3
+"""Used in place of a request number for the timer at which a stopping host ends."""
+
 
 class Timers:
     """Timers in the order of their moments, each with the number of a request."""
--- a/src/greengagehaven/daemons/entry.py
+++ b/src/greengagehaven/daemons/entry.py
@@ -272,8 +272,7 @@
         self._is_draining = True
         log.info("entry_draining", host=self.settings.host_id)
         await asyncio.sleep(self.settings.balancer_wait.total_seconds())
-        await self._server.drain(self.settings.drain_bound)
-        cut_off_count = self.in_flight
+        cut_off_count = await self._server.drain(self.settings.drain_bound)
         if self._membership is not None:
             await self._membership.leave()
         # Sub-requests of other hosts that this one runs as the owner of upstreams.
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -41,7 +41,10 @@
 ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
 """Time from the stop signal in which new connections are still accepted."""
 
-STOP_MARGIN = datetime.timedelta(seconds=0.8)
+ANSWER_MARGIN = datetime.timedelta(seconds=0.6)
+"""Time before the end of the grace period by which all requests are answered."""
+
+CLOSE_MARGIN = datetime.timedelta(seconds=0.4)
 """Part of the grace period that is reserved for closing after the drain."""
 
 DocumentParser = abc.Callable[[bytes], routes.RoutingTable]
@@ -154,8 +157,11 @@
         """Finish the requests in flight and those that still arrive, then stop."""
         self._is_stopping = True
         self._delegation_server.is_stopping = True
+        now, grace = self._clock.monotonic(), self._settings.grace
+        answer_by = now + (grace - ANSWER_MARGIN).total_seconds()
+        self._submit(events.Stopping(answer_by=answer_by))
         cut_off_count = await self._server.drain(
-            self._settings.grace - STOP_MARGIN, accept_for=ACCEPT_WHILE_STOPPING
+            grace - CLOSE_MARGIN, accept_for=ACCEPT_WHILE_STOPPING
         )
         await self.close()
         return cut_off_count
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -259,6 +259,17 @@
     status = 503
 
 
+class HostStoppedError(RequestError):
+    """The host stopped before the request, which may have run, was answered."""
+
+    code = "host_stopped"
+    status = 504
+
+    def __init__(self, detail: str = "", **options: typing.Any) -> None:
+        options.setdefault("ran", Ran.UNKNOWN)
+        super().__init__(detail, **options)
+
+
 class NotConfiguredError(RequestError):
     """This host has no active document yet."""
 
--- a/src/greengagehaven/transport/connection_report.py
+++ b/src/greengagehaven/transport/connection_report.py
@@ -84,12 +84,18 @@
         )
 
     def drain_ended(
-        self, states: abc.Iterable[str], *, left: int, is_timed_out: bool
+        self,
+        states: abc.Iterable[str],
+        *,
+        ended: int,
+        left: int,
+        is_timed_out: bool,
     ) -> None:
         """Log the end of a drain.
 
         :param states: state of each open connection.
-        :param left: requests that the drain counts as unfinished.
+        :param ended: requests that were answered with an error at the end.
+        :param left: requests whose response is not sent completely.
         :param is_timed_out: whether connections were open when its time was over.
         """
         log.info(
@@ -97,6 +103,7 @@
             address=self.address,
             took_ms=round(self.since_drain * _MS),
             timed_out=int(is_timed_out),
+            ended=ended,
             left=left,
             **_count_states(states),
         )
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -25,6 +25,10 @@
     import ssl
 
 DEADLINE_CHECK_INTERVAL_S = 0.1
+DRAIN_CHECK_INTERVAL_S = 0.02
+MAX_ANSWER_TIME_S = 0.2
+"""Seconds in which the last responses of a drain are passed to the kernel."""
+
 LISTEN_BACKLOG = 1024
 
 
@@ -122,6 +126,13 @@
         """Return the state of each open connection."""
         return [connection.state.value for connection in self._connections]
 
+    @property
+    def unanswered_count(self) -> int:
+        """Return the number of requests whose response is not sent completely."""
+        return sum(
+            connection.has_unanswered_request for connection in self._connections
+        )
+
     @property
     def blocked_connection_count(self) -> int:
         """Return the number of connections whose client is not reading its response."""
@@ -169,18 +180,21 @@
         """Stop accepting connections and wait for requests to finish.
 
         Idle connections stay open for ``limits.linger``, so that a request already
-        on the network when draining starts is still answered.
+        on the network when draining starts is still answered. Requests that are left
+        at the end are answered with an error.
 
-        :param timeout: maximum total time.
+        :param timeout: time after which requests are ended.
         :param accept_for: time for which new connections are still accepted, each
             for one request, because a load balancer keeps sending them until its
             health check fails.
-        :return: number of unfinished requests; ``close`` aborts them.
+        :return: number of requests whose clients have not read their response by the
+            end; ``close`` aborts them.
         """
         self.draining = True
         now = self.clock.monotonic()
         self.report.drain_began(now)
         end = now + timeout.total_seconds()
+        accept_for = min(accept_for, timeout)
         if accept_for:
             await asyncio.sleep(accept_for.total_seconds())
         waiting = self._stop_listening()
@@ -194,13 +208,31 @@
                     connection.close()
             if not self._connections:
                 break
-            await asyncio.sleep(DEADLINE_CHECK_INTERVAL_S / 5)
-        left = self.busy_connection_count
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        is_timed_out = bool(self._connections)
+        ended_count = await self._end_requests()
+        left = self.unanswered_count
         self.report.drain_ended(
-            self.connection_states, left=left, is_timed_out=bool(self._connections)
+            self.connection_states,
+            ended=ended_count,
+            left=left,
+            is_timed_out=is_timed_out,
         )
         return left
 
+    async def _end_requests(self) -> int:
+        """Answer the requests that are left with an error; return their number."""
+        error = exceptions.HostStoppedError("the host is stopping")
+        ended_count = sum(
+            connection.end_request(error) for connection in list(self._connections)
+        )
+        end = self.clock.monotonic() + MAX_ANSWER_TIME_S
+        while self.unanswered_count:
+            if self.clock.monotonic() >= end:
+                break
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        return ended_count
+
     async def close(self) -> None:
         """Stop immediately: abort every connection and cancel every handler."""
         for waiting in self._stop_listening():
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -55,6 +55,7 @@
             h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
         self._task: asyncio.Task | None = None
+        self._end_error: exceptions.RequestError | None = None
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
@@ -83,6 +84,11 @@
         """Return whether a response is waiting for the client to read it."""
         return self._state is State.WRITING
 
+    @property
+    def has_unanswered_request(self) -> bool:
+        """Return whether a request was read and its response is not sent completely."""
+        return self._state in (State.HANDLING, State.WRITING)
+
     def connection_made(self, transport: typing.Any) -> None:
         """Set up a new connection, or abort it if the server rejects it."""
         self._transport = transport
@@ -169,6 +175,23 @@
             return
         self.close()
 
+    def end_request(self, error: exceptions.RequestError) -> bool:
+        """Cancel the handler of a request and respond with an error.
+
+        A request that is not read completely is rejected as not run instead.
+
+        :return: whether there was a request to end.
+        """
+        if self._state is State.READING:
+            self._reject(exceptions.DrainingError("the host is stopping"))
+            return True
+        if self._task is None:
+            return False
+        self._end_error = error
+        self._close_after_write = True
+        self._task.cancel()
+        return True
+
     def close(self) -> None:
         """Close the connection once buffered data is sent; abort it if called again."""
         if self._state is not State.CLOSED:
@@ -303,8 +326,10 @@
         try:
             response = await self._owner.handler(request)
         except asyncio.CancelledError:
-            self._transport.close()
-            raise
+            if self._end_error is None:
+                self._transport.close()
+                raise
+            response = error_response(self._end_error)
         except exceptions.GreengagehavenError as error:
             response = error_response(error)
         except Exception as error:
