Keep draining when stop signals are repeated

What callers saw: a second SIGTERM or SIGINT during the drain of an entry host cut off all that it had in flight.

Cause: by design, the second signal aborted the drain. Supervisors repeat SIGTERM, and a terminal sends SIGINT to the whole process group.

Change: further signals are logged. SIGQUIT ends the process at once, for an operator who can't wait. A drain that raises closes the daemon and is reported.

The scenario "A second signal aborts a drain that hangs" asked for the fault. It is replaced by two: repeated SIGTERM and SIGINT cut off nothing, and SIGQUIT aborts a drain that hangs, with the same exit code, count and log lines as before.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -19,17 +19,24 @@
     And every answer of the load was complete
     And no upstream got work after its drain
 
-  Scenario: A second signal aborts a drain that hangs
+  Scenario: Repeated stop signals don't cut off the requests in flight
+    A supervisor repeats SIGTERM, or Ctrl-C reaches the whole process group.
+
+    Given a daemon whose drain ends after the last signal and 3 requests in flight
+    When it gets SIGTERM, SIGTERM, SIGINT
+    Then it exits with code 0 and logs that 0 were left
+
+  Scenario: SIGQUIT aborts a drain that hangs
     A request never ends and the operator cannot wait. The daemon must exit at
     once and log how many requests it abandoned.
 
     Given a daemon whose drain never ends and 3 requests in flight
-    When it gets SIGTERM twice
+    When it gets SIGTERM, SIGTERM, SIGQUIT
     Then it exits with code 1 and logs that 3 were left
-    And it logs the second signal and the times of its drain and closing
+    And it logs SIGTERM, SIGQUIT and the times of its drain and closing
 
   Scenario: After one signal a daemon completes its drain
-    Given a daemon whose drain ends and 0 requests in flight
-    When it gets SIGTERM once
+    Given a daemon whose drain ends after the last signal and 0 requests in flight
+    When it gets SIGTERM
     Then it exits with code 0 and logs that 0 were left
     And it logs the time of its drain
--- a/src/greengagehaven/daemons/lifecycle.py
+++ b/src/greengagehaven/daemons/lifecycle.py
@@ -7,7 +7,8 @@
 from greengagehaven import log
 from greengagehaven.transport import background_tasks
 
-SIGNALS = (signal.SIGINT, signal.SIGTERM)
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+ABORT_SIGNAL = signal.SIGQUIT
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 
@@ -29,29 +30,36 @@
 async def run(daemon: Daemon) -> int:
     """Wait for a signal, stop the daemon and return the exit code.
 
-    The first SIGINT or SIGTERM starts the drain; a second one aborts it and logs the
-    number of requests that were cut off. Every signal after the first is logged.
+    The first SIGINT or SIGTERM starts the drain. Further ones are only logged, since
+    supervisors repeat them and terminals send them to whole process groups. SIGQUIT
+    stops the daemon at once and logs the number of requests that were cut off.
 
     :param daemon: a daemon that has been started.
     """
     loop = asyncio.get_running_loop()
-    signals = _StopSignals(daemon=daemon, loop=loop)
+    signals = _Signals(daemon=daemon, loop=loop)
     background_tasks.report_loop_errors(loop)
-    for number in SIGNALS:
+    numbers = (*STOP_SIGNALS, ABORT_SIGNAL)
+    for number in numbers:
         loop.add_signal_handler(number, signals.on_signal, number)
     try:
-        await signals.received.get()
-        return await _drain(daemon, signals.received)
+        await signals.stop.wait()
+        return await _stop(daemon, signals.abort)
     finally:
-        for number in SIGNALS:
+        for number in numbers:
             loop.remove_signal_handler(number)
 
 
-class _StopSignals:
-    """Logs and queues the signals that stop a daemon."""
+class _Signals:
+    """Logs the signals that a daemon gets.
+
+    :ivar stop: set by the first signal.
+    :ivar abort: set by a signal that stops the daemon at once.
+    """
 
     def __init__(self, *, daemon: Daemon, loop: asyncio.AbstractEventLoop) -> None:
-        self.received: asyncio.Queue[signal.Signals] = asyncio.Queue()
+        self.stop = asyncio.Event()
+        self.abort = asyncio.Event()
         self._daemon = daemon
         self._loop = loop
         self._first_at: float | None = None
@@ -68,26 +76,30 @@
                 since_stop_ms=_ms_since(self._first_at),
                 in_flight=in_flight,
             )
-        self.received.put_nowait(number)
+        self.stop.set()
+        if number is ABORT_SIGNAL:
+            self.abort.set()
 
 
-async def _drain(daemon: Daemon, received: asyncio.Queue[signal.Signals]) -> int:
+async def _stop(daemon: Daemon, abort: asyncio.Event) -> int:
+    """Drain the daemon, or close it once ``abort`` is set; return the exit code."""
     started_at = asyncio.get_running_loop().time()
     drain = asyncio.ensure_future(daemon.drain())
-    second = asyncio.ensure_future(received.get())
-    await asyncio.wait((drain, second), return_when=asyncio.FIRST_COMPLETED)
-    second.cancel()
-    if drain.done():
+    aborted = asyncio.ensure_future(abort.wait())
+    await asyncio.wait((drain, aborted), return_when=asyncio.FIRST_COMPLETED)
+    aborted.cancel()
+    times = {"drain_ms": _ms_since(started_at)}
+    if drain.done() and drain.exception() is None:
         left = drain.result()
-        times = {"drain_ms": _ms_since(started_at)}
     else:
         left = daemon.in_flight
-        times = {"drain_ms": _ms_since(started_at)}
-        aborted_at = asyncio.get_running_loop().time()
+        closed_at = asyncio.get_running_loop().time()
         drain.cancel()
-        await asyncio.gather(drain, return_exceptions=True)
+        (error,) = await asyncio.gather(drain, return_exceptions=True)
+        if isinstance(error, Exception):
+            background_tasks.record_failure("drain", error)
         await daemon.close()
-        times["close_ms"] = _ms_since(aborted_at)
+        times["close_ms"] = _ms_since(closed_at)
     if left:
         log.warning("stopped", left=left, **times)
         return EXIT_CUT_OFF
--- a/src/greengagehaven/soak/schedule.py
+++ b/src/greengagehaven/soak/schedule.py
@@ -15,8 +15,8 @@
 """Seconds after a control host's restart without faults on control hosts."""
 
 RESTART_S = 6.0
-"""Maximum seconds of a graceful stop plus a start. A second stop signal would end the
-host at once, as designed, and a second start could not bind its ports."""
+"""Maximum seconds of a graceful stop plus a start. A second start could not bind the
+ports of the host."""
 
 
 class FaultKind(enum.StrEnum):
