Answer pipelined requests that have arrived before a connection closes

What callers saw: requests pipelined behind one that was answered with Connection: close got no answer.

Cause: every answer of a host that stops, or that is cut off from the other zones, closed its connection, and what had arrived behind it was discarded.

Change: only the answer to the last request that has arrived closes the connection.

--- a/features/http.feature
+++ b/features/http.feature
@@ -67,6 +67,13 @@
     Then the client of the drain is answered with status 200
     And new connections are refused
 
+  Scenario: A stop answers pipelined requests that have arrived
+    They would be discarded behind a response that closes the connection.
+
+    Given an HTTP listener with small limits
+    When a client has sent 3 requests at once and the listener drains
+    Then the client of the drain gets the statuses 200 200 200
+
   Scenario: A stop that runs out of time answers the requests that are left
     A closed connection doesn't tell the client whether its request ran.
 
--- a/features/steps/stop_report_steps.py
+++ b/features/steps/stop_report_steps.py
@@ -41,7 +41,9 @@
         if request.path == "/wait":
             await asyncio.Event().wait()
         body = b"x" * LARGE_BODY_BYTES if request.path == "/large" else b"{}"
-        return http.Response(status=200, body=body)
+        return http.Response(
+            status=200, body=body, closes_connection=request.path == "/"
+        )
 
     async def start(self):
         address = await self.server.start()
@@ -100,7 +102,6 @@
     context.runner = asyncio.Runner()
     context.add_cleanup(context.runner.close)
     context.listener = Listener(path)
-    context.listener.server.close_after_response = path == "/"
     context.runner.run(context.listener.start())
     context.add_cleanup(lambda: context.runner.run(context.listener.close()))
 
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -133,6 +133,11 @@
             connection.has_unanswered_request for connection in self._connections
         )
 
+    @property
+    def closes_connections(self) -> bool:
+        """Return whether a connection is closed once its requests are answered."""
+        return self.draining or self.close_after_response
+
     @property
     def blocked_connection_count(self) -> int:
         """Return the number of connections whose client is not reading its response."""
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -355,10 +355,8 @@
         self._respond(error_response(error))
 
     def _respond(self, response: http.Response) -> None:
-        if (
-            self._owner.draining
-            or self._owner.close_after_response
-            or response.closes_connection
+        if response.closes_connection or (
+            self._owner.closes_connections and not self._has_pipelined_data
         ):
             self._close_after_write = True
         try:
@@ -378,6 +376,12 @@
         write_timeout = self._limits.write_timeout.total_seconds()
         self.deadline = self._owner.clock.monotonic() + write_timeout
 
+    @property
+    def _has_pipelined_data(self) -> bool:
+        """Return whether the client has sent a further request, or a part of it."""
+        pipelined_data, _ = self._codec.trailing_data
+        return bool(pipelined_data)
+
     def _encode(self, response: http.Response) -> bytes:
         headers = [("Content-Length", str(len(response.body))), *response.headers]
         if response.content_type is not None:
