Answer requests of clients that half-close their connections

What callers saw: a client that sent EOF after its request never got an answer, at any time.

Cause: EOF closed the transport at once. A client that has closed its connection looks the same, and the work for it has to end.

Change: the request is cancelled as before, and answered with 502, ran unknown, before the connection closes.

--- a/features/http.feature
+++ b/features/http.feature
@@ -89,6 +89,13 @@
     When a drain ends while a client has its response and keeps its connection open
     Then 0 requests were left
 
+  Scenario: A client that half-closes its connection gets a response
+    Its request is abandoned, since a closed connection looks the same.
+
+    Given an HTTP listener with small limits
+    When a client sends a request that runs, and EOF
+    Then the client is told with status 502 that its request may have run
+
   Scenario: Arbitrary bytes never stop the listener
     Fuzzers, port scanners and broken clients send arbitrary bytes.
 
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -270,6 +270,17 @@
         super().__init__(detail, **options)
 
 
+class CallerLeftError(RequestError):
+    """The caller closed its side of the connection before it was answered."""
+
+    code = "caller_left"
+    status = 502
+
+    def __init__(self, detail: str = "", **options: typing.Any) -> None:
+        options.setdefault("ran", Ran.UNKNOWN)
+        super().__init__(detail, **options)
+
+
 class NotConfiguredError(RequestError):
     """This host has no active document yet."""
 
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -56,6 +56,7 @@
         )
         self._task: asyncio.Task | None = None
         self._end_error: exceptions.RequestError | None = None
+        self._has_eof = False
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
@@ -117,9 +118,17 @@
             self._task.cancel()
 
     def eof_received(self) -> bool:
-        """Close the transport: a client that sends EOF has abandoned its request."""
+        """End a request whose client sends EOF, and keep the connection to answer it.
+
+        A client that has closed its connection can't be told from one that only sends
+        nothing more, so the request counts as abandoned.
+        """
         self._record_close_by_client(is_reset=False)
-        return False
+        if self._state is not State.HANDLING or not self._transport.can_write_eof():
+            return False
+        self._has_eof = True
+        self.end_request(exceptions.CallerLeftError("the client sent EOF"))
+        return True
 
     def _record_close_by_client(self, *, is_reset: bool) -> None:
         request = self._unanswered_request()
@@ -423,7 +432,8 @@
     def _linger(self) -> None:
         # If the socket were closed while the client is still sending, the kernel
         # would send a reset, and the client could lose the response.
-        if self._transport.is_closing() or not self._transport.can_write_eof():
+        is_one_way = self._has_eof or not self._transport.can_write_eof()
+        if is_one_way or self._transport.is_closing():
             self.close()
             return
         self._state = State.LINGERING
