Finish attempts for other entry hosts before a host closes

Found by reading; features/stops.feature does not show it. The host now waits until they have ended and were reported, within the same bound.

--- a/src/greengagehaven/daemons/delegation_server.py
+++ b/src/greengagehaven/daemons/delegation_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import datetime
 import functools
 import itertools
 from collections import abc
@@ -212,6 +213,8 @@
         # Negative, as this host's own attempts count up from 1 on the same channel.
         self._attempt_ids = itertools.count(-1, -1)
         self._gathers_by_key: dict[str, _Gather] = {}
+        self._idle_event = asyncio.Event()
+        self._idle_event.set()
 
     @property
     def handlers_by_method(self) -> dict[str, peers.Handler]:
@@ -227,6 +230,12 @@
         """Return the number of calls with attempts that are not reported yet."""
         return len(self._gathers_by_key)
 
+    async def wait_idle(self, timeout: datetime.timedelta) -> None:
+        """Wait until no call is in flight, at most for ``timeout``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self._idle_event.wait()
+
     async def handle_gather(self, body: bytes) -> bytes:
         """Send the attempts and return the first report.
 
@@ -247,6 +256,7 @@
             clock=self._clock,
         )
         self._gathers_by_key[request.key] = gather
+        self._idle_event.clear()
         retention = request.left_ms / _MS + RETENTION_S
         asyncio.get_running_loop().call_later(retention, self._expire, request.key)
         for planned in request.attempts:
@@ -312,7 +322,7 @@
         self, gather: _Gather, report: delegation_messages.AttemptReport
     ) -> bytes:
         if gather.is_over:
-            self._gathers_by_key.pop(gather.request.key, None)
+            self._remove(gather.request.key)
         return codec.encode_msgpack(report)
 
     def _release(self, gather: _Gather, attempts: tuple[int, ...]) -> None:
@@ -322,9 +332,15 @@
             if exchange is not None:
                 self._channel.release(exchange.attempt, may_cancel=True)
 
+    def _remove(self, key: str) -> _Gather | None:
+        gather = self._gathers_by_key.pop(key, None)
+        if not self._gathers_by_key:
+            self._idle_event.set()
+        return gather
+
     def _expire(self, key: str) -> None:
         """Discard a call whose host never fetched the remaining outcomes."""
-        gather = self._gathers_by_key.pop(key, None)
+        gather = self._remove(key)
         if gather is not None:
             log.info("gather_expired", key=key, request=gather.request.request_id)
             self._release(gather, tuple(gather.exchanges_by_attempt))
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -160,12 +160,20 @@
         now, grace = self._clock.monotonic(), self._settings.grace
         answer_by = now + (grace - ANSWER_MARGIN).total_seconds()
         self._submit(events.Stopping(answer_by=answer_by))
-        cut_off_count = await self._server.drain(
-            grace - CLOSE_MARGIN, accept_for=ACCEPT_WHILE_STOPPING
+        cut_off_count, _ = await asyncio.gather(
+            self._server.drain(grace - CLOSE_MARGIN, accept_for=ACCEPT_WHILE_STOPPING),
+            self._finish_delegated(grace - CLOSE_MARGIN),
         )
         await self.close()
         return cut_off_count
 
+    async def _finish_delegated(self, timeout: datetime.timedelta) -> None:
+        """Wait until the attempts for other hosts have ended and were reported."""
+        end = self._clock.monotonic() + timeout.total_seconds()
+        await self._delegation_server.wait_idle(timeout)
+        remaining = max(0.0, end - self._clock.monotonic())
+        await self._peer_server.drain(datetime.timedelta(seconds=remaining))
+
     async def close(self) -> None:
         """Stop and close the sockets."""
         await self._rollout_reporter.close()
--- a/src/greengagehaven/transport/http_peers.py
+++ b/src/greengagehaven/transport/http_peers.py
@@ -62,6 +62,10 @@
         """
         return await self._server.start(host, port)
 
+    async def drain(self, timeout: datetime.timedelta) -> None:
+        """Stop accepting calls and wait for those in flight within ``timeout``."""
+        await self._server.drain(timeout)
+
     async def stop(self, grace: datetime.timedelta) -> None:
         """Stop the server; cancel handlers still running after ``grace``."""
         await self._server.close()
