Serve the metrics of platform processes

Every scrape of an entry or control host of the platform was answered with status 500: the Prometheus library imports ssl, whose import these processes block to save memory. The block is now lifted once asyncio, which it is meant for, has been imported, so ssl is loaded by the first scrape only.

--- a/features/fakes/stop_upstreams.py
+++ b/features/fakes/stop_upstreams.py
@@ -10,7 +10,6 @@
 from greengagehaven.transport import http
 
 PORT = 18080
-METRICS_PORT = 9464
 DELEGATIONS = re.compile(
     rb"^greengagehaven\w*delegations_total\S* (\S+)$", re.MULTILINE
 )
@@ -127,7 +126,7 @@
 
     async def delegated_count(self, entry):
         """Return how many calls of an entry host delegated attempts to others."""
-        address = f"{entry.ip}:{METRICS_PORT}"
+        address = f"{entry.ip}:{platform_processes.METRICS_PORT}"
         reply = await self.processes.call(address, "GET", "/metrics", b"")
         return sum(map(float, DELEGATIONS.findall(reply.body)))
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -141,3 +141,10 @@
     And the entry host begins to drain
     Then it is not ready
     And a client's sweep is answered with both parts and the connection closed
+
+  Scenario: The metrics of hosts that run as processes are read
+    Guards against metrics that fail with status 500 because a module that the library
+    for them imports is blocked in these processes.
+
+    Given control and entry hosts of the platform as processes
+    Then each host serves its metrics
--- a/features/steps/control_hosts_replaced_steps.py
+++ b/features/steps/control_hosts_replaced_steps.py
@@ -113,3 +113,12 @@
         )
 
     run(context, processes.wait_until(is_voter, timeout=seconds))
+
+
+@behave.then("each host serves its metrics")
+def then_metrics(context):
+    for host in context.processes.hosts:
+        address = f"{host.ip}:{platform_processes.METRICS_PORT}"
+        reply = run(context, context.processes.call(address, "GET", "/metrics", b""))
+        assert reply is not None and reply.status == 200, (host.name, reply)
+        assert b"greengagehaven_peer_calls_total" in reply.body, host.name
--- a/src/greengagehaven/import_blocking.py
+++ b/src/greengagehaven/import_blocking.py
@@ -14,3 +14,14 @@
     """
     if name not in sys.modules:
         sys.modules[name] = None  # type: ignore[assignment]
+
+
+def allow_import(name: str) -> None:
+    """Let a module be imported again, also if its import was not blocked.
+
+    Modules that were imported meanwhile go on working without it.
+
+    :param name: name of the module.
+    """
+    if name in sys.modules and sys.modules[name] is None:
+        del sys.modules[name]
--- a/src/greengagehaven/platform/__main__.py
+++ b/src/greengagehaven/platform/__main__.py
@@ -8,6 +8,8 @@
     import_blocking.block_import("ssl")
     from greengagehaven.platform import roles
 
+    # asyncio is imported by now. The Prometheus library imports ssl on first use.
+    import_blocking.allow_import("ssl")
     roles.main()
 
 
