Finish responses on connections with TLS

asyncio's TLS transport pauses its protocol at the high-water mark and not only above it. With a mark of zero it paused after the last byte of each response, so the connection counted as writing until the client's next bytes: it was cut as a slow reader after the write timeout, a drain took its whole time for it, and the process ended with exit code 1. Requests on open connections were lost too.

The scenario failed before.

--- a/features/http.feature
+++ b/features/http.feature
@@ -111,3 +111,11 @@
     Given an HTTP listener with TLS that requires client certificates
     When clients with a certificate, without one and without TLS connect
     Then only the client with a certificate gets a response
+
+  Scenario: Connections with TLS wait for requests between responses
+    Guards against connections that count as unanswered after their response: they
+    were cut as slow readers, and a stop waited for them in vain.
+
+    Given an HTTP listener with TLS that requires client certificates
+    When a client with a certificate has got responses to 3 requests
+    Then its connection is idle, and a drain of the listener leaves no request
--- a/features/steps/tls_steps.py
+++ b/features/steps/tls_steps.py
@@ -12,6 +12,7 @@
 from greengagehaven.transport import http, http_client, http_server, tls
 
 REQUEST_TIMEOUT = datetime.timedelta(seconds=5)
+DRAIN_TIMEOUT = datetime.timedelta(seconds=2)
 
 
 @behave.given("an HTTP listener with TLS that requires client certificates")
@@ -66,3 +67,29 @@
 @behave.then("only the client with a certificate gets a response")
 def then_only_certified(context):
     assert context.statuses == [200, None, None], context.statuses
+
+
+@behave.when("a client with a certificate has got responses to {count:d} requests")
+def when_requests(context, count):
+    folder = context.folder
+    client = context.client = http_client.HttpClient(
+        address=context.address,
+        tls=tls.client_context(
+            ca=folder / "authority.crt",
+            certificate=folder / "caller.crt",
+            key=folder / "caller.key",
+        ),
+    )
+
+    async def request():
+        return (await client.request("GET", "/", timeout=REQUEST_TIMEOUT)).status
+
+    assert [context.runner.run(request()) for _ in range(count)] == [200] * count
+
+
+@behave.then("its connection is idle, and a drain of the listener leaves no request")
+def then_idle(context):
+    assert context.server.connection_states == ["idle"]
+    left = context.runner.run(context.server.drain(DRAIN_TIMEOUT))
+    context.client.close()
+    assert left == 0
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -94,9 +94,11 @@
         """Set up a new connection, or abort it if the server rejects it."""
         self._transport = transport
         sockets.configure(transport.get_extra_info("socket"))
-        # With a high-water mark of zero, resume_writing is called once the whole
-        # response has been passed to the kernel.
-        transport.set_write_buffer_limits(high=0)
+        # With these marks, resume_writing is called once the whole response has been
+        # passed on. A TLS transport pauses at its high-water mark and not only above
+        # it: with zero it would pause after the last byte and never resume.
+        is_tls = transport.get_extra_info("sslcontext") is not None
+        transport.set_write_buffer_limits(high=1 if is_tls else 0, low=0)
         peername = transport.get_extra_info("peername") or ("", 0)
         self.peer = settings.format_address(peername[0], peername[1])
         if not self._owner.connection_opened(self):
