Test stops of entry hosts of the product's own interface

Searches that outlast the drain (0.2 s) are in flight at the upstream when SIGTERM comes.: 3 of 3 end with a closed connection 0.42 s after it, exit code 1, over TCP and TLS (one run each).

--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -63,6 +63,8 @@
         self._signals = signals
         self._rng = random.Random(seed)
         self._clients = []
+        tls = getattr(deployment, "tls", None)
+        self._tls_options = {} if tls is None else {"ssl": tls, "server_hostname": ""}
         self._stop_at = asyncio.get_running_loop().time() + LOAD_S
 
     def add(self, client, count=1):
@@ -130,6 +132,18 @@
                         is_open = await self._receive(request, reader)
             await asyncio.sleep(RECONNECT_S)
 
+    async def keep_searching(self, *, path, body, headers):
+        """Send one search after the other until the host is gone."""
+        while self.host.process.returncode is None:
+            with contextlib.suppress(OSError):
+                async with self._connect() as (reader, writer):
+                    is_open = True
+                    while is_open and not reader.at_eof():
+                        request, data = self._make_request("POST", path, body, headers)
+                        writer.write(data)
+                        is_open = await self._receive(request, reader)
+            await asyncio.sleep(RECONNECT_S)
+
     async def send_search(self, *, at_s, path, body, headers):
         """Send a search, which must get a response, to the product's own interface."""
         async with self._connect() as (reader, writer):
@@ -139,6 +153,11 @@
             writer.write(data)
             await self._receive(request, reader)
 
+    async def sample(self, read, *, at_s):
+        """Return what ``read`` returns at a moment relative to the stop."""
+        await self._sleep_until(self._stop_at + at_s)
+        return read()
+
     async def send_once(self, *, at_s, work_s):
         """Send one request on a connection that is open and idle until then."""
         async with self._connect() as (reader, writer):
@@ -190,7 +209,9 @@
         try:
             await loop.sock_connect(connection, address)
             limit = SMALL_BUFFER_BYTES if is_slow else 2**16
-            streams = await asyncio.open_connection(sock=connection, limit=limit)
+            streams = await asyncio.open_connection(
+                sock=connection, limit=limit, **self._tls_options
+            )
         except OSError:
             connection.close()
             raise
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -15,6 +15,11 @@
 
 WORK_S = (0.01, 2.0)
 TERM = ((0.0, signal.SIGTERM),)
+SEARCH = {
+    "path": stop_entry.SEARCH_PATH,
+    "body": stop_entry.SEARCH_BODY,
+    "headers": stop_entry.HEADERS,
+}
 BUSY_LOOPS = 3
 LATE_CLIENTS = 8
 
@@ -221,21 +226,37 @@
     asyncio.run(run())
 
 
-@behave.when("an entry host is stopped while a search outlasts its drain bound")
-def when_search_outlasts(context):
+@behave.when("an entry host is stopped while searches outlast its drain, over {kind}")
+def when_search_outlasts(context, kind):
     async def run():
-        async with stop_entry.EntryDeployment(work_s=1.6) as deployment:
+        # The host gives a search up after 0.9 s without a reply.
+        async with stop_entry.EntryDeployment(
+            work_s=4.0, drain_s=0.2, has_tls=kind == "TLS"
+        ) as deployment:
             load = stop_load.StopLoad(
                 deployment=deployment, host=deployment.host, signals=TERM
             )
-            search = functools.partial(
-                load.send_search,
-                at_s=-0.2,
-                path=stop_entry.SEARCH_PATH,
-                body=stop_entry.SEARCH_BODY,
-                headers=stop_entry.HEADERS,
+            search = functools.partial(load.send_search, at_s=-0.2, **SEARCH)
+            load.add(search, 3)
+            in_flight = asyncio.ensure_future(
+                load.sample(lambda: deployment.upstream.in_flight, at_s=-0.01)
+            )
+            await run_loads(context, deployment, [load])
+            assert await in_flight
+
+    asyncio.run(run())
+
+
+@behave.when("an entry host is stopped while clients search over {kind}")
+def when_searching(context, kind):
+    async def run():
+        async with stop_entry.EntryDeployment(
+            work_s=0.1, drain_s=3.0, has_tls=kind == "TLS"
+        ) as deployment:
+            load = stop_load.StopLoad(
+                deployment=deployment, host=deployment.host, signals=TERM
             )
-            load.add(search, 2)
+            load.add(lambda: load.keep_searching(**SEARCH), 8)
             await run_loads(context, deployment, [load])
 
     asyncio.run(run())
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -87,3 +87,28 @@
     When an entry host is stopped while its processor is busy
     Then every request that was passed on got a response
     And each host ended within its grace period with exit code 0 and none left
+
+  Scenario Outline: Searches outlast the drain of a host of the product's own interface
+    Guards against a search that ends with a closed connection at the end of the
+    drain, though there is time to answer it with an error.
+
+    When an entry host is stopped while searches outlast its drain, over <kind>
+    Then every request that was passed on got a response
+    And each host ended within its grace period with exit code 0 and none left
+
+    Examples: kinds of connections
+      | kind |
+      | TCP  |
+      | TLS  |
+
+  Scenario Outline: A host of the product's own interface is stopped under load
+    Guards against responses that are cut while their connections are closed.
+
+    When an entry host is stopped while clients search over <kind>
+    Then every request that was passed on got a response
+    And each host ended within its grace period with exit code 0 and none left
+
+    Examples: kinds of connections
+      | kind |
+      | TCP  |
+      | TLS  |
