--- a/features/steps/stop_deadline_steps.py
+++ b/features/steps/stop_deadline_steps.py
@@ -13,6 +13,12 @@
         context.tier.answer_attempt(context.tier.attempts_of(number)[0])
 
 
+@behave.then("the error says that the host is stopping")
+def then_says(context):
+    error = context.tier.final_actions_by_number[context.number].error
+    assert error.detail.endswith(", the host is stopping"), error.detail
+
+
 @behave.when("the host stops in {ms:d} ms")
 def when_stopping(context, ms):
     answer_by = context.tier.clock.monotonic() + ms / 1000
--- a/features/stop_deadline.feature
+++ b/features/stop_deadline.feature
@@ -10,6 +10,7 @@
     Then the request is still in progress
     When 1 ms pass
     Then the request is refused with deadline_exceeded
+    And the error says that the host is stopping
 
   Scenario: A sweep gets the parts that have arrived when the host stops
     Given a router with a sweep over 4 shards of 3 upstreams each
--- a/src/greengagehaven/coordination/routing/components.py
+++ b/src/greengagehaven/coordination/routing/components.py
@@ -284,6 +284,7 @@
                 retry_delays=self.retry_delays,
                 partition=self.partition,
                 key_guard=self.key_guard,
+                stop_deadline=self.stop_deadline,
             ),
             delegation=self.delegation,
             caller_times=self.caller_times,
--- a/src/greengagehaven/coordination/routing/refusals.py
+++ b/src/greengagehaven/coordination/routing/refusals.py
@@ -11,6 +11,7 @@
     partition,
     request,
     retry_delays,
+    stop_deadline,
 )
 
 
@@ -20,6 +21,7 @@
     :param retry_delays: delays after which callers may retry.
     :param partition: whether this host is cut off from all other zones.
     :param key_guard: creates the error for lack of a key lease.
+    :param stop_deadline: when this host stops.
     """
 
     def __init__(
@@ -28,10 +30,12 @@
         retry_delays: retry_delays.RetryDelays,
         partition: partition.PartitionDetector,
         key_guard: key_lease.KeyGuard,
+        stop_deadline: stop_deadline.StopDeadline,
     ) -> None:
         self._retry_delays = retry_delays
         self._partition = partition
         self._key_guard = key_guard
+        self._stop_deadline = stop_deadline
 
     def failure_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
         """Return the error for a request for which too few shards can still reply."""
@@ -56,6 +60,8 @@
     def timeout_error(self, routed: request.RoutedRequest) -> exceptions.RequestError:
         """Return the error for a request whose deadline has passed."""
         detail = f"{len(routed.parts)} of {len(routed.shards)} shards in time"
+        if routed.deadline == self._stop_deadline.at:
+            detail += ", the host is stopping"
         if not routed.may_have_run:
             # Attempts that still wait for a connection are withdrawn together with
             # this answer, so none of them can run later.
