Let timeouts not count as answers when a stopping host refuses requests

With more than a tenth of a route's requests ending at their deadlines, a stopping host refused all requests of that route for the rest of its drain, although most of them are answered in time. Found by review and by calculation, not seen in a run.

--- a/src/greengagehaven/coordination/routing/completion.py
+++ b/src/greengagehaven/coordination/routing/completion.py
@@ -16,6 +16,8 @@
     stop_deadline,
 )
 
+ANSWERED_OUTCOMES = ("answered", "partial", "upstream_error")
+
 
 class RequestCompletion:
     """Ends requests whose outcome is certain and releases their attempts.
@@ -81,7 +83,7 @@
         took = self._clock.monotonic() - routed.started_at
         missing = len(routed.shards) - routed.part_count
         self._counts.record_end(routed.route.name, outcome, took, missing)
-        if outcome != "caller_left" and any(shard.sends for shard in routed.shards):
+        if outcome in ANSWERED_OUTCOMES:
             self._stop_deadline.record_time(routed.route.name, took)
         own = [part for part in routed.parts if not part.helper_address]
         self._delegation.record_shard_times(
