Report what an aborted or failed drain cuts off

After SIGQUIT, five responses of 6 MB that their clients were reading were cut and the process logged left=0 and exited with 0: it counted what the router had in flight, and answers that are being written are no longer. The count is now that of responses that are not sent completely, and a drain that failed exits with 1.

A stop signal between the last log line and the exit ended the process with exit code -15; these signals are ignored from then on.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -35,6 +35,13 @@
     Then it exits with code 1 and logs that 3 were left
     And it logs SIGTERM, SIGQUIT and the times of its drain and closing
 
+  Scenario: A drain that fails is reported
+    The exit code tells supervisors that requests may have been cut off.
+
+    Given a daemon whose drain fails and 0 requests in flight
+    When it gets SIGTERM
+    Then it exits with code 1 and logs that 0 were left
+
   Scenario: After one signal a daemon completes its drain
     Given a daemon whose drain ends after the last signal and 0 requests in flight
     When it gets SIGTERM
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -52,9 +52,9 @@
 
 
 class FakeDaemon:
-    def __init__(self, in_flight, hangs):
+    def __init__(self, in_flight, ending):
         self.in_flight = in_flight
-        self.hangs = hangs
+        self.ending = ending
         self.draining = asyncio.Event()
         self.last_signal_sent = asyncio.Event()
 
@@ -63,8 +63,10 @@
         await self.last_signal_sent.wait()
         # Time for the last signal to take effect.
         await asyncio.sleep(0.05)
-        if self.hangs:
+        if self.ending == "never ends":
             await asyncio.Event().wait()
+        if self.ending == "fails":
+            raise OSError("a fault in a drain")
         self.in_flight = 0
         return 0
 
@@ -152,7 +154,7 @@
 
 @behave.given("a daemon whose drain {ends} and {count:d} requests in flight")
 def given_daemon(context, ends, count):
-    context.daemon = (count, ends == "never ends")
+    context.daemon = (count, ends)
 
 
 @behave.when("it gets {names}")
@@ -173,7 +175,13 @@
         daemon.last_signal_sent.set()
         return await asyncio.wait_for(running, 10)
 
-    context.code = asyncio.run(run())
+    ignored = (*lifecycle.STOP_SIGNALS, lifecycle.ABORT_SIGNAL)
+    handlers = {number: signal.getsignal(number) for number in ignored}
+    try:
+        context.code = asyncio.run(run())
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
     context.lines = sink.getvalue().splitlines()
 
 
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -126,7 +126,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
-        return self._router.in_flight
+        return self._server.unanswered_count
 
     @property
     def followed(self) -> frozenset[str]:
--- a/src/greengagehaven/daemons/lifecycle.py
+++ b/src/greengagehaven/daemons/lifecycle.py
@@ -46,8 +46,10 @@
         await signals.stop.wait()
         return await _stop(daemon, signals.abort)
     finally:
+        # Ignored: the process exits, and its exit code tells what was cut off.
         for number in numbers:
             loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
 
 
 class _Signals:
@@ -89,9 +91,11 @@
     await asyncio.wait((drain, aborted), return_when=asyncio.FIRST_COMPLETED)
     aborted.cancel()
     times = {"drain_ms": _ms_since(started_at)}
-    if drain.done() and drain.exception() is None:
+    has_failed = False
+    if drain.done() and not drain.cancelled() and drain.exception() is None:
         left = drain.result()
     else:
+        has_failed = drain.done()
         left = daemon.in_flight
         closed_at = asyncio.get_running_loop().time()
         drain.cancel()
@@ -100,7 +104,7 @@
             background_tasks.record_failure("drain", error)
         await daemon.close()
         times["close_ms"] = _ms_since(closed_at)
-    if left:
+    if left or has_failed:
         log.warning("stopped", left=left, **times)
         return EXIT_CUT_OFF
     log.info("stopped", left=0, **times)
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -118,9 +118,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
-        return (
-            0 if self._http_server is None else self._http_server.busy_connection_count
-        )
+        return 0 if self._http_server is None else self._http_server.unanswered_count
 
     @property
     def is_leader(self) -> bool:
