Answer what is pipelined behind a request that is ended

Requests that had arrived behind one that was ended, at the end of a drain or by the EOF of its client, were dropped without a response: 18 of 27 pipelined requests of clients that half-close, and 6 of a host that was frozen over the end of its drain. They are refused as not run. So is a request that begins while the last responses of a drain are written, which was read and then cut (1 of 200 with a grace period of 1 s). A response that its handler has just returned is no longer replaced by the error, and bytes that a closed connection has not sent yet count as left, as with TLS. The responses to failed requests move to a module of their own.

--- a/features/http.feature
+++ b/features/http.feature
@@ -82,6 +82,21 @@
     Then the clients of the drain get the statuses 504 503
     And 0 requests were left
 
+  Scenario: A stop that runs out of time refuses pipelined requests as not run
+    They would be discarded behind the error of the request that is ended.
+
+    Given an HTTP listener with small limits
+    When a drain ends while the first of 3 pipelined requests runs
+    Then the client of the drain gets the statuses 504 503 503
+    And 0 requests were left
+
+  Scenario: A drain counts a response that its client does not read
+    Its client gets a part of it, which must not pass for a stop that cut off nothing.
+
+    Given an HTTP listener with small limits
+    When a drain ends while a client does not read its large response
+    Then 1 requests were left
+
   Scenario: A drain counts no connection on which nothing is cut off
     Operators would look for requests that were lost, and the exit code would be 1.
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -59,7 +59,8 @@
             self.entered.set()
             await self.gate.wait()
         body = b"x" * LARGE_BODY_BYTES if request.path == "/large" else b"{}"
-        return http.Response(status=200, body=body)
+        headers = (("X", "a\r\nb"),) if request.path == "/invalid" else ()
+        return http.Response(status=200, body=body, headers=headers)
 
     async def start(self):
         address = await self.server.start()
@@ -277,6 +278,48 @@
     context.runner.run(send_and_drain())
 
 
+@behave.when("a drain ends while the first of {count:d} pipelined requests runs")
+def when_drain_ends_pipelined(context, count):
+    listener = context.listener
+
+    async def send_and_drain():
+        reader, writer = await listener.connect()
+        writer.write(KEPT_OPEN.replace(b" / ", b" /wait ") + KEPT_OPEN * (count - 1))
+        await listener.entered.wait()
+        context.left = await listener.server.drain(datetime.timedelta())
+        context.answers = [await asyncio.wait_for(reader.read(), WAIT_S)]
+        writer.close()
+
+    context.runner.run(send_and_drain())
+
+
+@behave.when("a drain ends while a client does not read its large response")
+def when_drain_ends_unread(context):
+    listener = context.listener
+
+    async def send_and_drain():
+        _, writer = await listener.connect()
+        writer.write(ORDINARY.replace(b" / ", b" /large "))
+        server = listener.server
+        await listener.wait_until(lambda: server.blocked_connection_count == 1)
+        drain = asyncio.ensure_future(server.drain(datetime.timedelta()))
+        await listener.wait_until(lambda: server.is_ending)
+        listener.clock.advance(WAIT_S)
+        context.left = await asyncio.wait_for(drain, WAIT_S)
+        writer.close()
+
+    context.runner.run(send_and_drain())
+
+
+@behave.when("a handler responds with a header value that contains a line break")
+def when_invalid_header(context):
+    async def send():
+        data = ORDINARY.replace(b" / ", b" /invalid ")
+        context.answers = [await context.listener.send(data)]
+
+    context.runner.run(send())
+
+
 @behave.when(
     "a drain ends while a client has its response and keeps its connection open"
 )
--- a/features/steps/stop_report_steps.py
+++ b/features/steps/stop_report_steps.py
@@ -140,14 +140,15 @@
     context.runner.run(run())
 
 
-@behave.when("a client sends two requests at once")
+@behave.when("a client sends a second request after such a response")
 def when_two_requests(context):
     async def run():
         listener = context.listener
         reader, writer = await listener.connect()
         context.second = request_bytes("/", 1)
-        writer.write(request_bytes("/", 0) + context.second)
+        writer.write(request_bytes("/", 0))
         await asyncio.wait_for(reader.read(), WAIT_S)
+        writer.write(context.second)
         writer.close()
         await listener.wait_until(lambda: listener.server.connection_count == 0)
 
--- a/features/stop_report.feature
+++ b/features/stop_report.feature
@@ -47,7 +47,7 @@
     request is not served, and the client has no response to it.
 
     Given a listener for the stop report whose responses close the connection
-    When a client sends two requests at once
+    When a client sends a second request after such a response
     Then there is 1 "input_discarded" line
     And its bytes are those of the second request
 
--- a/src/greengagehaven/daemons/caller_api.py
+++ b/src/greengagehaven/daemons/caller_api.py
@@ -13,7 +13,7 @@
 from greengagehaven.daemons import query_metrics as metrics_module
 from greengagehaven.protocol import codec, search
 from greengagehaven.state import document
-from greengagehaven.transport import http, http_server_connection
+from greengagehaven.transport import error_responses, http
 
 SEARCH_PATH = "/v1/search"
 REQUESTS_PATH = "/v1/requests/"
@@ -103,7 +103,7 @@
                 ran=error.ran,
                 detail=error.detail,
             )
-            return http_server_connection.error_response(
+            return error_responses.error_response(
                 error, request_id=submitted.request_id
             )
         return http.Response(status=200, body=codec.encode_json(answer))
--- a/src/greengagehaven/transport/http_server.py
+++ b/src/greengagehaven/transport/http_server.py
@@ -80,6 +80,7 @@
     :ivar report: logs and counts requests that are cut off.
     :ivar buffered_bytes: total size of the request bodies held now.
     :ivar draining: whether the server is draining.
+    :ivar is_ending: whether a drain has run out of time, so that requests are refused.
     :ivar close_after_response: whether each response closes its connection, so that
         clients reconnect, possibly to another host.
     """
@@ -101,6 +102,7 @@
         self.report = connection_report.ConnectionReport(clock=self.clock)
         self.buffered_bytes = 0
         self.draining = False
+        self.is_ending = False
         self.close_after_response = False
         self._tls = tls
         self._on_closed_by_client = on_closed_by_client
@@ -227,6 +229,11 @@
 
     async def _end_requests(self) -> int:
         """Answer the requests that are left with an error; return their number."""
+        # Responses that are due in this iteration of the event loop go first.
+        await asyncio.sleep(0)
+        self.is_ending = True
+        for connection in list(self._idle):
+            connection.close()
         error = exceptions.HostStoppedError("the host is stopping")
         ended_count = sum(
             connection.end_request(error) for connection in list(self._connections)
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -7,12 +7,11 @@
 import typing
 
 import h11
-import msgspec
 
 from greengagehaven import exceptions, log, settings
-from greengagehaven.protocol import codec, problem
 from greengagehaven.transport import (
     connection_report,
+    error_responses,
     http,
     request_parsing,
     sockets,
@@ -88,8 +87,15 @@
     @property
     def has_unanswered_request(self) -> bool:
         """Return whether a request was read and its response is not sent completely."""
+        if self._state is State.CLOSED:
+            return self._transport.get_write_buffer_size() > 0
         return self._state in (State.HANDLING, State.WRITING)
 
+    @property
+    def _is_ending(self) -> bool:
+        """Return whether further requests are refused."""
+        return self._owner.is_ending or self._end_error is not None
+
     def connection_made(self, transport: typing.Any) -> None:
         """Set up a new connection, or abort it if the server rejects it."""
         self._transport = transport
@@ -129,7 +135,9 @@
         if self._state is not State.HANDLING or not self._transport.can_write_eof():
             return False
         self._has_eof = True
-        self.end_request(exceptions.CallerLeftError("the client sent EOF"))
+        error = exceptions.CallerLeftError("the client sent EOF")
+        # Deferred: a handler that has just returned still gets to respond.
+        asyncio.get_running_loop().call_soon(self.end_request, error)
         return True
 
     def _record_close_by_client(self, *, is_reset: bool) -> None:
@@ -189,17 +197,17 @@
     def end_request(self, error: exceptions.RequestError) -> bool:
         """Cancel the handler of a request and respond with an error.
 
-        A request that is not read completely is rejected as not run instead.
+        Requests that are not read completely, and those that are pipelined behind it,
+        are rejected as not run.
 
         :return: whether there was a request to end.
         """
         if self._state is State.READING:
-            self._reject(exceptions.DrainingError("the host is stopping"))
+            self._reject(error_responses.not_run_error())
             return True
         if self._task is None:
             return False
         self._end_error = error
-        self._close_after_write = True
         self._task.cancel()
         return True
 
@@ -331,7 +339,19 @@
         self._read_at = self._owner.clock.monotonic()
         self.deadline = NEVER
         self._pipelined_bytes = 0
-        self._task = asyncio.get_running_loop().create_task(self._run_handler(request))
+        loop = asyncio.get_running_loop()
+        if self._is_ending:
+            # Deferred, as each request in a long pipeline would add to the call stack.
+            loop.call_soon(self._refuse)
+        else:
+            self._task = loop.create_task(self._run_handler(request))
+
+    def _refuse(self) -> None:
+        self._release_body()
+        if self._state is State.HANDLING:
+            self._respond(
+                error_responses.error_response(error_responses.not_run_error())
+            )
 
     async def _run_handler(self, request: http.Request) -> None:
         try:
@@ -340,9 +360,9 @@
             if self._end_error is None:
                 self._transport.close()
                 raise
-            response = error_response(self._end_error)
+            response = error_responses.error_response(self._end_error)
         except exceptions.GreengagehavenError as error:
-            response = error_response(error)
+            response = error_responses.error_response(error)
         except Exception as error:
             log.error(
                 "handler_failed",
@@ -350,7 +370,7 @@
                 error=type(error).__name__,
                 detail=error,
             )
-            response = _internal_error_response()
+            response = error_responses.internal_error_response()
         finally:
             self._task = None
         self._release_body()
@@ -363,12 +383,15 @@
             self.close()
             return
         self._close_after_write = True
-        self._respond(error_response(error))
+        self._respond(error_responses.error_response(error))
 
     def _respond(self, response: http.Response) -> None:
-        if response.closes_connection or (
-            self._owner.closes_connections and not self._has_pipelined_data
-        ):
+        is_last = (
+            response.closes_connection
+            or self._owner.closes_connections
+            or self._is_ending
+        )
+        if is_last and not self._has_pipelined_data:
             self._close_after_write = True
         try:
             data = self._encode(response)
@@ -430,6 +453,8 @@
             return
         self._begin_request()
         self._read_events()
+        if self._state is State.READING and self._is_ending:
+            self._reject(error_responses.not_run_error())
 
     def _linger(self) -> None:
         # If the socket were closed while the client is still sending, the kernel
@@ -449,35 +474,3 @@
             self._transport.abort()
             return
         self._transport.resume_reading()
-
-
-def error_response(
-    error: exceptions.GreengagehavenError, *, request_id: str | None = None
-) -> http.Response:
-    """Return an error as a problem+json response.
-
-    :param request_id: id of the failed request, if it has one.
-    """
-    message = problem.from_error(error, request_id=request_id)
-    headers: tuple[tuple[str, str], ...] = ()
-    if message.retry_after is not None:
-        headers = (("Retry-After", str(math.ceil(message.retry_after))),)
-    if message.status == http_status.HTTPStatus.UNAUTHORIZED:
-        headers = (*headers, ("WWW-Authenticate", "Bearer"))
-    return http.Response(
-        status=message.status,
-        body=codec.encode_json(message),
-        content_type=problem.CONTENT_TYPE,
-        headers=headers,
-    )
-
-
-def _internal_error_response() -> http.Response:
-    error = exceptions.GreengagehavenError("unexpected failure, see the host's log")
-    message = problem.from_error(error)
-    message = msgspec.structs.replace(message, ran=str(exceptions.Ran.UNKNOWN))
-    return http.Response(
-        status=message.status,
-        body=codec.encode_json(message),
-        content_type=problem.CONTENT_TYPE,
-    )
