Answer requests whose response has a header that can't be sent

Values are sent as the bytes that were received; an invalid one becomes an error with status 500, ran unknown.

--- a/features/http.feature
+++ b/features/http.feature
@@ -97,6 +97,13 @@
     When a drain ends while a client does not read its large response
     Then 1 requests were left
 
+  Scenario: A response with a header that HTTP does not allow becomes an error
+    Its connection would close without a response.
+
+    Given an HTTP listener with small limits
+    When a handler responds with a header value that contains a line break
+    Then the client is told with status 500 that its request may have run
+
   Scenario: A drain counts no connection on which nothing is cut off
     Operators would look for requests that were lost, and the exit code would be 1.
 
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -397,9 +397,7 @@
             data = self._encode(response)
         except h11.LocalProtocolError as error:
             log.error("response_failed", detail=error)
-            self._report_cut()
-            self.close()
-            return
+            data = self._encode(error_responses.internal_error_response())
         self._state = State.WRITING
         self._transport.write(data)
         if response.on_written is not None:
@@ -417,11 +415,16 @@
         return bool(pipelined_data)
 
     def _encode(self, response: http.Response) -> bytes:
-        headers = [("Content-Length", str(len(response.body))), *response.headers]
+        headers = [("Content-Length", str(len(response.body)).encode())]
+        headers += [
+            # Values were decoded as Latin-1; this restores the received bytes.
+            (name, value.encode("latin-1"))
+            for name, value in response.headers
+        ]
         if response.content_type is not None:
-            headers.insert(0, ("Content-Type", response.content_type))
+            headers.insert(0, ("Content-Type", response.content_type.encode()))
         if self._close_after_write:
-            headers.append(("Connection", "close"))
+            headers.append(("Connection", b"close"))
         head = h11.Response(
             status_code=response.status,
             headers=headers,
