Judge requests that a stopping host ends or refuses too early

The scenarios of stops passed with a stop deadline 0.1 s after SIGTERM, as an error is a complete response. Work that ends well before the deadline now has to be answered with 200, requests in the first 2.9 s have to be taken, and some that arrive after the signal have to be answered.

--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -16,11 +16,19 @@
 
 CALLER_TIME_S = 4.5
 GRACE_S = 6.0
+SERVED_UNTIL_S = 2.9
+"""Seconds after the stop until which new requests are taken: the load balancer needs
+up to three seconds to notice it."""
+
+ANSWERED_UNTIL_S = 4.9
+"""Seconds after the stop by which work has to end to be certain of its answer."""
+
 LOSS_SLACK_S = 0.2
 """Seconds after which a request that was sent may not end without a response."""
 
 END_TIMEOUT_S = 20.0
 RECONNECT_S = 0.02
+OK = 200
 UNANSWERED = ("cut", "held and cut", "no response")
 REFUSALS = (429, 503)
 STOPPED = re.compile(r"event=stopped left=(\d+)")
@@ -32,12 +40,14 @@
     """A request that a client sent completely; moments are seconds of the loop.
 
     :param must_answer: whether it must get a response even if it is not passed on.
+    :param must_succeed: whether an error is a fault if its work ends in time.
     """
 
     id: str
     sent_at: float
     work_s: float = 0.0
     must_answer: bool = False
+    must_succeed: bool = True
     status: int | None = None
     ended_at: float | None = None
 
@@ -150,6 +160,7 @@
             await self._sleep_until(self._stop_at + at_s)
             request, data = self._make_request("POST", path, body, headers)
             request.must_answer = True
+            request.must_succeed = False
             writer.write(data)
             await self._receive(request, reader)
 
@@ -185,6 +196,7 @@
             await self._sleep_until(self._stop_at + at_s)
             request = self._send(writer, self._draw(work_s), 16)
             request.must_answer = True
+            request.must_succeed = False
             writer.write_eof()
             await self._receive(request, reader)
 
@@ -234,6 +246,7 @@
         prefix = prefix or stop_upstreams.SINGLE_PREFIX
         request, data = self._make_request("GET", f"{prefix}{work}-{size}")
         request.work_s = CALLER_TIME_S if is_silent else work_s
+        request.must_succeed = not is_silent
         return request, data
 
     def _make_request(self, method, path, body=b"", headers=()):
@@ -280,6 +293,13 @@
             if (fault := self._fault_of(request))
         ]
 
+    def answered_after_stop(self):
+        """Return how many requests were sent after the stop and answered with 200."""
+        return sum(
+            request.status == OK and request.sent_at > self._stop_at
+            for request in self.requests
+        )
+
     def end_faults(self):
         """Return what was wrong with the end of the process, one line each."""
         found = []
@@ -292,9 +312,15 @@
     def _fault_of(self, request):
         is_received = request.id in self._deployment.receipts_by_id
         if request.status in REFUSALS:
-            return "refused though passed on" if is_received else ""
+            if is_received:
+                return "refused though passed on"
+            is_early = request.sent_at < self._stop_at + SERVED_UNTIL_S
+            return "refused early" if is_early and request.must_succeed else ""
         if request.status is not None:
-            return ""
+            ends_at = request.sent_at + request.work_s
+            is_early = ends_at < self._stop_at + ANSWERED_UNTIL_S
+            is_failed = request.status != OK and request.must_succeed
+            return "ended early" if is_early and is_failed else ""
         if is_received:
             return "cut"
         if request.must_answer:
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -269,6 +269,12 @@
     assert not faults, (len(faults), faults[:10])
 
 
+@behave.then("requests that arrived after the signal were answered")
+def then_served(context):
+    counts = [load.answered_after_stop() for load in context.loads]
+    assert all(counts), counts
+
+
 @behave.then("each host ended within its grace period with exit code 0 and none left")
 def then_ended(context):
     faults = [fault for load in context.loads for fault in load.end_faults()]
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -8,6 +8,7 @@
       | signals   | clients |
       | SIGTERM 0 | 150     |
     Then every request that was passed on got a response
+    And requests that arrived after the signal were answered
     And each host ended within its grace period with exit code 0 and none left
 
   Scenario: SIGTERM is repeated
@@ -20,6 +21,7 @@
       | SIGTERM 0, SIGTERM 3   | 40      |
       | SIGTERM 0, SIGTERM 4.5 | 40      |
     Then every request that was passed on got a response
+    And requests that arrived after the signal were answered
     And each host ended within its grace period with exit code 0 and none left
 
   Scenario: SIGTERM is mixed with other signals
@@ -32,6 +34,7 @@
       | SIGTERM 0, SIGHUP 0.2, SIGHUP 1    | 40      |
       | SIGHUP 0, SIGTERM 0.1, SIGHUP 0.15 | 40      |
     Then every request that was passed on got a response
+    And requests that arrived after the signal were answered
     And each host ended within its grace period with exit code 0 and none left
 
   Scenario: Pipelined requests are waiting when the stop begins
@@ -63,6 +66,7 @@
 
     When 2 of 3 entry hosts are stopped at once under load
     Then every request that was passed on got a response
+    And requests that arrived after the signal were answered
     And each host ended within its grace period with exit code 0 and none left
 
   Scenario: Upstreams are silent during a stop
@@ -86,6 +90,7 @@
 
     When an entry host is stopped while its processor is busy
     Then every request that was passed on got a response
+    And requests that arrived after the signal were answered
     And each host ended within its grace period with exit code 0 and none left
 
   Scenario Outline: Searches outlast the drain of a host of the product's own interface
