--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -49,6 +49,7 @@
     must_answer: bool = False
     must_succeed: bool = True
     status: int | None = None
+    head: bytes = b""
     ended_at: float | None = None
 
 
@@ -104,16 +105,19 @@
 
     # Clients.
 
-    async def keep_sending(self, *, work_s, size=16, prefix=None, idle_s=0.0):
+    async def keep_sending(
+        self, *, work_s, size=16, prefix=None, idle_s=0.0, until_s=0.0
+    ):
         """Send one request after the other until the host is gone.
 
         :param idle_s: longest time for which the client waits on an open connection.
+        :param until_s: seconds after the stop until which it sends in any case.
         """
-        while self.host.process.returncode is None:
+        while self._is_needed(until_s):
             with contextlib.suppress(OSError):
                 async with self._connect() as (reader, writer):
                     is_open = True
-                    while is_open and self.host.process.returncode is None:
+                    while is_open and self._is_needed(until_s):
                         await asyncio.sleep(self._rng.uniform(0, idle_s))
                         if reader.at_eof():
                             break
@@ -123,6 +127,10 @@
                         is_open = await self._receive(request, reader)
             await asyncio.sleep(RECONNECT_S)
 
+    def _is_needed(self, until_s):
+        now = asyncio.get_running_loop().time()
+        return self.host.process.returncode is None or now < self._stop_at + until_s
+
     async def keep_ordering(self, make_order):
         """Send one order after the other to a control host until it is gone.
 
@@ -274,6 +282,7 @@
                 left -= len(data)
                 await asyncio.sleep(pause_s)
             request.status = int(head.split(None, 2)[1])
+            request.head = head
         except (asyncio.IncompleteReadError, OSError):
             return False
         finally:
@@ -300,6 +309,15 @@
             for request in self.requests
         )
 
+    def incomplete_faults(self):
+        """Return the sweeps that lack parts or a response, one line each."""
+        missing = re.compile(rb"(?i)%s: *0\r" % names.HEADERS.missing_parts.encode())
+        return [
+            f"{self.host.name}: {self._describe(request)}"
+            for request in self.requests
+            if request.status != OK or not missing.search(request.head)
+        ]
+
     def end_faults(self):
         """Return what was wrong with the end of the process, one line each."""
         found = []
--- a/features/fakes/stop_upstreams.py
+++ b/features/fakes/stop_upstreams.py
@@ -3,16 +3,12 @@
 import asyncio
 import itertools
 import json
-import re
 
 from fakes import platform_deployment, platform_processes
 from greengagehaven.platform import names
 from greengagehaven.transport import http
 
 PORT = 18080
-DELEGATIONS = re.compile(
-    rb"^greengagehaven\w*delegations_total\S* (\S+)$", re.MULTILINE
-)
 SLOTS = 400
 ANNOUNCE_PERIOD_S = 1.0
 SILENT = "silent"
@@ -30,7 +26,7 @@
     sweep |= {
         "gather": list(services),
         "timeoutMs": ROUTE_TIMEOUT_S * 1000,
-        "minCoverage": 0.5,
+        "minCoverage": 1.0,
     }
     single |= {"timeoutMs": ROUTE_TIMEOUT_S * 1000, "backend": services[0]}
     config["services"] = [
@@ -89,9 +85,9 @@
         self.receipts_by_id = {}
         self.request_numbers = itertools.count(1)
         self.upstreams = [
-            WorkUpstream(f"i-{service}-{zone}", service, zone, self.receipts_by_id)
+            WorkUpstream(f"i-{service}-{number}", service, zone, self.receipts_by_id)
             for service in service_names()
-            for zone in upstream_zones
+            for number, zone in enumerate(upstream_zones)
         ]
         self._announcing = None
 
@@ -124,12 +120,6 @@
             json.dumps(upstream.announcement()).encode(),
         )
 
-    async def delegated_count(self, entry):
-        """Return how many calls of an entry host delegated attempts to others."""
-        address = f"{entry.ip}:{platform_processes.METRICS_PORT}"
-        reply = await self.processes.call(address, "GET", "/metrics", b"")
-        return sum(map(float, DELEGATIONS.findall(reply.body)))
-
     def leader(self):
         """Return the control host that leads the group."""
         leaders = [
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -22,6 +22,8 @@
 }
 BUSY_LOOPS = 3
 LATE_CLIENTS = 8
+LONG_SWEEPS = 8
+DELEGATED = "event=delegated"
 
 
 def parse_signals(text):
@@ -150,26 +152,30 @@
 @behave.when("an entry host is stopped while others delegate attempts of sweeps to it")
 def when_delegated(context):
     async def run():
+        # The upstreams are in the zone of the second host, so the first one delegates
+        # all shards of its sweeps to it.
         zone = platform_processes.ZONES[1]
         async with stop_upstreams.StopDeployment(
-            entries=2, upstream_zones=(zone,)
+            entries=2, upstream_zones=(zone, zone)
         ) as deployment:
             target, host = deployment.processes.entries
             load = stop_load.StopLoad(
                 deployment=deployment, host=host, target=target, signals=TERM
             )
-            client = functools.partial(
-                load.keep_sending,
-                work_s=(0.01, 0.5),
-                prefix=stop_upstreams.SWEEP_PREFIX,
+            sweep = functools.partial(
+                load.keep_sending, prefix=stop_upstreams.SWEEP_PREFIX
+            )
+            # Upstreams that don't reply to anything for a while count as silent.
+            load.add(functools.partial(sweep, work_s=(0.01, 0.2), until_s=6.8), 4)
+            load.add(functools.partial(sweep, work_s=(1.0, 2.2)), LONG_SWEEPS)
+            delegated = asyncio.ensure_future(
+                load.sample(lambda: target.log_text.count(DELEGATED), at_s=-0.01)
             )
-            load.add(client, 8)
             await run_loads(context, deployment, [load])
-            context.delegated = await deployment.delegated_count(target)
-            print("delegated:", context.delegated)
+            print("delegated before the stop:", await delegated)
+            assert await delegated >= LONG_SWEEPS
 
     asyncio.run(run())
-    assert context.delegated
 
 
 @behave.when("a control host is stopped while changes and announcements arrive")
@@ -275,6 +281,12 @@
     assert all(counts), counts
 
 
+@behave.then("every sweep got a response with all its parts")
+def then_complete(context):
+    faults = [fault for load in context.loads for fault in load.incomplete_faults()]
+    assert not faults, (len(faults), faults[:10])
+
+
 @behave.then("each host ended within its grace period with exit code 0 and none left")
 def then_ended(context):
     faults = [fault for load in context.loads for fault in load.end_faults()]
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -77,6 +77,14 @@
     Then every request that was passed on got a response
     And each host ended within its grace period with exit code 0 and none left
 
+  Scenario: A host that runs attempts of another host's sweeps is stopped
+    Guards against sweeps that lack parts, or end without a response, because the host
+    to which their attempts were delegated stops.
+
+    When an entry host is stopped while others delegate attempts of sweeps to it
+    Then every sweep got a response with all its parts
+    And each host ended within its grace period with exit code 0 and none left
+
   Scenario: A control host is stopped while changes and announcements arrive
     Guards against changes that a control host has read and leaves unanswered.
 
