--- a/features/fakes/platform_processes.py
+++ b/features/fakes/platform_processes.py
@@ -122,6 +122,11 @@
             for number in range(entries)
         ]
 
+    @property
+    def folder(self):
+        """Return the folder with the settings, data and logs of all hosts."""
+        return self._folder.name
+
     @property
     def seeds(self):
         return [host.operator_address for host in self.controls]
--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -41,6 +41,8 @@
 
     :param must_answer: whether it must get a response even if it is not passed on.
     :param must_succeed: whether an error is a fault if its work ends in time.
+    :param record: what the body of a successful response repeats; empty for anything.
+    :ivar is_mixed_up: whether the response belongs to another request.
     """
 
     id: str
@@ -48,6 +50,8 @@
     work_s: float = 0.0
     must_answer: bool = False
     must_succeed: bool = True
+    record: bytes = b""
+    is_mixed_up: bool = False
     status: int | None = None
     head: bytes = b""
     ended_at: float | None = None
@@ -69,9 +73,10 @@
         self.requests = []
         self.code = None
         self.took_s = None
+        self._process = host.process
         self._deployment = deployment
         self._target = target or host
-        self._signals = signals
+        self.signals = signals
         self._rng = random.Random(seed)
         self._clients = []
         tls = getattr(deployment, "tls", None)
@@ -85,15 +90,15 @@
     async def run(self):
         """Stop the host under load and wait for the end of the process."""
         loop = asyncio.get_running_loop()
-        for delay, number in self._signals:
+        for delay, number in self.signals:
             await self._sleep_until(self._stop_at + delay)
-            if self.host.process.returncode is None:
-                self.host.send_signal(number)
+            if self._process.returncode is None:
+                self._process.send_signal(number)
         async with asyncio.timeout(END_TIMEOUT_S):
-            self.code = await self.host.process.wait()
+            self.code = await self._process.wait()
         self.took_s = loop.time() - self._stop_at
-        match = STOPPED.search(self.host.log_text)
-        self.left = None if match is None else int(match[1])
+        counts = STOPPED.findall(self.host.log_text)
+        self.left = int(counts[-1]) if counts else None
         # What the host has sent is still on its way through the sockets.
         _, pending = await asyncio.wait(self._clients, timeout=3.0)
         for each in pending:
@@ -136,7 +141,7 @@
 
         :param make_order: returns path and body of the next order.
         """
-        while self.host.process.returncode is None:
+        while self._process.returncode is None:
             with contextlib.suppress(OSError):
                 async with self._connect(platform_processes.OPERATOR_PORT) as (
                     reader,
@@ -214,7 +219,7 @@
             await self._sleep_until(self._stop_at + at_s)
             request = self._send(writer, work_s, size)
             await self._receive(request, reader, pause_s=pause_s)
-            await self.host.process.wait()
+            await self._process.wait()
 
     @contextlib.asynccontextmanager
     async def _connect(self, port=platform_processes.CALLER_PORT, *, is_slow=False):
@@ -255,6 +260,7 @@
         request, data = self._make_request("GET", f"{prefix}{work}-{size}")
         request.work_s = CALLER_TIME_S if is_silent else work_s
         request.must_succeed = not is_silent
+        request.record = stop_upstreams.record_of(request.id)
         return request, data
 
     def _make_request(self, method, path, body=b"", headers=()):
@@ -277,12 +283,17 @@
         try:
             head = await reader.readuntil(b"\r\n\r\n")
             left = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
+            body = b""
             while left:
                 data = await reader.readexactly(min(left, SMALL_BUFFER_BYTES))
                 left -= len(data)
+                body += data
                 await asyncio.sleep(pause_s)
             request.status = int(head.split(None, 2)[1])
             request.head = head
+            if request.status == OK and request.record:
+                count = max(1, len(body) // len(request.record))
+                request.is_mixed_up = body != request.record * count
         except (asyncio.IncompleteReadError, OSError):
             return False
         finally:
@@ -334,6 +345,8 @@
                 return "refused though passed on"
             is_early = request.sent_at < self._stop_at + SERVED_UNTIL_S
             return "refused early" if is_early and request.must_succeed else ""
+        if request.is_mixed_up:
+            return "response of another request"
         if request.status is not None:
             ends_at = request.sent_at + request.work_s
             is_early = ends_at < self._stop_at + ANSWERED_UNTIL_S
@@ -371,7 +384,7 @@
             self._deployment.receipts_by_id.get(r.id, [r.sent_at])[0] for r in cut
         ]
         signals = ",".join(
-            f"{signal.Signals(number).name}@{delay}" for delay, number in self._signals
+            f"{signal.Signals(number).name}@{delay}" for delay, number in self.signals
         )
         return (
             f"{self.host.name} {signals}: sent={len(self.requests)}"
--- a/features/fakes/stop_upstreams.py
+++ b/features/fakes/stop_upstreams.py
@@ -16,6 +16,7 @@
 SWEEP_PREFIX = "/nono601/no91/"
 ROUTE_TIMEOUT_S = 4.0
 SERVICE_COUNT = 12
+RECORD_BYTES = 16
 
 
 def configuration(version=7):
@@ -40,15 +41,24 @@
     return tuple(f"shard-{number}" for number in range(SERVICE_COUNT))
 
 
+def record_of(request_id):
+    """Return the record that the response to a request consists of."""
+    return request_id.encode().ljust(RECORD_BYTES)
+
+
 class WorkUpstream(platform_deployment.LeafUpstream):
     """Answers after the milliseconds, with the bytes, that a request's path names.
 
     :param receipts_by_id: moments at which requests were received, for all upstreams.
+    :ivar delay_s: seconds that each response takes longer than its request says.
+    :ivar is_silent: whether requests that arrive now are never answered.
     """
 
     def __init__(self, name, service, zone, receipts_by_id):
         super().__init__(name, service, zone)
         self.receipts_by_id = receipts_by_id
+        self.delay_s = 0.0
+        self.is_silent = False
 
     async def answer(self, request):
         if request.headers.get(names.HEADERS.expected_upstream) != self.name:
@@ -57,17 +67,16 @@
         now = asyncio.get_running_loop().time()
         self.receipts_by_id.setdefault(request_id, []).append(now)
         work, size = request.path.rsplit("/", 1)[1].split("-")
-        if work == SILENT:
+        if work == SILENT or self.is_silent:
             await asyncio.Event().wait()
-        await asyncio.sleep(float(work) / 1000)
+        await asyncio.sleep(float(work) / 1000 + self.delay_s)
         headers = (
             (names.HEADERS.request_id, request_id),
             (names.HEADERS.signature, f"{self.name}.{request_id}"),
             (names.HEADERS.load, f"1,0,{SLOTS}"),
         )
-        return http.Response(
-            status=200, body=bytes(int(size)), content_type=None, headers=headers
-        )
+        body = record_of(request_id) * (int(size) // RECORD_BYTES)
+        return http.Response(status=200, body=body, content_type=None, headers=headers)
 
     def announcement(self):
         return super().announcement() | {"slots": SLOTS}
@@ -85,7 +94,7 @@
         self.receipts_by_id = {}
         self.request_numbers = itertools.count(1)
         self.upstreams = [
-            WorkUpstream(f"i-{service}-{number}", service, zone, self.receipts_by_id)
+            self.make_upstream(f"i-{service}-{number}", service, zone)
             for service in service_names()
             for number, zone in enumerate(upstream_zones)
         ]
@@ -111,6 +120,10 @@
         for upstream in self.upstreams:
             await upstream.server.close()
 
+    def make_upstream(self, name, service, zone):
+        """Return a new upstream, which is not started or announced."""
+        return WorkUpstream(name, service, zone, self.receipts_by_id)
+
     async def announce(self, upstream, host):
         """Announce an upstream to a control host; return the reply, if there is one."""
         return await self.processes.call(
@@ -132,7 +145,7 @@
 
     async def _announce_forever(self):
         while True:
-            for upstream in self.upstreams:
+            for upstream in list(self.upstreams):
                 for host in self.processes.controls:
                     reply = await self.announce(upstream, host)
                     if reply is not None and reply.status == 200:
