--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -134,7 +134,7 @@
 
     def _is_needed(self, until_s):
         now = asyncio.get_running_loop().time()
-        return self.host.process.returncode is None or now < self._stop_at + until_s
+        return self._process.returncode is None or now < self._stop_at + until_s
 
     async def keep_ordering(self, make_order):
         """Send one order after the other to a control host until it is gone.
@@ -157,7 +157,7 @@
 
     async def keep_searching(self, *, path, body, headers):
         """Send one search after the other until the host is gone."""
-        while self.host.process.returncode is None:
+        while self._process.returncode is None:
             with contextlib.suppress(OSError):
                 async with self._connect() as (reader, writer):
                     is_open = True
--- a/src/greengagehaven/daemons/reloading.py
+++ b/src/greengagehaven/daemons/reloading.py
@@ -54,13 +54,19 @@
     async def run(self) -> None:
         """Reload until cancelled, as the file may change without a signal."""
         changed = asyncio.Event()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, changed.set)
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PERIOD_S):
-                    await changed.wait()
-            changed.clear()
-            self.reload()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, changed.set)
+        try:
+            while True:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(PERIOD_S):
+                        await changed.wait()
+                changed.clear()
+                self.reload()
+        finally:
+            # By default, a late signal would end a process that is about to exit.
+            loop.remove_signal_handler(signal.SIGHUP)
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def reload(self) -> None:
         """Read the settings once and apply the changes."""
