Test the stop of control hosts with orders in flight

6 operators and 20 upstreams send orders to the leader, 40 more arrive on open connections up to 0.8 s after SIGTERM.

--- a/features/fakes/stop_load.py
+++ b/features/fakes/stop_load.py
@@ -155,6 +155,16 @@
                         is_open = await self._receive(request, reader)
             await asyncio.sleep(RECONNECT_S)
 
+    async def order_once(self, make_order, *, at_s):
+        """Send one order on a connection that is open and idle until then."""
+        async with self._connect(platform_processes.OPERATOR_PORT) as (reader, writer):
+            await self._sleep_until(self._stop_at + at_s)
+            if not reader.at_eof():
+                path, body = make_order()
+                request, data = self._make_request("PUT", path, body)
+                writer.write(data)
+                await self._receive(request, reader)
+
     async def keep_searching(self, *, path, body, headers):
         """Send one search after the other until the host is gone."""
         while self._process.returncode is None:
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -178,6 +178,30 @@
     asyncio.run(run())
 
 
+def add_orders(load, deployment, *, late_at_s=()):
+    """Add operators and upstreams that send orders to a control host.
+
+    :param late_at_s: moments at which orders are sent on connections that were idle.
+    """
+    versions = itertools.count(8)
+    upstreams = itertools.cycle(deployment.upstreams)
+
+    def make_change():
+        config = stop_upstreams.configuration(next(versions))
+        return names.CONFIG_PATH, json.dumps(config).encode()
+
+    def make_announcement():
+        upstream = next(upstreams)
+        body = json.dumps(upstream.announcement()).encode()
+        return names.INSTANCES_PATH + upstream.name, body
+
+    load.add(lambda: load.keep_ordering(make_change), 6)
+    load.add(lambda: load.keep_ordering(make_announcement), 20)
+    for make_order in (make_change, make_announcement):
+        for at_s in late_at_s:
+            load.add(functools.partial(load.order_once, make_order, at_s=at_s), 4)
+
+
 @behave.when("a control host is stopped while changes and announcements arrive")
 def when_control_stopped(context):
     async def run():
@@ -185,21 +209,32 @@
             load = stop_load.StopLoad(
                 deployment=deployment, host=deployment.leader(), signals=TERM
             )
-            versions = itertools.count(8)
-            upstreams = itertools.cycle(deployment.upstreams)
+            add_orders(load, deployment, late_at_s=(-0.01, 0.01, 0.2, 0.5, 0.8))
+            await run_loads(context, deployment, [load])
+
+    asyncio.run(run())
 
-            def make_change():
-                config = stop_upstreams.configuration(next(versions))
-                return names.CONFIG_PATH, json.dumps(config).encode()
 
-            def make_announcement():
-                upstream = next(upstreams)
-                body = json.dumps(upstream.announcement()).encode()
-                return names.INSTANCES_PATH + upstream.name, body
+@behave.when("a control host without a majority is stopped while orders arrive")
+def when_control_alone_stopped(context):
+    async def run():
+        async with stop_upstreams.StopDeployment(entries=1) as deployment:
+            host = deployment.leader()
+            others = [h for h in deployment.processes.controls if h is not host]
+            load = stop_load.StopLoad(deployment=deployment, host=host, signals=TERM)
+            add_orders(load, deployment, late_at_s=(-0.2, -0.01, 0.01, 0.2, 0.5, 0.8))
 
-            load.add(lambda: load.keep_ordering(make_change), 3)
-            load.add(lambda: load.keep_ordering(make_announcement), 10)
-            await run_loads(context, deployment, [load])
+            def pause():
+                for other in others:
+                    other.send_signal(signal.SIGSTOP)
+
+            paused = asyncio.ensure_future(load.sample(pause, at_s=-0.3))
+            try:
+                await run_loads(context, deployment, [load])
+                await paused
+            finally:
+                for other in others:
+                    other.send_signal(signal.SIGCONT)
 
     asyncio.run(run())
 
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -92,6 +92,13 @@
     Then every request that was passed on got a response
     And each host ended within its grace period with exit code 0 and none left
 
+  Scenario: A control host without a majority is stopped while orders arrive
+    Guards against changes that can't be acknowledged and end without a response.
+
+    When a control host without a majority is stopped while orders arrive
+    Then every request that was passed on got a response
+    And each host ended within its grace period with exit code 0 and none left
+
   Scenario: The processor is busy during a stop
     Guards against a drain that has no time left to answer because other processes
     use the processor.
