--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -41,11 +41,11 @@
 ACCEPT_WHILE_STOPPING = datetime.timedelta(seconds=3.2)
 """Time from the stop signal in which new connections are still accepted."""
 
-ANSWER_MARGIN = datetime.timedelta(seconds=0.6)
+ANSWER_MARGIN = datetime.timedelta(seconds=0.8)
 """Time before the end of the grace period by which all requests are answered."""
 
-CLOSE_MARGIN = datetime.timedelta(seconds=0.4)
-"""Part of the grace period that is reserved for closing after the drain."""
+CLOSE_MARGIN = datetime.timedelta(seconds=0.6)
+"""Part of the grace period for the last answers of the drain, closing and exiting."""
 
 DocumentParser = abc.Callable[[bytes], routes.RoutingTable]
 
