--- a/review/standins-2/stage.py
+++ b/review/standins-2/stage.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import dataclasses
 import json
 import os
@@ -26,6 +27,7 @@
 PREFIX = "X-Greengagehaven-"
 HEARTBEAT_S = 1.2
 CALL_TIMEOUT_S = 1.0
+PR_SET_PDEATHSIG = 1
 EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 1, 2
 
 BOUNDS = {
@@ -50,6 +52,14 @@
 }
 
 
+_LIBC = ctypes.CDLL(None)
+
+
+def _end_with_parent() -> None:
+    """Let the kernel end this process if the script is killed."""
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CouldNotRunError(Exception):
     """The case could not be set up, so it shows nothing."""
 
@@ -250,6 +260,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
+                preexec_fn=_end_with_parent,
                 env={
                     **kept,
                     "LANG": "C.UTF-8",
@@ -265,10 +276,6 @@
         self.stage.record.add(f"signal {self.name} {number.name}")
         self.process.send_signal(number)
 
-    def log_has(self, text: str) -> bool:
-        """Return whether the process has logged a text."""
-        return text in self.log_path.read_text(errors="replace")
-
     def last_logged(self, event: str) -> str:
         """Return the last line of an event, empty if there is none."""
         lines = self.log_path.read_text(errors="replace").splitlines()
@@ -424,7 +431,6 @@
     request_id: str
     at: float
     first_line: str
-    key: str = ""
 
 
 class Leaf:
@@ -849,6 +855,8 @@
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     code = EXIT_COULD_NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))
     try:
         is_broken = asyncio.run(asyncio.wait_for(scenario(stage, has_trouble), 115.0))
         code = EXIT_BROKEN if is_broken else EXIT_HELD
