Do not take a late copy of a rejection for the reply to the next send

A request that an upstream rejected with slots free is sent to it again with the same id, often on the connection that was freed last; a late copy of the rejection arrives there and bears the right id.

A connection that returned an unsuccessful reply to a request does not carry that request again; one is replaced if no other is free. The parsers of reply headers move to a module of their own.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -76,6 +76,34 @@
     When an exchange is made
     Then it is reported as not run
 
+  Scenario: A rejection that does not name its request is refused
+    It may be a late one. A request that may run once would be sent to another upstream
+    while this one runs it.
+
+    Given an upstream that rejects requests without naming them
+    When an exchange is made
+    Then it fails as garbled
+    And its connection is not reused
+
+  Scenario: A late copy of a rejection does not answer the same request sent again
+    Both have the same request id. The request would be taken for rejected again while
+    the upstream runs it.
+
+    Given an upstream that rejects a request twice, the second time late
+    When a request is sent, and sent again after its rejection
+    Then it is rejected and then served, over 2 connections
+
+  Scenario Outline: Late copies of replies among requests that are sent again
+    Given upstream replies that are repeated late at random, seed <seed>
+    When many requests are each sent again after a rejection
+    Then none ran twice, and none ran that was told not to have run
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario: A released attempt that is about to end is not cut
     A hedge won. The upstream spent 6 ms of a slot on setting up the losing attempt's
     connection, and cutting it would cost that again.
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -1,6 +1,8 @@
 """Steps about byte exchanges with an upstream on loopback."""
 
 import asyncio
+import collections
+import random
 import socket
 import struct
 
@@ -17,6 +19,11 @@
 PAUSE_S = 0.05
 TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 60.0
+REJECTED_SHARE = 0.4
+REPEATED_SHARE = 0.2
+MAX_SENDS = 4
+REQUESTS_IN_A_ROW = 100
+REQUESTS_AT_ONCE = 5
 
 
 def reply_bytes(request_id, *, status="200 OK", signature="sig", more=(), body=BODY):
@@ -114,6 +121,55 @@
     return True
 
 
+async def reject_without_id(request_id, writer):
+    reply = reply_bytes(request_id, status="503 Full", signature="")
+    writer.write(reply.replace(b"Request-Id", b"Not-Run"))
+    return True
+
+
+class RepeatedRejection:
+    """Rejects a request, and repeats that before it serves the next one."""
+
+    def __init__(self):
+        self.connections_by_request = collections.defaultdict(set)
+
+    async def __call__(self, request_id, writer):
+        connections = self.connections_by_request[request_id]
+        if not connections:
+            await reject_as_not_run(request_id, writer)
+        else:
+            if writer in connections:
+                await reject_as_not_run(request_id, writer)
+                await asyncio.sleep(PAUSE_S)
+            await reply_correctly(request_id, writer)
+        connections.add(writer)
+        return True
+
+
+class UnreliableRejections:
+    """Rejects and serves at random, and sends some replies twice, the copy late."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.run_ids = []
+        self._late_by_writer = {}
+
+    async def __call__(self, request_id, writer):
+        writer.write(self._late_by_writer.pop(writer, b""))
+        await asyncio.sleep(0.001)
+        if self.rng.random() < REJECTED_SHARE:
+            reply = reply_bytes(
+                request_id, status="503 Full", signature="", more=("Not-Run: true",)
+            )
+        else:
+            self.run_ids.append(request_id)
+            reply = reply_bytes(request_id)
+        writer.write(reply)
+        if self.rng.random() < REPEATED_SHARE:
+            self._late_by_writer[writer] = reply
+        return True
+
+
 async def reply_late(request_id, writer):
     await asyncio.sleep(PAUSE_S)
     writer.write(reply_bytes(request_id))
@@ -141,6 +197,8 @@
     "whose reply without a length ends with a reset": reply_until_reset,
     "that sends a second, unexpected reply": reply_twice,
     "that rejects requests as not run": reject_as_not_run,
+    "that rejects requests without naming them": reject_without_id,
+    "that rejects a request twice, the second time late": RepeatedRejection,
     "that replies after 50 ms": reply_late,
     "that never replies": never_reply,
 }
@@ -156,17 +214,18 @@
         self.count = 0
         self.started = []
 
-    def start_exchange(self, *, is_over=False):
+    def start_exchange(self, *, is_over=False, request_id=None):
         self.count += 1
+        request_id = request_id or f"r-{self.count}"
         future = asyncio.get_running_loop().create_future()
         exchange = exchanges.Exchange(
             attempt=self.count,
             address=self.address,
-            request_id=f"r-{self.count}",
+            request_id=request_id,
             head=request_head.RequestHead(
                 method="GET",
                 target="/x",
-                headers=[("Host", "h"), ("Request-Id", f"r-{self.count}")],
+                headers=[("Host", "h"), ("Request-Id", request_id)],
             ),
             upstream_id="u-1",
             body=b"",
@@ -178,8 +237,8 @@
         self.channel.send(exchange, max_connections=3)
         return self.count, future
 
-    async def exchange(self):
-        _, future = self.start_exchange()
+    async def exchange(self, request_id=None):
+        _, future = self.start_exchange(request_id=request_id)
         return await asyncio.wait_for(future, TIMEOUT_S)
 
 
@@ -204,7 +263,13 @@
 
 @behave.given("an upstream {manner}")
 def given_upstream(context, manner):
-    context.answer = ANSWERS[manner]
+    answer = ANSWERS[manner]
+    context.answer = answer() if isinstance(answer, type) else answer
+
+
+@behave.given("upstream replies that are repeated late at random, seed {seed:d}")
+def given_unreliable_rejections(context, seed):
+    context.answer = UnreliableRejections(random.Random(seed))
 
 
 @behave.given("an address where nothing listens")
@@ -220,6 +285,52 @@
     run(context, scenario)
 
 
+@behave.when("a request is sent, and sent again after its rejection")
+def when_sent_again(context):
+    async def scenario(caller, upstream):
+        return [await caller.exchange("same"), await caller.exchange("same")]
+
+    run(context, scenario)
+
+
+@behave.then("it is rejected and then served, over 2 connections")
+def then_rejected_then_served(context):
+    rejected, served = context.outcomes
+    assert rejected.not_run and served.is_success, context.outcomes
+    assert context.opened_count == 2, context.opened_count
+
+
+@behave.when("many requests are each sent again after a rejection")
+def when_many_sent_again(context):
+    async def send_until_served(caller, request_id):
+        for _ in range(MAX_SENDS):
+            outcome = await caller.exchange(request_id)
+            is_rejected = isinstance(outcome, events.Replied) and outcome.not_run
+            if not is_rejected:
+                return
+        context.rejected_ids.append(request_id)
+
+    async def send_in_a_row(caller, name):
+        for number in range(REQUESTS_IN_A_ROW):
+            await send_until_served(caller, f"{name}-{number}")
+
+    async def scenario(caller, upstream):
+        rows = [send_in_a_row(caller, str(row)) for row in range(REQUESTS_AT_ONCE)]
+        await asyncio.gather(*rows)
+        return []
+
+    context.rejected_ids = []
+    run(context, scenario)
+
+
+@behave.then("none ran twice, and none ran that was told not to have run")
+def then_ran_once(context):
+    runs = collections.Counter(context.answer.run_ids)
+    assert len(runs) > REQUESTS_IN_A_ROW, runs
+    assert max(runs.values()) == 1, runs.most_common(3)
+    assert not set(context.rejected_ids) & set(runs), context.rejected_ids
+
+
 @behave.when("a withdrawn exchange is made")
 def when_withdrawn(context):
     async def scenario(caller, upstream):
--- a/features/steps/upstream_state_steps.py
+++ b/features/steps/upstream_state_steps.py
@@ -6,7 +6,7 @@
 from fakes import gathering, routing
 from greengagehaven.coordination.routing import events
 from greengagehaven.protocol import codec, delegation_messages
-from greengagehaven.transport import exchanges
+from greengagehaven.transport import reply_headers
 
 USUAL_LATENCY_S = 0.02
 IDS = ["u-1", "u-2"]
@@ -31,7 +31,7 @@
 
 @behave.when('an upstream reports the load "{text}"')
 def when_reported(context, text):
-    context.load_read = exchanges.parse_load(text)
+    context.load_read = reply_headers.parse_load(text)
 
 
 @behave.then("the load read is none")
--- a/src/greengagehaven/transport/exchanges.py
+++ b/src/greengagehaven/transport/exchanges.py
@@ -17,7 +17,12 @@
 from greengagehaven import settings
 from greengagehaven.coordination.routing import events
 from greengagehaven.protocol import header_names as names_module
-from greengagehaven.transport import client_connection, receive_budget, request_head
+from greengagehaven.transport import (
+    client_connection,
+    receive_budget,
+    reply_headers,
+    request_head,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 MAX_INCOMPLETE_BYTES = 32_000_000
@@ -27,18 +32,12 @@
 its reply may be without end, and its upstream stops working at the deadline."""
 
 RELEASE_GRACE_S = 0.3
-DEFAULT_KEEP_ALIVE_S = 4.0
-KEEP_ALIVE_MARGIN_S = 0.7
 EXPIRY_CHECK_PERIOD_S = 1.0
 # After the upstream rejected a new connection, at most one is opened for this time.
 CONNECTION_LIMIT_BACKOFF_S = 0.5
-MAX_LOAD_DIGITS = 9
-"""Digits of a number in a load report; an integer conversion fails above 4,300."""
-
-MIN_WORK_PERCENT = 10.0
-MAX_WORK_PERCENT = 10_000.0
-"""Least and greatest work time of a load report that is used, in percent of the usual.
-Work that takes no time, or forever, would decide every choice of an upstream."""
+MAX_DECLINED_IDS = 256
+"""Unsuccessful replies after which a connection is not reused, to bound the memory for
+their request ids."""
 
 NOT_FORWARDED_HEADERS = frozenset(
     {
@@ -190,15 +189,15 @@
     ) -> tuple[events.Replied | events.Failed, bool]:
         """Return the outcome of a reply and whether its connection may be reused.
 
-        A reply that echoes another request id, and a successful one without a
-        request id or signature or with a content encoding, is rejected as malformed.
+        A reply that does not echo the request id is rejected as malformed, since it may
+        be a late one that says nothing about this request. So is a successful one
+        without a signature or with a content encoding.
         """
         names = self.names
         headers = reply.headers
         echoed = headers.get(names.request_id)
         is_2xx = 200 <= reply.status < 300
-        is_matching = echoed == exchange.request_id or (echoed is None and not is_2xx)
-        if not is_matching:
+        if (echoed or "") != exchange.request_id:
             detail = f"reply to another request: {echoed}"
             return events.Failed(fault=events.Fault.MALFORMED, detail=detail), False
         encoding = headers.get("content-encoding", "") or ""
@@ -213,7 +212,7 @@
             status=reply.status,
             is_success=is_2xx,
             not_run=names.not_run in headers,
-            load=parse_load(headers.get(names.load)),
+            load=reply_headers.parse_load(headers.get(names.load)),
             size=reply.size,
         )
         return outcome, True
@@ -255,6 +254,9 @@
         self._single_connection_until = -math.inf
         self._idle: list[client_connection.ClientConnection] = []
         self._expiry_by_connection: dict[client_connection.ClientConnection, float] = {}
+        self._declined_ids_by_connection: dict[
+            client_connection.ClientConnection, set[str]
+        ] = {}
         self._open: set[client_connection.ClientConnection] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._waiting: collections.deque[Exchange] = collections.deque()
@@ -320,8 +322,10 @@
             connection.abort("unexpected reply")
             return
         outcome, may_reuse = self._channel.evaluate_reply(exchange, reply)
+        if not isinstance(outcome, events.Replied) or not outcome.is_success:
+            may_reuse = may_reuse and self._record_declined(connection, exchange)
         if may_reuse and connection.reusable and connection.is_open:
-            keep_alive = _parse_keep_alive(reply.headers.get("keep-alive"))
+            keep_alive = reply_headers.parse_keep_alive(reply.headers.get("keep-alive"))
             self._expiry_by_connection[connection] = (
                 self._clock.monotonic() + keep_alive
             )
@@ -339,6 +343,7 @@
             self._idle.remove(connection)
         self._open.discard(connection)
         self._expiry_by_connection.pop(connection, None)
+        self._declined_ids_by_connection.pop(connection, None)
         exchange, connection.exchange = connection.exchange, None
         is_fresh = connection.received_nothing and not connection.has_replied
         if is_fresh and connection.was_reset:
@@ -356,18 +361,40 @@
             self._channel.finish(exchange, lost)
         self._send_waiting()
 
+    def _record_declined(
+        self, connection: client_connection.ClientConnection, exchange: Exchange
+    ) -> bool:
+        """Record that a request failed here; return whether to reuse the connection.
+
+        The request may be sent to this upstream again. If it was sent on the same
+        connection, a late copy of this reply would be taken for the next one, as both
+        have the same request id.
+        """
+        ids = self._declined_ids_by_connection.setdefault(connection, set())
+        ids.add(exchange.request_id)
+        return len(ids) < MAX_DECLINED_IDS
+
     def _send_waiting(self) -> None:
-        while self._waiting:
-            connection = self._pop_idle()
-            if connection is None:
+        for exchange in tuple(self._waiting):
+            if not self._idle:
                 break
-            exchange = self._waiting.popleft()
+            if exchange.is_over:
+                # Withdrawn as an earlier one was started.
+                continue
+            connection = self._pop_idle(exchange)
+            if connection is None:
+                continue
+            self._waiting.remove(exchange)
             if exchange.may_start is not None and not exchange.may_start():
                 self._idle.append(connection)
                 failed = events.Failed(fault=events.Fault.UNSENT, detail="withheld")
                 self._channel.finish(exchange, failed)
                 continue
             self._start(exchange, connection)
+        self._open_connections()
+
+    def _open_connections(self) -> None:
+        """Open connections for queued exchanges, as far as the limit allows."""
         limit = self._limit
         if self._clock.monotonic() < self._single_connection_until:
             limit = min(1, limit)
@@ -376,14 +403,27 @@
         for _ in range(min(available, needed)):
             task = asyncio.get_running_loop().create_task(self._connect())
             self._opening.add(task)
-
-    def _pop_idle(self) -> client_connection.ClientConnection | None:
+        is_full = available <= 0 and all(open_.is_open for open_ in self._open)
+        if needed > 0 and is_full and self._idle:
+            # No idle connection may carry a queued exchange. A new one is opened once
+            # this one has closed.
+            self._idle.pop(0).close()
+
+    def _pop_idle(
+        self, exchange: Exchange
+    ) -> client_connection.ClientConnection | None:
+        """Remove and return an idle connection that may carry an exchange, if any."""
         now = self._clock.monotonic()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(tuple(self._idle)):
             if self._expiry_by_connection.get(connection, math.inf) <= now:
+                self._idle.remove(connection)
                 connection.close()
-            elif connection.is_open and connection.reusable:
+            elif not (connection.is_open and connection.reusable):
+                self._idle.remove(connection)
+            elif exchange.request_id not in self._declined_ids_by_connection.get(
+                connection, ()
+            ):
+                self._idle.remove(connection)
                 return connection
         return None
 
@@ -451,49 +491,3 @@
     if isinstance(error, ConnectionRefusedError):
         return events.Listener.CLOSED
     return events.Listener.NO_RESPONSE
-
-
-def _parse_keep_alive(value: str | None) -> float:
-    """Return the seconds for which an idle connection may be reused.
-
-    Reuse stops before the upstream's timeout ends, so that the upstream does not
-    close the connection while a request is being sent.
-    """
-    seconds = DEFAULT_KEEP_ALIVE_S
-    for part in (value or "").split(","):
-        name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdecimal():
-            seconds = float(number)
-    return max(seconds / 2, seconds - KEEP_ALIVE_MARGIN_S)
-
-
-def parse_load(value: str | None) -> events.Load | None:
-    """Return a load header's value, ``None`` if malformed.
-
-    It is ``RUNNING,WAITING,SLOTS`` or ``RUNNING,WAITING,SLOTS,WORK_PERCENT``. If only
-    the fourth value is malformed, the load is returned without it.
-    """
-    parts = [part.strip() for part in (value or "").split(",")]
-    counts = parts[:3]
-    if not 3 <= len(parts) <= 4 or not all(_is_count(part) for part in counts):
-        return None
-    running, waiting, slots = (int(part) for part in counts)
-    return events.Load(
-        running=running,
-        waiting=waiting,
-        slots=slots,
-        work_percent=_parse_work_percent(parts[3]) if len(parts) == 4 else None,
-    )
-
-
-def _is_count(text: str) -> bool:
-    return text.isdecimal() and len(text) <= MAX_LOAD_DIGITS
-
-
-def _parse_work_percent(text: str) -> float | None:
-    try:
-        work_percent = float(text)
-    except ValueError:
-        return None
-    is_plausible = MIN_WORK_PERCENT <= work_percent <= MAX_WORK_PERCENT
-    return work_percent if is_plausible else None
