Remove silent voters in time when control hosts are replaced in a row

Each new leader counted silence from its own election on, and a dead voter stayed for 4 s whatever the others could bear: two of five voters were dead when the third leader was taken away, and the successors waited behind a full membership. Two dead of four came about the same way where the successor starts after the loss.

Members now remember across elections since when another one has left a message unanswered, and a silent voter goes after 1 s if one more loss would leave no majority or if a caught-up host waits for its place. Silence counts up to the last answer of a quorum, so that a leader that was suspended doesn't take the others for silent.

--- a/features/fakes/raft.py
+++ b/features/fakes/raft.py
@@ -65,7 +65,8 @@
     """Hosts and messages in flight; checks the invariants after every step.
 
     :param seed: seed of every random choice that the caller does not make.
-    :param size: number of hosts, all voters at the start.
+    :param size: number of hosts, at the start.
+    :param voters: number of them that are voters at the start, ``None`` for all.
     :param faults: names of faults that are injected, see ``raft_faults``.
     :param dead_after: seconds after which the leader removes a silent voter.
     :param lease_reads: whether leaders answer reads under their lease.
@@ -79,6 +80,7 @@
         *,
         seed=0,
         size=3,
+        voters=None,
         faults=(),
         dead_after=math.inf,
         lease_reads=True,
@@ -113,7 +115,7 @@
         self.counts = {}
         self.knows_transitions = knows_transitions
         self.hosts = [self._new_host(f"c{n}") for n in range(size)]
-        self._bootstrap()
+        self._bootstrap(size if voters is None else voters)
 
     # Actions of a schedule.
 
@@ -274,6 +276,13 @@
         host.replica = None
         host.disk.crash()
 
+    def add(self):
+        """Start another host, with an empty disk, that asks to become a voter."""
+        host = self._new_host(f"c{self.size}")
+        self.hosts.append(host)
+        self.size += 1
+        self._join(host)
+
     def restart(self, choice):
         """Start a host that is down."""
         host = self.hosts[choice % self.size]
@@ -383,10 +392,12 @@
     def _prepare_disk(self, host):
         host.disk.skips_sync = "acknowledge before sync" in self.faults
 
-    def _bootstrap(self):
+    def _bootstrap(self, voters):
         members = tuple(
-            records.Member(id=f"{host.name}-0", host=host.name, address="", voter=True)
-            for host in self.hosts
+            records.Member(
+                id=f"{host.name}-0", host=host.name, address="", voter=number < voters
+            )
+            for number, host in enumerate(self.hosts)
         )
         transition_ids = tuple(sorted(member.id for member in members))
         self.membership = records.Membership(
--- a/features/replicated_log.feature
+++ b/features/replicated_log.feature
@@ -64,14 +64,14 @@
     counts those after the next.
 
     Given control hosts that remove dead voters after 1 second
-    When the fault "begin a change before the last one ended" is injected and such schedules over 4 control hosts run from seed 346
+    When the fault "begin a change before the last one ended" is injected and such schedules over 4 control hosts run from seed 4921
     Then an invariant of the log is broken
 
   Scenario: The checks detect a change of voters that counts before it is committed
     A host with a change that nobody else has could neither lead nor let others lead.
 
     Given control hosts that remove dead voters after 1 second
-    When the fault "count only the members after a change" is injected and such schedules over 5 control hosts run from seed 700679
+    When the fault "count only the members after a change" is injected and such schedules over 5 control hosts run from seed 701123
     Then an invariant of the log is broken
 
   Scenario: The last record is incomplete
@@ -120,6 +120,30 @@
     When two control hosts are lost permanently, 5 seconds apart
     Then the 2 remaining control hosts accept a change
 
+  Scenario Outline: Control hosts are replaced faster than dead ones are removed: <victim>, <order>, <size> hosts
+    Each new leader waits anew until it removes the dead voters. If they stayed until
+    then, the next loss would leave no majority for good.
+
+    When 6 control hosts, <victim>, are each replaced, <order>, 4.2 seconds apart, in 20 runs from <size> hosts
+    Then the remaining control hosts accepted a change in each run
+
+    Examples:
+      | victim               | order                     | size |
+      | each time the leader | the successor first       | 3    |
+      | each time the leader | the successor first       | 4    |
+      | each time the leader | the successor first       | 6    |
+      | each time the leader | the successor first       | 8    |
+      | each time the oldest | the successor first       | 3    |
+      | at random            | the successor first       | 4    |
+      | at random            | the successor first       | 8    |
+      | each time the leader | the successor after       | 3    |
+      | each time the leader | the successor after       | 4    |
+      | each time the leader | the successor after       | 8    |
+      | each time the oldest | the successor after       | 3    |
+      | at random            | the successor after       | 5    |
+      | each time the leader | by its own emptied disk   | 3    |
+      | each time the leader | by its own emptied disk   | 5    |
+
   Scenario: Reads are confirmed by a majority in random schedules
     A member that restarts begins an election at once. Without leases no leader
     relies on its not voting, but a read that no majority confirmed must still not
@@ -161,6 +185,8 @@
     the loss of one disk where five bore two, and no host can be elected again.
     Given control hosts that remove dead voters after 1 second
     When 1 such schedules over 5 control hosts run from seed 700679
+    And 1 more such schedules over 5 control hosts run from seed 701123
+    And 1 more such schedules over 5 control hosts run from seed 702793
     Then every invariant of the log held and each schedule ended with an accepted change
 
   Scenario: Disks are lost beside a removal that is not committed, without lease reads
@@ -168,4 +194,6 @@
     When 1 such schedules over 4 control hosts run from seed 700587
     And 1 more such schedules over 5 control hosts run from seed 701123
     And 1 more such schedules over 5 control hosts run from seed 701309
+    And 1 more such schedules over 4 control hosts run from seed 701720
+    And 1 more such schedules over 4 control hosts run from seed 702061
     Then every invariant of the log held and each schedule ended with an accepted change
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -6,6 +6,7 @@
 
 from fakes import control_fakes, raft, raft_faults, raft_machine
 from greengagehaven import exceptions
+from greengagehaven.coordination.raft import membership_change
 from greengagehaven.state import records, storage, wal
 
 SEEDS_PER_FAULT = 20
@@ -246,6 +247,80 @@
         run_without_faults(context.cluster, seconds)
 
 
+@behave.when(
+    "{count:d} control hosts, {victim}, are each replaced, {order}, {seconds:g} "
+    "seconds apart, in {runs:d} runs from {size:d} hosts"
+)
+def when_replaced(context, count, victim, order, seconds, runs, size):
+    context.failures = []
+    for number in range(runs):
+        # Seeds that are multiples of 4 have nearly equal election timeouts, so that an
+        # election may outlast the time between two losses.
+        seed = 4 * number + 1
+        cluster = raft.Cluster(
+            seed=seed,
+            size=size,
+            voters=min(size, membership_change.MAX_VOTERS),
+            dead_after=4.0,
+            lease_reads=False,
+        )
+        run_without_faults(cluster, 5.0)
+        for _ in range(count):
+            replace(cluster, choose_victim(cluster, victim, seed), order, seconds)
+        run_without_faults(cluster, 5.0)
+        if not accepts_change(cluster):
+            context.failures.append(f"seed {seed}: {cluster.describe()}")
+
+
+def choose_victim(cluster, victim, seed):
+    """Return a function that chooses the number of a running host when called."""
+    rng = random.Random(seed + cluster.size)
+
+    def choose(running):
+        leading = [
+            number for number in running if cluster.hosts[number].replica.is_leader
+        ]
+        if victim == "each time the leader" and leading:
+            return leading[0]
+        return running[0] if victim == "each time the oldest" else rng.choice(running)
+
+    return choose
+
+
+def replace(cluster, choose, order, seconds):
+    running = [number for number, host in enumerate(cluster.hosts) if host.is_up]
+    match order:
+        case "the successor first":
+            cluster.add()
+            run_without_faults(cluster, seconds)
+            cluster.crash(choose(running))
+        case "the successor after":
+            cluster.crash(choose(running))
+            cluster.add()
+            run_without_faults(cluster, seconds)
+        case "by its own emptied disk":
+            number = choose(running)
+            cluster.crash(number)
+            assert cluster.wipe(number)
+            run_without_faults(cluster, seconds)
+        case _:
+            raise ValueError(order)
+
+
+def accepts_change(cluster):
+    before = cluster.acknowledged_count
+    for number, host in enumerate(cluster.hosts):
+        if host.is_up and host.replica.is_leader:
+            cluster.propose(number)
+    run_without_faults(cluster, 1.0)
+    return cluster.acknowledged_count > before
+
+
+@behave.then("the remaining control hosts accepted a change in each run")
+def then_each_accepted(context):
+    assert not context.failures, (len(context.failures), context.failures[:2])
+
+
 @behave.then("the {count:d} remaining control hosts accept a change")
 def then_accept(context, count):
     cluster = context.cluster
--- a/src/greengagehaven/coordination/raft/core.py
+++ b/src/greengagehaven/coordination/raft/core.py
@@ -7,6 +7,7 @@
 from greengagehaven import exceptions
 from greengagehaven import rng as rngs
 from greengagehaven.coordination.raft import (
+    contacts,
     election,
     events,
     leadership,
@@ -61,6 +62,7 @@
         )
         self.up_to_date_at = float("-inf")
         self.started_at = clock.monotonic()
+        self.contacts = contacts.Contacts(clock=clock)
         self._confirmed_at = float("-inf")
         self._actions: list[events.Action] = []
         self._saved_vote = stored.vote
@@ -160,6 +162,8 @@
 
     def emit(self, action: events.Action) -> None:
         """Add an action to the result of the current step."""
+        if isinstance(action, events.Send):
+            self.contacts.on_sent(action.message.receiver)
         self._actions.append(action)
 
     def append(self, entries: typing.Sequence[records.Entry]) -> None:
@@ -296,6 +300,7 @@
         is_addressed_here = message.receiver == self.member_id
         if not is_addressed_here or message.group_id != self.group_id:
             return
+        self.contacts.on_received(message.sender)
         match message:
             case messages.VoteRequest():
                 self._election.on_request(message)
@@ -321,6 +326,7 @@
             self.reply_append(message, success=False, match_index=0)
             return False
         self.become_follower(message.term, message.sender)
+        self.contacts.clear()
         self.last_leader_contact_at = self.clock.monotonic()
         self._election.reset_timer()
         return True
--- a/src/greengagehaven/coordination/raft/leadership.py
+++ b/src/greengagehaven/coordination/raft/leadership.py
@@ -107,23 +107,26 @@
         """
         return self._raft.commit_index >= self._term_start_index
 
-    def dead_voters(self) -> list[str]:
-        """Return the voters silent for over ``dead_after`` seconds, longest first.
+    def silent_voters(self, duration: float) -> list[str]:
+        """Return the voters silent for over ``duration`` seconds, longest first.
 
-        The leader itself is not included.
+        The leader itself is not included. The time counts up to the last answer of a
+        quorum: a leader that was suspended or cut off must not take the others for
+        silent.
         """
-        now = self._raft.clock.monotonic()
-        last_contact_by_id = {
-            member_id: max(progress.answered_sent_at, self._started_at)
-            for member_id, progress in self._progress_by_id.items()
-            if member_id in self._raft.log.membership.voter_ids
+        silent_since_by_id = {
+            member_id: silent_since
+            for member_id in self._raft.log.membership.voter_ids
+            if (silent_since := self._raft.contacts.unanswered_since(member_id))
+            is not None
         }
-        dead = [
+        answered_at = self.quorum_answered_sent_at
+        silent = [
             member_id
-            for member_id, last_contact in last_contact_by_id.items()
-            if now - last_contact > self._raft.timing.dead_after
+            for member_id, silent_since in silent_since_by_id.items()
+            if answered_at - silent_since > duration
         ]
-        return sorted(dead, key=lambda member_id: last_contact_by_id[member_id])
+        return sorted(silent, key=lambda member_id: silent_since_by_id[member_id])
 
     def begin(self) -> None:
         """Append an empty entry, whose commit also commits entries of older terms."""
@@ -330,6 +333,7 @@
             for member_id in members
             if member_id != self._raft.member_id
         }
+        self._raft.contacts.retain(members)
 
     def _is_sole_voter(self) -> bool:
         return self._raft.log.membership.voter_ids == {self._raft.member_id}
--- a/src/greengagehaven/coordination/raft/timing.py
+++ b/src/greengagehaven/coordination/raft/timing.py
@@ -24,6 +24,8 @@
     :param chunk_bytes: maximum size of a snapshot chunk.
     :param dead_after: a voter that has answered nothing for this long is removed if
         more than ``min_voters`` are left; infinite disables removal.
+    :param replace_after: the same if one more loss would leave no quorum, or if there
+        are ``MAX_VOTERS`` and a member that has caught up waits to become a voter.
     :param stamps_replies: whether a member stamps its replies with its own clock, so
         that it gets an upper bound of its staleness from the leader.
     :param min_voters: dead voters are not removed if fewer voters would be left.
@@ -42,6 +44,7 @@
     chunk_bytes: int = 256 * 1024
     trailing_entries: int = 1000
     dead_after: float = math.inf
+    replace_after: float = 1.0
     stamps_replies: bool = False
     min_voters: int = 3
 
