Do not carry out an order that others have overtaken

Operators saw a zone that they had evacuated go back into use for good.

An order for a zone or a roll-out now waits 20 ms, so that the close of its connection, which follows it, cancels it. The receiving host adds the revision in force there, and the leader carries the order out only if no other change has come into force since, one change at a time. A host that lags behind learns the revision from the leader and tries again while its client waits. So it does not matter where a copy waited: in a suspended host, on the operator's connection, or between a follower and the leader.

--- a/src/greengagehaven/daemons/change_proposer.py
+++ b/src/greengagehaven/daemons/change_proposer.py
@@ -22,24 +22,21 @@
     def __init__(self, *, host: "control_host.ControlHost") -> None:
         self._host = host
         self._entry_builder = _make_entry_builder(host.settings, host.clock)
-        self._document_lock = asyncio.Lock()
+        self._lock = asyncio.Lock()
 
     async def propose(self, change: configuration.Change) -> audit.AuditRecord:
         """Propose a change and return its audit record once it is committed.
 
         :raises ChangeRefusedError: its id was used for a different change.
+        :raises RevisionChangedError: it is based on a revision that was replaced.
         """
-        if isinstance(change, configuration.DocumentChange):
-            # One at a time: each document is sent as a splice of the previous one,
-            # a few bytes instead of up to a megabyte.
-            async with self._document_lock:
-                entry, record = await self._propose_entry(change, ())
-        elif _needs_no_reports(change):
-            # The change does not depend on which zones have hosts. Collecting
-            # reports would delay it by the full timeout of an unreachable host.
-            entry, record = await self._propose_entry(change, ())
-        else:
+        reports: tuple[control.RevisionReport, ...] = ()
+        if not _needs_no_reports(change):
             reports = await self._host.report_collector.collect()
+        # One at a time: a change that is not committed yet may invalidate the revision
+        # that the next one expects, and each document is sent as a splice of the
+        # previous one, a few bytes instead of up to a megabyte.
+        async with self._lock:
             entry, record = await self._propose_entry(change, reports)
         if not _is_same_change(change, record, entry):
             raise exceptions.ChangeRefusedError(
@@ -62,10 +59,24 @@
         )
         record = self._host.state_machine.audit.find(change.change_id)
         if record is None:
+            self._check_revision(change)
             record = await driver.propose(changes.encode(entry))
             self._record_change(record)
         return entry, record
 
+    def _check_revision(self, change: configuration.Change) -> None:
+        """Check that the revision a zone or rollout change expects is in force.
+
+        Documents are checked when they are applied.
+        """
+        if not isinstance(
+            change, configuration.ZoneChange | configuration.RolloutChange
+        ):
+            return
+        revision = self._host.state_machine.state.revision
+        if change.expected_revision not in (None, revision):
+            raise exceptions.RevisionChangedError(revision=revision)
+
     def _record_change(self, record: audit.AuditRecord) -> None:
         self._host.metrics.count_change(record)
         _log_change(record)
@@ -98,9 +109,18 @@
 
 
 def _needs_no_reports(change: configuration.Change) -> bool:
+    """Return whether a change does not depend on which zones have hosts.
+
+    Collecting reports would delay it by the full timeout of an unreachable host.
+    """
     if isinstance(change, configuration.ZoneChange):
         return change.force
-    return isinstance(change, configuration.RolloutChange | configuration.RolloutStep)
+    return isinstance(
+        change,
+        configuration.DocumentChange
+        | configuration.RolloutChange
+        | configuration.RolloutStep,
+    )
 
 
 def _is_same_change(
--- a/src/greengagehaven/daemons/orders.py
+++ b/src/greengagehaven/daemons/orders.py
@@ -2,6 +2,12 @@
 
 A host that is not the leader sends the order to the leader and retries through an
 election; change ids make the retries idempotent.
+
+Operators resend an order to another host when they get no response, and orders carry
+nothing that tells a resend from a new one. A copy that was delayed, in a host that was
+suspended or on a connection that stalled, must not undo the orders that followed. So an
+order is dropped if its client has left, and the leader rejects it if another change has
+come into force since it was received.
 """
 
 import asyncio
@@ -21,6 +27,9 @@
 ORDER_METHOD = "control/order"
 FORWARD_TIMEOUT_S = 0.9
 ORDER_TIMEOUT_S = 0.9
+CLIENT_CHECK_S = 0.02
+"""Time in which the close of a connection that stalled follows the order on it."""
+
 INITIAL_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.25
 OPERATOR_AUTHOR = "operator"
@@ -38,11 +47,15 @@
 
 
 class SetZone(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Drain an availability zone or restore it."""
+    """Drain an availability zone or restore it.
+
+    :param expected_revision: as in ``configuration.ZoneChange``.
+    """
 
     change_id: str
     zone: str
     drained: bool
+    expected_revision: int | None = None
 
 
 class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -53,12 +66,14 @@
     """Start a roll-out of another software version of a service.
 
     :param duration_s: seconds within which the roll-out should end.
+    :param expected_revision: as in ``configuration.ZoneChange``.
     """
 
     service: str
     version: str
     duration_s: float
     change_id: str = ""
+    expected_revision: int | None = None
 
 
 class ReadRollout(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -76,6 +91,7 @@
     :param is_decided: ``False`` if this host could not decide it as the leader; the
         sender retries.
     :param code: error code of the refusal, empty if it was accepted.
+    :param revision: the revision in force if the order expected an earlier one.
     """
 
     is_decided: bool
@@ -84,6 +100,7 @@
     number: int = 0
     document: bytes = b""
     rollout: messages.Rollout | None = None
+    revision: int | None = None
 
 
 class OrderExecutor:
@@ -109,7 +126,9 @@
         :raises QuorumLostError: no quorum confirmed it in time; it may still be.
         """
         change_id = secrets.token_hex(RANDOM_CHANGE_ID_BYTES)
-        await self._execute(SetZone(change_id=change_id, zone=zone, drained=drained))
+        await self._execute_unless_late(
+            SetZone(change_id=change_id, zone=zone, drained=drained)
+        )
 
     async def read_document(self) -> bytes:
         """Return the document in force, by a linearizable read.
@@ -140,7 +159,7 @@
             change_id=secrets.token_hex(RANDOM_CHANGE_ID_BYTES),
         )
         try:
-            await self._execute(order)
+            await self._execute_unless_late(order)
         except exceptions.ChangeRefusedError as error:
             if error.code != UNKNOWN_SERVICE:
                 raise
@@ -164,10 +183,21 @@
         order = codec.decode_msgpack(compression.decompress(body, place="order"), Order)
         try:
             reply = await self._execute_as_leader(order)
+        except exceptions.RevisionChangedError as error:
+            reply = OrderReply(is_decided=False, revision=error.revision)
         except exceptions.ControlError:
             reply = OrderReply(is_decided=False)
         return compression.compress(codec.encode_msgpack(reply))
 
+    async def _execute_unless_late(self, order: SetZone | StartRollout) -> None:
+        """Execute an order that would have an effect again if it were repeated.
+
+        The handler that awaits this is cancelled once the client closes its connection.
+        """
+        revision = self._host.current.revision
+        await asyncio.sleep(CLIENT_CHECK_S)
+        await self._execute(msgspec.structs.replace(order, expected_revision=revision))
+
     async def _execute(self, order: Order) -> OrderReply:
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
@@ -181,15 +211,24 @@
         return reply
 
     async def _retry_until_decided(self, order: Order) -> OrderReply:
+        # The event loop's clock stops while the host is suspended; this one does not.
+        clock = self._host.clock
+        end = clock.monotonic() + ORDER_TIMEOUT_S
         delay = INITIAL_RETRY_DELAY_S
-        while True:
+        while clock.monotonic() < end:
             reply = await self._try_execute(order)
             if reply.is_decided:
                 return reply
+            if reply.revision is not None and isinstance(order, SetZone | StartRollout):
+                # This host lagged behind, or another change was made at the same time.
+                # The client still waits, so the order applies to the present revision.
+                order = msgspec.structs.replace(order, expected_revision=reply.revision)
+                continue
             # An election takes about a second. The change id makes a retry
             # idempotent.
             await asyncio.sleep(delay)
             delay = min(MAX_RETRY_DELAY_S, 2 * delay)
+        raise TimeoutError
 
     async def _try_execute(self, order: Order) -> OrderReply:
         try:
@@ -206,6 +245,8 @@
             )
             body = compression.decompress(packed_reply, place="order reply")
             return codec.decode_msgpack(body, OrderReply)
+        except exceptions.RevisionChangedError as error:
+            return OrderReply(is_decided=False, revision=error.revision)
         except (
             exceptions.ControlError,
             exceptions.PeerError,
@@ -232,6 +273,7 @@
                     service=order.service,
                     version=order.version,
                     duration=datetime.timedelta(seconds=order.duration_s),
+                    expected_revision=order.expected_revision,
                 )
             case PutDocument():
                 change = configuration.DocumentChange(
@@ -248,6 +290,7 @@
                     zone=order.zone,
                     drained=order.drained,
                     force=True,
+                    expected_revision=order.expected_revision,
                 )
             case _ as never:
                 typing.assert_never(never)
--- a/src/greengagehaven/exceptions.py
+++ b/src/greengagehaven/exceptions.py
@@ -410,6 +410,19 @@
         self.code = code
 
 
+class RevisionChangedError(ControlError):
+    """Another change came into force after this one was requested; it was dropped.
+
+    :param revision: the revision in force.
+    """
+
+    code = "revision_changed"
+
+    def __init__(self, *, revision: int) -> None:
+        super().__init__(f"revision {revision} came into force meanwhile")
+        self.revision = revision
+
+
 class NotInForceError(ControlError):
     """Not every entry host applied a revision within the timeout."""
 
--- a/src/greengagehaven/state/configuration.py
+++ b/src/greengagehaven/state/configuration.py
@@ -105,13 +105,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ZoneChange:
-    """Operator's change: drain an availability zone or restore it."""
+    """Operator's change: drain an availability zone or restore it.
+
+    :param expected_revision: revision in force when the change was requested. The
+        change is dropped if another one has come into force since; ``None`` to skip
+        the check.
+    """
 
     change_id: str
     author: str
     zone: str
     drained: bool
     force: bool = False
+    expected_revision: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +152,7 @@
 
     :param version: version to roll out.
     :param duration: time from the request within which the rollout must finish.
+    :param expected_revision: as in ``ZoneChange``.
     """
 
     change_id: str
@@ -153,6 +160,7 @@
     service: str
     version: str
     duration: datetime.timedelta
+    expected_revision: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
