Do not take two cut heads for one reply

Operators of a like system saw a 200 with an empty or short body after an upstream had stopped within the head of its reply and closed.

One relative did reach callers: a head that is cut within the value of a header, and continued by the next reply on the same connection. The two were parsed as one, so that a caller got two signatures, or a failure's body with the status 200. A reply with a status line in the value of a header now ends its connection.

--- a/src/greengagehaven/transport/client_connection.py
+++ b/src/greengagehaven/transport/client_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import math
+import re
 import typing
 
 import h11
@@ -22,6 +23,7 @@
 byte take 5 bytes each, and far more time to parse than the same bytes in one chunk."""
 
 _END = h11.EndOfMessage()
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}\b")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -214,6 +216,9 @@
             event = self._codec.next_event()
             kind = type(event)
             if kind is h11.Response:
+                if _contains_status_line(event):
+                    self.abort("the heads of two replies have run together")
+                    return
                 self._head = event
             elif kind is h11.Data:
                 self._append_body(event.data)
@@ -290,3 +295,14 @@
             size=self._received_bytes,
             request_size=self._sent_bytes,
         )
+
+
+def _contains_status_line(head: h11.Response) -> bool:
+    """Return whether a header value holds the status line of another reply.
+
+    A reply that was cut within a header ends there, and the next one on the connection
+    would be taken for the rest of its head.
+    """
+    return any(
+        b"HTTP/1." in value and _STATUS_LINE.search(value) for _, value in head.headers
+    )
