--- a/features/caller_times.feature
+++ b/features/caller_times.feature
@@ -27,6 +27,21 @@
     When 300 such sweeps arrive while each timer fires on time
     Then the last 10 answers left within 1 ms of the latest useful moment
 
+  Scenario: A host that gets few sweeps learns its lag from the first ones
+    In a large deployment a host gets a sweep every few seconds. Until it had learned its
+    lag, half of the answers that waited for the last moment were late.
+
+    Given a sweep whose last part never arrives
+    When 3 such sweeps arrive while each timer fires 4 ms late
+    And 1 such sweeps arrive while each timer fires 4 ms late
+    Then the last 1 answers left within 1 ms of the latest useful moment
+
+  Scenario: A stall at the first sweep does not make the answers after it leave early
+    Given a sweep whose last part never arrives
+    When 1 such sweeps arrive while each timer fires 20 ms late
+    And 1 such sweeps arrive while each timer fires 2 ms late
+    Then the last 1 answers left within 1 ms of the latest useful moment
+
   Scenario: The time to write an answer is deducted
     The parts are merged and the answer is written after everything else that is due in
     that iteration of the event loop. In the grown deployment, half of the answers that
--- a/src/greengagehaven/coordination/routing/callers.py
+++ b/src/greengagehaven/coordination/routing/callers.py
@@ -34,6 +34,10 @@
 """Weights of a lag sample above and below the estimate. With these weights the
 estimate settles where nine in ten samples are below it."""
 
+MAX_LAG_RATIO = 2.0
+"""Multiple of the estimated lag above which a sample counts as this multiple: a stall
+that does not repeat must not make all answers leave early."""
+
 MAX_LAG_S = 0.02
 """Seconds; a longer stall of the host does not predict the lag of the next answer."""
 
@@ -63,6 +67,7 @@
         self._round_trips = recent_quantile.RecentQuantile()
         self._one_way_latency: float | None = None
         self._lag = INITIAL_LAG_S
+        self._lag_count = 1
 
     @property
     def one_way_latency(self) -> float:
@@ -108,9 +113,16 @@
         When the processor is busy, timers fire late, and other work due in the same
         iteration of the event loop runs before an answer is merged and written. Every
         answer that waits for its latest moment would be late by that time.
+
+        The first samples that exceed the estimate get the weight that they have in the
+        mean with the initial one, as some hosts get a sweep only every ten seconds.
         """
-        lag = min(seconds, MAX_LAG_S)
-        weight = RISING_LAG_WEIGHT if lag > self._lag else FALLING_LAG_WEIGHT
+        self._lag_count += 1
+        if seconds <= self._lag:
+            weight = FALLING_LAG_WEIGHT
+        else:
+            weight = max(RISING_LAG_WEIGHT, 1 / self._lag_count)
+        lag = min(seconds, MAX_LAG_S, MAX_LAG_RATIO * self._lag)
         self._lag += weight * (lag - self._lag)
 
     def record_lateness(self, route_name: str, seconds: float) -> None:
