Give no address of a sound upstream to one of an unknown service

The later start owns an address, and the upstream that had it counted as gone, which is final for its start.

An upstream whose service is not configured gets no requests, so it takes no address from one that still announces itself. An upstream of a configured service takes the address of one whose service is not, which becomes silent instead of gone, as its service may be configured later. Between configured services the later start still wins.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -102,6 +102,16 @@
     When the operator evacuates the zone of the remaining leafs
     Then a client's sweep is refused at once with 503
 
+  Scenario: Another program reports the addresses of sound leafs
+    A single heartbeat of a program that is no leaf took each of them out of use for good.
+
+    Given three control hosts and an entry host of the platform on loopback
+    And two leafs of each of two shards that send heartbeats
+    When the operator puts a configuration with a sweep over both shards
+    Then a client's sweep is answered with both parts
+    When another program reports the address of each leaf for a service of its own
+    Then 30 sweeps within 3 seconds are answered with both parts
+
   Scenario: Requests need a key of a team, and upstreams see the team only
     An upstream that saw keys could use them. A caller that could set the team's
     header itself would be taken for another team.
--- a/features/roster.feature
+++ b/features/roster.feature
@@ -39,6 +39,55 @@
     Then the roster has u-2 as ready
     And the roster does not know u-1
 
+  Scenario: An upstream of a service that is not configured claims an address
+    Another program reported the address of a sound upstream, which was taken out of use
+    for good by a single announcement.
+
+    Given a roster that received u-1 as ready in incarnation 5 with sequence 3 at addr-1
+    And the service of u-1 is configured
+    When the roster receives agent-1 of another service in incarnation 9 at addr-1
+    And the roster receives u-1 as ready in incarnation 5 with sequence 4 at addr-1
+    Then the roster has u-1 as ready
+    And the roster does not know agent-1
+
+  Scenario: An upstream whose service is not configured yet is kept from its address
+    Another program reported its address while it started, before the configuration that
+    names its service.
+
+    Given a roster that received agent-1 as ready in incarnation 9 with sequence 1 at addr-1
+    And no service is configured
+    When the roster receives u-1 of another service in incarnation 5 at addr-1
+    Then the roster does not know u-1
+    When the other service is configured
+    And the roster receives u-1 of another service in incarnation 5 at addr-1
+    Then the roster has u-1 as ready
+    And the roster has agent-1 as silent
+
+  Scenario: A late announcement does not end an upstream whose service is not configured yet
+    The address of u-1, which has crashed, was assigned to u-2, and a partition delayed the
+    last announcement of u-1.
+
+    Given a roster that received u-1 as ready in incarnation 5 with sequence 3 at addr-1
+    And no service is configured
+    And 6 seconds have passed without an announcement
+    When the roster receives u-2 of another service in incarnation 9 at addr-1
+    And the service of u-1 is configured
+    And the roster receives u-1 as ready in incarnation 5 with sequence 4 at addr-1
+    Then the roster has u-2 as silent
+    When both services are configured
+    And the roster receives u-2 of another service in incarnation 9 and sequence 2 at addr-1
+    Then the roster has u-2 as ready
+    And the roster has u-1 as gone
+
+  Scenario: The owner of an address that another program claims falls silent
+    Given a roster that received u-1 as ready in incarnation 5 with sequence 3 at addr-1
+    And the service of u-1 is configured
+    When the roster receives u-2 of another service in incarnation 9 at addr-1
+    And 6 seconds pass without an announcement
+    And the roster receives u-2 of another service in incarnation 9 at addr-1
+    Then the roster has u-1 as silent
+    And the roster has u-2 as ready
+
   Scenario: A renewal without a change is not distributed
     Given a roster that received u-1 as ready in incarnation 5 with sequence 3
     When the roster receives u-1 as ready in incarnation 5 with sequence 4
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -302,6 +302,35 @@
     assert len(set(signatures)) == 2, signatures
 
 
+@behave.when(
+    "another program reports the address of each leaf for a service of its own"
+)
+def when_reported_by_other(context):
+    platform = context.platform
+
+    async def report_all():
+        for leaf in platform.leafs:
+            other = platform_deployment.LeafUpstream(
+                f"agent-{leaf.name}", "metrics-agent", leaf.zone, version="v9"
+            )
+            other.address = leaf.address
+            await platform.announce(other)
+
+    run(context, report_all())
+
+
+@behave.then("{count:d} sweeps within {seconds:g} seconds are answered with both parts")
+def then_all_swept(context, count, seconds):
+    async def sweep_all():
+        for _ in range(count):
+            reply = await context.platform.sweep()
+            assert reply.status == 200, reply
+            assert reply.headers.get(names.HEADERS.missing_parts) == "0", reply
+            await asyncio.sleep(seconds / count)
+
+    run(context, sweep_all())
+
+
 @behave.then("the configuration is read back at every control host")
 def then_read_back(context):
     for operator_address in context.platform.operator_addresses:
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -11,6 +11,8 @@
 from greengagehaven.protocol import codec, control, watching
 from greengagehaven.state import configuration_history, roster
 
+SERVICE = "service"
+OTHER_SERVICE = "other-service"
 SILENCE_TIMEOUT_S = 5.0
 SWEEP_INTERVAL_S = 0.5
 LOOP_ITERATIONS = 20
@@ -21,12 +23,26 @@
 
     def __init__(self, holder="c1"):
         self.clock = clock.ManualClock(start=100.0)
-        self.roster = roster.Roster(host_name=holder, silence_timeout=SILENCE_TIMEOUT_S)
+        self.configured_services = {SERVICE, OTHER_SERVICE}
+        self.roster = roster.Roster(
+            host_name=holder,
+            silence_timeout=SILENCE_TIMEOUT_S,
+            configured_services=lambda: self.configured_services,
+        )
 
-    def announce(self, upstream_id, stage, incarnation, sequence, address=None):
+    def announce(
+        self,
+        upstream_id,
+        stage,
+        incarnation,
+        sequence,
+        address=None,
+        *,
+        service=SERVICE,
+    ):
         announcement = routing.upstream_entry(
             upstream_id,
-            "service",
+            service,
             incarnation=incarnation,
             sequence=sequence,
             stage=watching.Stage(stage),
@@ -69,6 +85,45 @@
     context.manual_roster.announce(upstream_id, stage, incarnation, sequence)
 
 
+@behave.given("the service of u-1 is configured")
+@behave.when("the service of u-1 is configured")
+def given_service_configured(context):
+    context.manual_roster.configured_services = {SERVICE}
+
+
+@behave.given("no service is configured")
+def given_none_configured(context):
+    context.manual_roster.configured_services = set()
+
+
+@behave.when("the other service is configured")
+def when_other_configured(context):
+    context.manual_roster.configured_services = {OTHER_SERVICE}
+
+
+@behave.when("both services are configured")
+def when_both_configured(context):
+    context.manual_roster.configured_services = {SERVICE, OTHER_SERVICE}
+
+
+@behave.when(
+    "the roster receives {upstream_id} of another service in incarnation "
+    "{incarnation:d} at {address}"
+)
+def when_receives_other(context, upstream_id, incarnation, address):
+    when_receives_other_again(context, upstream_id, incarnation, 1, address)
+
+
+@behave.when(
+    "the roster receives {upstream_id} of another service in incarnation "
+    "{incarnation:d} and sequence {sequence:d} at {address}"
+)
+def when_receives_other_again(context, upstream_id, incarnation, sequence, address):
+    context.manual_roster.announce(
+        upstream_id, "ready", incarnation, sequence, address, service=OTHER_SERVICE
+    )
+
+
 @behave.when(
     "the roster receives {upstream_id} as {stage} in incarnation {incarnation:d} "
     "with sequence {sequence:d} at {address}"
@@ -101,6 +156,7 @@
     context.other.announce(upstream_id, "draining", incarnation, sequence)
 
 
+@behave.given("{count:d} seconds have passed without an announcement")
 @behave.when("{count:d} seconds pass without an announcement")
 def when_silence(context, count):
     for _ in range(int(count / SWEEP_INTERVAL_S)):
--- a/src/greengagehaven/daemons/registry_daemon.py
+++ b/src/greengagehaven/daemons/registry_daemon.py
@@ -76,6 +76,7 @@
         self._roster = roster.Roster(
             host_name=settings.host_id,
             silence_timeout=ANNOUNCE_TIMEOUT_PERIODS * announce_period,
+            configured_services=self._configured_services,
         )
         self._roster_file = roster_file.RosterFile(
             roster=self._roster,
@@ -111,6 +112,8 @@
         self._peer_server: http_peers.HttpPeerServer | None = None
         self._http_server: http_server.HttpServer | None = None
         self._host: control_host.ControlHost | None = None
+        self._services_digest = ""
+        self._services: abc.Container[str] = ()
         self._feed: roster_feed.RosterFeed | None = None
         self._rollout_controller: rollout_controller.RolloutController | None = None
         self._reopen_task: asyncio.Task[None] | None = None
@@ -327,6 +330,15 @@
             log.info("reopened", host=self._settings.host_id)
             return
 
+    def _configured_services(self) -> abc.Container[str]:
+        """Return the names of the services in the configuration in force."""
+        if self._host is not None:
+            state = self._host.current
+            if state.digest != self._services_digest:
+                self._services = self._settings.service_names(state.document)
+                self._services_digest = state.digest
+        return self._services
+
     def _member_addresses(self) -> tuple[str, ...]:
         raft = None if self._host is None else self._host.raft
         if raft is None:
--- a/src/greengagehaven/state/roster.py
+++ b/src/greengagehaven/state/roster.py
@@ -44,13 +44,22 @@
     :param host_name: name of this host, set in entries that are announced to it.
     :param silence_timeout: seconds without an announcement after which an upstream that
         last announced itself to this host is marked silent.
+    :param configured_services: returns the names of the services in the configuration
+        in force; ``None`` if all services count as configured.
     """
 
-    def __init__(self, *, host_name: str, silence_timeout: float) -> None:
+    def __init__(
+        self,
+        *,
+        host_name: str,
+        silence_timeout: float,
+        configured_services: abc.Callable[[], abc.Container[str]] | None = None,
+    ) -> None:
         self.version = 0
         self.digest = 0
         self._holder = host_name
         self._silence = silence_timeout
+        self._configured_services = configured_services
         self._held_by_id: collections.OrderedDict[str, RosterItem] = (
             collections.OrderedDict()
         )
@@ -179,20 +188,42 @@
         return True
 
     def _claim_address(self, entry: watching.UpstreamEntry, now: float) -> bool:
-        """Assign the address to the later incarnation; return whether ``entry`` got it.
-
-        Addresses are reused. An announcement that was delayed by a partition may
-        arrive after its sender died and another upstream got its address.
-        """
+        """Assign an address to an upstream; return whether ``entry`` got it."""
         owner = self._held_by_id.get(self._id_by_address.get(entry.address, ""))
         is_other = owner is not None and owner.entry.id != entry.id
         if is_other and owner.entry.is_live and owner.entry.address == entry.address:
-            if owner.entry.incarnation > entry.incarnation:
+            if not self._may_take_over(entry, owner.entry):
                 return False
-            self._store(owner.entry.as_gone(), now)
+            displaced = owner.entry.as_gone()
+            if not self._is_configured(owner.entry.service):
+                # Its service may be configured later, and it may still run.
+                displaced = owner.entry.as_silent()
+            self._store(displaced, now)
         self._id_by_address[entry.address] = entry.id
         return True
 
+    def _may_take_over(
+        self, entry: watching.UpstreamEntry, owner: watching.UpstreamEntry
+    ) -> bool:
+        """Return whether ``entry`` takes the address of a live upstream.
+
+        Addresses are reused, and the later incarnation owns one. An announcement that
+        was delayed by a partition may arrive after its sender died and another upstream
+        got its address. An upstream of a service that is not configured gets no
+        requests, so it waits until the owner of the address has fallen silent: it may
+        be another program that reports an address which is not its own.
+        """
+        if not self._is_configured(entry.service):
+            return False
+        if not self._is_configured(owner.service):
+            return True
+        return owner.incarnation <= entry.incarnation
+
+    def _is_configured(self, service: str) -> bool:
+        return (
+            self._configured_services is None or service in self._configured_services()
+        )
+
     def _store(self, entry: watching.UpstreamEntry, now: float) -> None:
         self.version += 1
         held = self._held_by_id.get(entry.id)
