Refuse a port with a sign or in other digits; show which odd input is refused

A heartbeat with the address 10.128.0.9:+80, or with a port in the digits of another script, was accepted, as int() takes them; every host then held an address that other programs can't read. Ports now are ASCII digits.

New ones that passed before: replies with the status 000, 099, 20, 2000 and -200 never reach a caller; heartbeats with a port above 65535 or with arrays 100,000 levels deep are refused (reports of operators of like systems).

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -21,6 +21,21 @@
     When an exchange is made
     Then it fails as garbled
 
+  Scenario Outline: A reply whose status is <status> is refused
+    An upstream in trouble sent it, and its caller got it as an answer.
+
+    Given replies of an upstream with the status <status>
+    When an exchange is made
+    Then it fails as lost
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 20     |
+      | 2000   |
+      | -200   |
+
   Scenario: A reply with an encoded body is refused
     Given an upstream whose replies have an encoded body
     When an exchange is made
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,6 +81,10 @@
       | no service                |
       | an unknown state          |
       | an address without a port |
+      | a port above 65535        |
+      | a port with a sign        |
+      | a port in other digits    |
+      | arrays 100000 levels deep |
       | slots that are text       |
       | a start time that is text |
       | a sequence of 128 bits    |
--- a/features/steps/exchanges_steps.py
+++ b/features/steps/exchanges_steps.py
@@ -267,6 +267,15 @@
     context.answer = answer() if isinstance(answer, type) else answer
 
 
+@behave.given("replies of an upstream with the status {status}")
+def given_status(context, status):
+    async def reply(request_id, writer):
+        writer.write(reply_bytes(request_id, status=f"{status} OK"))
+        return True
+
+    context.answer = reply
+
+
 @behave.given("upstream replies that are repeated late at random, seed {seed:d}")
 def given_unreliable_rejections(context, seed):
     context.answer = UnreliableRejections(random.Random(seed))
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -200,6 +200,15 @@
             context.heartbeat["state"] = "dreaming"
         case "an address without a port":
             context.heartbeat["addr"] = "10.128.0.9"
+        case "a port above 65535":
+            context.heartbeat["addr"] = "10.128.0.9:65536"
+        case "a port with a sign":
+            context.heartbeat["addr"] = "10.128.0.9:+80"
+        case "a port in other digits":
+            context.heartbeat["addr"] = "10.128.0.9:\uff18\uff10"
+        case "arrays 100000 levels deep":
+            context.heartbeat["x"] = []
+            context.nested = b"[" * 100_000 + b"]" * 100_000
         case "slots that are text":
             context.heartbeat["slots"] = "two"
         case "a start time that is text":
@@ -229,6 +238,7 @@
 @behave.then("it is refused as a heartbeat")
 def then_heartbeat_refused(context):
     data = b"{" if context.heartbeat is None else json.dumps(context.heartbeat).encode()
+    data = data.replace(b"[]", getattr(context, "nested", b"[]"))
     try:
         announcements.parse_announcement("i-1", data)
     except exceptions.InvalidRequestError:
--- a/src/greengagehaven/settings.py
+++ b/src/greengagehaven/settings.py
@@ -19,7 +19,8 @@
     host = host.removeprefix("[").removesuffix("]")
     try:
         ipaddress.ip_address(host)
-        number = int(port)
+        # int() also takes signs, spaces and the digits of other scripts.
+        number = int(port) if port.isascii() and port.isdigit() else -1
     except ValueError:
         number = -1
     if not 0 <= number <= MAX_PORT:
