Pass on that an upstream is cold for longer than known

A control host compared only whether an announcement says that the upstream is cold, so a later end of the cold start was neither stored nor passed on, and the limited rate ended with the first one.

An end over 100 ms later than known is a change.

--- a/features/roster.feature
+++ b/features/roster.feature
@@ -250,6 +250,19 @@
     When 1 second passes and it announces itself as cold again
     Then the other hosts are sent the change
 
+  Scenario: An upstream becomes cold again before its cold start has ended
+    The longer time was not sent to other hosts, which sent requests at the full rate as
+    soon as the first one had ended.
+
+    Given a control host that received an upstream as cold for 3 seconds
+    When 2 seconds pass and it announces itself as cold for another 1000 ms
+    Then the other hosts are sent nothing
+    When 0 seconds pass and it announces itself as cold for another 1050 ms
+    Then the other hosts are sent nothing
+    When 0 seconds pass and it announces itself as cold for another 3000 ms
+    Then the other hosts are sent the change
+    And they are told that it is cold for another 3000 ms
+
   Scenario: The upstreams of a service are found by an index
     A rollout looks up its service ten times a second among 88,000 upstreams, too
     often for a scan over all of them.
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -580,6 +580,19 @@
     announce_later(context, seconds, 3000)
 
 
+@behave.when(
+    "{seconds:d} seconds pass and it announces itself as cold for another {left:d} ms"
+)
+def when_still_cold(context, seconds, left):
+    announce_later(context, seconds, left)
+
+
+@behave.then("they are told that it is cold for another {left:d} ms")
+def then_told_cold(context, left):
+    (entry,) = context.cold_roster.entries_since(0, context.now)
+    assert entry.cold_left_ms == left, entry
+
+
 @behave.then("the other hosts are sent nothing")
 def then_others_sent_nothing(context):
     assert not context.is_change
--- a/src/greengagehaven/state/roster.py
+++ b/src/greengagehaven/state/roster.py
@@ -19,6 +19,9 @@
 # Time between two calls of ``mark_silent`` above which this host must have been
 # suspended.
 MAX_SILENCE_CHECK_GAP_S = 1.5
+# Change of the end of a cold start that is not sent to other hosts: announcements take
+# that long on their way.
+MAX_COLD_DRIFT_MS = 100
 # Time within which an upstream that was restored from disk has to announce itself.
 RESTORED_TIMEOUT_S = 3.0
 
@@ -105,10 +108,13 @@
         """Return whether an announcement adds nothing to what other hosts know.
 
         The end of a cold start at the announced time is no change: each host computes
-        it, and upstreams that start together would all report it at the same time.
+        it, and upstreams that start together would all report it at the same time. A
+        later end is one, as the upstream may have become cold again.
         """
         held = self._held_by_id[entry.id]
         cold_left_ms = max(0, round((held.cold_until - now) * 1000))
+        if entry.cold_left_ms > cold_left_ms + MAX_COLD_DRIFT_MS:
+            return False
         return held.entry.with_cold(cold_left_ms).has_same_state(entry)
 
     def merge(self, entry: watching.UpstreamEntry, now: float) -> bool:
