Close a connection whose client's EOF arrives with its response

A response that was written in the same iteration of the event loop as the client's EOF, after it, kept the connection open; it stayed idle until its timeout.

A connection with an EOF counts as ending. The new scenario of features/http.feature timed out before and passes now.

--- a/features/http.feature
+++ b/features/http.feature
@@ -118,6 +118,13 @@
     When a client sends a request that runs, and EOF
     Then the client is told with status 502 that its request may have run
 
+  Scenario: A client's EOF arrives as its response is written
+    The response kept the connection open, which stayed idle until its timeout.
+
+    Given an HTTP listener with small limits
+    When a client sends EOF in the iteration of the event loop in which its handler returns
+    Then the client gets status 200 and the end of its connection
+
   Scenario: Arbitrary bytes never stop the listener
     Fuzzers, port scanners and broken clients send arbitrary bytes.
 
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -351,6 +351,31 @@
     context.runner.run(send())
 
 
+@behave.when(
+    "a client sends EOF in the iteration of the event loop in which its handler returns"
+)
+def when_eof_with_response(context):
+    listener = context.listener
+
+    async def send():
+        reader, writer = await listener.connect()
+        writer.write(KEPT_OPEN.replace(b" / ", b" /wait "))
+        await listener.entered.wait()
+        (connection,) = listener.server._connections
+        listener.gate.set()
+        # What the event loop does when it reads EOF; the handler returns after this.
+        assert connection.eof_received()
+        context.answers = [await asyncio.wait_for(reader.read(), WAIT_S)]
+        writer.close()
+
+    context.runner.run(send())
+
+
+@behave.then("the client gets status {status:d} and the end of its connection")
+def then_status_and_end(context, status):
+    assert _parse_response(context.answers[0])[0] == status, context.answers
+
+
 @behave.then("the client is told with status {status:d} that its request may have run")
 def then_may_have_run(context, status):
     answered_status, problem = _parse_response(context.answers[0])
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -95,7 +95,7 @@
     @property
     def _is_ending(self) -> bool:
         """Return whether further requests are refused."""
-        return self._owner.is_ending or self._end_error is not None
+        return self._owner.is_ending or self._has_eof or self._end_error is not None
 
     def connection_made(self, transport: typing.Any) -> None:
         """Set up a new connection, or abort it if the server rejects it."""
