--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -36,3 +36,10 @@
     Given a server and a client that have exchanged a message
     When 20 more small messages are exchanged
     Then no buffer above 100 KB was allocated
+
+  Scenario: Event loops of several threads receive their own messages
+    Programs that use the client in several threads must not get bytes of one another.
+
+    Given 4 threads with a server and a client each
+    When each exchanges 400 messages that only it sends
+    Then each got its own messages back
--- a/features/steps/endless_replies_steps.py
+++ b/features/steps/endless_replies_steps.py
@@ -1,6 +1,7 @@
 """Steps for upstreams whose replies do not end."""
 
 import asyncio
+import concurrent.futures
 import contextlib
 import tracemalloc
 
@@ -191,3 +192,37 @@
 @behave.then("no buffer above {size:d} KB was allocated")
 def then_small(context, size):
     assert context.peak < size * 1000, context.peak
+
+
+@behave.given("{count:d} threads with a server and a client each")
+def given_threads(context, count):
+    context.thread_count = count
+
+
+@behave.when("each exchanges {count:d} messages that only it sends")
+def when_threads_exchange(context, count):
+    async def answer(request):
+        return http.Response(status=200, body=request.body)
+
+    async def exchange_messages(number):
+        body = bytes([number]) * 20_000
+        server = http_server.HttpServer(handler=answer)
+        client = http_client.HttpClient(address=await server.start())
+        try:
+            for _ in range(count):
+                reply = await client.request("POST", "/x", body=body)
+                if reply.body != body:
+                    return False
+        finally:
+            client.close()
+            await server.close()
+        return True
+
+    with concurrent.futures.ThreadPoolExecutor(context.thread_count) as pool:
+        coroutines = map(exchange_messages, range(context.thread_count))
+        context.are_own = list(pool.map(asyncio.run, coroutines))
+
+
+@behave.then("each got its own messages back")
+def then_own_messages(context):
+    assert all(context.are_own), context.are_own
--- a/src/greengagehaven/transport/shared_buffer.py
+++ b/src/greengagehaven/transport/shared_buffer.py
@@ -1,10 +1,19 @@
-"""Base class of protocols that receive into one buffer of the process."""
+"""Base class of protocols that receive into a buffer shared by all connections."""
 
 import asyncio
+import threading
 
 BUFFER_BYTES = 65_536
 
-_view = memoryview(bytearray(BUFFER_BYTES))
+
+class _ThreadBuffer(threading.local):
+    """The buffer of a thread: event loops of other threads receive meanwhile."""
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(BUFFER_BYTES))
+
+
+_buffer = _ThreadBuffer()
 
 
 class SharedBufferProtocol(asyncio.BufferedProtocol):
@@ -17,11 +26,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
-        return _view
+        return _buffer.view
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on the bytes that were read."""
-        self.data_received(bytes(_view[:nbytes]))
+        self.data_received(bytes(_buffer.view[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
