Keep the pace of the platform soak within what may be lost at once

It replaced a control host as soon as the one before had become a voter and its predecessor was removed.

A replacement takes 4 s from the start of the new host again, which it did before, for the reason that the predecessor had to be silent that long.

--- a/features/fakes/platform_processes.py
+++ b/features/fakes/platform_processes.py
@@ -26,6 +26,11 @@
 TIMEOUT_S = 30.0
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
 RETRY_DELAY_S = 0.1
+
+CATCH_UP_S = 4.0
+"""Seconds after its start for which a new control host counts as lost, so that no other
+one may be lost (``bounds.catchupS``)."""
+
 VOTERS = re.compile(r"\bvoters=(\S*)")
 
 
@@ -172,6 +177,7 @@
         new = self._host("control", old.zone, False)
         new.write_settings(self.seeds)
         await new.start()
+        caught_up = asyncio.ensure_future(asyncio.sleep(CATCH_UP_S))
         await self.wait_until(lambda: self.is_voter(new))
         if ends_old and is_planned:
             await old.end(signal.SIGTERM)
@@ -179,6 +185,7 @@
         self.controls[number] = new
         others = [host for host in self.controls if host is not new]
         await self.wait_until(lambda: self.is_removed(old, others))
+        await caught_up
 
     async def is_voter(self, host):
         """Return whether a host has logged a membership with itself as a voter."""
