Report usage to a control host that answers while all of them are followed

Cause: an entry host follows all control hosts while none is known to be in contact with a majority. Reports went to the first address that is followed, and after 0.25 s to one that is not followed, of which there was none. A zone whose own control hosts have higher addresses got no totals until the cut ended.

Evidence: its hosts admitted with totals_age_ms that rose to 4,200 from the moment at which they followed all six control hosts.

Now reports go to the followed control host that answers, and to the others in turn while none does; substitutes relay reports to it as well. The first new scenario fails on the old code: reports went to c0 only.

--- a/features/fakes/usage_cap_members.py
+++ b/features/fakes/usage_cap_members.py
@@ -15,6 +15,7 @@
 CAPS = demand_shares.CapSettings(window=5.0, overage=0.1, slack=20.0)
 SWITCH_AFTER_S = 1.0
 CLOSE_S = 0.001
+FOLLOW_ALL_AFTER_S = 2.0
 
 
 class SimulatedMember:
@@ -54,6 +55,7 @@
         self.sequence = 0
         self.followed = self.zone % len(self.simulation.controls)
         self.failing_since = None
+        self.without_majority_since = None
         self.schedule = report_schedule.ReportSchedule()
         self.transit = 0.0
         self.planned_at = None
@@ -179,9 +181,8 @@
             age_ms=round(1000 * self.transit),
             address=self.name,
         )
-        names = [each.name for each in self.simulation.controls]
-        followed = names.pop(self.followed)
-        targets = self.schedule.targets((followed,), names, now)
+        followed, others = self.followed_and_others()
+        targets = self.schedule.targets(followed, others, now)
         self.schedule.on_sent(
             now, has_usage=bool(report.teams), is_near_target=is_urgent
         )
@@ -193,6 +194,21 @@
             if host.name in substitutes:
                 self.send_to_substitute(host, report, now)
 
+    def followed_and_others(self):
+        """Return the names of the control hosts that are followed, and of the others.
+
+        All are followed once none that is reached has been in contact with a majority
+        for some time.
+        """
+        names = [each.name for each in self.simulation.controls]
+        if self.simulation.reaches_majority(self):
+            self.without_majority_since = None
+        elif self.without_majority_since is None:
+            self.without_majority_since = self.simulation.now
+        elif self.simulation.now - self.without_majority_since > FOLLOW_ALL_AFTER_S:
+            return tuple(names), ()
+        return (names.pop(self.followed),), names
+
     def send_to(self, control, report, sent_at):
         self.simulation.call(
             self,
@@ -224,7 +240,9 @@
         if self.schedule.is_without_controls(simulation.now):
             on_reply(None)
         else:
-            control = simulation.controls[self.followed]
+            followed, _ = self.followed_and_others()
+            name = self.schedule.answering_control(followed, simulation.now)
+            control = next(each for each in simulation.controls if each.name == name)
             simulation.call(self, control, "handle_relayed", report, on_reply)
 
     def on_reply(self, reply, control, sent_at):
@@ -237,7 +255,7 @@
             )
             if reply.is_settled:
                 self.schedule.substitutes = reply.substitutes
-            self.apply_totals(reply, sent_at)
+            self.apply_totals(reply, sent_at, control=control.name)
             if is_followed:
                 self.failing_since = None
         elif not is_followed:
@@ -248,10 +266,10 @@
             self.followed = (self.followed + 1) % len(simulation.controls)
             self.failing_since = None
 
-    def apply_totals(self, totals, sent_at, *, substitute=""):
+    def apply_totals(self, totals, sent_at, *, control="", substitute=""):
         now = self.simulation.now
         if self.shares.apply_totals(totals, sent_at=sent_at, now=now):
-            self.schedule.on_reply(sent_at, substitute=substitute)
+            self.schedule.on_reply(sent_at, control=control, substitute=substitute)
             self.record(self.waits.apply_totals(sent_at, now))
 
 
--- a/features/fakes/usage_cap_simulation.py
+++ b/features/fakes/usage_cap_simulation.py
@@ -118,6 +118,16 @@
             target.name, target.zone_side
         )
 
+    def reaches_majority(self, host):
+        """Return whether a host reaches a control host that reaches most of them."""
+        alive = [each for each in self.controls if not each.is_down]
+        return any(
+            self.can_reach(host, control)
+            and 2 * sum(self.can_reach(control, other) for other in alive)
+            > len(self.controls)
+            for control in alive
+        )
+
     def call(self, source, target, method, message, on_reply):
         """Send a message; ``on_reply`` gets the reply, or ``None`` after a timeout.
 
--- a/features/usage_cap_overlapping_faults.feature
+++ b/features/usage_cap_overlapping_faults.feature
@@ -61,3 +61,18 @@
     When c0 replies that it does not reach c2, c3
     And c0 replies that it reaches all
     Then its reports go to c0
+
+  Scenario: Reports go to a control host that answers while all are followed
+    They went to the first one only, and hosts of a zone that was cut off got no totals.
+    Given an entry host that follows all control hosts, c0, c1, c2, c3
+    When no control host has answered its reports for 0.3 s
+    Then its reports go to c0, and to each other control host in turn
+    When c2 answers the next report
+    Then its reports go to c2 while it answers
+
+  Scenario: A substitute passes reports on to the control host that answers it
+    The first one that is followed may be the one that is out of reach.
+    Given an entry host that follows all control hosts, c0, c1, c2, c3
+    When no control host has answered its reports for 0.3 s
+    And c2 answers the next report
+    Then reports that it relays go to c2
--- a/src/greengagehaven/coordination/shared_budgets/report_schedule.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_schedule.py
@@ -44,6 +44,10 @@
 SUBSTITUTE_KNOWN_S = 0.5
 """Seconds for which a substitute that replied is preferred."""
 
+ANSWERING_KNOWN_S = 0.5
+"""Seconds after the report to which it replied for which a control host counts as
+answering."""
+
 PARTITION_KNOWN_S = 1.0
 """Seconds for which a control host's list of unreachable ones is used."""
 
@@ -104,6 +108,7 @@
         self.substitutes: tuple[str, ...] = ()
         self._substituted_at = -math.inf
         self._substitute_reply: tuple[str, float] = ("", -math.inf)
+        self._answered_at_by_control: dict[str, float] = {}
         self._turn = 0
         self._replies_by_address: dict[str, _Reply] = {}
 
@@ -136,17 +141,20 @@
         self._unanswered.on_sent(now)
         self._unanswered_by_controls.on_sent(now)
 
-    def on_reply(self, sent_at: float, *, substitute: str = "") -> None:
+    def on_reply(
+        self, sent_at: float, *, control: str = "", substitute: str = ""
+    ) -> None:
         """Record a usable reply to the report that was sent at a time.
 
-        :param substitute: address of the entry host that it came from, empty if it
-            came from a control host.
+        :param control: address of the control host that it came from, if it did.
+        :param substitute: address of the entry host that it came from, if it did.
         """
         self._unanswered.on_reply(sent_at)
         if substitute:
             self._substitute_reply = substitute, sent_at
         else:
             self._unanswered_by_controls.on_reply(sent_at)
+            self._answered_at_by_control[control] = sent_at
 
     def is_without_controls(self, now: float) -> bool:
         """Return whether no control host answers."""
@@ -188,16 +196,19 @@
         Control hosts forward reports to each other, so one is enough unless some of
         them do not reach each other. Then each part of them gets the report.
 
-        :param followed: control hosts in order of preference.
-        :param others: all other control hosts; they are tried in turn.
+        :param followed: the control hosts that are followed, all of them while none is
+            known to be in contact with a majority.
+        :param others: all other control hosts.
         """
         self._forget_old_replies(now)
-        targets = list(followed[:1])
+        first = self.answering_control(followed, now)
+        targets = [first] if first else []
+        others = [address for address in (*followed, *others) if address != first]
         unanswered_s = self._unanswered_by_controls.seconds(now)
         is_stale = unanswered_s > SECOND_TARGET_AFTER_S
         if others and (not targets or is_stale):
             targets.append(self._next_in_turn(others))
-        known = {*followed, *others}
+        known = {*targets, *others}
         missing = self._unreachable_from_all(targets) & known
         while missing:
             address = self._pick(sorted(missing))
@@ -207,10 +218,28 @@
             missing &= self._unreachable_from_all([address])
         return tuple(targets)
 
+    def answering_control(self, followed: abc.Sequence[str], now: float) -> str:
+        """Return the first control host that is followed, or one that answers instead.
+
+        It is empty if none is followed.
+        """
+        answered_at = {
+            address: self._answered_at_by_control[address]
+            for address in followed
+            if now - self._answered_at_by_control.get(address, -math.inf)
+            <= ANSWERING_KNOWN_S
+        }
+        if not answered_at or followed[0] in answered_at:
+            return followed[0] if followed else ""
+        return max(answered_at, key=answered_at.__getitem__)
+
     def _forget_old_replies(self, now: float) -> None:
         for address, reply in list(self._replies_by_address.items()):
             if now - reply.received_at > PARTITION_KNOWN_S:
                 del self._replies_by_address[address]
+        for address, answered_at in list(self._answered_at_by_control.items()):
+            if now - answered_at > ANSWERING_KNOWN_S:
+                del self._answered_at_by_control[address]
 
     def _unreachable_from_all(self, addresses: abc.Iterable[str]) -> frozenset[str]:
         """Return the control hosts that none of some control hosts reaches."""
--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -87,11 +87,12 @@
         Its report is passed on to a control host if one answers this host.
         """
         report = codec.decode_msgpack(body, usage_caps.UsageReport)
-        followed = sorted(self._followed())
-        if followed and not self._schedule.is_without_controls(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        control = self._schedule.answering_control(sorted(self._followed()), now)
+        if control and not self._schedule.is_without_controls(now):
             try:
                 return await self._channel.call(
-                    followed[0], RELAYED_METHOD, body, timeout=RELAY_TIMEOUT_S
+                    control, RELAYED_METHOD, body, timeout=RELAY_TIMEOUT_S
                 )
             except exceptions.PeerError as error:
                 log.debug("usage_relay_failed", error=error.detail)
@@ -199,14 +200,19 @@
             self._schedule.record_unreachable(address, totals.unreachable, now)
             if totals.is_settled:
                 self._schedule.substitutes = totals.substitutes
-            self._apply(totals, sent_at=sent_at)
+            self._apply(totals, sent_at=sent_at, control=address)
 
     def _apply(
-        self, totals: usage_caps.UsageTotals, *, sent_at: float, substitute: str = ""
+        self,
+        totals: usage_caps.UsageTotals,
+        *,
+        sent_at: float,
+        control: str = "",
+        substitute: str = "",
     ) -> None:
         now = self._clock.monotonic()
         if self._shares.apply_totals(totals, sent_at=sent_at, now=now):
-            self._schedule.on_reply(sent_at, substitute=substitute)
+            self._schedule.on_reply(sent_at, control=control, substitute=substitute)
             self.on_totals(sent_at)
         else:
             log.debug("usage_totals_unused", hosts=totals.hosts)
