Divide limits between the sides of a network partition

Callers saw: a team got more than its limit while a zone was cut off during a flood.

Cause: each side estimated what the other admits: as before until its own demand had passed that of all hosts before, as callers may have moved, and then in proportion. Both sides admitted too much meanwhile.

Now a control host that misses a tenth of the hosts and other control hosts tells which share of each limit is reserved for the silent ones: their part of the demand when they were last heard. The other side reserves the complement, so that both together stay within the target whatever they are offered. In contact nothing changes. Both bounds cannot hold then; the limit does, as it is promised over all hosts, in contact or not.

--- a/features/fakes/usage_cap_members.py
+++ b/features/fakes/usage_cap_members.py
@@ -321,7 +321,9 @@
         if self.frozen_until > self.simulation.now:
             self.simulation.at(self.frozen_until - self.simulation.now, self.tick)
             return
-        self.sums.expire(self.simulation.now)
+        self.sums.expire(
+            self.simulation.now, has_lost_controls=bool(self.forwarder.unreachable)
+        )
         self.forwarder.expire(self.simulation.now)
         self.forwarder.set_addresses(self.others_by_name)
         self.exchange()
--- a/src/greengagehaven/coordination/routing/usage_limit.py
+++ b/src/greengagehaven/coordination/routing/usage_limit.py
@@ -131,4 +131,5 @@
             round(decision.age * 1000) if math.isfinite(decision.age) else None
         ),
         "silent_hosts": decision.silent_hosts,
+        "reserved_share": round(decision.reserved_share, 2),
     }
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -106,7 +106,10 @@
     :param others_admitted: estimated admitted requests at other hosts.
     :param age: seconds since the totals of other hosts were requested, infinite if
         none were received.
-    :param limit: requests that the team may send in a window.
+    :param limit: requests that the team may send in a window, less what is reserved.
+    :param target: requests to admit in a window, less what is reserved.
+    :param reserved_share: share of the team's limit that is reserved for hosts behind
+        a partition.
     :param share: requests that this host may admit in a window if the target is
         exceeded.
     :param silent_hosts: number of other hosts whose usage was estimated.
@@ -119,6 +122,8 @@
     others_admitted: float
     age: float
     limit: float
+    target: float
+    reserved_share: float
     share: float
     silent_hosts: int
 
@@ -311,7 +316,8 @@
         self, team: teams_module.Team, state: _TeamState, now: float
     ) -> Decision:
         own = state.offered.count(now)
-        target = self.caps.target_of(team)
+        reserved = 0.0 if state.others is None else state.others.reserved_share
+        target = self.caps.target_of(team) * (1 - reserved)
         others, others_admitted = self._estimate_others(state, own, now)
         share = target * own / (own + others) - self._rounding(state, now)
         if not self._has_totals:
@@ -323,7 +329,9 @@
             others=others,
             others_admitted=others_admitted,
             age=now - self._totals_at,
-            limit=self.caps.limit_of(team),
+            limit=self.caps.limit_of(team) * (1 - reserved),
+            target=target,
+            reserved_share=reserved,
             share=share,
             silent_hosts=self._silent_hosts,
         )
@@ -336,7 +344,7 @@
         others = state.others
         if self._has_old_totals(decision) and others is not None and others.offered:
             return False
-        target = self.caps.target_of(team)
+        target = decision.target
         if decision.own_offered + decision.others <= target:
             return True
         if decision.age > ISOLATED_AFTER_S or others is None:
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -6,7 +6,10 @@
 from collections import abc
 
 from greengagehaven.coordination import rendezvous
-from greengagehaven.coordination.shared_budgets import silent_demand
+from greengagehaven.coordination.shared_budgets import (
+    partition_reserve,
+    silent_demand,
+)
 from greengagehaven.protocol import usage_caps
 
 BUSY_TEAM_REQUESTS = 10
@@ -34,6 +37,10 @@
 """Seconds without a report after which the demand at a host with usage is estimated;
 its unchanged reports arrive every 0.6 s."""
 
+ISOLATION_SETTLING_S = 0.5
+"""Seconds after a time without any report for which totals are not settled: those of
+most hosts arrive within two exchanges."""
+
 SUBSTITUTE_COUNT = 5
 """Entry hosts that are substitutes. If 17% of the hosts reach no control host, all five
 are among them once in 10,000 times."""
@@ -98,10 +105,12 @@
     def __init__(self, *, window: float, started_at: float) -> None:
         self._window = window
         self._settled_at = started_at + SETTLING_S
+        self._isolated_until = started_at
         self._runs_by_host: dict[str, dict[str, _HostRun]] = {}
         self._sums_by_team: dict[str, _TeamSum] = {}
         self._silent_demand = silent_demand.SilentDemand(window=window)
         self._silent_count = 0
+        self._reserve: partition_reserve.PartitionReserve | None = None
         self._substitutes: tuple[str, ...] = ()
 
     @property
@@ -142,16 +151,21 @@
             return False
         if not has_ended:
             run.received_at = now
+            if self._reserve is not None:
+                self._reserve.remove(report.host_id)
         run.report, run.made_at, run.has_ended = report, made_at, has_ended
         self._count(run, report.teams)
         return True
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float, *, has_lost_controls: bool = False) -> None:
         """Estimate the demand at silent hosts, and remove those that have ended.
 
         A host that is silent for a window is removed. If many are silent at once, a
         partition is assumed, in which they go on admitting their shares, so that their
-        demand stays counted.
+        demand stays counted. If control hosts do not answer either, those may hand out
+        totals to the silent hosts, and each side keeps to a part of the limits.
+
+        :param has_lost_controls: whether other control hosts do not answer this one.
         """
         # Counted before any of them is given up: hosts that were cut off together fall
         # silent one by one, as their last reports arrived.
@@ -160,6 +174,8 @@
             for runs in self._runs_by_host.values()
         )
         is_partition = self._is_partition(quiet_count)
+        if has_lost_controls and not self.count_heard(now):
+            self._isolated_until = now + ISOLATION_SETTLING_S
         retention = PARTITION_RETENTION_S if is_partition else self._window
         for host_id, runs in list(self._runs_by_host.items()):
             self._age_earlier_runs(runs, now)
@@ -167,7 +183,7 @@
                 for run in runs.values():
                     self._count(run, ())
                 del self._runs_by_host[host_id]
-        self._estimate_silent(now, is_partition)
+        self._count_silent(now, is_partition, has_lost_controls)
         self._choose_substitutes(now)
 
     def _choose_substitutes(self, now: float) -> None:
@@ -187,8 +203,10 @@
     def _is_partition(self, silent_count: int) -> bool:
         return silent_count >= max(2, PARTITION_SHARE * self.host_count)
 
-    def _estimate_silent(self, now: float, is_partition: bool) -> None:
-        """Count at silent hosts what they are estimated to be offered now."""
+    def _count_silent(
+        self, now: float, is_partition: bool, has_lost_controls: bool
+    ) -> None:
+        """Count what silent hosts are estimated to be offered, or reserve it."""
         silent = [
             run
             for runs in self._runs_by_host.values()
@@ -199,6 +217,10 @@
             silent = [run for run in silent if not run.has_ended]
             self._age_ended_hosts(now)
         self._silent_count = len(silent)
+        if is_partition and has_lost_controls:
+            self._reserve_for(silent, now)
+            return
+        self._reserve = None
         if not silent:
             self._silent_demand.record_all_heard(now, self._demand_by_team())
             return
@@ -231,6 +253,36 @@
             )
             self._count(run, usages)
 
+    def _reserve_for(self, silent: abc.Sequence[_HostRun], now: float) -> None:
+        """Keep parts of the limits for silent hosts, and count none of their usage."""
+        quiet = [
+            run
+            for runs in self._runs_by_host.values()
+            if (run := _newest(runs)).received_at < now - QUIET_S
+            and not run.report.teams
+        ]
+        for run in silent:
+            self._count(run, ())
+        demand_by_team = silent_demand.total_by_team(
+            self._demand_by_team(), _reported_demand(silent)
+        )
+        self._silent_demand.record(now, demand_by_team)
+        # Hosts that are cut off together are noticed one by one.
+        heard_at = max(run.received_at for run in silent or quiet)
+        if self._reserve is None or heard_at > self._reserve.heard_at:
+            before_by_team = self._silent_demand.demand_at(heard_at)
+        else:
+            heard_at = self._reserve.heard_at
+            before_by_team = self._reserve.before_by_team
+        self._reserve = partition_reserve.PartitionReserve(
+            heard_at=heard_at,
+            before_by_team=before_by_team,
+            usages_by_host={
+                run.report.host_id: run.report.teams for run in (*silent, *quiet)
+            },
+            host_count=self.host_count,
+        )
+
     def _age_ended_hosts(self, now: float) -> None:
         """Count no further requests at hosts that have ended.
 
@@ -305,7 +357,8 @@
     def _is_settled(self, report: usage_caps.UsageReport, now: float) -> bool:
         """Return whether every active host has reported, or had the time to."""
         covers_all = 0 < report.known_hosts <= self.host_count
-        return covers_all or now >= self._settled_at
+        has_settled = covers_all or now >= self._settled_at
+        return has_settled and now >= self._isolated_until
 
     def _others(
         self,
@@ -326,6 +379,9 @@
             recent=max(0, others.recent),
             age_ms=max(0, round(1000 * age)),
             leaving=max(0, others.leaving),
+            reserved_share=(
+                0.0 if self._reserve is None else self._reserve.share_of(team)
+            ),
         )
 
     def _count(self, run: _HostRun, usages: tuple[usage_caps.TeamUsage, ...]) -> None:
--- a/src/greengagehaven/coordination/shared_budgets/silent_demand.py
+++ b/src/greengagehaven/coordination/shared_budgets/silent_demand.py
@@ -47,6 +47,20 @@
         return float(self.recent) if has_changed else average
 
 
+def total_by_team(
+    first: abc.Mapping[str, Demand], second: abc.Mapping[str, Demand]
+) -> dict[str, Demand]:
+    """Return the sums of the demands of each team."""
+    total = dict(first)
+    for team, demand in second.items():
+        known = total.get(team, Demand())
+        total[team] = Demand(
+            offered=known.offered + demand.offered,
+            recent=known.recent + demand.recent,
+        )
+    return total
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Estimate:
     """What silent hosts are offered.
@@ -195,6 +209,10 @@
         """Record the demand at all hosts while none is silent."""
         self._started_at = None
         self._estimators_by_team.clear()
+        self.record(now, demand_by_team)
+
+    def record(self, now: float, demand_by_team: dict[str, Demand]) -> None:
+        """Record the demand at all hosts, as they reported it last."""
         self._history.append((now, demand_by_team))
         while self._history[0][0] < now - HISTORY_S:
             self._history.popleft()
@@ -216,7 +234,7 @@
         """
         if self._started_at is None:
             self._started_at = heard_at
-        before_by_team = self._demand_at(self._started_at)
+        before_by_team = self.demand_at(self._started_at)
         estimates_by_team = {}
         for team, silent in silent_by_team.items():
             estimator = self._estimators_by_team.get(team)
@@ -234,7 +252,7 @@
             )
         return estimates_by_team
 
-    def _demand_at(self, moment: float) -> dict[str, Demand]:
+    def demand_at(self, moment: float) -> dict[str, Demand]:
         """Return the demand at all hosts that was known at a moment."""
         known: dict[str, Demand] = {}
         for recorded_at, demand_by_team in self._history:
--- a/src/greengagehaven/daemons/usage_reports.py
+++ b/src/greengagehaven/daemons/usage_reports.py
@@ -333,7 +333,7 @@
         Calls in flight are not waited for: later reports replace those that are lost.
         """
         self._sent_at = now = self._clock.monotonic()
-        self._sums.expire(now)
+        self._sums.expire(now, has_lost_controls=bool(self._forwarder.unreachable))
         self._forwarder.expire(now)
         addresses = tuple(self._addresses())
         self._forwarder.set_addresses(addresses)
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -25,6 +25,8 @@
     :param admitted_by_age: in reports of a team of which requests were refused, the
         admitted requests in each tenth of the window, the newest first.
     :param leaving: offered requests that leave the window within ``LEAVING_S``.
+    :param reserved_share: in totals, share of the team's limit that is kept for hosts
+        behind a partition. Their requests are not counted then.
     """
 
     team: str
@@ -34,6 +36,7 @@
     age_ms: int = 0
     admitted_by_age: tuple[int, ...] = ()
     leaving: int = 0
+    reserved_share: float = 0.0
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -68,8 +71,8 @@
     :param is_settled: whether the control host has received a report of every active
         host, or has run long enough to.
     :param teams: the reported teams, and those with many requests over all hosts.
-    :param silent_hosts: number of these hosts whose usage is estimated, as their
-        reports do not arrive.
+    :param silent_hosts: number of these hosts whose reports do not arrive. Their usage
+        is estimated, or a part of each limit is reserved for them.
     :param unreachable: peer addresses of the control hosts that do not answer the
         replying one, so that reports are not exchanged with them.
     :param substitutes: peer addresses of the entry hosts that get reports while no
