--- a/src/greengagehaven/coordination/routing/attempt_outcomes.py
+++ b/src/greengagehaven/coordination/routing/attempt_outcomes.py
@@ -125,6 +125,8 @@
         shard = attempt.shard
         attempt.replied_at = self._clock.monotonic()
         attempt.size = reply.size
+        if reply.took is not None:
+            attempt.held_s = attempt.replied_at - attempt.sent_at - reply.took
         attempt.request.record_part(shard, attempt)
         completion.release(shard.attempts, actions)
 
--- a/src/greengagehaven/coordination/routing/request.py
+++ b/src/greengagehaven/coordination/routing/request.py
@@ -21,6 +21,7 @@
         it may have been written; ``None`` while it waits for a connection.
     :param replied_at: monotonic seconds at which its reply was read.
     :param size: bytes of that reply.
+    :param held_s: seconds from the arrival of that reply at a helper to its report.
     :param helper_address: address of the helper that sends it, empty for this host.
     :param is_reported_pending: whether that helper reported that it has not ended.
     """
@@ -35,6 +36,7 @@
     started_at: float | None = None
     replied_at: float | None = None
     size: int = 0
+    held_s: float = 0.0
     helper_address: str = ""
     is_reported_pending: bool = False
 
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -200,9 +200,10 @@
 def _part_fields(routed: request.RoutedRequest) -> dict[str, object]:
     """Return the arrival times and the total size of a sweep's parts.
 
-    These tell apart slow upstreams, attempts that waited for a connection, and parts
-    that queued on this host's link. Queued parts arrive evenly, and ``bytes`` divided
-    by the time between the first and the last is the throughput of the link.
+    These tell apart slow upstreams, attempts that waited for a connection, parts that
+    helpers held back, and parts that queued on this host's link. Queued parts arrive
+    evenly, and ``bytes`` divided by the time between the first and the last is the
+    throughput of the link.
     """
     parts = routed.parts
     if not routed.is_sweep or not parts:
@@ -211,11 +212,16 @@
     connect_seconds = [
         (part.started_at or part.sent_at) - part.sent_at for part in parts
     ]
+    held_seconds = sorted(part.held_s for part in parts if part.helper_address)
     return {
         "first_ms": age_ms(arrived_at[0], routed.started_at),
         "half_ms": age_ms(arrived_at[len(arrived_at) // 2], routed.started_at),
         "last_ms": age_ms(arrived_at[-1], routed.started_at),
         "connected_ms": round(max(connect_seconds) * 1000),
+        "helped": len(held_seconds),
+        "held_ms": (
+            round(held_seconds[len(held_seconds) // 2] * 1000) if held_seconds else None
+        ),
         "bytes": sum(part.size for part in parts),
     }
 
