--- a/features/delegation.feature
+++ b/features/delegation.feature
@@ -88,6 +88,24 @@
     When it is called with a long report delay and the first upstream rejects
     Then the rejection is reported before the late upstream replied, which is not hedged
 
+  Scenario: A helper does not hold replies back for a straggler
+    One late upstream delayed the parts of all others until it was to be hedged.
+
+    Given a helper that gathers from 3 upstreams, of which one replies late
+    When it is called with a long report delay
+    Then 2 parts are reported before the late upstream replied, which is not hedged
+
+  Scenario Outline: Replies that queue for a slow processor are reported together
+    Given <replies> of 10 replies, one each <gap> ms
+    Then a helper reports them <after> ms after the last one
+
+    Examples:
+      | replies | gap | after |
+      | 5       | 1   | 3     |
+      | 5       | 4   | 8     |
+      | 10      | 4   | 8     |
+      | 4       | 1   | inf   |
+
   Scenario: A part that was released is left out of the report
     Given a helper that gathers from 3 upstreams, of which one replies late
     When it is called with a short report delay and the late attempt is released
--- a/features/steps/gathering_steps.py
+++ b/features/steps/gathering_steps.py
@@ -5,7 +5,7 @@
 import behave
 
 from fakes import gathering
-from greengagehaven.coordination.routing import events
+from greengagehaven.coordination.routing import events, hedging
 
 
 @behave.given(
@@ -43,10 +43,19 @@
     assert not end.failed and context.setup.gatherer.in_flight == 0
 
 
+@behave.when("it is called with a long report delay")
+def when_called_with_long_delay(context):
+    run_with_long_delay(context, rejecting_number=None)
+
+
 @behave.when("it is called with a long report delay and the first upstream rejects")
 def when_rejected(context):
+    run_with_long_delay(context, rejecting_number=0)
+
+
+def run_with_long_delay(context, *, rejecting_number):
     async def scenario(setup):
-        setup.upstreams.rejecting_number = 0
+        setup.upstreams.rejecting_number = rejecting_number
         setup.delegate(report_after_s=gathering.TIME_LEFT_S)
         async with asyncio.timeout(gathering.TIME_LEFT_S / 2):
             await setup.sink.reported.wait()
@@ -66,6 +75,30 @@
     assert not any(sink.straggling[:-1]), sink.straggling
 
 
+@behave.then(
+    "{count:d} parts are reported before the late upstream replied, which is not hedged"
+)
+def then_parts_reported_early(context, count):
+    sink = context.setup.sink
+    assert sum(map(len, sink.reports[:-1])) == count, sink.reports
+    assert all(2 not in report for report in sink.reports[:-1]), sink.reports
+    assert not any(sink.straggling[:-1]), sink.straggling
+
+
+@behave.given("{replies:d} of {attempts:d} replies, one each {gap:d} ms")
+def given_replies(context, replies, attempts, gap):
+    context.last_at = (replies - 1) * gap / 1000
+    context.early_at = hedging.early_report_at(
+        first_at=0.0, last_at=context.last_at, replies=replies, attempts=attempts
+    )
+
+
+@behave.then("a helper reports them {after:g} ms after the last one")
+def then_early(context, after):
+    found = (context.early_at - context.last_at) * 1000
+    assert found == after or abs(found - after) < 1e-6, found
+
+
 @behave.when("it is called with a short report delay and the late attempt is released")
 def when_released(context):
     async def scenario(setup):
--- a/src/greengagehaven/coordination/routing/hedging.py
+++ b/src/greengagehaven/coordination/routing/hedging.py
@@ -4,6 +4,8 @@
 needs nearly all of its shards.
 """
 
+import math
+
 from greengagehaven.coordination import latency
 from greengagehaven.coordination.routing import mechanisms, observation, request
 
@@ -27,6 +29,14 @@
 straggling. Replies that merely queue on this host's link or for its processor follow
 each other more closely."""
 
+EARLY_REPORT_SHARE = 0.5
+"""Share of a helper's attempts with a reply from which on it may report early."""
+
+EARLY_REPORT_GAPS = 2.0
+"""Multiples of the mean gap between replies after which a helper reports early if no
+further one arrives. On a slow processor, queued replies follow each other less closely.
+"""
+
 MAX_DELAYS = 2.0
 """Multiples of the hedge delay after which a shard is hedged even if replies still
 arrive; on a busy host they never stop."""
@@ -131,6 +141,26 @@
     return max(started_at + after, min(latest, replied_at + REPLY_GAP_S))
 
 
+def early_report_at(
+    *, first_at: float, last_at: float, replies: int, attempts: int
+) -> float:
+    """Return when a helper reports the replies it has before it reports stragglers.
+
+    One straggler would hold the replies to all other attempts of its call back until it
+    is to be hedged.
+
+    :param first_at: monotonic seconds at which the first reply was read.
+    :param last_at: monotonic seconds at which the last reply was read.
+    :param replies: number of attempts with a reply.
+    :param attempts: number of all attempts of the call.
+    :returns: monotonic seconds, infinite while too few replies have arrived.
+    """
+    if replies < EARLY_REPORT_SHARE * attempts:
+        return math.inf
+    mean_gap = (last_at - first_at) / max(1, replies - 1)
+    return last_at + max(REPLY_GAP_S, EARLY_REPORT_GAPS * mean_gap)
+
+
 def latest_factor(shards: int) -> float:
     """Return the multiple of the typical latency after which to hedge at the latest."""
     fraction = (shards - FEW_SHARDS) / (MANY_SHARDS - FEW_SHARDS)
--- a/src/greengagehaven/daemons/delegation_client.py
+++ b/src/greengagehaven/daemons/delegation_client.py
@@ -271,9 +271,7 @@
         self._sink.on_attempts_reported(
             events.AttemptsReported(
                 ended=tuple(_to_event(each) for each in ended),
-                straggling=()
-                if report.is_failure_report
-                else tuple(sorted(call.pending)),
+                straggling=() if report.is_early else tuple(sorted(call.pending)),
             )
         )
 
--- a/src/greengagehaven/daemons/delegation_server.py
+++ b/src/greengagehaven/daemons/delegation_server.py
@@ -6,6 +6,7 @@
 import datetime
 import functools
 import itertools
+import math
 from collections import abc
 
 from greengagehaven import clock as clocks
@@ -65,13 +66,16 @@
         self.released: set[int] = set()
         self.started_at = clock.monotonic()
         self._clock = clock
-        self._last_ended_at = self.started_at
+        self._first_ended_at = self._last_ended_at = self.started_at
         self._remaining = len(request.attempts)
         self._unreported: list[_Result] = []
         self._ended_event = asyncio.Event()
         self._is_hedge_due = False
+        self._may_report_early = False
+        self._has_reported_early = False
         self._has_failure = False
-        # Set once all attempts have ended, or once one failed and is not reported yet.
+        # Set once all attempts have ended, once one failed and is not reported yet, and
+        # once enough have ended for an early report.
         self._report_event = asyncio.Event()
 
     @property
@@ -79,6 +83,17 @@
         """Return whether all attempts have ended and were reported."""
         return not self._remaining and not self._unreported
 
+    @property
+    def _early_at(self) -> float:
+        """Return when the attempts that have ended are reported before the others."""
+        attempts = len(self.request.attempts)
+        return hedging.early_report_at(
+            first_at=self._first_ended_at,
+            last_at=self._last_ended_at,
+            replies=attempts - self._remaining,
+            attempts=attempts,
+        )
+
     def record_outcome(
         self,
         attempt: int,
@@ -87,6 +102,8 @@
     ) -> None:
         """Record the outcome of an attempt."""
         self._last_ended_at = self._clock.monotonic()
+        if self._remaining == len(self.request.attempts):
+            self._first_ended_at = self._last_ended_at
         took = self._last_ended_at - self.started_at
         self._unreported.append(
             _Result(attempt=attempt, took=took, exchange=exchange, outcome=outcome)
@@ -98,40 +115,49 @@
             self._has_failure = True
         if self._has_failure or not self._remaining:
             self._report_event.set()
+        elif not self._may_report_early and self._early_at < math.inf:
+            self._may_report_early = True
+            self._report_event.set()
 
     async def report(self) -> delegation_messages.AttemptReport:
         """Return the outcomes since the last report.
 
-        The first report is made when all attempts have ended or when the delegating
-        host would hedge a shard, whichever comes first; later ones as further attempts
-        end. A failure is not held back for the first report, as its shard has to be
-        retried within the same deadline.
+        A report is made when all attempts have ended or when the delegating host would
+        hedge a shard, whichever comes first; later ones as further attempts end. Once
+        before, the replies to most attempts are reported when no more arrive for a
+        while. A failure is reported at once, as its shard has to be retried within the
+        same deadline.
         """
         if self._is_hedge_due:
             await self._ended_event.wait()
             if self._remaining:
                 await asyncio.sleep(delegation.REPORT_BATCH_S)
-            return self._build_report(is_failure_report=False)
+            return self._build_report(is_early=False)
         while self._remaining and not self._has_failure:
             until = hedging.report_at(
                 started_at=self.started_at,
                 replied_at=self._last_ended_at,
                 after=self.request.report_ms / _MS,
             )
-            wait = until - self._clock.monotonic()
-            if wait <= 0:
+            now = self._clock.monotonic()
+            if until <= now:
                 self._is_hedge_due = True
-                return self._build_report(is_failure_report=False)
+                return self._build_report(is_early=False)
+            if not self._has_reported_early:
+                if self._early_at <= now:
+                    self._has_reported_early = True
+                    return self._build_report(is_early=True)
+                until = min(until, self._early_at)
+            self._report_event.clear()
+            wait = until - now
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await self._report_event.wait()
         if self._remaining:
             await asyncio.sleep(delegation.REPORT_BATCH_S)
-        return self._build_report(is_failure_report=bool(self._remaining))
+        return self._build_report(is_early=bool(self._remaining))
 
-    def _build_report(
-        self, *, is_failure_report: bool
-    ) -> delegation_messages.AttemptReport:
+    def _build_report(self, *, is_early: bool) -> delegation_messages.AttemptReport:
         results, self._unreported = self._unreported, []
         self._ended_event.clear()
         self._report_event.clear()
@@ -148,7 +174,7 @@
             ),
             records=merging.greatest_records(bodies, self.request.top_records),
             is_last=not self._remaining,
-            is_failure_report=is_failure_report,
+            is_early=is_early,
         )
 
     def _is_part(self, result: _Result) -> bool:
--- a/src/greengagehaven/experiment/delegated_attempts.py
+++ b/src/greengagehaven/experiment/delegated_attempts.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 import typing
 from collections import abc
 
@@ -44,11 +45,14 @@
         self._unreported: list[events.AttemptEnded] = []
         self._is_first_report_due = False
         self._is_report_scheduled = False
-        self._started_at = self._last_end_at = self.loop.time
+        self._is_early_report_scheduled = False
+        self._started_at = self._first_end_at = self._last_end_at = self.loop.time
         self.loop.call_later(self.delegate.report_after, self._report_first)
 
     def record_end(self, key: int, outcome: events.Replied | events.Failed) -> None:
         """Record the end of an attempt, and schedule a report if one is due."""
+        if len(self._attempts_by_key) == len(self.keys):
+            self._first_end_at = self.loop.time
         attempt = self._attempts_by_key.pop(key)
         self._last_end_at = self.loop.time
         if isinstance(outcome, events.Replied):
@@ -65,6 +69,27 @@
         ) and not self._is_report_scheduled:
             self._is_report_scheduled = True
             self.loop.call_later(delegation.REPORT_BATCH_S, self._report)
+        elif not self._is_early_report_scheduled and self._early_at < math.inf:
+            self._is_early_report_scheduled = True
+            self.loop.call_at(self._early_at, self._report_early)
+
+    @property
+    def _early_at(self) -> float:
+        """Return when the attempts that have ended are reported before the others."""
+        return hedging.early_report_at(
+            first_at=self._first_end_at,
+            last_at=self._last_end_at,
+            replies=len(self.keys) - len(self._attempts_by_key),
+            attempts=len(self.keys),
+        )
+
+    def _report_early(self) -> None:
+        if not self._attempts_by_key or self._is_first_report_due:
+            return
+        if self.loop.time < self._early_at:
+            self.loop.call_at(self._early_at, self._report_early)
+            return
+        self._report()
 
     def _report_first(self) -> None:
         report_at = hedging.report_at(
--- a/src/greengagehaven/protocol/delegation_messages.py
+++ b/src/greengagehaven/protocol/delegation_messages.py
@@ -96,11 +96,12 @@
     :param records: the highest-ranked records of all replies with a signature in
         ``ended``.
     :param is_last: whether all attempts have ended.
-    :param is_failure_report: whether the report was sent because of a failure, before
-        ``report_ms``; attempts that it does not list are not late yet.
+    :param is_early: whether the report was sent before ``report_ms``, because of a
+        failure or as replies stopped to arrive; attempts that it does not list are not
+        late yet.
     """
 
     ended: tuple[AttemptResult, ...]
     records: bytes = b""
     is_last: bool = False
-    is_failure_report: bool = False
+    is_early: bool = False
