Count a request's time from its arrival instead of from its reading

Cause: the time of a request began when the router got it. Until then a new connection had been accepted, set up and read in several iterations of the event loop, each with other work. The latest moment of its answer was too late by that time.

Now the first request of a connection arrives with the accept, if it is read within 20 ms of it, and a later one with its first bytes. The scenarios that were added to features/caller_times.feature fail before, as requests have no arrival there.

--- a/features/caller_times.feature
+++ b/features/caller_times.feature
@@ -36,6 +36,28 @@
     And 1 such sweeps arrive while each timer fires 4 ms late
     Then the last 1 answers left within 1 ms of the latest useful moment
 
+  Scenario: The time until a request is read is deducted
+    On a busy host a new connection waits for its turn, and every answer that waits for
+    its latest moment would be late by that time.
+
+    Given a sweep whose last part never arrives
+    When 1 such sweeps are read 6 ms after they arrived, while each timer fires 2 ms late
+    Then the last 1 answers left within 1 ms of the latest useful moment
+
+  Scenario: A request that a client sends as it connects arrived with its connection
+    The event loop does other work between the accept of a connection and its first read.
+
+    Given a server
+    When a client connects and sends a request, which is read 7 ms after the accept
+    Then the request arrived 7 ms before it was handled
+    When the client sends another request 7 ms later
+    Then the request arrived 0 ms before it was handled
+
+  Scenario: A request on a connection that was idle at first arrives when it is read
+    Given a server
+    When a client connects and sends a request, which is read 50 ms after the accept
+    Then the request arrived 0 ms before it was handled
+
   Scenario: A stall at the first sweep does not make the answers after it leave early
     Given a sweep whose last part never arrives
     When 1 such sweeps arrive while each timer fires 20 ms late
--- a/features/fakes/routing.py
+++ b/features/fakes/routing.py
@@ -177,7 +177,9 @@
     def apply_routing_table(self, routing_table):
         self.step(events.RoutingTableChanged(table=routing_table))
 
-    def request(self, path, *, time_left=None, fingerprint=None, key_digest=""):
+    def request(
+        self, path, *, time_left=None, fingerprint=None, key_digest="", age=0.0
+    ):
         number = self.next_number
         self.next_number += 1
         arrived = events.RequestArrived(
@@ -188,6 +190,7 @@
             fingerprint=fingerprint or f"f-{number}",
             time_left=time_left,
             key_digest=key_digest,
+            age=age,
         )
         self.step(arrived)
         return number
--- a/features/steps/caller_times_steps.py
+++ b/features/steps/caller_times_steps.py
@@ -81,11 +81,19 @@
     run_sweeps(context, count, 0.0)
 
 
-def run_sweeps(context, count, timer_lateness):
+@behave.when(
+    "{count:d} such sweeps are read {age:d} ms after they arrived, while each timer "
+    "fires {late:d} ms late"
+)
+def when_read_late(context, count, age, late):
+    run_sweeps(context, count, late / 1000, age=age / 1000)
+
+
+def run_sweeps(context, count, timer_lateness, *, age=0.0):
     context.answer_times = []
     for _ in range(count):
-        started = context.tier.clock.monotonic()
-        number = context.tier.request("/sweep/1")
+        started = context.tier.clock.monotonic() - age
+        number = context.tier.request("/sweep/1", age=age)
         for send in context.tier.attempts_of(number)[1:]:
             context.tier.answer_attempt(send)
         while number not in context.tier.final_actions_by_number:
--- a/src/greengagehaven/coordination/routing/admission.py
+++ b/src/greengagehaven/coordination/routing/admission.py
@@ -151,9 +151,9 @@
     ) -> request.RoutedRequest:
         """Return the routed request.
 
-        :param waited: seconds since its arrival.
+        :param waited: seconds that it waited for usage totals.
         """
-        arrived_at = self._clock.monotonic() - waited
+        arrived_at = self._clock.monotonic() - waited - arrived.age
         time_left = self._time_left(arrived, route)
         spent = self._caller_times.observe(route, arrived.time_left)
         services = route.shards or (self._weights.pick(route),)
--- a/src/greengagehaven/coordination/routing/events.py
+++ b/src/greengagehaven/coordination/routing/events.py
@@ -145,6 +145,7 @@
     :param fingerprint: equal for requests that an upstream cannot tell apart.
     :param time_left: seconds that the caller still waits, ``None`` if it does not say.
     :param key_digest: SHA-256 of the caller's key in hex, empty if it sent none.
+    :param age: seconds since it arrived at this host.
     """
 
     number: int
@@ -154,6 +155,7 @@
     fingerprint: str = ""
     time_left: float | None = None
     key_digest: str = ""
+    age: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/greengagehaven/coordination/routing/request_log.py
+++ b/src/greengagehaven/coordination/routing/request_log.py
@@ -33,6 +33,7 @@
         route=routed.route.name,
         team=routed.team_id,
         table=table,
+        age_ms=round((now - routed.started_at) * 1000, 1),
         left_ms=round((routed.deadline - routed.started_at) * 1000),
         objective_ms=round(routed.route.objective * 1000),
         plan=" ".join(plan),
--- a/src/greengagehaven/daemons/caller_requests.py
+++ b/src/greengagehaven/daemons/caller_requests.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from greengagehaven import clock as clocks
 from greengagehaven import exceptions
 from greengagehaven.coordination.routing import events, merging
 from greengagehaven.daemons import delegation_client
@@ -121,6 +122,13 @@
     return teams.digest_of_key(key.encode("latin-1")) if key else ""
 
 
+def age_of(request: http.Request, clock: clocks.Clock) -> float:
+    """Return the seconds since a request arrived, 0 if that is not known."""
+    if request.arrived_at is None:
+        return 0.0
+    return clock.monotonic() - request.arrived_at
+
+
 def parse_time_left(value: str | None) -> float | None:
     """Return the seconds that the caller waits, ``None`` if absent or invalid."""
     try:
--- a/src/greengagehaven/daemons/gateway.py
+++ b/src/greengagehaven/daemons/gateway.py
@@ -350,6 +350,7 @@
                 request.headers.get(self._names.time_left)
             ),
             key_digest=caller_requests.key_digest_of(request, self._names.key),
+            age=caller_requests.age_of(request, self._clock),
         )
         try:
             self._submit(arrived)
--- a/src/greengagehaven/transport/connection_report.py
+++ b/src/greengagehaven/transport/connection_report.py
@@ -5,6 +5,8 @@
 import typing
 from collections import abc
 
+import h11
+
 from greengagehaven import clock as clocks
 from greengagehaven import log
 
@@ -33,6 +35,27 @@
     read_at: float
     state: str
 
+    @classmethod
+    def from_head(
+        cls,
+        head: h11.Request,
+        *,
+        id_header: bytes,
+        peer: str,
+        read_at: float,
+        state: str,
+    ) -> "UnansweredRequest":
+        """Return a request with the id of its head."""
+        ids = [value for name, value in head.headers if name == id_header]
+        return cls(
+            request_id=ids[0].decode("latin-1") if ids else "",
+            peer=peer,
+            method=head.method.decode("latin-1"),
+            target=head.target.decode("latin-1"),
+            read_at=read_at,
+            state=state,
+        )
+
 
 class ConnectionReport:
     """Logs and counts requests and input that one server did not serve.
--- a/src/greengagehaven/transport/http_server_connection.py
+++ b/src/greengagehaven/transport/http_server_connection.py
@@ -9,6 +9,7 @@
 
 from greengagehaven import exceptions, log, settings
 from greengagehaven.transport import (
+    arrival,
     connection_report,
     error_responses,
     http,
@@ -63,6 +64,7 @@
         self._discards_input = False
         self._discarded_bytes = 0
         self._read_at: float | None = None
+        self._arrival = arrival.ArrivalTime(owner.clock.monotonic())
         self._unread_bytes = 0
         self._write_blocked = False
         self._close_after_write = False
@@ -282,12 +284,10 @@
         is_unanswered = self._state in (State.HANDLING, State.WRITING)
         if not is_unanswered or self._head is None or self._read_at is None:
             return None
-        ids = [v for name, v in self._head.headers if name == self._owner.id_header]
-        return connection_report.UnansweredRequest(
-            request_id=ids[0].decode("latin-1") if ids else "",
+        return connection_report.UnansweredRequest.from_head(
+            self._head,
+            id_header=self._owner.id_header,
             peer=self.peer,
-            method=self._head.method.decode("latin-1"),
-            target=self._head.target.decode("latin-1"),
             read_at=self._read_at,
             state=self._state.value,
         )
@@ -301,8 +301,9 @@
     def _begin_request(self) -> None:
         self._state = State.READING
         self._read_at = None
-        request_timeout = self._limits.request_timeout.total_seconds()
-        self.deadline = self._owner.clock.monotonic() + request_timeout
+        now = self._owner.clock.monotonic()
+        self._arrival.on_request(now)
+        self.deadline = now + self._limits.request_timeout.total_seconds()
         self._owner.connection_busy(self)
 
     def _read_events(self) -> None:
@@ -363,7 +364,8 @@
     def _start_handler(self) -> None:
         assert self._head is not None
         body, self._body = bytes(self._body), bytearray()
-        request = request_parsing.parse_request(self._head, body, self.peer)
+        parse = request_parsing.parse_request
+        request = parse(self._head, body, self.peer, self._arrival.at)
         self._state = State.HANDLING
         self._read_at = self._owner.clock.monotonic()
         self.deadline = NEVER
--- a/src/greengagehaven/transport/request_parsing.py
+++ b/src/greengagehaven/transport/request_parsing.py
@@ -19,10 +19,13 @@
     )
 
 
-def parse_request(head: h11.Request, body: bytes, peer: str) -> http.Request:
+def parse_request(
+    head: h11.Request, body: bytes, peer: str, arrived_at: float
+) -> http.Request:
     """Return a request from its head and body.
 
     :param peer: ``IP:PORT`` of the client.
+    :param arrived_at: monotonic seconds.
     :raises InvalidRequestError: it has too many query parameters.
     """
     target = head.target.decode("latin-1")
@@ -40,6 +43,7 @@
         body=body,
         peer=peer,
         target=target,
+        arrived_at=arrived_at,
     )
 
 
