--- a/features/usage_cap_overlapping_faults.feature
+++ b/features/usage_cap_overlapping_faults.feature
@@ -18,6 +18,10 @@
     Until reports stay unanswered for 0.3 s, hosts go on with their last totals.
     Then the overlapping cases with seeds 220, 537 stay within both bounds
 
+  Scenario: Hosts of a flood wake from a freeze at the same time
+    What waited in their sockets is admitted before a reply arrives.
+    Then the overlapping cases with seeds 50035, 50180 stay within both bounds
+
   Scenario: A substitute passes reports on while a control host answers it
     Otherwise a host that reaches other entry hosts only would not know of most of them.
     Given an entry host that a control host answers, and one that none answers
--- a/features/usage_cap_partitions.feature
+++ b/features/usage_cap_partitions.feature
@@ -15,6 +15,12 @@
       | 2       | 0       |
       | 4       | 20      |
 
+  Scenario: A flood begins as a zone is cut off
+    It takes most of a second to tell silent hosts from late reports.
+    Given 77 hosts and a team with 40 requests per second and a burst of 10
+    When it floods them 0 s after a zone was cut off from 6 control hosts
+    Then no window exceeds the tolerance
+
   Scenario Outline: Both sides of a partition together keep to the limit
     Hosts that are cut off together are noticed one by one.
     Given a control host that heard 77 hosts with <here> and <there> requests of a team
