--- a/features/steps/usage_partition_steps.py
+++ b/features/steps/usage_partition_steps.py
@@ -100,8 +100,8 @@
         ),
         context.now,
     )
-    reserved = next(each.reserved_share for each in totals.teams if each.team == "t")
-    assert abs(reserved - share) < 0.001, reserved
+    (reserved,) = [each.reserved_permille for each in totals.teams if each.team == "t"]
+    assert abs(reserved / 1000 - share) < 0.0006, reserved
 
 
 @behave.then("its totals are not settled")
--- a/src/greengagehaven/coordination/shared_budgets/demand_shares.py
+++ b/src/greengagehaven/coordination/shared_budgets/demand_shares.py
@@ -316,7 +316,9 @@
         self, team: teams_module.Team, state: _TeamState, now: float
     ) -> Decision:
         own = state.offered.count(now)
-        reserved = 0.0 if state.others is None else state.others.reserved_share
+        reserved = 0.0
+        if state.others is not None:
+            reserved = state.others.reserved_permille / 1000
         target = self.caps.target_of(team) * (1 - reserved)
         others, others_admitted = self._estimate_others(state, own, now)
         share = target * own / (own + others) - self._rounding(state, now)
--- a/src/greengagehaven/coordination/shared_budgets/report_sums.py
+++ b/src/greengagehaven/coordination/shared_budgets/report_sums.py
@@ -379,8 +379,10 @@
             recent=max(0, others.recent),
             age_ms=max(0, round(1000 * age)),
             leaving=max(0, others.leaving),
-            reserved_share=(
-                0.0 if self._reserve is None else self._reserve.share_of(team)
+            reserved_permille=(
+                0
+                if self._reserve is None
+                else round(1000 * self._reserve.share_of(team))
             ),
         )
 
--- a/src/greengagehaven/protocol/usage_caps.py
+++ b/src/greengagehaven/protocol/usage_caps.py
@@ -25,8 +25,8 @@
     :param admitted_by_age: in reports of a team of which requests were refused, the
         admitted requests in each tenth of the window, the newest first.
     :param leaving: offered requests that leave the window within ``LEAVING_S``.
-    :param reserved_share: in totals, share of the team's limit that is kept for hosts
-        behind a partition. Their requests are not counted then.
+    :param reserved_permille: in totals, thousandths of the team's limit that are kept
+        for hosts behind a partition. Their requests are not counted then.
     """
 
     team: str
@@ -36,7 +36,7 @@
     age_ms: int = 0
     admitted_by_age: tuple[int, ...] = ()
     leaving: int = 0
-    reserved_share: float = 0.0
+    reserved_permille: int = 0
 
 
 class UsageReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
